--- /dev/null
+++ b/apps/ctl/commands.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "apps/ctl/client.hpp"
+
+#include <string>
+
+namespace galenastage {
+
+/// What a command ends with.
+enum class exit_code : int {
+  Success = 0,
+  Refused = 1,      // the system said no; the text says why
+  Usage = 2,        //
+  Unreachable = 3,  // no entry instance answered
+};
+
+/// What every command may use.
+struct command_context {
+  entry_caller &Entry;
+  bool IsJson = false; // print what the entry answered instead of a table
+  std::string Author;
+  std::string Reason;
+};
+
+exit_code showTables(const command_context &Context);
+exit_code applyTables(const command_context &Context, const std::string &File);
+exit_code validateTables(const command_context &Context,
+                         const std::string &File);
+exit_code setDataCentre(const command_context &Context, const std::string &Name,
+                        bool IsInService);
+exit_code showStatus(const command_context &Context);
+exit_code submitJob(const command_context &Context, const std::string &File,
+                    const std::string &IdempotencyKey);
+exit_code listJobs(const command_context &Context,
+                   const std::string &Organisation);
+exit_code showJob(const command_context &Context, const std::string &Id);
+exit_code cancelJob(const command_context &Context, const std::string &Id);
+exit_code waitForJob(const command_context &Context, const std::string &Id,
+                     seconds Limit);
+exit_code printLogEvents();
+
+} // namespace galenastage
--- /dev/null
+++ b/apps/ctl/main.cpp
@@ -0,0 +1,159 @@
+#include "apps/ctl/commands.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+
+using namespace galenastage;
+
+namespace {
+
+/// Options that apply to every command.
+struct global_options {
+  std::string Entry = "127.0.0.1:8080";
+  std::string Output = "table";
+  std::string Author;
+  std::string Reason;
+  int TimeoutSeconds = 10;
+};
+
+using command = std::function<exit_code(const command_context &)>;
+
+/// Arguments of the commands; each command uses some of them.
+struct command_arguments {
+  std::string File = "-";
+  std::string Id;
+  std::string Name;
+  std::string Organisation;
+  std::string IdempotencyKey;
+  int LimitSeconds = 60;
+};
+
+CLI::App *addCommand(CLI::App &App, const std::string &Name,
+                     const std::string &Help, command &Chosen, command Run) {
+  CLI::App *Command = App.add_subcommand(Name, Help);
+  Command->callback([&Chosen, Run = std::move(Run)] { Chosen = Run; });
+  return Command;
+}
+
+void addTableCommands(CLI::App &App, command_arguments &Arguments,
+                      command &Chosen) {
+  addCommand(App, "get", "print the tables", Chosen, showTables);
+  addCommand(App, "apply", "replace the tables by a file", Chosen,
+             [&](const auto &Context) {
+               return applyTables(Context, Arguments.File);
+             })
+      ->add_option("-f,--file", Arguments.File, "JSON file, or - for stdin")
+      ->required();
+  addCommand(App, "validate", "check a file without storing it", Chosen,
+             [&](const auto &Context) {
+               return validateTables(Context, Arguments.File);
+             })
+      ->add_option("-f,--file", Arguments.File, "JSON file, or - for stdin")
+      ->required();
+  addCommand(App, "drain", "take a data centre out of service", Chosen,
+             [&](const auto &Context) {
+               return setDataCentre(Context, Arguments.Name, false);
+             })
+      ->add_option("data-centre", Arguments.Name, "its name")
+      ->required();
+  addCommand(App, "return", "bring a data centre back into service", Chosen,
+             [&](const auto &Context) {
+               return setDataCentre(Context, Arguments.Name, true);
+             })
+      ->add_option("data-centre", Arguments.Name, "its name")
+      ->required();
+  addCommand(App, "status", "show which version is in force", Chosen,
+             showStatus);
+  addCommand(App, "log-events", "print the catalogue of log events", Chosen,
+             [](const auto &) { return printLogEvents(); });
+}
+
+void addJobCommands(CLI::App &App, command_arguments &Arguments,
+                    command &Chosen) {
+  CLI::App *Submit =
+      addCommand(App, "submit", "submit a job", Chosen,
+                 [&](const auto &Context) {
+                   return submitJob(Context, Arguments.File,
+                                    Arguments.IdempotencyKey);
+                 });
+  Submit->add_option("-f,--file", Arguments.File, "JSON file, or - for stdin");
+  Submit->add_option("--idempotency-key", Arguments.IdempotencyKey,
+                     "a repeat with the same key gives the same job");
+  addCommand(App, "jobs", "list jobs", Chosen,
+             [&](const auto &Context) {
+               return listJobs(Context, Arguments.Organisation);
+             })
+      ->add_option("--organisation", Arguments.Organisation,
+                   "only those of this organisation");
+  addCommand(App, "explain", "say what a job does or waits for", Chosen,
+             [&](const auto &Context) {
+               return showJob(Context, Arguments.Id);
+             })
+      ->add_option("job", Arguments.Id, "its id")
+      ->required();
+  addCommand(App, "cancel", "stop a job", Chosen,
+             [&](const auto &Context) {
+               return cancelJob(Context, Arguments.Id);
+             })
+      ->add_option("job", Arguments.Id, "its id")
+      ->required();
+  CLI::App *Wait = addCommand(App, "wait", "wait until a job has finished",
+                              Chosen, [&](const auto &Context) {
+                                return waitForJob(
+                                    Context, Arguments.Id,
+                                    seconds(Arguments.LimitSeconds));
+                              });
+  Wait->add_option("job", Arguments.Id, "its id")->required();
+  Wait->add_option("--limit", Arguments.LimitSeconds, "seconds to wait")
+      ->check(CLI::Range(1, 86'400))
+      ->capture_default_str();
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  global_options Options;
+  command_arguments Arguments;
+  command Chosen;
+
+  CLI::App App("Operators' command line of galenastage.");
+  App.name("galenastagectl");
+  App.set_version_flag("--version", "galenastagectl " GALENASTAGE_VERSION);
+  App.require_subcommand(1);
+  App.fallthrough();
+  App.add_option("--entry", Options.Entry, "entry instance to call")
+      ->envname("GALENASTAGE_ENTRY")
+      ->capture_default_str();
+  App.add_option("--output", Options.Output, "table or json")
+      ->check(CLI::IsMember({"table", "json"}))
+      ->capture_default_str();
+  App.add_option("--author", Options.Author, "who makes an edit")
+      ->envname("USER");
+  App.add_option("--reason", Options.Reason, "why the edit is made");
+  App.add_option("--timeout", Options.TimeoutSeconds, "seconds for one call")
+      ->check(CLI::Range(1, 600))
+      ->capture_default_str();
+  addTableCommands(App, Arguments, Chosen);
+  addJobCommands(App, Arguments, Chosen);
+  try {
+    App.parse(Argc, Argv);
+  } catch (const CLI::Success &Request) {
+    return App.exit(Request);
+  } catch (const CLI::ParseError &Error) {
+    App.exit(Error);
+    return static_cast<int>(exit_code::Usage);
+  }
+
+  const auto Entry = parseEndpoint(Options.Entry);
+  if (!Entry) {
+    std::cerr << "galenastagectl: --entry must be ADDRESS:PORT by number\n";
+    return static_cast<int>(exit_code::Usage);
+  }
+  entry_caller Caller(*Entry, seconds(Options.TimeoutSeconds));
+  const command_context Context{Caller, Options.Output == "json",
+                                Options.Author, Options.Reason};
+  return static_cast<int>(Chosen(Context));
+}
--- /dev/null
+++ b/apps/entry/main.cpp
@@ -0,0 +1,181 @@
+#include "apps/entry/traffic.hpp"
+#include "apps/runtime/control.hpp"
+#include "apps/runtime/logging.hpp"
+#include "apps/runtime/platform_feed.hpp"
+#include "apps/runtime/process.hpp"
+#include "apps/runtime/settings.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+using namespace galenastage;
+
+namespace {
+
+constexpr milliseconds ConfirmInterval{1'000};
+constexpr milliseconds ListInterval{500};
+constexpr milliseconds DrainPoll{20};
+// The balancer needs this long to notice that /readyz fails.
+constexpr milliseconds BalancerDelay{500};
+
+/// The wiring of one entry instance: control state on its own thread, traffic
+/// on others.
+class entry_app {
+public:
+  explicit entry_app(entry_config NewConfig)
+      : Config(std::move(NewConfig)), Io(Config.Threads + 1),
+        State({instance_id(Config.Instance), Config.DataCentre,
+               Config.SlotsPerExecutor}),
+        Store(Io.context(0), Config.Store, Config.Listen.Address),
+        List(Io.context(0), Config.Platform, Config.Listen.Address) {
+    for (int I = 1; I <= Config.Threads; ++I) {
+      Traffic.push_back(
+          std::make_unique<traffic_thread>(Io.context(I), Config));
+      traffic_thread &Thread = *Traffic.back();
+      Servers.push_back(std::make_unique<http_server>(
+          Io.context(I), Config.Listen, [&Thread](http_request Request) {
+            return handleAny(Thread, std::move(Request));
+          }));
+    }
+  }
+
+  void start() {
+    asio::io_context &Context = Io.context(0);
+    asio::co_spawn(Context,
+                   feedTables(Context, Store, ConfirmInterval,
+                              [this](tables_seen Seen) {
+                                post(std::move(Seen));
+                              }),
+                   asio::detached);
+    asio::co_spawn(Context,
+                   feedInstances(Context, List, instance_kind::Executor,
+                                 Config.DataCentre, ListInterval,
+                                 [this](std::vector<instance> Instances) {
+                                   post(toExecutors(Instances));
+                                 }),
+                   asio::detached);
+    asio::co_spawn(Context,
+                   feedInstances(Context, List, instance_kind::Entry,
+                                 Config.DataCentre, ListInterval,
+                                 [this](std::vector<instance> Instances) {
+                                   post(toMembers(Instances));
+                                 }),
+                   asio::detached);
+    for (auto &Thread : Traffic)
+      Thread->IsReady = true;
+    Io.start();
+  }
+
+  /// Leaves the balancer, then finishes what is in progress.
+  void stopGracefully() {
+    for (auto &Thread : Traffic)
+      Thread->IsReady = false;
+    std::this_thread::sleep_for(BalancerDelay);
+    for (auto &Server : Servers)
+      Server->stopAccepting();
+    while (openRequests() > 0)
+      std::this_thread::sleep_for(DrainPoll);
+    Io.stop();
+  }
+
+private:
+  static executors_seen toExecutors(const std::vector<instance> &Instances) {
+    executors_seen Seen;
+    for (const instance &Row : Instances)
+      Seen.Executors.push_back({executor_id(Row.Name), Row.Service,
+                                Row.DataCentre, Row.Address, Row.IsLeaving});
+    return Seen;
+  }
+
+  static members_seen toMembers(const std::vector<instance> &Instances) {
+    members_seen Seen;
+    for (const instance &Row : Instances)
+      Seen.Members.emplace_back(Row.Name);
+    return Seen;
+  }
+
+  void post(entry_event_body Body) {
+    Control.post([this, Event = entry_event{readClock(), std::move(Body)}] {
+      for (entry_effect &Effect : reduce(State, Event))
+        std::visit([this](auto &Value) { perform(Value); }, Effect);
+    });
+  }
+
+  void perform(const publish_snapshot &Effect) {
+    for (auto &Thread : Traffic)
+      asio::post(Thread->Context,
+                 [&Thread = *Thread, Snapshot = Effect.Snapshot] {
+                   Thread.Snapshot = Snapshot;
+                 });
+  }
+
+  void perform(const write_log &Effect) { writeLog(Effect.Line); }
+
+  [[nodiscard]] int openRequests() const {
+    int Open = 0;
+    for (const auto &Server : Servers)
+      Open += Server->openRequests();
+    return Open;
+  }
+
+  entry_config Config;
+  io_threads Io;
+  entry_state State; // touched by the control thread only
+  store_client Store;
+  instance_list_client List;
+  std::vector<std::unique_ptr<traffic_thread>> Traffic;
+  std::vector<std::unique_ptr<http_server>> Servers;
+  control_thread Control;
+};
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  entry_config Config;
+  std::string DataCentre;
+  std::string Listen = "127.0.0.1:8080";
+  std::string Store;
+  std::string Platform;
+  std::string Format = "key-value";
+
+  settings_parser Parser("galenastage-entry",
+                         "Entry instance: callers' requests, jobs and the "
+                         "operators' tables.");
+  Parser.text("instance", Config.Instance, "name of this instance", true);
+  Parser.text("data-centre", DataCentre, "data centre of this instance", true);
+  Parser.address("listen", Listen, "where callers and operators connect");
+  Parser.address("store", Store, "the platform's key-value service", true);
+  Parser.address("platform", Platform, "the platform's instance list", true);
+  Parser.number("threads", Config.Threads, 1, 64, "traffic threads");
+  Parser.number("executor-slots", Config.SlotsPerExecutor, 1, 1'024,
+                "requests at once at one executor, from all entry instances");
+  Parser.choice("log-format", Format, {"key-value", "json"},
+                "format of log lines");
+  if (const auto ExitCode = Parser.parse(Argc, Argv))
+    return *ExitCode;
+
+  startLogging("galenastage-entry",
+               Format == "json" ? log_format::Json : log_format::KeyValue);
+  Config.DataCentre = data_centre_id(DataCentre);
+  Config.Listen = *parseEndpoint(Listen);
+  Config.Store = *parseEndpoint(Store);
+  Config.Platform = *parseEndpoint(Platform);
+
+  blockStopSignals();
+  try {
+    entry_app App(Config);
+    App.start();
+    writeLog(events::ProcessStarted,
+             {{"instance", Config.Instance}, {"listen", Listen}});
+    waitForStop();
+    writeLog(events::ProcessStopping, {});
+    App.stopGracefully();
+  } catch (const std::runtime_error &Error) {
+    writeLog(events::ListenFailed,
+             {{"listen", Listen}, {"error", Error.what()}});
+    return 1;
+  }
+  writeLog(events::ProcessStopped, {});
+  return 0;
+}
--- /dev/null
+++ b/apps/entry/tables_api.cpp
@@ -0,0 +1,258 @@
+#include "apps/entry/traffic.hpp"
+#include "apps/runtime/logging.hpp"
+#include "apps/runtime/process.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace galenastage {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t EditTokenDigits = 32;
+constexpr std::string_view DefaultAuthor = "unknown";
+
+struct stored_tables {
+  std::error_code Error;
+  std::optional<tables> Tables;  // none: nothing stored yet
+  std::int64_t Revision = 0;     // of the key; 0 when missing
+};
+
+task<stored_tables> readTables(traffic_thread &Thread) {
+  stored_tables Stored;
+  const store_read Read = co_await Thread.Store.read(std::string(TablesKey));
+  Stored.Error = Read.Error;
+  if (Read.Error || Read.Entries.empty())
+    co_return Stored;
+  Stored.Tables = parseTables(Read.Entries.front().Value).Tables;
+  Stored.Revision = Read.Entries.front().ModRevision;
+  co_return Stored;
+}
+
+std::string etagOf(std::uint64_t Version) {
+  return "\"" + std::to_string(Version) + "\"";
+}
+
+/// Reads the version out of an If-Match field such as "7".
+std::optional<std::uint64_t> versionOf(std::string_view Tag) {
+  if (Tag.size() >= 2 && Tag.front() == '"' && Tag.back() == '"')
+    Tag = Tag.substr(1, Tag.size() - 2);
+  std::uint64_t Version = 0;
+  const auto [End, Error] =
+      std::from_chars(Tag.data(), Tag.data() + Tag.size(), Version);
+  if (Error != std::errc{} || End != Tag.data() + Tag.size())
+    return std::nullopt;
+  return Version;
+}
+
+http_response tablesResponse(unsigned Status, const json &Body,
+                             std::uint64_t Version) {
+  http_response Response = jsonResponse(Status, Body.dump());
+  Response.Headers.set("ETag", etagOf(Version));
+  return Response;
+}
+
+http_response conflictResponse(std::uint64_t Expected, std::uint64_t Found) {
+  return problemResponse(412, "version conflict",
+                         "the tables are at version " + std::to_string(Found) +
+                             ", the edit was made on " +
+                             std::to_string(Expected),
+                         verdict::NotRun);
+}
+
+/// Whether the edit with this token is the stored version: settles a write
+/// whose answer was lost, even when other edits have followed it.
+task<std::optional<bool>> isEditStored(traffic_thread &Thread,
+                                       std::uint64_t Version,
+                                       std::string Token) {
+  const store_read Read =
+      co_await Thread.Store.read(tablesHistoryKey(Version));
+  if (Read.Error)
+    co_return std::nullopt;
+  if (Read.Entries.empty())
+    co_return false;
+  const auto Kept = parseTables(Read.Entries.front().Value).Tables;
+  co_return Kept &&Kept->EditToken == Token;
+}
+
+/// Stores new tables on top of the version they were made from.
+task<http_response> storeTables(traffic_thread &Thread, stored_tables Base,
+                                tables Edited, http_request Request) {
+  const std::uint64_t BaseVersion = Base.Tables ? Base.Tables->Version : 0;
+  const std::string_view Author = Request.Headers.find("Galenastage-Author");
+  Edited.Version = BaseVersion + 1;
+  Edited.Author = Author.empty() ? DefaultAuthor : Author;
+  Edited.Reason = Request.Headers.find("Galenastage-Reason");
+  Edited.EditToken = randomHex(EditTokenDigits);
+  const auto Problems = validate(Edited);
+  if (!Problems.empty())
+    co_return invalidResponse("invalid tables", Problems);
+
+  const std::string Text = printTables(Edited);
+  store_transaction Transaction;
+  if (Base.Revision == 0)
+    Transaction.Conditions.push_back(key_missing{std::string(TablesKey)});
+  else
+    Transaction.Conditions.push_back(
+        revision_is{std::string(TablesKey), Base.Revision});
+  Transaction.Changes.push_back(put_key{std::string(TablesKey), Text});
+  Transaction.Changes.push_back(put_key{tablesHistoryKey(Edited.Version), Text});
+  const store_write Write =
+      co_await Thread.Store.commit(std::move(Transaction));
+  bool IsStored = !Write.Error && Write.IsApplied;
+  if (Write.Error) {
+    if (Write.Verdict == verdict::NotRun)
+      co_return storeUnavailableResponse(verdict::NotRun);
+    const auto Outcome =
+        co_await isEditStored(Thread, Edited.Version, Edited.EditToken);
+    if (!Outcome)
+      co_return storeUnavailableResponse(verdict::Unknown);
+    IsStored = *Outcome;
+  }
+  if (!IsStored)
+    co_return conflictResponse(BaseVersion, BaseVersion + 1);
+  writeLog(events::EditAccepted, {{"version", std::to_string(Edited.Version)},
+                                  {"author", Edited.Author},
+                                  {"reason", Edited.Reason}});
+  co_return tablesResponse(200, json{{"version", Edited.Version}},
+                           Edited.Version);
+}
+
+/// Which table a path names: "routes", "pools" or "data_centres".
+std::optional<std::string> tableOf(std::string_view Segment) {
+  if (Segment == "routes" || Segment == "pools")
+    return std::string(Segment);
+  if (Segment == "data-centres")
+    return "data_centres";
+  return std::nullopt;
+}
+
+/// Replaces, adds or removes one row of a document. False when there is no such
+/// row to remove.
+bool changeRow(json &Document, const std::string &Table,
+               const std::string &Name, const std::optional<json> &Row) {
+  json &Rows = Document[Table];
+  for (auto It = Rows.begin(); It != Rows.end(); ++It) {
+    if (It->value("name", "") != Name)
+      continue;
+    if (Row)
+      *It = *Row;
+    else
+      Rows.erase(It);
+    return true;
+  }
+  if (Row)
+    Rows.push_back(*Row);
+  return Row.has_value();
+}
+
+task<http_response> editRow(traffic_thread &Thread, stored_tables Base,
+                            std::string Table, std::string Name,
+                            http_request Request) {
+  json Document = Base.Tables.value_or(tables{});
+  std::optional<json> Row;
+  if (Request.Method == "PUT") {
+    Row = json::parse(Request.Body, nullptr, false);
+    if (!Row->is_object())
+      co_return invalidResponse("invalid row", {{"", "must be a JSON object"}});
+    (*Row)["name"] = Name;
+  }
+  if (!changeRow(Document, Table, Name, Row))
+    co_return problemResponse(404, "no such row", Table + "/" + Name,
+                              verdict::NotRun);
+  parsed_tables Parsed = parseTables(Document.dump());
+  if (!Parsed.Tables)
+    co_return invalidResponse("invalid row", Parsed.Problems);
+  co_return co_await storeTables(Thread, std::move(Base),
+                                 std::move(*Parsed.Tables),
+                                 std::move(Request));
+}
+
+http_response showRow(const tables &Tables, const std::string &Table,
+                      const std::string &Name) {
+  const json Document = Tables;
+  for (const json &Row : Document.at(Table))
+    if (Row.value("name", "") == Name)
+      return tablesResponse(200, Row, Tables.Version);
+  return problemResponse(404, "no such row", Table + "/" + Name,
+                         verdict::NotRun);
+}
+
+http_response showStatus(const traffic_thread &Thread) {
+  const std::uint64_t Version =
+      Thread.Snapshot ? Thread.Snapshot->Tables->Version : 0;
+  return jsonResponse(
+      200, json{{"instance", Thread.Config.Instance},
+                {"data_centre", Thread.Config.DataCentre.Value},
+                {"version_in_force", Version}}
+               .dump());
+}
+
+task<http_response> editTables(traffic_thread &Thread, std::string Rest,
+                               http_request Request) {
+  const std::string_view Match = Request.Headers.find("If-Match");
+  if (Match.empty())
+    co_return problemResponse(428, "If-Match is missing",
+                              "an edit names the version it was made on",
+                              verdict::NotRun);
+  const auto Expected = versionOf(Match);
+  if (!Expected)
+    co_return problemResponse(400, "If-Match is malformed", Match,
+                              verdict::NotRun);
+  stored_tables Base = co_await readTables(Thread);
+  if (Base.Error)
+    co_return storeUnavailableResponse(verdict::NotRun);
+  const std::uint64_t Current = Base.Tables ? Base.Tables->Version : 0;
+  if (Current != *Expected)
+    co_return conflictResponse(*Expected, Current);
+
+  if (Rest.empty()) {
+    parsed_tables Parsed = parseTables(Request.Body);
+    if (!Parsed.Tables)
+      co_return invalidResponse("invalid tables", Parsed.Problems);
+    co_return co_await storeTables(Thread, std::move(Base),
+                                   std::move(*Parsed.Tables),
+                                   std::move(Request));
+  }
+  const std::size_t Slash = Rest.find('/');
+  const auto Table = tableOf(std::string_view(Rest).substr(0, Slash));
+  if (!Table || Slash == std::string::npos)
+    co_return problemResponse(404, "no such table", Rest, verdict::NotRun);
+  std::string Name = Rest.substr(Slash + 1);
+  co_return co_await editRow(Thread, std::move(Base), *Table, std::move(Name),
+                             std::move(Request));
+}
+
+task<http_response> readTablesPath(traffic_thread &Thread, std::string Rest) {
+  if (Rest == "status")
+    co_return showStatus(Thread);
+  const stored_tables Stored = co_await readTables(Thread);
+  if (Stored.Error)
+    co_return storeUnavailableResponse(verdict::NotRun);
+  const tables Tables = Stored.Tables.value_or(tables{});
+  if (Rest.empty())
+    co_return tablesResponse(200, json(Tables), Tables.Version);
+  const std::size_t Slash = Rest.find('/');
+  const auto Table = tableOf(std::string_view(Rest).substr(0, Slash));
+  if (!Table || Slash == std::string::npos)
+    co_return problemResponse(404, "no such table", Rest, verdict::NotRun);
+  co_return showRow(Tables, *Table, Rest.substr(Slash + 1));
+}
+
+} // namespace
+
+task<http_response> handleTables(traffic_thread &Thread, http_request Request) {
+  std::string Rest(Request.path().substr(std::string_view("/v1/tables").size()));
+  if (!Rest.empty())
+    Rest.erase(0, 1);
+  if (Request.Method == "GET")
+    co_return co_await readTablesPath(Thread, std::move(Rest));
+  if (Request.Method == "PUT" || Request.Method == "DELETE")
+    co_return co_await editTables(Thread, std::move(Rest), std::move(Request));
+  co_return problemResponse(405, "method not allowed", Request.Method,
+                            verdict::NotRun);
+}
+
+} // namespace galenastage
--- /dev/null
+++ b/apps/entry/traffic.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+// What one traffic thread of the entry owns, and the handlers of its requests.
+//
+// Index of this file
+// [1] The thread
+// [2] Handlers
+
+#include "core/request/entry_state.hpp"
+#include "platform/http.hpp"
+#include "platform/store.hpp"
+
+namespace galenastage {
+
+// [1] The thread
+
+struct entry_config {
+  std::string Instance;         //
+  data_centre_id DataCentre;    //
+  endpoint Listen;              // for callers and operators
+  endpoint Store;               // key-value service
+  endpoint Platform;            // instance list
+  int Threads = 2;              // of traffic
+  int SlotsPerExecutor = 8;     // from all entry instances together
+};
+
+/// The state of one traffic thread. Only that thread touches it, but for
+/// IsReady.
+struct traffic_thread {
+  traffic_thread(asio::io_context &Context, const entry_config &Config)
+      : Context(Context), Config(Config),
+        Store(Context, Config.Store, Config.Listen.Address),
+        Upstream(Context, Config.Listen.Address) {}
+
+  asio::io_context &Context;
+  const entry_config &Config;
+  store_client Store;
+  http_client Upstream;
+  entry_snapshot_ptr Snapshot;      // null until the tables are known
+  std::atomic<bool> IsReady{false}; // whether the balancer may send requests
+};
+
+// [2] Handlers
+
+/// Answers anything that arrives at the entry.
+task<http_response> handleAny(traffic_thread &Thread, http_request Request);
+
+/// POST /v1/requests/...: routes a caller's request to an executor.
+task<http_response> handleRequest(traffic_thread &Thread, http_request Request);
+
+/// /v1/jobs: submit, look up, list, cancel.
+task<http_response> handleJobs(traffic_thread &Thread, http_request Request);
+
+/// /v1/tables: read and edit the tables.
+task<http_response> handleTables(traffic_thread &Thread, http_request Request);
+
+/// 503 for what needs the key-value service while it doesn't answer.
+http_response storeUnavailableResponse(verdict Verdict);
+
+/// 422 with a list of the rules that were broken.
+http_response invalidResponse(std::string_view Title,
+                              const std::vector<table_problem> &Problems);
+
+} // namespace galenastage
--- /dev/null
+++ b/apps/runtime/control.cpp
@@ -0,0 +1,63 @@
+#include "apps/runtime/control.hpp"
+
+#include <caf/actor.hpp>
+#include <caf/actor_system.hpp>
+#include <caf/actor_system_config.hpp>
+#include <caf/allowed_unsafe_message_type.hpp>
+#include <caf/event_based_actor.hpp>
+#include <caf/scoped_actor.hpp>
+#include <caf/send.hpp>
+#include <caf/spawn_options.hpp>
+
+namespace {
+
+using control_work = std::shared_ptr<std::function<void()>>;
+
+} // namespace
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(control_work)
+
+namespace galenastage {
+namespace {
+
+/// Runs posted work; an empty function ends the actor after all posted before.
+caf::behavior controlBehavior(caf::event_based_actor *Self) {
+  return {[Self](const control_work &Work) {
+    if (*Work)
+      (*Work)();
+    else
+      Self->quit();
+  }};
+}
+
+caf::actor_system_config &systemConfig() {
+  static caf::actor_system_config Config;
+  // One detached actor does all the work; the pool stays as small as it can.
+  Config.set("caf.scheduler.max-threads", 1);
+  return Config;
+}
+
+} // namespace
+
+struct control_thread::state {
+  caf::actor_system System{systemConfig()};
+  caf::actor Actor = System.spawn<caf::detached>(controlBehavior);
+};
+
+control_thread::control_thread() : State(std::make_unique<state>()) {}
+
+control_thread::~control_thread() {
+  {
+    caf::scoped_actor Self(State->System);
+    post({});
+    Self->wait_for(State->Actor);
+  }
+  State->Actor = nullptr;
+}
+
+void control_thread::post(std::function<void()> Work) {
+  caf::anon_send(State->Actor,
+                 std::make_shared<std::function<void()>>(std::move(Work)));
+}
+
+} // namespace galenastage
--- /dev/null
+++ b/apps/runtime/settings.cpp
@@ -0,0 +1,128 @@
+#include "apps/runtime/settings.hpp"
+
+#include "platform/http.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+namespace galenastage {
+namespace {
+
+constexpr int ExitUsage = 2;
+
+/// GALENASTAGE_DATA_CENTRE for the key data-centre.
+std::string environmentName(const std::string &Key) {
+  std::string Name = "GALENASTAGE_";
+  for (char C : Key)
+    Name += C == '-' ? '_' : static_cast<char>(std::toupper(C));
+  return Name;
+}
+
+bool isOnCommandLine(const std::vector<std::string> &Arguments,
+                     const std::string &Flag) {
+  return std::ranges::any_of(Arguments, [&](const std::string &Argument) {
+    return Argument == Flag || Argument.starts_with(Flag + "=");
+  });
+}
+
+} // namespace
+
+struct settings_parser::state {
+  state(std::string Program, std::string Description)
+      : Program(std::move(Program)), App(std::move(Description)) {}
+
+  CLI::Option *add(CLI::Option *Option, const std::string &Key,
+                   bool IsRequired) {
+    Keys.push_back(Key);
+    Option->description(Option->get_description() + " [" +
+                        environmentName(Key) + "]");
+    if (IsRequired)
+      Option->required();
+    return Option;
+  }
+
+  std::string Program;
+  CLI::App App;
+  bool IsCheckOnly = false;
+  std::vector<std::string> Keys;
+};
+
+settings_parser::settings_parser(std::string Program, std::string Description)
+    : State(std::make_unique<state>(std::move(Program),
+                                    std::move(Description))) {
+  CLI::App &App = State->App;
+  App.name(State->Program);
+  App.set_version_flag("--version",
+                       State->Program + " " + GALENASTAGE_VERSION);
+  App.set_config("--config", "", "INI file with settings");
+  App.allow_config_extras(CLI::config_extras_mode::error);
+  App.add_flag("--check-settings", State->IsCheckOnly,
+               "check the settings, print them and exit")
+      ->configurable(false);
+}
+
+settings_parser::~settings_parser() = default;
+
+void settings_parser::text(const std::string &Key, std::string &Target,
+                           const std::string &Help, bool IsRequired) {
+  State->add(State->App.add_option("--" + Key, Target, Help)->capture_default_str(), Key,
+             IsRequired);
+}
+
+void settings_parser::choice(const std::string &Key, std::string &Target,
+                             const std::vector<std::string> &Words,
+                             const std::string &Help) {
+  State->add(State->App.add_option("--" + Key, Target, Help)->capture_default_str(), Key, false)
+      ->check(CLI::IsMember(Words));
+}
+
+void settings_parser::address(const std::string &Key, std::string &Target,
+                              const std::string &Help, bool IsRequired) {
+  const CLI::Validator Check(
+      [](const std::string &Text) {
+        return parseEndpoint(Text) ? std::string()
+                                   : "'" + Text +
+                                         "' is not ADDRESS:PORT by number";
+      },
+      "ADDRESS:PORT");
+  State->add(State->App.add_option("--" + Key, Target, Help)->capture_default_str(), Key,
+             IsRequired)
+      ->check(Check);
+}
+
+void settings_parser::number(const std::string &Key, int &Target, int Min,
+                             int Max, const std::string &Help) {
+  State->add(State->App.add_option("--" + Key, Target, Help)->capture_default_str(), Key, false)
+      ->check(CLI::Range(Min, Max));
+}
+
+std::optional<int> settings_parser::parse(int Argc, char **Argv) {
+  std::vector<std::string> Arguments(Argv + 1, Argv + Argc);
+  for (const std::string &Key : State->Keys) {
+    const char *Value = std::getenv(environmentName(Key).c_str());
+    if (Value && !isOnCommandLine(Arguments, "--" + Key))
+      Arguments.push_back("--" + Key + "=" + Value);
+  }
+  std::ranges::reverse(Arguments); // CLI11 takes them last first
+  try {
+    State->App.parse(Arguments);
+  } catch (const CLI::Success &Request) {
+    return State->App.exit(Request);
+  } catch (const CLI::ParseError &Error) {
+    const auto *File = State->App.get_config_ptr();
+    std::cerr << State->Program << ": settings: " << Error.what();
+    if (File->count() > 0)
+      std::cerr << " (file " << File->as<std::string>() << ")";
+    std::cerr << "\n";
+    return ExitUsage;
+  }
+  if (!State->IsCheckOnly)
+    return std::nullopt;
+  std::cout << State->App.config_to_str(true, false);
+  return EXIT_SUCCESS;
+}
+
+} // namespace galenastage
--- /dev/null
+++ b/apps/scheduler/main.cpp
@@ -0,0 +1,319 @@
+#include "apps/runtime/control.hpp"
+#include "apps/runtime/logging.hpp"
+#include "apps/runtime/platform_feed.hpp"
+#include "apps/runtime/process.hpp"
+#include "apps/runtime/settings.hpp"
+#include "apps/scheduler/election.hpp"
+#include "apps/scheduler/save_queue.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include <future>
+
+using namespace galenastage;
+
+namespace {
+
+constexpr milliseconds TickInterval{100};
+constexpr milliseconds ConfirmInterval{500};
+constexpr milliseconds ListInterval{500};
+constexpr milliseconds WorkerCallTimeout{1'000};
+constexpr milliseconds ReloadDelay{300};
+constexpr seconds ResignTimeout{2};
+
+struct scheduler_config {
+  std::string Instance;
+  data_centre_id DataCentre;
+  endpoint Listen;
+  endpoint Store;
+  endpoint Platform;
+};
+
+/// The wiring of one scheduler: the reducer on the control thread, everything
+/// else on one I/O thread.
+class scheduler_app {
+public:
+  explicit scheduler_app(scheduler_config NewConfig)
+      : Config(std::move(NewConfig)), Io(1), Context(Io.context(0)),
+        State(settingsOf(Config)),
+        Store(Context, Config.Store, Config.Listen.Address),
+        List(Context, Config.Platform, Config.Listen.Address),
+        Workers(Context, Config.Listen.Address),
+        Saves(Context, Store,
+              [this](scheduler_event_body Body) { post(std::move(Body)); }),
+        Election(Context, Store, Config.DataCentre, Config.Instance,
+                 [this](bool IsLeading, epoch Epoch) {
+                   changeLeadership(IsLeading, Epoch);
+                 }),
+        Server(Context, Config.Listen, [this](http_request Request) {
+          return handle(std::move(Request));
+        }) {}
+
+  void start() {
+    spawn(tickLoop());
+    spawn(feedTables(Context, Store, ConfirmInterval,
+                     [this](tables_seen Seen) { post(std::move(Seen)); }));
+    spawn(feedInstances(Context, List, instance_kind::Worker, Config.DataCentre,
+                        ListInterval, [this](std::vector<instance> Instances) {
+                          takeWorkers(Instances);
+                        }));
+    spawn(Election.run());
+    Io.start();
+  }
+
+  /// Hands the leadership over, so that a standby continues within seconds. The
+  /// gangs go on under their leases meanwhile.
+  void stopGracefully() {
+    std::promise<void> Resigned;
+    asio::co_spawn(Context, Election.resign(),
+                   [&](std::exception_ptr) { Resigned.set_value(); });
+    Resigned.get_future().wait_for(ResignTimeout);
+    Io.stop();
+  }
+
+private:
+  static scheduler_settings settingsOf(const scheduler_config &Config) {
+    scheduler_settings Settings;
+    Settings.DataCentre = Config.DataCentre;
+    return Settings;
+  }
+
+  void spawn(task<void> Task) {
+    asio::co_spawn(Context, std::move(Task), asio::detached);
+  }
+
+  // Events
+
+  void post(scheduler_event_body Body) {
+    Control.post([this, Event = scheduler_event{readClock(), std::move(Body)}] {
+      scheduler_effects Effects = reduce(State, Event);
+      if (!Effects.empty())
+        asio::post(Context, [this, Effects = std::move(Effects)]() mutable {
+          for (scheduler_effect &Effect : Effects)
+            std::visit([this](auto &Value) { perform(std::move(Value)); },
+                       Effect);
+        });
+    });
+  }
+
+  task<void> tickLoop() {
+    for (;;) {
+      post(ticked{readWallClock()});
+      co_await sleepFor(Context, TickInterval);
+    }
+  }
+
+  void takeWorkers(const std::vector<instance> &Instances) {
+    std::map<worker_id, endpoint> Listed;
+    for (const instance &Row : Instances) {
+      const worker_id Worker(Row.Name);
+      Listed[Worker] = Row.Address;
+      post(worker_listed{Worker, Row.Rack, Row.Accelerators, Row.IsLeaving});
+    }
+    for (const auto &[Worker, Address] : Addresses)
+      if (!Listed.contains(Worker))
+        post(worker_unlisted{Worker});
+    // Addresses of workers that left stay known: their tasks may still run.
+    Listed.merge(Addresses);
+    Addresses = std::move(Listed);
+  }
+
+  void changeLeadership(bool IsLeading, epoch Epoch) {
+    post(leadership_changed{IsLeading, Epoch});
+    ++Term;
+    if (IsLeading)
+      spawn(followJobs(Term));
+  }
+
+  /// Reads this data centre's jobs, then watches them, for one term.
+  task<void> followJobs(int MyTerm) {
+    bool IsLoaded = false;
+    while (MyTerm == Term) {
+      const store_read Read =
+          co_await Store.readPrefix(jobPrefix(Config.DataCentre));
+      if (!Read.Error) {
+        for (const store_entry &Entry : Read.Entries)
+          takeJob(Entry);
+        if (!IsLoaded)
+          post(jobs_loaded{});
+        IsLoaded = true;
+        watch_callbacks Callbacks;
+        Callbacks.OnEvent = [this, MyTerm](const store_event &Event) {
+          if (MyTerm == Term)
+            takeJobEvent(Event);
+        };
+        co_await Store.watch(jobPrefix(Config.DataCentre), Read.Revision + 1,
+                             std::move(Callbacks));
+      }
+      co_await sleepFor(Context, ReloadDelay);
+    }
+  }
+
+  void takeJobEvent(const store_event &Event) {
+    if (!Event.IsDelete) {
+      takeJob(Event.Entry);
+      return;
+    }
+    const std::size_t Prefix = jobPrefix(Config.DataCentre).size();
+    post(job_forgotten{job_id(Event.Entry.Key.substr(Prefix))});
+  }
+
+  void takeJob(const store_entry &Entry) {
+    auto Parsed = parseJobRecord(Entry.Value);
+    if (Parsed.Job)
+      post(job_seen{std::move(*Parsed.Job), Entry.ModRevision});
+    else
+      writeLog(events::JobUnreadable,
+               {{"key", Entry.Key}, {"field", Parsed.Problems.front().Field}});
+  }
+
+  // Effects
+
+  void perform(send_reserve Effect) {
+    spawn(sendStep(step_answered::step_kind::Reserve, "/v1/reserve",
+                   Effect.Worker, Effect.Request.Attempt,
+                   nlohmann::json(Effect.Request).dump()));
+  }
+
+  void perform(send_start Effect) {
+    spawn(sendStep(step_answered::step_kind::Start, "/v1/start", Effect.Worker,
+                   Effect.Request.Attempt,
+                   nlohmann::json(Effect.Request).dump()));
+  }
+
+  void perform(send_release Effect) {
+    spawn(sendStep(step_answered::step_kind::Release, "/v1/release",
+                   Effect.Worker, Effect.Request.Attempt,
+                   nlohmann::json(Effect.Request).dump()));
+  }
+
+  void perform(send_renew Effect) {
+    spawn(sendRenew(Effect.Worker, nlohmann::json(Effect.Request).dump()));
+  }
+
+  void perform(save_job Effect) { Saves.save(std::move(Effect)); }
+  void perform(move_job Effect) { Saves.move(std::move(Effect)); }
+  void perform(step_down Effect) { Election.noteEpoch(Effect.HighestEpoch); }
+  void perform(write_log Effect) { writeLog(Effect.Line); }
+
+  task<http_result> callWorker(worker_id Worker, std::string Path,
+                               std::string Body) {
+    const auto Address = Addresses.find(Worker);
+    if (Address == Addresses.end()) {
+      http_result Unknown;
+      Unknown.Error = std::make_error_code(std::errc::host_unreachable);
+      co_return Unknown;
+    }
+    http_request Request;
+    Request.Method = "POST";
+    Request.Target = std::move(Path);
+    Request.Headers.set("Content-Type", "application/json");
+    Request.Body = std::move(Body);
+    co_return co_await Workers.send(Address->second, std::move(Request),
+                                    WorkerCallTimeout);
+  }
+
+  task<void> sendStep(step_answered::step_kind Kind, std::string Path,
+                      worker_id Worker, attempt_id Attempt, std::string Body) {
+    const http_result Result =
+        co_await callWorker(Worker, std::move(Path), std::move(Body));
+    step_answered Answer;
+    Answer.Kind = Kind;
+    Answer.Attempt = std::move(Attempt);
+    Answer.Worker = std::move(Worker);
+    Answer.Verdict = Result.Verdict;
+    Answer.Reason = Result.Error ? Result.Error.message() : "";
+    if (!Result.Error) {
+      const auto Parsed =
+          parseWorkerMessage<worker_answer>(Result.Response.Body);
+      Answer.IsAccepted = Parsed && Parsed->IsAccepted;
+      Answer.HighestEpoch = Parsed ? Parsed->HighestEpoch : 0;
+      Answer.Reason = Parsed ? Parsed->Reason : "unreadable answer";
+    }
+    post(std::move(Answer));
+  }
+
+  task<void> sendRenew(worker_id Worker, std::string Body) {
+    const instant SentAt = readClock();
+    const http_result Result =
+        co_await callWorker(std::move(Worker), "/v1/renew", std::move(Body));
+    if (Result.Error)
+      co_return;
+    if (auto Report = parseWorkerMessage<worker_report>(Result.Response.Body))
+      post(worker_reported{std::move(*Report), SentAt});
+  }
+
+  // Health
+
+  task<http_response> handle(http_request Request) {
+    if (Request.path() == "/healthz" || Request.path() == "/readyz")
+      co_return jsonResponse(200, R"({"healthy":true})");
+    co_return problemResponse(404, "not found", Request.path(),
+                              verdict::NotRun);
+  }
+
+  scheduler_config Config;
+  io_threads Io;
+  asio::io_context &Context;
+  scheduler_state State; // touched by the control thread only
+  store_client Store;
+  instance_list_client List;
+  http_client Workers;
+  std::map<worker_id, endpoint> Addresses;
+  int Term = 0; // grows with each change of leadership
+  save_queue Saves;
+  election Election;
+  http_server Server;
+  control_thread Control;
+};
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  scheduler_config Config;
+  std::string DataCentre;
+  std::string Listen = "127.0.0.1:8090";
+  std::string Store;
+  std::string Platform;
+  std::string Format = "key-value";
+
+  settings_parser Parser("galenastage-scheduler",
+                         "Scheduler of one data centre: places jobs, renews "
+                         "their leases, moves them.");
+  Parser.text("instance", Config.Instance, "name of this instance", true);
+  Parser.text("data-centre", DataCentre, "data centre of this instance", true);
+  Parser.address("listen", Listen, "where health checks connect");
+  Parser.address("store", Store, "the platform's key-value service", true);
+  Parser.address("platform", Platform, "the platform's instance list", true);
+  Parser.choice("log-format", Format, {"key-value", "json"},
+                "format of log lines");
+  if (const auto ExitCode = Parser.parse(Argc, Argv))
+    return *ExitCode;
+
+  startLogging("galenastage-scheduler",
+               Format == "json" ? log_format::Json : log_format::KeyValue);
+  Config.DataCentre = data_centre_id(DataCentre);
+  Config.Listen = *parseEndpoint(Listen);
+  Config.Store = *parseEndpoint(Store);
+  Config.Platform = *parseEndpoint(Platform);
+
+  blockStopSignals();
+  try {
+    scheduler_app App(Config);
+    App.start();
+    writeLog(events::ProcessStarted,
+             {{"instance", Config.Instance}, {"listen", Listen}});
+    waitForStop();
+    writeLog(events::ProcessStopping, {});
+    App.stopGracefully();
+  } catch (const std::runtime_error &Error) {
+    writeLog(events::ListenFailed,
+             {{"listen", Listen}, {"error", Error.what()}});
+    return 1;
+  }
+  writeLog(events::ProcessStopped, {});
+  return 0;
+}
--- /dev/null
+++ b/apps/scheduler/save_queue.cpp
@@ -0,0 +1,117 @@
+#include "apps/scheduler/save_queue.hpp"
+
+#include "apps/runtime/process.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace galenastage {
+namespace {
+
+constexpr std::size_t MaxGroup = 64;      // transactions in one call
+constexpr milliseconds GatherTime{5};     // for a group to fill
+constexpr milliseconds OutageDelay{500};  // after a call that failed
+
+} // namespace
+
+save_queue::save_queue(asio::io_context &Context, store_client &Store,
+                       std::function<void(scheduler_event_body)> OnEvent)
+    : Context(Context), Store(Store), OnEvent(std::move(OnEvent)) {}
+
+void save_queue::save(save_job Wanted) {
+  queued_write Write;
+  Write.Job = Wanted.Record.Spec.Id;
+  Write.Key = jobKey(Wanted.Record.DataCentre, Write.Job);
+  Write.Value = printJobRecord(Wanted.Record);
+  Write.Transaction.Conditions.push_back(
+      revision_is{Write.Key, Wanted.Revision});
+  Write.Transaction.Changes.push_back(put_key{Write.Key, Write.Value});
+  enqueue(std::move(Write));
+}
+
+void save_queue::move(move_job Wanted) {
+  queued_write Write;
+  Write.Job = Wanted.Record.Spec.Id;
+  Write.Key = jobKey(Wanted.From, Write.Job);
+  const data_centre_id &To = Wanted.Record.DataCentre;
+  Write.Transaction.Conditions.push_back(
+      revision_is{Write.Key, Wanted.Revision});
+  Write.Transaction.Changes.push_back(delete_key{Write.Key});
+  Write.Transaction.Changes.push_back(
+      put_key{jobKey(To, Write.Job), printJobRecord(Wanted.Record)});
+  Write.Transaction.Changes.push_back(
+      put_key{jobIndexKey(Write.Job), To.Value});
+  enqueue(std::move(Write));
+}
+
+void save_queue::enqueue(queued_write Write) {
+  Queue.push_back(std::move(Write));
+  if (IsDraining)
+    return;
+  IsDraining = true;
+  asio::co_spawn(Context, drain(), asio::detached);
+}
+
+task<void> save_queue::drain() {
+  while (!Queue.empty()) {
+    co_await sleepFor(Context, GatherTime);
+    const std::size_t Count = std::min(MaxGroup, Queue.size());
+    std::vector<queued_write> Group(
+        std::make_move_iterator(Queue.begin()),
+        std::make_move_iterator(Queue.begin() + Count));
+    Queue.erase(Queue.begin(), Queue.begin() + Count);
+    std::vector<store_transaction> Transactions;
+    for (const queued_write &Write : Group)
+      Transactions.push_back(Write.Transaction);
+    const std::vector<store_write> Results =
+        co_await Store.commitGroup(std::move(Transactions));
+    bool HasFailed = false;
+    for (std::size_t I = 0; I < Group.size(); ++I) {
+      HasFailed |= static_cast<bool>(Results[I].Error);
+      co_await settle(std::move(Group[I]), Results[I]);
+    }
+    if (HasFailed)
+      co_await sleepFor(Context, OutageDelay);
+  }
+  IsDraining = false;
+}
+
+/// Finds out what became of one write and tells the reducer.
+task<void> save_queue::settle(queued_write Write, store_write Result) {
+  if (!Result.Error && Result.IsApplied) {
+    if (!Write.Value.empty())
+      report(Write.Job, job_saved::outcome::Saved, Result.Revision);
+    co_return; // a move is heard of through the watch
+  }
+  if (Result.Error && Result.Verdict == verdict::NotRun) {
+    report(Write.Job, job_saved::outcome::Unreachable, 0);
+    co_return;
+  }
+  // Refused, or the answer was lost: what is stored decides.
+  const store_read Read = co_await Store.read(Write.Key);
+  if (Read.Error) {
+    report(Write.Job, job_saved::outcome::Unreachable, 0);
+    co_return;
+  }
+  if (Read.Entries.empty()) {
+    OnEvent(job_forgotten{Write.Job});
+    co_return;
+  }
+  const store_entry &Entry = Read.Entries.front();
+  if (Entry.Value == Write.Value) {
+    report(Write.Job, job_saved::outcome::Saved, Entry.ModRevision);
+    co_return;
+  }
+  report(Write.Job, job_saved::outcome::Conflict, 0);
+  if (auto Record = parseJobRecord(Entry.Value).Job)
+    OnEvent(job_seen{std::move(*Record), Entry.ModRevision});
+}
+
+void save_queue::report(const job_id &Job, job_saved::outcome Outcome,
+                        std::int64_t Revision) {
+  OnEvent(job_saved{Job, Outcome, Revision});
+}
+
+} // namespace galenastage
--- /dev/null
+++ b/core/job/scheduler.cpp
@@ -0,0 +1,322 @@
+#include "core/job/scheduler_internal.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace galenastage {
+
+scheduler_effects reduce(scheduler_state &State, const scheduler_event &Event) {
+  scheduler_effects Effects;
+  detail::scheduler_run Run(State, Event.Now, Effects);
+  std::visit([&](const auto &Body) { Run.apply(Body); }, Event.Body);
+  return Effects;
+}
+
+bool mayStartTasks(const scheduler_state &State, instant Now) {
+  if (!State.Tables || Now - State.TablesAsOf > State.Settings.EvidenceLife)
+    return false;
+  return isInService(*State.Tables, State.Settings.DataCentre);
+}
+
+int known_worker::freeAccelerators() const {
+  int Free = Accelerators;
+  for (const auto &[Attempt, Count] : Held)
+    Free -= Count;
+  return Free;
+}
+
+namespace detail {
+namespace {
+
+/// Order in which waiting jobs are placed: the most pressing class first, then
+/// the oldest.
+auto placementOrder(const scheduled_job &Job) {
+  return std::tuple(Job.Record.Spec.Class, Job.Record.SubmittedAt,
+                    Job.Record.Spec.Id);
+}
+
+const std::vector<data_centre_id> &permittedDataCentres(const job_spec &Spec,
+                                                        const pool &Pool) {
+  return Spec.DataCentres.empty() ? Pool.DataCentres : Spec.DataCentres;
+}
+
+} // namespace
+
+// Events
+
+void scheduler_run::apply(const ticked &Event) {
+  State.WallNow = Event.WallNow;
+  if (!State.IsLeading)
+    return;
+  noticeSilence();
+  checkDeadlines();
+  if (State.IsRebuilding && State.IsLoaded && Now >= State.RebuildEnds)
+    settleRebuild();
+  renewWorkers();
+  if (canAct())
+    placeWaitingJobs();
+}
+
+void scheduler_run::apply(const tables_seen &Event) {
+  const bool IsOlder =
+      State.Tables && Event.Tables->Version < State.Tables->Version;
+  if (IsOlder)
+    return; // a stale read never takes back what is in force
+  const bool IsNew =
+      !State.Tables || State.Tables->Version < Event.Tables->Version;
+  State.Tables = Event.Tables;
+  State.TablesAsOf = std::max(State.TablesAsOf, Event.AsOf);
+  if (!IsNew)
+    return;
+  log(events::TablesInForce,
+      {{"version", std::to_string(State.Tables->Version)}});
+  if (canAct())
+    placeWaitingJobs();
+}
+
+void scheduler_run::apply(const leadership_changed &Event) {
+  if (Event.IsLeading == State.IsLeading && Event.Epoch == State.Epoch)
+    return;
+  State.IsLeading = Event.IsLeading;
+  State.Epoch = Event.Epoch;
+  State.IsLoaded = false;
+  State.IsRebuilding = Event.IsLeading;
+  State.Jobs.clear();
+  for (auto &[Name, Worker] : State.Workers) {
+    Worker.Held.clear();
+    Worker.Reported.clear();
+    Worker.NextRenew = Now;
+  }
+  log(Event.IsLeading ? events::LeadershipGained : events::LeadershipLost,
+      {{"data_centre", State.Settings.DataCentre.Value},
+       {"epoch", std::to_string(Event.Epoch)}});
+  if (Event.IsLeading)
+    renewWorkers();
+}
+
+void scheduler_run::apply(const job_seen &Event) {
+  const job_id &Id = Event.Record.Spec.Id;
+  scheduled_job *Known = findJob(Id);
+  if (!Known) {
+    if (isFinal(Event.Record.Phase))
+      return;
+    scheduled_job &Job = State.Jobs[Id];
+    Job.Record = Event.Record;
+    Job.Revision = Event.Revision;
+    if (canAct())
+      placeJob(Job);
+    return;
+  }
+  if (Event.Revision <= Known->Revision)
+    return;
+  Known->Revision = Event.Revision;
+  if (isFinal(Event.Record.Phase) && !isFinal(Known->Record.Phase)) {
+    apply(job_forgotten{Id});
+    return;
+  }
+  Known->Record.IsCancelRequested |= Event.Record.IsCancelRequested;
+  if (Known->IsSaveWanted)
+    saveJob(*Known);
+  if (Known->Record.IsCancelRequested && canAct())
+    cancelJob(*Known);
+}
+
+void scheduler_run::apply(const job_forgotten &Event) {
+  scheduled_job *Job = findJob(Event.Job);
+  if (!Job)
+    return;
+  const attempt_id Attempt = attemptOf(*Job);
+  for (const gang_member &Member : Job->Members)
+    releaseStray(Member.Place.Worker, Attempt);
+  State.Jobs.erase(Event.Job);
+}
+
+void scheduler_run::apply(const jobs_loaded &) {
+  State.IsLoaded = true;
+  State.RebuildEnds = Now + State.Settings.RebuildWindow;
+}
+
+void scheduler_run::apply(const job_saved &Event) {
+  scheduled_job *Job = findJob(Event.Job);
+  if (!Job)
+    return;
+  Job->IsSaveInFlight = false;
+  if (Event.Outcome != job_saved::outcome::Saved) {
+    // After a conflict the newer record arrives as job_seen and saves again;
+    // an unreachable store is tried again at the next tick.
+    Job->IsSaveWanted = true;
+    return;
+  }
+  Job->Revision = std::max(Job->Revision, Event.Revision);
+  if (Job->IsSaveWanted) {
+    saveJob(*Job);
+    return;
+  }
+  if (isFinal(Job->Record.Phase)) {
+    State.Jobs.erase(Event.Job);
+    return;
+  }
+  if (Job->Step == gang_step::Saving)
+    armGang(*Job);
+}
+
+// Job life cycle
+
+void scheduler_run::placeWaitingJobs() {
+  std::vector<scheduled_job *> Waiting;
+  for (auto &[Id, Job] : State.Jobs)
+    if (Job.Step == gang_step::Waiting && !isFinal(Job.Record.Phase))
+      Waiting.push_back(&Job);
+  std::ranges::sort(Waiting, {}, [](const scheduled_job *Job) {
+    return placementOrder(*Job);
+  });
+  for (scheduled_job *Job : Waiting)
+    placeJob(*Job);
+}
+
+void scheduler_run::placeJob(scheduled_job &Job) {
+  if (Job.Record.IsCancelRequested) {
+    cancelJob(Job);
+    return;
+  }
+  if (Now < Job.RetryAt || !State.Tables)
+    return;
+  if (refuseIfImpossible(Job) || moveIfNotPermitted(Job))
+    return;
+  if (!mayStartTasks(State, Now)) {
+    setReason(Job, "no recent evidence that the data centre is in service");
+    return;
+  }
+  const job_spec &Spec = Job.Record.Spec;
+  std::vector<worker_capacity> Workers;
+  for (const auto &[Name, Worker] : State.Workers)
+    if (Worker.IsListed && !Worker.IsLeaving && !Worker.IsSilent)
+      Workers.push_back({Name, Worker.Rack, Worker.freeAccelerators(),
+                         Worker.Accelerators});
+  auto Members =
+      choosePlacement(Workers, {Spec.Tasks, Spec.AcceleratorsPerTask});
+  if (Members.empty()) {
+    setReason(Job, "waits for " + std::to_string(Spec.Tasks) + " times " +
+                       std::to_string(Spec.AcceleratorsPerTask) +
+                       " free accelerators");
+    return;
+  }
+  reserveGang(Job, std::move(Members));
+}
+
+/// Ends a job that can never run under these tables. False when it can.
+bool scheduler_run::refuseIfImpossible(scheduled_job &Job) {
+  if (findPool(*State.Tables, Job.Record.Spec.Pool))
+    return false;
+  log(events::JobRefused, {{"job", Job.Record.Spec.Id.Value}});
+  endJob(Job, job_phase::Refused,
+         "no pool is called '" + Job.Record.Spec.Pool.Value + "'");
+  return true;
+}
+
+/// Hands the job to a data centre where it may run. False when it may run here.
+bool scheduler_run::moveIfNotPermitted(scheduled_job &Job) {
+  const pool *Pool = findPool(*State.Tables, Job.Record.Spec.Pool);
+  const auto &Permitted = permittedDataCentres(Job.Record.Spec, *Pool);
+  if (isPermitted(*State.Tables, Permitted, State.Settings.DataCentre))
+    return false;
+  std::vector<data_centre_id> Targets;
+  for (const data_centre_row &Row : State.Tables->DataCentres)
+    if (isPermitted(*State.Tables, Permitted, Row.Name))
+      Targets.push_back(Row.Name);
+  if (Targets.empty()) {
+    setReason(Job, "no permitted data centre is in service");
+    return true;
+  }
+  const std::size_t Spread = std::hash<job_id>{}(Job.Record.Spec.Id);
+  moveJob(Job, Targets[Spread % Targets.size()]);
+  return true;
+}
+
+void scheduler_run::moveJob(scheduled_job &Job, const data_centre_id &To) {
+  if (Job.IsSaveInFlight)
+    return; // its revision isn't known; the next tick tries again
+  Job.RetryAt = Now + State.Settings.RetryDelay;
+  job_record Record = Job.Record;
+  Record.DataCentre = To;
+  Record.Reason = "moved from " + State.Settings.DataCentre.Value;
+  log(events::JobMoved, {{"job", Record.Spec.Id.Value}, {"to", To.Value}});
+  emit(move_job{std::move(Record), Job.Revision, State.Settings.DataCentre});
+}
+
+void scheduler_run::cancelJob(scheduled_job &Job) {
+  if (isFinal(Job.Record.Phase))
+    return;
+  switch (Job.Step) {
+  case gang_step::Waiting:
+    endJob(Job, job_phase::Cancelled, "cancelled by the caller");
+    break;
+  case gang_step::Releasing:
+    if (Job.AfterRelease == job_phase::Waiting)
+      Job.AfterRelease = job_phase::Cancelled;
+    break;
+  default:
+    releaseGang(Job, job_phase::Cancelled, "cancelled by the caller");
+  }
+}
+
+void scheduler_run::endJob(scheduled_job &Job, job_phase Phase,
+                           std::string Reason) {
+  Job.Record.Phase = Phase;
+  Job.Record.Reason = std::move(Reason);
+  Job.Record.FinishedAt = State.WallNow;
+  logJob(events::JobEnded, Job);
+  saveJob(Job);
+}
+
+void scheduler_run::saveJob(scheduled_job &Job) {
+  if (Job.IsSaveInFlight) {
+    Job.IsSaveWanted = true;
+    return;
+  }
+  Job.IsSaveInFlight = true;
+  Job.IsSaveWanted = false;
+  emit(save_job{Job.Record, Job.Revision});
+}
+
+void scheduler_run::setReason(scheduled_job &Job, std::string Reason) {
+  if (Job.Record.Reason == Reason)
+    return;
+  Job.Record.Reason = std::move(Reason);
+  saveJob(Job);
+}
+
+// Shared
+
+scheduled_job *scheduler_run::findJob(const job_id &Id) {
+  const auto Found = State.Jobs.find(Id);
+  return Found == State.Jobs.end() ? nullptr : &Found->second;
+}
+
+known_worker *scheduler_run::findWorker(const worker_id &Id) {
+  const auto Found = State.Workers.find(Id);
+  return Found == State.Workers.end() ? nullptr : &Found->second;
+}
+
+attempt_id scheduler_run::attemptOf(const scheduled_job &Job) const {
+  return {Job.Record.Spec.Id, Job.Record.Attempt};
+}
+
+bool scheduler_run::canAct() const {
+  return State.IsLeading && State.IsLoaded && !State.IsRebuilding;
+}
+
+void scheduler_run::log(const log_event &Event, std::vector<log_field> Fields) {
+  emit(write_log{{&Event, std::move(Fields)}});
+}
+
+void scheduler_run::logJob(const log_event &Event, const scheduled_job &Job) {
+  log(Event, {{"job", Job.Record.Spec.Id.Value},
+              {"attempt", std::to_string(Job.Record.Attempt)},
+              {"phase", std::string(name(Job.Record.Phase))},
+              {"verdict", std::string(name(Job.Record.Verdict))},
+              {"reason", Job.Record.Reason}});
+}
+
+} // namespace detail
+} // namespace galenastage
--- /dev/null
+++ b/core/job/scheduler.hpp
@@ -0,0 +1,232 @@
+#pragma once
+
+// The reducer that schedules the jobs of one data centre. Events come in,
+// effects go out as data; there is no clock, no random number and no I/O here.
+//
+// A job goes through: waiting, reserving on every worker, saving the start,
+// arming every worker, running, releasing. Only the active scheduler of the
+// data centre acts; the others keep what they hear and emit nothing.
+//
+// Index of this file
+// [1] Settings
+// [2] Events
+// [3] Effects
+// [4] State
+// [5] The reducer
+
+#include "core/config/tables.hpp"
+#include "core/job/job.hpp"
+#include "core/job/placement.hpp"
+#include "core/job/worker_protocol.hpp"
+#include "core/log_event.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace galenastage {
+
+// [1] Settings
+
+struct scheduler_settings {
+  data_centre_id DataCentre;         //
+  milliseconds ReservationLife{2'000}; // of reservations and armed tasks
+  milliseconds Lease{6'000};         // a worker stops what isn't renewed
+  milliseconds RenewInterval{1'000}; // between two renewals of one worker
+  milliseconds EvidenceLife{2'000};  // how old "in service" may be at a start
+  milliseconds StepTimeout{1'500};   // a gang step not done by then is undone
+  milliseconds RetryDelay{1'000};    // after a gang start that was undone
+  milliseconds RebuildWindow{3'000}; // to hear workers after a take-over
+  std::uint32_t MaxTaskFailures = 5; // then an idempotent job has failed
+};
+
+// [2] Events
+
+/// Time has passed. Sent several times a second.
+struct ticked {
+  wall_instant WallNow;
+};
+
+/// This process became the active scheduler, or ceased to be it.
+struct leadership_changed {
+  bool IsLeading = false;
+  epoch Epoch = 0;
+};
+
+/// A job record as it stands in the store.
+struct job_seen {
+  job_record Record;
+  std::int64_t Revision = 0;
+};
+
+/// A job record is gone from the store, or belongs to another data centre now.
+struct job_forgotten {
+  job_id Job;
+};
+
+/// Every stored job of this data centre has been sent as job_seen.
+struct jobs_loaded {};
+
+/// The instance list names this worker.
+struct worker_listed {
+  worker_id Worker;
+  rack_id Rack;
+  int Accelerators = 0;
+  bool IsLeaving = false;
+};
+
+/// The instance list no longer names this worker.
+struct worker_unlisted {
+  worker_id Worker;
+};
+
+/// A worker answered a renewal that was sent at SentAt.
+struct worker_reported {
+  worker_report Report;
+  instant SentAt;
+};
+
+/// What became of a reserve, start or release that was sent.
+struct step_answered {
+  enum class step_kind { Reserve, Start, Release };
+  step_kind Kind = step_kind::Reserve;
+  attempt_id Attempt;
+  worker_id Worker;
+  bool IsAccepted = false;
+  verdict Verdict = verdict::NotRun; // whether the worker may have acted
+  epoch HighestEpoch = 0;            // as the worker says; 0 when unheard
+  std::string Reason;                // why not
+};
+
+/// What became of a save_job effect.
+struct job_saved {
+  enum class outcome { Saved, Conflict, Unreachable };
+  job_id Job;
+  outcome Outcome = outcome::Saved;
+  std::int64_t Revision = 0;
+};
+
+using scheduler_event_body =
+    std::variant<ticked, tables_seen, leadership_changed, job_seen,
+                 job_forgotten, jobs_loaded, worker_listed, worker_unlisted,
+                 worker_reported, step_answered, job_saved>;
+
+struct scheduler_event {
+  instant Now;
+  scheduler_event_body Body;
+};
+
+// [3] Effects
+
+struct send_reserve {
+  worker_id Worker;
+  reserve_request Request;
+};
+struct send_start {
+  worker_id Worker;
+  start_request Request;
+};
+struct send_renew {
+  worker_id Worker;
+  renew_request Request;
+};
+struct send_release {
+  worker_id Worker;
+  release_request Request;
+};
+
+/// Store the record if it is still at this revision.
+struct save_job {
+  job_record Record;
+  std::int64_t Revision = 0;
+};
+
+/// Hand the job over to the data centre named in the record, in one
+/// transaction that removes it here.
+struct move_job {
+  job_record Record;
+  std::int64_t Revision = 0;
+  data_centre_id From;
+};
+
+/// A worker has seen a higher epoch: this scheduler must stop leading.
+struct step_down {
+  epoch HighestEpoch = 0;
+};
+
+using scheduler_effect =
+    std::variant<send_reserve, send_start, send_renew, send_release, save_job,
+                 move_job, step_down, write_log>;
+using scheduler_effects = std::vector<scheduler_effect>;
+
+// [4] State
+
+enum class gang_step { Waiting, Reserving, Saving, Arming, Running, Releasing };
+
+/// One worker's part in a gang, and how far it has come in the current step.
+struct gang_member {
+  placed_member Place;
+  bool IsDone = false;         // it has answered the current step
+  bool HasSucceeded = false;   // its tasks have ended well
+  instant ConfirmedAt{};       // when it was armed
+};
+
+struct scheduled_job {
+  job_record Record;
+  std::int64_t Revision = 0;     // of the record in the store
+  gang_step Step = gang_step::Waiting;
+  std::vector<gang_member> Members;
+  instant StepDeadline{};        // the step is undone when it isn't done by then
+  instant RetryAt{};             // no placement before this
+  bool IsConfirmed = false;      // a renewal let it run
+  bool HasRun = false;           // a worker has reported it running
+  std::uint32_t TaskFailures = 0; // runs that ended because a task failed
+  bool IsSaveInFlight = false;
+  bool IsSaveWanted = false;
+  job_phase AfterRelease = job_phase::Waiting; // becomes this once released
+};
+
+struct known_worker {
+  rack_id Rack;
+  int Accelerators = 0;
+  bool IsListed = false;
+  bool IsLeaving = false;
+  bool IsSilent = true;           // not heard for a lease: nothing runs there
+  instant LastHeard{};            //
+  instant NextRenew{};            //
+  std::map<attempt_id, int> Held; // accelerators held by each attempt
+  std::vector<task_report> Reported; // as last heard
+
+  [[nodiscard]] int freeAccelerators() const;
+};
+
+struct scheduler_state {
+  explicit scheduler_state(scheduler_settings Settings)
+      : Settings(std::move(Settings)) {}
+
+  scheduler_settings Settings;
+  std::shared_ptr<const tables> Tables; // null until first seen
+  instant TablesAsOf{};                 // when these tables were known to hold
+  bool IsLeading = false;
+  bool IsLoaded = false;                // the stored jobs are known
+  bool IsRebuilding = false;            // workers are being asked what runs
+  instant RebuildEnds{};
+  epoch Epoch = 0;
+  wall_instant WallNow{};
+  std::map<job_id, scheduled_job> Jobs; // those that are not final
+  std::map<worker_id, known_worker> Workers;
+};
+
+// [5] The reducer
+
+/// Applies one event. The state is changed in place because it is large; equal
+/// states and events give equal states and effects.
+scheduler_effects reduce(scheduler_state &State, const scheduler_event &Event);
+
+/// Whether a task may start here now: the data centre is in service, and the
+/// evidence for that is young enough.
+bool mayStartTasks(const scheduler_state &State, instant Now);
+
+} // namespace galenastage
--- /dev/null
+++ b/core/job/scheduler_gang.cpp
@@ -0,0 +1,213 @@
+#include "core/job/scheduler_internal.hpp"
+
+#include <algorithm>
+
+namespace galenastage::detail {
+namespace {
+
+bool areAllDone(const scheduled_job &Job) {
+  return std::ranges::all_of(Job.Members, &gang_member::IsDone);
+}
+
+void expectAnswers(scheduled_job &Job) {
+  for (gang_member &Member : Job.Members)
+    Member.IsDone = false;
+}
+
+/// Whether this answer belongs to the step that the gang is in.
+bool answersStep(const step_answered &Event, gang_step Step) {
+  switch (Event.Kind) {
+  case step_answered::step_kind::Reserve:
+    return Step == gang_step::Reserving;
+  case step_answered::step_kind::Start:
+    return Step == gang_step::Arming;
+  case step_answered::step_kind::Release:
+    break;
+  }
+  return Step == gang_step::Releasing;
+}
+
+} // namespace
+
+void scheduler_run::apply(const step_answered &Event) {
+  if (!State.IsLeading)
+    return;
+  if (Event.HighestEpoch > State.Epoch) {
+    emit(step_down{Event.HighestEpoch});
+    return;
+  }
+  const bool IsRelease = Event.Kind == step_answered::step_kind::Release;
+  scheduled_job *Job = findJob(Event.Attempt.Job);
+  const bool IsCurrent = Job && attemptOf(*Job) == Event.Attempt &&
+                         answersStep(Event, Job->Step);
+  if (!IsCurrent) {
+    if (Event.IsAccepted && !IsRelease)
+      releaseStray(Event.Worker, Event.Attempt); // an answer that came late
+    return;
+  }
+  if (!Event.IsAccepted) {
+    // A release that failed is covered by the lease; the deadline waits for it.
+    if (!IsRelease)
+      abortGang(*Job, Event.Worker.Value + ": " + Event.Reason);
+    return;
+  }
+  for (gang_member &Member : Job->Members)
+    if (Member.Place.Worker == Event.Worker)
+      Member.IsDone = true;
+  if (IsRelease)
+    if (known_worker *Worker = findWorker(Event.Worker))
+      Worker->Held.erase(Event.Attempt);
+  if (areAllDone(*Job))
+    advanceGang(*Job);
+}
+
+void scheduler_run::reserveGang(scheduled_job &Job,
+                                std::vector<placed_member> Members) {
+  ++Job.Record.Attempt;
+  Job.Record.Placement.clear();
+  Job.Members.clear();
+  Job.Step = gang_step::Reserving;
+  Job.StepDeadline = Now + State.Settings.StepTimeout;
+  const attempt_id Attempt = attemptOf(Job);
+  for (placed_member &Place : Members) {
+    State.Workers.at(Place.Worker).Held[Attempt] = Place.Accelerators;
+    Job.Record.Placement.insert(Job.Record.Placement.end(), Place.Tasks,
+                                Place.Worker);
+    emit(send_reserve{Place.Worker,
+                      {State.Epoch, Attempt, Place.Tasks, Place.Accelerators,
+                       State.Settings.ReservationLife}});
+    Job.Members.push_back({.Place = std::move(Place)});
+  }
+  logJob(events::JobPlaced, Job);
+}
+
+void scheduler_run::advanceGang(scheduled_job &Job) {
+  switch (Job.Step) {
+  case gang_step::Reserving:
+    Job.Record.Phase = job_phase::Starting;
+    if (Job.Record.Spec.IsIdempotent) {
+      armGang(Job);
+      return;
+    }
+    // At most once: the start is on record before anything can run.
+    Job.Step = gang_step::Saving;
+    Job.StepDeadline = Now + State.Settings.StepTimeout;
+    saveJob(Job);
+    return;
+  case gang_step::Arming:
+    runGang(Job);
+    return;
+  case gang_step::Releasing:
+    finishRelease(Job);
+    return;
+  default:
+    return;
+  }
+}
+
+void scheduler_run::armGang(scheduled_job &Job) {
+  if (!mayStartTasks(State, Now)) {
+    abortGang(Job, "no recent evidence that the data centre is in service");
+    return;
+  }
+  Job.Step = gang_step::Arming;
+  Job.StepDeadline = Now + State.Settings.StepTimeout;
+  expectAnswers(Job);
+  for (const gang_member &Member : Job.Members)
+    emit(send_start{Member.Place.Worker,
+                    {State.Epoch, attemptOf(Job),
+                     State.Settings.ReservationLife,
+                     Job.Record.Spec.DeclaredRunTime}});
+}
+
+void scheduler_run::runGang(scheduled_job &Job) {
+  if (!mayStartTasks(State, Now)) {
+    abortGang(Job, "no recent evidence that the data centre is in service");
+    return;
+  }
+  Job.Step = gang_step::Running;
+  Job.IsConfirmed = true;
+  Job.Record.Phase = job_phase::Running;
+  Job.Record.Verdict = verdict::Unknown;
+  Job.Record.Reason.clear();
+  for (gang_member &Member : Job.Members) {
+    Member.ConfirmedAt = Now;
+    State.Workers.at(Member.Place.Worker).NextRenew = Now;
+  }
+  logJob(events::JobRunning, Job);
+  saveJob(Job);
+  renewWorkers();
+}
+
+void scheduler_run::abortGang(scheduled_job &Job, const std::string &Why) {
+  log(events::GangStartAborted,
+      {{"job", Job.Record.Spec.Id.Value}, {"why", Why}});
+  releaseGang(Job, job_phase::Waiting, "start undone: " + Why);
+}
+
+void scheduler_run::loseGang(scheduled_job &Job, const std::string &Why) {
+  if (Job.Step == gang_step::Releasing)
+    return;
+  const job_spec &Spec = Job.Record.Spec;
+  const bool MayRunAgain = Spec.IsIdempotent || !Job.IsConfirmed;
+  const bool IsHopeless = Job.TaskFailures >= State.Settings.MaxTaskFailures;
+  releaseGang(Job,
+              MayRunAgain && !IsHopeless ? job_phase::Waiting
+                                         : job_phase::Failed,
+              Why);
+}
+
+void scheduler_run::releaseGang(scheduled_job &Job, job_phase Next,
+                                std::string Reason) {
+  Job.Step = gang_step::Releasing;
+  Job.AfterRelease = Next;
+  Job.Record.Reason = std::move(Reason);
+  // Nothing renews the gang from here on, so by then its leases have lapsed.
+  Job.StepDeadline =
+      Now + State.Settings.Lease + State.Settings.StepTimeout;
+  expectAnswers(Job);
+  const bool KeepCheckpoint =
+      Next == job_phase::Waiting && Job.Record.Spec.IsCheckpointable;
+  for (const gang_member &Member : Job.Members)
+    emit(send_release{Member.Place.Worker,
+                      {State.Epoch, attemptOf(Job), KeepCheckpoint}});
+  if (Job.Members.empty())
+    finishRelease(Job);
+}
+
+void scheduler_run::finishRelease(scheduled_job &Job) {
+  for (const gang_member &Member : Job.Members)
+    if (known_worker *Worker = findWorker(Member.Place.Worker))
+      Worker->Held.erase(attemptOf(Job));
+  Job.Members.clear();
+  Job.IsConfirmed = false;
+  if (Job.HasRun)
+    Job.Record.Verdict = verdict::Ran;
+  if (Job.AfterRelease != job_phase::Waiting) {
+    endJob(Job, Job.AfterRelease, Job.Record.Reason);
+    return;
+  }
+  Job.Step = gang_step::Waiting;
+  Job.RetryAt = Now + State.Settings.RetryDelay;
+  Job.Record.Phase = job_phase::Waiting;
+  Job.Record.Placement.clear();
+  saveJob(Job);
+}
+
+void scheduler_run::checkDeadlines() {
+  for (auto &[Id, Job] : State.Jobs) {
+    if (Job.IsSaveWanted && !Job.IsSaveInFlight)
+      saveJob(Job);
+    const bool IsTimed = Job.Step != gang_step::Waiting &&
+                         Job.Step != gang_step::Running &&
+                         !isFinal(Job.Record.Phase);
+    if (!IsTimed || Now < Job.StepDeadline)
+      continue;
+    if (Job.Step == gang_step::Releasing)
+      finishRelease(Job);
+    else
+      abortGang(Job, "a member didn't answer in time");
+  }
+}
+
+} // namespace galenastage::detail
--- /dev/null
+++ b/core/job/scheduler_internal.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/job/scheduler.hpp"
+
+namespace galenastage::detail {
+
+/// One run of the scheduler's reducer: the state it changes, the moment, and
+/// the effects collected so far.
+class scheduler_run {
+public:
+  scheduler_run(scheduler_state &State, instant Now, scheduler_effects &Effects)
+      : State(State), Now(Now), Effects(Effects) {}
+
+  void apply(const ticked &Event);
+  void apply(const tables_seen &Event);
+  void apply(const leadership_changed &Event);
+  void apply(const job_seen &Event);
+  void apply(const job_forgotten &Event);
+  void apply(const jobs_loaded &Event);
+  void apply(const worker_listed &Event);
+  void apply(const worker_unlisted &Event);
+  void apply(const worker_reported &Event);
+  void apply(const step_answered &Event);
+  void apply(const job_saved &Event);
+
+private:
+  // Job life cycle: scheduler.cpp
+  void placeWaitingJobs();
+  void placeJob(scheduled_job &Job);
+  bool refuseIfImpossible(scheduled_job &Job);
+  bool moveIfNotPermitted(scheduled_job &Job);
+  void moveJob(scheduled_job &Job, const data_centre_id &To);
+  void cancelJob(scheduled_job &Job);
+  void endJob(scheduled_job &Job, job_phase Phase, std::string Reason);
+  void saveJob(scheduled_job &Job);
+  void setReason(scheduled_job &Job, std::string Reason);
+
+  // Gang steps: scheduler_gang.cpp
+  void reserveGang(scheduled_job &Job, std::vector<placed_member> Members);
+  void advanceGang(scheduled_job &Job);
+  void armGang(scheduled_job &Job);
+  void runGang(scheduled_job &Job);
+  void abortGang(scheduled_job &Job, const std::string &Why);
+  void releaseGang(scheduled_job &Job, job_phase Next, std::string Reason);
+  void finishRelease(scheduled_job &Job);
+  void loseGang(scheduled_job &Job, const std::string &Why);
+  void checkDeadlines();
+
+  // Workers: scheduler_workers.cpp
+  void renewWorkers();
+  void noticeSilence();
+  void loseMembersOn(const worker_id &Worker, const std::string &Why);
+  void takeReport(scheduled_job &Job, gang_member &Member,
+                  const task_report *Report, instant SentAt);
+  void releaseStray(const worker_id &Worker, const attempt_id &Attempt);
+  void settleRebuild();
+  void adoptGang(scheduled_job &Job);
+
+  scheduled_job *findJob(const job_id &Id);
+  known_worker *findWorker(const worker_id &Id);
+  [[nodiscard]] attempt_id attemptOf(const scheduled_job &Job) const;
+  [[nodiscard]] bool canAct() const;
+  void log(const log_event &Event, std::vector<log_field> Fields);
+  void logJob(const log_event &Event, const scheduled_job &Job);
+
+  template <typename Effect> void emit(Effect Value) {
+    Effects.push_back(std::move(Value));
+  }
+
+  scheduler_state &State;
+  instant Now;
+  scheduler_effects &Effects;
+};
+
+} // namespace galenastage::detail
--- /dev/null
+++ b/core/job/scheduler_workers.cpp
@@ -0,0 +1,213 @@
+#include "core/job/scheduler_internal.hpp"
+
+#include <algorithm>
+
+namespace galenastage::detail {
+namespace {
+
+const task_report *findReport(const std::vector<task_report> &Reports,
+                              const attempt_id &Attempt) {
+  const auto Found = std::ranges::find(Reports, Attempt, &task_report::Attempt);
+  return Found == Reports.end() ? nullptr : &*Found;
+}
+
+} // namespace
+
+// Events
+
+void scheduler_run::apply(const worker_listed &Event) {
+  known_worker &Worker = State.Workers[Event.Worker];
+  Worker.Rack = Event.Rack;
+  Worker.Accelerators = Event.Accelerators;
+  Worker.IsListed = true;
+  Worker.IsLeaving = Event.IsLeaving;
+}
+
+void scheduler_run::apply(const worker_unlisted &Event) {
+  // The list lags: a worker that answers stays known until it falls silent.
+  if (known_worker *Worker = findWorker(Event.Worker))
+    Worker->IsListed = false;
+}
+
+void scheduler_run::apply(const worker_reported &Event) {
+  const worker_report &Report = Event.Report;
+  known_worker *Worker = findWorker(Report.Worker);
+  if (!Worker)
+    return;
+  if (State.IsLeading && Report.HighestEpoch > State.Epoch) {
+    emit(step_down{Report.HighestEpoch});
+    return;
+  }
+  if (Worker->IsSilent && Worker->LastHeard != instant{})
+    log(events::WorkerBack, {{"worker", Report.Worker.Value}});
+  Worker->IsSilent = false;
+  Worker->LastHeard = Now;
+  Worker->Reported = Report.Tasks;
+  if (!canAct())
+    return;
+
+  std::vector<attempt_id> Held;
+  for (const auto &[Attempt, Count] : Worker->Held)
+    Held.push_back(Attempt);
+  for (const attempt_id &Attempt : Held) {
+    scheduled_job *Job = findJob(Attempt.Job);
+    if (!Job || attemptOf(*Job) != Attempt)
+      continue;
+    for (gang_member &Member : Job->Members)
+      if (Member.Place.Worker == Report.Worker) {
+        takeReport(*Job, Member, findReport(Report.Tasks, Attempt),
+                   Event.SentAt);
+        break;
+      }
+  }
+  for (const task_report &Task : Report.Tasks) {
+    const scheduled_job *Job = findJob(Task.Attempt.Job);
+    const bool IsOurs = Job && attemptOf(*Job) == Task.Attempt &&
+                        Job->Step != gang_step::Waiting;
+    if (!IsOurs)
+      releaseStray(Report.Worker, Task.Attempt);
+  }
+}
+
+void scheduler_run::takeReport(scheduled_job &Job, gang_member &Member,
+                               const task_report *Report, instant SentAt) {
+  if (Job.Step != gang_step::Running || SentAt < Member.ConfirmedAt)
+    return;
+  if (!Report) {
+    if (!Member.HasSucceeded)
+      loseGang(Job, Member.Place.Worker.Value + " no longer runs it");
+    return;
+  }
+  switch (Report->State) {
+  case task_state::Running:
+    Job.HasRun = true;
+    return;
+  case task_state::Failed:
+    Job.HasRun = true;
+    ++Job.TaskFailures;
+    loseGang(Job, "a task failed on " + Member.Place.Worker.Value);
+    return;
+  case task_state::Succeeded:
+    Job.HasRun = true;
+    Member.HasSucceeded = true;
+    if (std::ranges::all_of(Job.Members, &gang_member::HasSucceeded))
+      releaseGang(Job, job_phase::Finished, "");
+    return;
+  default:
+    return;
+  }
+}
+
+// Renewals and silence
+
+void scheduler_run::renewWorkers() {
+  for (auto &[Name, Worker] : State.Workers) {
+    if (Now < Worker.NextRenew)
+      continue;
+    if (!Worker.IsListed && Worker.IsSilent)
+      continue;
+    Worker.NextRenew = Now + State.Settings.RenewInterval;
+    renew_request Request{State.Epoch, State.Settings.Lease, {}};
+    if (!canAct()) {
+      // Until the rebuild is settled everything that runs may go on, and
+      // nothing that is armed may start.
+      for (const task_report &Task : Worker.Reported)
+        Request.Attempts.push_back({Task.Attempt, false});
+    }
+    for (const auto &[Attempt, Count] : Worker.Held) {
+      const scheduled_job *Job = findJob(Attempt.Job);
+      if (Job && attemptOf(*Job) == Attempt && Job->Step == gang_step::Running)
+        Request.Attempts.push_back({Attempt, Job->IsConfirmed});
+    }
+    emit(send_renew{Name, std::move(Request)});
+  }
+}
+
+void scheduler_run::noticeSilence() {
+  for (auto &[Name, Worker] : State.Workers) {
+    if (Worker.IsSilent || Now - Worker.LastHeard <= State.Settings.Lease)
+      continue;
+    Worker.IsSilent = true;
+    Worker.Reported.clear();
+    log(events::WorkerSilent, {{"worker", Name.Value}});
+    loseMembersOn(Name, Name.Value + " fell silent");
+  }
+}
+
+void scheduler_run::loseMembersOn(const worker_id &Worker,
+                                  const std::string &Why) {
+  std::vector<attempt_id> Held;
+  for (const auto &[Attempt, Count] : State.Workers.at(Worker).Held)
+    Held.push_back(Attempt);
+  for (const attempt_id &Attempt : Held) {
+    scheduled_job *Job = findJob(Attempt.Job);
+    if (Job && attemptOf(*Job) == Attempt && Job->Step == gang_step::Running)
+      loseGang(*Job, Why);
+  }
+}
+
+void scheduler_run::releaseStray(const worker_id &Worker,
+                                 const attempt_id &Attempt) {
+  if (known_worker *Known = findWorker(Worker))
+    Known->Held.erase(Attempt);
+  emit(send_release{Worker, {State.Epoch, Attempt, false}});
+}
+
+// Rebuild after a take-over
+
+void scheduler_run::settleRebuild() {
+  State.IsRebuilding = false;
+  for (auto &[Id, Job] : State.Jobs)
+    adoptGang(Job);
+  for (auto &[Id, Job] : State.Jobs)
+    if (Job.Record.IsCancelRequested)
+      cancelJob(Job);
+  placeWaitingJobs();
+}
+
+/// Takes over a gang that the workers report whole. Of one that isn't whole the
+/// rest is released.
+void scheduler_run::adoptGang(scheduled_job &Job) {
+  if (isFinal(Job.Record.Phase))
+    return;
+  std::uint32_t Attempt = Job.Record.Attempt;
+  for (const auto &[Name, Worker] : State.Workers)
+    for (const task_report &Task : Worker.Reported)
+      if (Task.Attempt.Job == Job.Record.Spec.Id)
+        Attempt = std::max(Attempt, Task.Attempt.Attempt);
+  Job.Record.Attempt = Attempt;
+
+  int RunningTasks = 0;
+  Job.Members.clear();
+  Job.Record.Placement.clear();
+  for (auto &[Name, Worker] : State.Workers) {
+    const task_report *Task = findReport(Worker.Reported, attemptOf(Job));
+    if (!Task)
+      continue;
+    const bool IsStarted = Task->State >= task_state::Running;
+    RunningTasks += IsStarted ? Task->Tasks : 0;
+    Job.HasRun |= IsStarted;
+    Worker.Held[attemptOf(Job)] = Task->Accelerators;
+    Job.Record.Placement.insert(Job.Record.Placement.end(), Task->Tasks, Name);
+    Job.Members.push_back(
+        {.Place = {Name, Task->Tasks, Task->Accelerators},
+         .HasSucceeded = Task->State == task_state::Succeeded,
+         .ConfirmedAt = Now});
+  }
+  const bool IsWhole = RunningTasks == Job.Record.Spec.Tasks;
+  if (IsWhole) {
+    Job.Step = gang_step::Running;
+    Job.IsConfirmed = true;
+    Job.Record.Phase = job_phase::Running;
+    saveJob(Job);
+    return;
+  }
+  const bool MayHaveRun =
+      !Job.Members.empty() || Job.Record.Phase != job_phase::Waiting;
+  if (!MayHaveRun)
+    return;
+  Job.IsConfirmed = true;
+  loseGang(Job, "the gang wasn't whole after a take-over");
+}
+
+} // namespace galenastage::detail
--- /dev/null
+++ b/core/log_event.cpp
@@ -0,0 +1,141 @@
+#include "core/log_event.hpp"
+
+#include <array>
+
+namespace galenastage {
+namespace events {
+
+using enum log_level;
+
+const log_event ProcessStarted{
+    1001, Info, "process-started",
+    "The process has read its settings and listens.", "None."};
+const log_event ProcessStopping{
+    1002, Info, "process-stopping",
+    "A stop was asked for; the process finishes what is in progress.",
+    "None. If 1003 doesn't follow, look for long requests in progress."};
+const log_event ProcessStopped{1003, Info, "process-stopped",
+                               "Everything in progress was finished.", "None."};
+const log_event SettingsInvalid{
+    1004, Error, "settings-invalid",
+    "A setting is unknown, missing or out of range; the process exits.",
+    "Correct the key that the line names; --check-settings tries a file."};
+const log_event ListenFailed{1005, Error, "listen-failed",
+                             "The address of the settings can't be used.",
+                             "Look for another process on that port."};
+
+const log_event TablesInForce{2001, Info, "tables-in-force",
+                              "This process now acts on the named version.",
+                              "None."};
+const log_event TablesUnreadable{
+    2002, Error, "tables-unreadable",
+    "The stored tables can't be read; the last good version stays in force.",
+    "Store a readable version with galenastagectl apply."};
+const log_event StoreUnreachable{
+    2003, Warning, "store-unreachable",
+    "The key-value service didn't answer. Edits are refused, accepted jobs "
+    "keep running, new jobs are refused as not run.",
+    "Look at the key-value service; nothing needs to be done here."};
+const log_event StoreReachable{2004, Info, "store-reachable",
+                               "The key-value service answers again.", "None."};
+const log_event EditAccepted{2005, Info, "edit-accepted",
+                             "An edit of the tables is stored.", "None."};
+
+const log_event JobAccepted{3001, Info, "job-accepted",
+                            "The job is stored and won't be lost.", "None."};
+const log_event JobPlaced{3002, Info, "job-placed",
+                          "Workers for the whole gang were chosen.", "None."};
+const log_event JobRunning{3003, Info, "job-running",
+                           "Every member of the gang has confirmed its start.",
+                           "None."};
+const log_event JobEnded{3004, Info, "job-ended",
+                         "The job reached its final phase.",
+                         "If it failed, the reason says where to look."};
+const log_event JobMoved{
+    3005, Info, "job-moved",
+    "Another data centre owns the job now, because this one may not start it.",
+    "None."};
+const log_event GangStartAborted{
+    3006, Warning, "gang-start-aborted",
+    "A member of the gang could not be reserved or started; the others were "
+    "released.",
+    "If one worker is named again and again, look at that worker."};
+const log_event JobRefused{3007, Warning, "job-refused",
+                           "The job can never run; the reason says why.",
+                           "Correct the job or the tables."};
+const log_event WorkerSilent{
+    3008, Warning, "worker-silent",
+    "A worker has not answered for longer than its leases last; its tasks "
+    "have stopped themselves.",
+    "Look at the worker or its rack switch."};
+const log_event WorkerBack{3009, Info, "worker-back",
+                           "A silent worker answers again.", "None."};
+const log_event JobUnreadable{
+    3010, Error, "job-unreadable",
+    "A stored job record can't be read and is left as it is.",
+    "Compare the versions of the programs that are running."};
+
+const log_event RequestAnswered{
+    4001, Info, "request-answered",
+    "Access log: one request, its route, verdict and duration.", "None."};
+
+const log_event LeadershipGained{
+    5001, Info, "leadership-gained",
+    "This scheduler is now the active one of its data centre.", "None."};
+const log_event LeadershipLost{
+    5002, Warning, "leadership-lost",
+    "This scheduler stands by; another one is active or will be.",
+    "None, unless it happens every few minutes: look at pauses of the "
+    "instance."};
+
+} // namespace events
+
+namespace {
+
+const std::array Catalogue = {
+    &events::ProcessStarted,   &events::ProcessStopping,
+    &events::ProcessStopped,   &events::SettingsInvalid,
+    &events::ListenFailed,     &events::TablesInForce,
+    &events::TablesUnreadable, &events::StoreUnreachable,
+    &events::StoreReachable,   &events::EditAccepted,
+    &events::JobAccepted,      &events::JobPlaced,
+    &events::JobRunning,       &events::JobEnded,
+    &events::JobMoved,         &events::GangStartAborted,
+    &events::JobRefused,       &events::WorkerSilent,
+    &events::WorkerBack,       &events::JobUnreadable,
+    &events::RequestAnswered,  &events::LeadershipGained,
+    &events::LeadershipLost,
+};
+
+} // namespace
+
+std::string_view name(log_level Level) {
+  switch (Level) {
+  case log_level::Info:
+    return "info";
+  case log_level::Warning:
+    return "warning";
+  case log_level::Error:
+    break;
+  }
+  return "error";
+}
+
+std::span<const log_event *const> logCatalogue() { return Catalogue; }
+
+std::string printLogCatalogue() {
+  std::string Page = "# Log events\n\nPrinted by `galenastagectl log-events`; "
+                     "don't edit by hand.\n\n"
+                     "| number | level | name | meaning | what to do |\n"
+                     "|---|---|---|---|---|\n";
+  for (const log_event *Event : logCatalogue()) {
+    Page += "| " + std::to_string(Event->Number) + " | ";
+    Page += std::string(name(Event->Level)) + " | ";
+    Page += std::string(Event->Name) + " | ";
+    Page += std::string(Event->Meaning) + " | ";
+    Page += std::string(Event->Action) + " |\n";
+  }
+  return Page;
+}
+
+} // namespace galenastage
--- /dev/null
+++ b/core/log_event.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace galenastage {
+
+enum class log_level { Info, Warning, Error };
+
+std::string_view name(log_level Level);
+
+/// One entry of the catalogue of log events. The number is what operators
+/// search for; it never changes its meaning. docs/LOG-EVENTS.md is printed from
+/// this catalogue.
+struct log_event {
+  int Number;               // 1000s process, 2000s tables, 3000s jobs, 4000s requests, 5000s ownership
+  log_level Level;          //
+  std::string_view Name;    // short, for people
+  std::string_view Meaning; // what happened and why
+  std::string_view Action;  // what an operator does about it
+
+  friend bool operator==(const log_event &Left, const log_event &Right) {
+    return Left.Number == Right.Number;
+  }
+};
+
+/// One key=value pair of a log line.
+struct log_field {
+  std::string Key;
+  std::string Value;
+
+  friend bool operator==(const log_field &, const log_field &) = default;
+};
+
+/// A line to be logged, as data, so that reducers can ask for it.
+struct log_line {
+  const log_event *Event;
+  std::vector<log_field> Fields;
+
+  friend bool operator==(const log_line &, const log_line &) = default;
+};
+
+/// The effect of a reducer that wants a line logged.
+struct write_log {
+  log_line Line;
+};
+
+/// Every event, by number.
+std::span<const log_event *const> logCatalogue();
+
+/// The catalogue as a Markdown page.
+std::string printLogCatalogue();
+
+namespace events {
+
+// 1000: process
+extern const log_event ProcessStarted;
+extern const log_event ProcessStopping;
+extern const log_event ProcessStopped;
+extern const log_event SettingsInvalid;
+extern const log_event ListenFailed;
+// 2000: tables and store
+extern const log_event TablesInForce;
+extern const log_event TablesUnreadable;
+extern const log_event StoreUnreachable;
+extern const log_event StoreReachable;
+extern const log_event EditAccepted;
+// 3000: jobs
+extern const log_event JobAccepted;
+extern const log_event JobPlaced;
+extern const log_event JobRunning;
+extern const log_event JobEnded;
+extern const log_event JobMoved;
+extern const log_event GangStartAborted;
+extern const log_event JobRefused;
+extern const log_event WorkerSilent;
+extern const log_event WorkerBack;
+extern const log_event JobUnreadable;
+// 4000: requests
+extern const log_event RequestAnswered;
+// 5000: ownership
+extern const log_event LeadershipGained;
+extern const log_event LeadershipLost;
+
+} // namespace events
+} // namespace galenastage
--- /dev/null
+++ b/core/request/entry_state.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+// The reducer of an entry instance's control state. It turns what the platform
+// says into immutable snapshots that traffic threads read without a lock.
+//
+// Index of this file
+// [1] Events
+// [2] The snapshot
+// [3] Effects
+// [4] State and reducer
+
+#include "core/config/tables.hpp"
+#include "core/log_event.hpp"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace galenastage {
+
+// [1] Events
+
+/// One executor as the instance list names it.
+struct executor_row {
+  executor_id Executor;
+  service_id Service;
+  data_centre_id DataCentre;
+  endpoint Address;
+  bool IsLeaving = false;
+
+  friend bool operator==(const executor_row &, const executor_row &) = default;
+};
+
+/// The instance list's executors.
+struct executors_seen {
+  std::vector<executor_row> Executors;
+};
+
+/// The entry instances that share the executors of this data centre.
+struct members_seen {
+  std::vector<instance_id> Members;
+};
+
+using entry_event_body =
+    std::variant<tables_seen, executors_seen, members_seen>;
+
+struct entry_event {
+  instant Now;
+  entry_event_body Body;
+};
+
+// [2] The snapshot
+
+/// Requests in progress at one executor from this instance. Shared by all
+/// traffic threads and by every snapshot that names the executor.
+struct slot_counter
+    : boost::intrusive_ref_counter<slot_counter, boost::thread_safe_counter> {
+  std::atomic<int> InUse{0};
+};
+using slot_counter_ptr = boost::intrusive_ptr<slot_counter>;
+
+/// An executor that new requests may go to.
+struct executor_choice {
+  executor_row Row;
+  int Slots = 0; // this instance's share
+  slot_counter_ptr Counter;
+};
+
+/// Everything a traffic thread needs to route a request. Never changes.
+struct entry_snapshot
+    : boost::intrusive_ref_counter<entry_snapshot, boost::thread_safe_counter> {
+  std::shared_ptr<const tables> Tables; // never null
+  data_centre_id DataCentre;            // of this instance
+  std::vector<executor_choice> Executors;
+};
+using entry_snapshot_ptr = boost::intrusive_ptr<const entry_snapshot>;
+
+/// Takes a slot of an executor that may answer this route: the one with most
+/// free slots in this instance's own data centre. Null when none is free. The
+/// caller gives the slot back.
+const executor_choice *takeSlot(const entry_snapshot &Snapshot,
+                                const route &Route);
+
+// [3] Effects
+
+struct publish_snapshot {
+  entry_snapshot_ptr Snapshot;
+};
+
+using entry_effect = std::variant<publish_snapshot, write_log>;
+using entry_effects = std::vector<entry_effect>;
+
+// [4] State and reducer
+
+struct entry_settings {
+  instance_id Self;
+  data_centre_id DataCentre;
+  int SlotsPerExecutor = 8; // requests at once, from all entry instances
+};
+
+struct entry_state {
+  explicit entry_state(entry_settings Settings)
+      : Settings(std::move(Settings)) {}
+
+  entry_settings Settings;
+  std::shared_ptr<const tables> Tables;
+  std::vector<executor_row> Executors;
+  std::vector<instance_id> Members;
+  std::map<executor_id, slot_counter_ptr> Counters;
+};
+
+/// Applies one event in place.
+entry_effects reduce(entry_state &State, const entry_event &Event);
+
+} // namespace galenastage
--- /dev/null
+++ b/standin/executor_service.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "platform/http.hpp"
+#include "standin/platform.hpp"
+
+#include <map>
+
+namespace galenastage::standin {
+
+/// An upstream's executor in small: a fixed number of slots, a work time that
+/// the request names, and a ledger of everything it ran.
+class executor_service {
+public:
+  executor_service(asio::io_context &Context, const endpoint &Endpoint,
+                   std::string Name, int Slots, int Connections);
+
+  executor_faults Faults;
+
+  /// What happened to one request id here.
+  struct ledger_entry {
+    int Runs = 0;
+    std::string IdempotencyKey;
+    std::size_t BodyHash = 0;
+  };
+
+  [[nodiscard]] const std::map<std::string, ledger_entry> &ledger() const {
+    return Ledger;
+  }
+  [[nodiscard]] int refusedOverSlots() const { return RefusedOverSlots; }
+  [[nodiscard]] int mostAtOnce() const { return MostAtOnce; }
+  [[nodiscard]] const std::string &name() const { return Name; }
+  [[nodiscard]] endpoint localEndpoint() const { return Server.localEndpoint(); }
+  void stopAccepting() { Server.stopAccepting(); }
+
+private:
+  task<http_response> handle(http_request Request);
+  task<http_response> run(http_request Request);
+
+  asio::io_context &Context;
+  std::string Name;
+  int Slots;
+  int Busy = 0;
+  int MostAtOnce = 0;
+  int RefusedOverSlots = 0;
+  std::uint64_t Answered = 0;
+  std::map<std::string, ledger_entry> Ledger;
+  http_server Server;
+};
+
+} // namespace galenastage::standin
--- /dev/null
+++ b/standin/worker_model.cpp
@@ -0,0 +1,145 @@
+#include "standin/worker_model.hpp"
+
+namespace galenastage::standin {
+
+worker_model::worker_model(worker_id Worker, data_centre_id DataCentre,
+                           rack_id Rack, int Accelerators)
+    : Worker(std::move(Worker)), DataCentre(std::move(DataCentre)),
+      Rack(std::move(Rack)), Accelerators(Accelerators) {}
+
+worker_answer worker_model::reserve(const reserve_request &Request,
+                                    instant Now) {
+  advance(Now);
+  if (!admit(Request.Epoch))
+    return refuse("epoch is too low");
+  if (Tasks.contains(Request.Attempt))
+    return accept(); // a repeat of what is already held
+  if (Request.Accelerators > freeAccelerators())
+    return refuse("not enough free accelerators");
+  held_task &Task = Tasks[Request.Attempt];
+  Task.Tasks = Request.Tasks;
+  Task.Accelerators = Request.Accelerators;
+  Task.Expires = Now + Request.Life;
+  return accept();
+}
+
+worker_answer worker_model::start(const start_request &Request, instant Now) {
+  advance(Now);
+  if (!admit(Request.Epoch))
+    return refuse("epoch is too low");
+  const auto Found = Tasks.find(Request.Attempt);
+  if (Found == Tasks.end())
+    return refuse("no live reservation");
+  held_task &Task = Found->second;
+  if (Task.State != task_state::Reserved)
+    return accept();
+  Task.State = task_state::Armed;
+  Task.RunTime = Request.DeclaredRunTime * Faults.RunTimePercent / 100;
+  Task.Expires = Now + Request.Lease;
+  return accept();
+}
+
+worker_answer worker_model::release(const release_request &Request,
+                                    instant Now) {
+  advance(Now);
+  if (!admit(Request.Epoch))
+    return refuse("epoch is too low");
+  const auto Found = Tasks.find(Request.Attempt);
+  if (Found == Tasks.end())
+    return accept();
+  if (Request.KeepCheckpoint && Found->second.State == task_state::Running)
+    Checkpoints[Request.Attempt.Job] = progressOf(Found->second, Now);
+  Tasks.erase(Found);
+  return accept();
+}
+
+worker_report worker_model::renew(const renew_request &Request, instant Now) {
+  advance(Now);
+  if (admit(Request.Epoch)) {
+    for (const renewed_attempt &Renewed : Request.Attempts) {
+      const auto Found = Tasks.find(Renewed.Attempt);
+      if (Found == Tasks.end())
+        continue;
+      held_task &Task = Found->second;
+      if (Task.State == task_state::Armed && Renewed.IsConfirmed)
+        beginRun(Renewed.Attempt, Task, Now);
+      if (Task.State >= task_state::Running)
+        Task.Expires = Now + Request.Lease;
+    }
+  }
+  worker_report Report{Worker,       DataCentre,   Rack,
+                       Accelerators, HighestEpoch, {}};
+  for (const auto &[Attempt, Task] : Tasks)
+    Report.Tasks.push_back({Attempt, Task.State, Task.Tasks, Task.Accelerators,
+                            progressOf(Task, Now)});
+  return Report;
+}
+
+void worker_model::advance(instant Now) {
+  for (auto It = Tasks.begin(); It != Tasks.end();) {
+    held_task &Task = It->second;
+    const bool IsRunning = Task.State == task_state::Running;
+    // A task that ends before its lease does has ended, however late we look.
+    const instant Ends = Task.RunningSince + (Task.RunTime - Task.Progress);
+    if (IsRunning && Ends <= std::min(Now, Task.Expires)) {
+      Task.State = Faults.FailsEverything ? task_state::Failed
+                                          : task_state::Succeeded;
+      Task.Progress = Task.RunTime;
+      Checkpoints.erase(It->first.Job);
+    }
+    if (Now >= Task.Expires)
+      It = Tasks.erase(It);
+    else
+      ++It;
+  }
+}
+
+void worker_model::crash() {
+  Tasks.clear();
+  Checkpoints.clear();
+  HighestEpoch = 0;
+}
+
+int worker_model::freeAccelerators() const {
+  int Free = Accelerators;
+  for (const auto &[Attempt, Task] : Tasks)
+    Free -= Task.Accelerators;
+  return Free;
+}
+
+int worker_model::runsOf(const job_id &Job) const {
+  const auto Found = Runs.find(Job);
+  return Found == Runs.end() ? 0 : Found->second;
+}
+
+worker_answer worker_model::refuse(std::string Reason) const {
+  return {false, HighestEpoch, std::move(Reason)};
+}
+
+bool worker_model::admit(epoch Epoch) {
+  if (Epoch < HighestEpoch)
+    return false;
+  HighestEpoch = Epoch;
+  return true;
+}
+
+void worker_model::beginRun(const attempt_id &Attempt, held_task &Task,
+                            instant Now) {
+  ++Runs[Attempt.Job];
+  Task.State = task_state::Running;
+  Task.RunningSince = Now;
+  const auto Saved = Checkpoints.find(Attempt.Job);
+  if (Saved != Checkpoints.end())
+    Task.Progress = std::min(Saved->second, Task.RunTime);
+  if (Faults.FailsEverything)
+    Task.State = task_state::Failed;
+}
+
+milliseconds worker_model::progressOf(const held_task &Task,
+                                      instant Now) const {
+  if (Task.State != task_state::Running)
+    return Task.Progress;
+  return std::min(Task.RunTime, Task.Progress + (Now - Task.RunningSince));
+}
+
+} // namespace galenastage::standin
--- /dev/null
+++ b/standin/worker_model.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "core/job/worker_protocol.hpp"
+
+#include <map>
+
+namespace galenastage::standin {
+
+/// How a worker misbehaves.
+struct worker_faults {
+  bool FailsEverything = false;    // each task fails at once
+  bool IsPaused = false;           // answers nothing; its clock stands still
+  int RunTimePercent = 100;        // real run time against the declared one
+
+  friend bool operator==(const worker_faults &,
+                         const worker_faults &) = default;
+};
+
+/// A worker in small: reservations, armed tasks, leases, checkpoints and the
+/// fence of epochs. It has no clock; the caller passes the moment.
+class worker_model {
+public:
+  worker_model(worker_id Worker, data_centre_id DataCentre, rack_id Rack,
+               int Accelerators);
+
+  worker_answer reserve(const reserve_request &Request, instant Now);
+  worker_answer start(const start_request &Request, instant Now);
+  worker_answer release(const release_request &Request, instant Now);
+  worker_report renew(const renew_request &Request, instant Now);
+
+  /// Lets tasks end and leases lapse.
+  void advance(instant Now);
+
+  /// Stops everything, as a failed instance does.
+  void crash();
+
+  worker_faults Faults;
+
+  [[nodiscard]] const worker_id &id() const { return Worker; }
+  [[nodiscard]] int freeAccelerators() const;
+  /// How often a task of this job began to run here.
+  [[nodiscard]] int runsOf(const job_id &Job) const;
+  [[nodiscard]] const std::map<job_id, int> &runs() const { return Runs; }
+
+private:
+  struct held_task {
+    task_state State = task_state::Reserved;
+    int Tasks = 0;
+    int Accelerators = 0;
+    milliseconds RunTime{0};
+    milliseconds Progress{0}; // up to RunningSince
+    instant RunningSince{};
+    instant Expires{};
+  };
+
+  worker_answer accept() const { return {true, HighestEpoch, ""}; }
+  worker_answer refuse(std::string Reason) const;
+  bool admit(epoch Epoch); // false when the epoch is too low
+  void beginRun(const attempt_id &Attempt, held_task &Task, instant Now);
+  [[nodiscard]] milliseconds progressOf(const held_task &Task,
+                                        instant Now) const;
+
+  worker_id Worker;
+  data_centre_id DataCentre;
+  rack_id Rack;
+  int Accelerators;
+  epoch HighestEpoch = 0;
+  std::map<attempt_id, held_task> Tasks;
+  std::map<job_id, milliseconds> Checkpoints; // progress saved, by job
+  std::map<job_id, int> Runs;
+};
+
+} // namespace galenastage::standin
--- /dev/null
+++ b/tests/contract/store_test.cpp
@@ -0,0 +1,73 @@
+#include "platform/store.hpp"
+#include "standin/platform.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+
+namespace {
+
+/// A stand-in and a client on one I/O context that the test runs.
+struct store_fixture {
+  asio::io_context Context{1};
+  standin::stand_in_platform Platform{Context, settings()};
+  store_client Store{Context, Platform.storeEndpoint()};
+
+  static standin::platform_settings settings() {
+    standin::platform_settings Settings;
+    Settings.Store = {"127.0.0.1", 0};
+    Settings.Platform = {"127.0.0.1", 0};
+    return Settings;
+  }
+
+  /// Runs a task to its end and returns what it gave.
+  template <typename Result> Result run(task<Result> Task) {
+    std::optional<Result> Outcome;
+    asio::co_spawn(Context, std::move(Task),
+                   [&](std::exception_ptr, Result Value) {
+                     Outcome = std::move(Value);
+                   });
+    while (!Outcome)
+      Context.run_one();
+    return *Outcome;
+  }
+
+  store_write put(const std::string &Key, const std::string &Value,
+                  store_condition Condition) {
+    store_transaction Transaction;
+    Transaction.Conditions.push_back(std::move(Condition));
+    Transaction.Changes.push_back(put_key{Key, Value});
+    return run(Store.commit(std::move(Transaction)));
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(store_fixture, "compare-and-swap lets one of two writers win") {
+  const store_write First = put("/k", "one", key_missing{"/k"});
+  REQUIRE(First.IsApplied);
+  const store_write Second = put("/k", "two", key_missing{"/k"});
+  CHECK_FALSE(Second.Error);
+  CHECK_FALSE(Second.IsApplied);
+  const store_write Third =
+      put("/k", "three", revision_is{"/k", First.Revision});
+  CHECK(Third.IsApplied);
+  const store_read Read = run(Store.read("/k"));
+  REQUIRE(Read.Entries.size() == 1);
+  CHECK(Read.Entries.front().Value == "three");
+  CHECK(Read.Entries.front().ModRevision == Third.Revision);
+}
+
+TEST_CASE_METHOD(store_fixture, "a group commits each part by its own condition") {
+  put("/taken", "x", key_missing{"/taken"});
+  std::vector<store_transaction> Group(2);
+  Group[0].Conditions.push_back(key_missing{"/taken"});
+  Group[0].Changes.push_back(put_key{"/taken", "y"});
+  Group[1].Conditions.push_back(key_missing{"/free"});
+  Group[1].Changes.push_back(put_key{"/free", "y"});
+  const auto Writes = run(Store.commitGroup(std::move(Group)));
+  REQUIRE(Writes.size() == 2);
+  CHECK_FALSE(Writes[0].IsApplied);
+  CHECK(Writes[1].IsApplied);
+}
--- /dev/null
+++ b/tests/support/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
