--- a/apps/ctl/commands.cpp
+++ b/apps/ctl/commands.cpp
@@ -34,8 +34,7 @@
     return exit_code::Unreachable;
   }
   const json Problem = json::parse(Result.Response.Body, nullptr, false);
-  std::cerr << "galenastagectl: refused with status "
-            << Result.Response.Status;
+  std::cerr << "galenastagectl: refused with status " << Result.Response.Status;
   if (Problem.is_object()) {
     std::cerr << ": " << Problem.value("title", "") << " "
               << Problem.value("detail", "");
@@ -81,11 +80,10 @@
 void printJobs(const json &Jobs) {
   printRow({"JOB", "ORGANISATION", "PHASE", "TASKS", "DATA CENTRE", "REASON"});
   for (const json &Job : Jobs)
-    printRow({textOf(Job, "id"), textOf(Job, "organisation"),
-              textOf(Job, "phase"),
-              textOf(Job, "tasks") + " x " +
-                  textOf(Job, "accelerators_per_task"),
-              textOf(Job, "data_centre"), textOf(Job, "reason")});
+    printRow(
+        {textOf(Job, "id"), textOf(Job, "organisation"), textOf(Job, "phase"),
+         textOf(Job, "tasks") + " x " + textOf(Job, "accelerators_per_task"),
+         textOf(Job, "data_centre"), textOf(Job, "reason")});
 }
 
 void printTablesForPeople(const json &Tables) {
@@ -106,8 +104,8 @@
   printRow({"ROUTE", "PATH", "SERVICE", "POOL", "CLASS", "IDEMPOTENT"});
   for (const json &Row : Tables.at("routes"))
     printRow({textOf(Row, "name"), textOf(Row, "path_prefix"),
-              textOf(Row, "service"), textOf(Row, "pool"),
-              textOf(Row, "class"), textOf(Row, "idempotent")});
+              textOf(Row, "service"), textOf(Row, "pool"), textOf(Row, "class"),
+              textOf(Row, "idempotent")});
 }
 
 void addAuthor(const command_context &Context, http_request &Request) {
@@ -145,7 +143,8 @@
   http_request Put = request("PUT", "/v1/tables");
   // A document read with "get" names the version that it was made from.
   const json Document = json::parse(*Text, nullptr, false);
-  const bool NamesVersion = Document.is_object() && Document.contains("version");
+  const bool NamesVersion =
+      Document.is_object() && Document.contains("version");
   Put.Headers.set("If-Match",
                   NamesVersion
                       ? "\"" + Document.at("version").dump() + "\""
@@ -217,9 +216,9 @@
 
 exit_code listJobs(const command_context &Context,
                    const std::string &Organisation) {
-  const std::string Target =
-      Organisation.empty() ? "/v1/jobs"
-                           : "/v1/jobs?organisation=" + Organisation;
+  const std::string Target = Organisation.empty()
+                                 ? "/v1/jobs"
+                                 : "/v1/jobs?organisation=" + Organisation;
   const http_result Result = Context.Entry.call(request("GET", Target));
   return finish(Context, Result,
                 [](const json &Answer) { printJobs(Answer.at("jobs")); });
@@ -268,8 +267,8 @@
     }
     std::this_thread::sleep_for(WaitPoll);
   }
-  std::cerr << "galenastagectl: the job has not ended within "
-            << Limit.count() << " s\n";
+  std::cerr << "galenastagectl: the job has not ended within " << Limit.count()
+            << " s\n";
   return exit_code::Refused;
 }
 
--- a/apps/ctl/commands.hpp
+++ b/apps/ctl/commands.hpp
@@ -9,9 +9,9 @@
 /// What a command ends with.
 enum class exit_code : int {
   Success = 0,
-  Refused = 1,      // the system said no; the text says why
-  Usage = 2,        //
-  Unreachable = 3,  // no entry instance answered
+  Refused = 1,     // the system said no; the text says why
+  Usage = 2,       //
+  Unreachable = 3, // no entry instance answered
 };
 
 /// What every command may use.
--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -41,10 +41,9 @@
 void addTableCommands(CLI::App &App, command_arguments &Arguments,
                       command &Chosen) {
   addCommand(App, "get", "print the tables", Chosen, showTables);
-  addCommand(App, "apply", "replace the tables by a file", Chosen,
-             [&](const auto &Context) {
-               return applyTables(Context, Arguments.File);
-             })
+  addCommand(
+      App, "apply", "replace the tables by a file", Chosen,
+      [&](const auto &Context) { return applyTables(Context, Arguments.File); })
       ->add_option("-f,--file", Arguments.File, "JSON file, or - for stdin")
       ->required();
   addCommand(App, "validate", "check a file without storing it", Chosen,
@@ -73,12 +72,10 @@
 
 void addJobCommands(CLI::App &App, command_arguments &Arguments,
                     command &Chosen) {
-  CLI::App *Submit =
-      addCommand(App, "submit", "submit a job", Chosen,
-                 [&](const auto &Context) {
-                   return submitJob(Context, Arguments.File,
-                                    Arguments.IdempotencyKey);
-                 });
+  CLI::App *Submit = addCommand(
+      App, "submit", "submit a job", Chosen, [&](const auto &Context) {
+        return submitJob(Context, Arguments.File, Arguments.IdempotencyKey);
+      });
   Submit->add_option("-f,--file", Arguments.File, "JSON file, or - for stdin");
   Submit->add_option("--idempotency-key", Arguments.IdempotencyKey,
                      "a repeat with the same key gives the same job");
@@ -88,24 +85,22 @@
              })
       ->add_option("--organisation", Arguments.Organisation,
                    "only those of this organisation");
-  addCommand(App, "explain", "say what a job does or waits for", Chosen,
-             [&](const auto &Context) {
-               return showJob(Context, Arguments.Id);
-             })
+  addCommand(
+      App, "explain", "say what a job does or waits for", Chosen,
+      [&](const auto &Context) { return showJob(Context, Arguments.Id); })
       ->add_option("job", Arguments.Id, "its id")
       ->required();
-  addCommand(App, "cancel", "stop a job", Chosen,
-             [&](const auto &Context) {
-               return cancelJob(Context, Arguments.Id);
-             })
+  addCommand(
+      App, "cancel", "stop a job", Chosen,
+      [&](const auto &Context) { return cancelJob(Context, Arguments.Id); })
       ->add_option("job", Arguments.Id, "its id")
       ->required();
-  CLI::App *Wait = addCommand(App, "wait", "wait until a job has finished",
-                              Chosen, [&](const auto &Context) {
-                                return waitForJob(
-                                    Context, Arguments.Id,
-                                    seconds(Arguments.LimitSeconds));
-                              });
+  CLI::App *Wait =
+      addCommand(App, "wait", "wait until a job has finished", Chosen,
+                 [&](const auto &Context) {
+                   return waitForJob(Context, Arguments.Id,
+                                     seconds(Arguments.LimitSeconds));
+                 });
   Wait->add_option("job", Arguments.Id, "its id")->required();
   Wait->add_option("--limit", Arguments.LimitSeconds, "seconds to wait")
       ->check(CLI::Range(1, 86'400))
--- a/apps/entry/jobs_api.cpp
+++ b/apps/entry/jobs_api.cpp
@@ -107,10 +107,10 @@
     co_return invalidResponse("invalid job", Problems);
 
   Record.Spec.IdempotencyKey = Request.Headers.find("Idempotency-Key");
-  Record.Spec.Id = Record.Spec.IdempotencyKey.empty()
-                       ? job_id(randomHex(JobIdDigits))
-                       : idForKey(Record.Spec.Organisation,
-                                  Record.Spec.IdempotencyKey);
+  Record.Spec.Id =
+      Record.Spec.IdempotencyKey.empty()
+          ? job_id(randomHex(JobIdDigits))
+          : idForKey(Record.Spec.Organisation, Record.Spec.IdempotencyKey);
   Record.DataCentre =
       chooseOwner(Record.Spec, Tables, Thread.Config.DataCentre);
   Record.Reason = "accepted";
@@ -120,9 +120,8 @@
   Transaction.Conditions.push_back(key_missing{jobIndexKey(Record.Spec.Id)});
   Transaction.Changes.push_back(
       put_key{jobIndexKey(Record.Spec.Id), Record.DataCentre.Value});
-  Transaction.Changes.push_back(
-      put_key{jobKey(Record.DataCentre, Record.Spec.Id),
-              printJobRecord(Record)});
+  Transaction.Changes.push_back(put_key{
+      jobKey(Record.DataCentre, Record.Spec.Id), printJobRecord(Record)});
   const store_write Write =
       co_await Thread.Store.commit(std::move(Transaction));
   if (!Write.Error && Write.IsApplied) {
@@ -159,9 +158,9 @@
   json Jobs = json::array();
   for (const store_entry &Entry : Read.Entries) {
     const auto Record = parseJobRecord(Entry.Value).Job;
-    const bool IsAsked = Record && (Organisation.empty() ||
-                                    Record->Spec.Organisation.Value ==
-                                        Organisation);
+    const bool IsAsked =
+        Record && (Organisation.empty() ||
+                   Record->Spec.Organisation.Value == Organisation);
     if (IsAsked)
       Jobs.push_back(*Record);
   }
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -42,12 +42,11 @@
 
   void start() {
     asio::io_context &Context = Io.context(0);
-    asio::co_spawn(Context,
-                   feedTables(Context, Store, ConfirmInterval,
-                              [this](tables_seen Seen) {
-                                post(std::move(Seen));
-                              }),
-                   asio::detached);
+    asio::co_spawn(
+        Context,
+        feedTables(Context, Store, ConfirmInterval,
+                   [this](tables_seen Seen) { post(std::move(Seen)); }),
+        asio::detached);
     asio::co_spawn(Context,
                    feedInstances(Context, List, instance_kind::Executor,
                                  Config.DataCentre, ListInterval,
--- a/apps/entry/requests_api.cpp
+++ b/apps/entry/requests_api.cpp
@@ -22,16 +22,16 @@
 
 // Fields that concern one connection only (RFC 9110, 7.6.1).
 constexpr std::array HopByHop = {
-    "Connection",          "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
-    "Upgrade",             "TE",         "Trailer",          "Host",
-    "Proxy-Authorization", "Content-Length"};
+    "Connection",        "Keep-Alive", "Proxy-Connection",
+    "Transfer-Encoding", "Upgrade",    "TE",
+    "Trailer",           "Host",       "Proxy-Authorization",
+    "Content-Length"};
 
 bool isHopByHop(const std::string &Name) {
   http_headers Single;
   Single.Fields.push_back({Name, "x"});
-  return std::ranges::any_of(HopByHop, [&](const char *Field) {
-    return !Single.find(Field).empty();
-  });
+  return std::ranges::any_of(
+      HopByHop, [&](const char *Field) { return !Single.find(Field).empty(); });
 }
 
 http_headers passThrough(const http_headers &Headers) {
@@ -44,8 +44,7 @@
 
 /// The caller's time limit, bounded by the route's.
 milliseconds timeoutOf(const http_request &Request, const route &Route) {
-  const std::string_view Text =
-      Request.Headers.find("Galenastage-Timeout-Ms");
+  const std::string_view Text = Request.Headers.find("Galenastage-Timeout-Ms");
   int Wanted = 0;
   std::from_chars(Text.data(), Text.data() + Text.size(), Wanted);
   if (Wanted <= 0)
@@ -93,15 +92,14 @@
   Forwarded.Body = Routed.Request.Body;
   const milliseconds Left = Routed.Deadline - readClock();
   Forwarded.Headers.set("Galenastage-Timeout-Ms", std::to_string(Left.count()));
-  http_result Result = co_await Thread.Upstream.send(
-      Choice.Row.Address, std::move(Forwarded),
-      std::max(Left, milliseconds(1)));
+  http_result Result =
+      co_await Thread.Upstream.send(Choice.Row.Address, std::move(Forwarded),
+                                    std::max(Left, milliseconds(1)));
   Choice.Counter->InUse.fetch_sub(1);
   // An executor over its limits says so before it runs anything.
-  const bool IsRefused =
-      !Result.Error && Result.Response.Status == 503 &&
-      Result.Response.Headers.find("Galenastage-Verdict") ==
-          name(verdict::NotRun);
+  const bool IsRefused = !Result.Error && Result.Response.Status == 503 &&
+                         Result.Response.Headers.find("Galenastage-Verdict") ==
+                             name(verdict::NotRun);
   if (IsRefused)
     Result.Verdict = verdict::NotRun;
   co_return Result;
@@ -119,7 +117,8 @@
     const auto Choice = co_await waitForSlot(Thread, Routed);
     if (!Choice) {
       if (Try == 0)
-        Result.Error = std::make_error_code(std::errc::resource_unavailable_try_again);
+        Result.Error =
+            std::make_error_code(std::errc::resource_unavailable_try_again);
       break;
     }
     Result = co_await sendOnce(Thread, Routed, *Choice);
@@ -150,9 +149,9 @@
 
 /// Records that a non-idempotent request is about to leave. Returns an answer
 /// for the caller when it must not leave.
-task<std::optional<http_response>>
-recordDispatch(traffic_thread &Thread, const routed_request &Routed,
-               std::string Key) {
+task<std::optional<http_response>> recordDispatch(traffic_thread &Thread,
+                                                  const routed_request &Routed,
+                                                  std::string Key) {
   const std::string Record =
       json{{"request_id", Routed.Id}, {"state", "dispatched"}}.dump();
   store_transaction Transaction;
@@ -173,8 +172,7 @@
     co_return std::nullopt; // the write took effect, its answer was lost
   if (Read.Entries.empty())
     co_return storeUnavailableResponse(verdict::NotRun);
-  const json Earlier =
-      json::parse(Read.Entries.front().Value, nullptr, false);
+  const json Earlier = json::parse(Read.Entries.front().Value, nullptr, false);
   const bool HasRun =
       Earlier.is_object() && Earlier.value("state", "") == "answered";
   co_return problemResponse(409, "already dispatched",
@@ -190,23 +188,25 @@
   if (Verdict == verdict::NotRun)
     Transaction.Changes.push_back(delete_key{Key});
   else
-    Transaction.Changes.push_back(
-        put_key{Key, json{{"request_id", Id},
-                          {"state", Verdict == verdict::Ran ? "answered"
-                                                            : "unknown"}}
-                         .dump()});
+    Transaction.Changes.push_back(put_key{
+        Key, json{{"request_id", Id},
+                  {"state", Verdict == verdict::Ran ? "answered" : "unknown"}}
+                 .dump()});
   co_await Thread.Store.commit(std::move(Transaction));
 }
 
 task<http_response> routeRequest(traffic_thread &Thread,
                                  routed_request Routed) {
-  if (Routed.Route.IsIdempotent)
-    co_return answerOf(co_await sendWithRetries(Thread, Routed));
+  if (Routed.Route.IsIdempotent) {
+    http_result Result = co_await sendWithRetries(Thread, Routed);
+    co_return answerOf(std::move(Result));
+  }
   std::string CallerKey(Routed.Request.Headers.find("Idempotency-Key"));
   if (CallerKey.empty())
     CallerKey = Routed.Id;
   const std::string Key = dispatchKey(Routed.Route, CallerKey);
-  if (auto Refused = co_await recordDispatch(Thread, Routed, Key))
+  auto Refused = co_await recordDispatch(Thread, Routed, Key);
+  if (Refused)
     co_return std::move(*Refused);
   const http_result Result = co_await sendWithRetries(Thread, Routed);
   co_await recordOutcome(Thread, Routed.Id, Key, Result.Verdict);
--- a/apps/entry/tables_api.cpp
+++ b/apps/entry/tables_api.cpp
@@ -16,8 +16,8 @@
 
 struct stored_tables {
   std::error_code Error;
-  std::optional<tables> Tables;  // none: nothing stored yet
-  std::int64_t Revision = 0;     // of the key; 0 when missing
+  std::optional<tables> Tables; // none: nothing stored yet
+  std::int64_t Revision = 0;    // of the key; 0 when missing
 };
 
 task<stored_tables> readTables(traffic_thread &Thread) {
@@ -64,17 +64,15 @@
 
 /// Whether the edit with this token is the stored version: settles a write
 /// whose answer was lost, even when other edits have followed it.
-task<std::optional<bool>> isEditStored(traffic_thread &Thread,
-                                       std::uint64_t Version,
-                                       std::string Token) {
-  const store_read Read =
-      co_await Thread.Store.read(tablesHistoryKey(Version));
+task<std::optional<bool>>
+isEditStored(traffic_thread &Thread, std::uint64_t Version, std::string Token) {
+  const store_read Read = co_await Thread.Store.read(tablesHistoryKey(Version));
   if (Read.Error)
     co_return std::nullopt;
   if (Read.Entries.empty())
     co_return false;
   const auto Kept = parseTables(Read.Entries.front().Value).Tables;
-  co_return Kept &&Kept->EditToken == Token;
+  co_return Kept && Kept->EditToken == Token;
 }
 
 /// Stores new tables on top of the version they were made from.
@@ -98,7 +96,8 @@
     Transaction.Conditions.push_back(
         revision_is{std::string(TablesKey), Base.Revision});
   Transaction.Changes.push_back(put_key{std::string(TablesKey), Text});
-  Transaction.Changes.push_back(put_key{tablesHistoryKey(Edited.Version), Text});
+  Transaction.Changes.push_back(
+      put_key{tablesHistoryKey(Edited.Version), Text});
   const store_write Write =
       co_await Thread.Store.commit(std::move(Transaction));
   bool IsStored = !Write.Error && Write.IsApplied;
@@ -166,8 +165,7 @@
   if (!Parsed.Tables)
     co_return invalidResponse("invalid row", Parsed.Problems);
   co_return co_await storeTables(Thread, std::move(Base),
-                                 std::move(*Parsed.Tables),
-                                 std::move(Request));
+                                 std::move(*Parsed.Tables), std::move(Request));
 }
 
 http_response showRow(const tables &Tables, const std::string &Table,
@@ -183,11 +181,10 @@
 http_response showStatus(const traffic_thread &Thread) {
   const std::uint64_t Version =
       Thread.Snapshot ? Thread.Snapshot->Tables->Version : 0;
-  return jsonResponse(
-      200, json{{"instance", Thread.Config.Instance},
-                {"data_centre", Thread.Config.DataCentre.Value},
-                {"version_in_force", Version}}
-               .dump());
+  return jsonResponse(200, json{{"instance", Thread.Config.Instance},
+                                {"data_centre", Thread.Config.DataCentre.Value},
+                                {"version_in_force", Version}}
+                               .dump());
 }
 
 task<http_response> editTables(traffic_thread &Thread, std::string Rest,
@@ -212,9 +209,8 @@
     parsed_tables Parsed = parseTables(Request.Body);
     if (!Parsed.Tables)
       co_return invalidResponse("invalid tables", Parsed.Problems);
-    co_return co_await storeTables(Thread, std::move(Base),
-                                   std::move(*Parsed.Tables),
-                                   std::move(Request));
+    co_return co_await storeTables(
+        Thread, std::move(Base), std::move(*Parsed.Tables), std::move(Request));
   }
   const std::size_t Slash = Rest.find('/');
   const auto Table = tableOf(std::string_view(Rest).substr(0, Slash));
@@ -244,7 +240,8 @@
 } // namespace
 
 task<http_response> handleTables(traffic_thread &Thread, http_request Request) {
-  std::string Rest(Request.path().substr(std::string_view("/v1/tables").size()));
+  std::string Rest(
+      Request.path().substr(std::string_view("/v1/tables").size()));
   if (!Rest.empty())
     Rest.erase(0, 1);
   if (Request.Method == "GET")
--- a/apps/entry/traffic.cpp
+++ b/apps/entry/traffic.cpp
@@ -41,9 +41,8 @@
     co_return jsonResponse(200, R"({"healthy":true})");
   if (Path == "/readyz") {
     const bool IsReady = Thread.IsReady && Thread.Snapshot;
-    co_return jsonResponse(IsReady ? 200 : 503,
-                           IsReady ? R"({"ready":true})"
-                                   : R"({"ready":false})");
+    co_return jsonResponse(IsReady ? 200 : 503, IsReady ? R"({"ready":true})"
+                                                        : R"({"ready":false})");
   }
   co_return problemResponse(404, "not found", Path, verdict::NotRun);
 }
--- a/apps/entry/traffic.hpp
+++ b/apps/entry/traffic.hpp
@@ -15,13 +15,13 @@
 // [1] The thread
 
 struct entry_config {
-  std::string Instance;         //
-  data_centre_id DataCentre;    //
-  endpoint Listen;              // for callers and operators
-  endpoint Store;               // key-value service
-  endpoint Platform;            // instance list
-  int Threads = 2;              // of traffic
-  int SlotsPerExecutor = 8;     // from all entry instances together
+  std::string Instance;      //
+  data_centre_id DataCentre; //
+  endpoint Listen;           // for callers and operators
+  endpoint Store;            // key-value service
+  endpoint Platform;         // instance list
+  int Threads = 2;           // of traffic
+  int SlotsPerExecutor = 8;  // from all entry instances together
 };
 
 /// The state of one traffic thread. Only that thread touches it, but for
--- a/apps/runtime/control.cpp
+++ b/apps/runtime/control.cpp
@@ -21,19 +21,24 @@
 namespace {
 
 /// Runs posted work; an empty function ends the actor after all posted before.
-caf::behavior controlBehavior(caf::event_based_actor *Self) {
-  return {[Self](const control_work &Work) {
-    if (*Work)
-      (*Work)();
-    else
-      Self->quit();
-  }};
-}
+class control_actor : public caf::event_based_actor {
+public:
+  using caf::event_based_actor::event_based_actor;
+
+  caf::behavior make_behavior() override { // NOLINT: CAF's name
+    return {[this](const control_work &Work) {
+      if (*Work)
+        (*Work)();
+      else
+        quit();
+    }};
+  }
+};
 
 caf::actor_system_config &systemConfig() {
   static caf::actor_system_config Config;
   // One detached actor does all the work; the pool stays as small as it can.
-  Config.set("caf.scheduler.max-threads", 1);
+  Config.set("scheduler.max-threads", 1);
   return Config;
 }
 
@@ -41,7 +46,7 @@
 
 struct control_thread::state {
   caf::actor_system System{systemConfig()};
-  caf::actor Actor = System.spawn<caf::detached>(controlBehavior);
+  caf::actor Actor = System.spawn<control_actor, caf::detached>();
 };
 
 control_thread::control_thread() : State(std::make_unique<state>()) {}
--- a/apps/runtime/logging.cpp
+++ b/apps/runtime/logging.cpp
@@ -36,8 +36,8 @@
       });
   if (IsPlain)
     return Value;
-  return nlohmann::json(Value).dump(
-      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return nlohmann::json(Value).dump(-1, ' ', false,
+                                    nlohmann::json::error_handler_t::replace);
 }
 
 std::string formatKeyValue(const log_event &Event,
@@ -68,9 +68,10 @@
   Format = NewFormat;
   log4cplus::SharedAppenderPtr Appender(
       new log4cplus::ConsoleAppender(true, true));
-  const char *Pattern = Format == log_format::Json
-                            ? "%m%n"
-                            : "%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p program=%c %m%n";
+  const char *Pattern =
+      Format == log_format::Json
+          ? "%m%n"
+          : "%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p program=%c %m%n";
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
   auto Logger = log4cplus::Logger::getInstance(Program);
   Logger.removeAllAppenders();
--- a/apps/runtime/process.hpp
+++ b/apps/runtime/process.hpp
@@ -39,8 +39,7 @@
   void stop();
 
 private:
-  using work_guard =
-      asio::executor_work_guard<asio::io_context::executor_type>;
+  using work_guard = asio::executor_work_guard<asio::io_context::executor_type>;
 
   std::vector<std::unique_ptr<asio::io_context>> Contexts;
   std::vector<work_guard> Guards;
--- a/apps/runtime/settings.cpp
+++ b/apps/runtime/settings.cpp
@@ -51,12 +51,11 @@
 };
 
 settings_parser::settings_parser(std::string Program, std::string Description)
-    : State(std::make_unique<state>(std::move(Program),
-                                    std::move(Description))) {
+    : State(
+          std::make_unique<state>(std::move(Program), std::move(Description))) {
   CLI::App &App = State->App;
   App.name(State->Program);
-  App.set_version_flag("--version",
-                       State->Program + " " + GALENASTAGE_VERSION);
+  App.set_version_flag("--version", State->Program + " " + GALENASTAGE_VERSION);
   App.set_config("--config", "", "INI file with settings");
   App.allow_config_extras(CLI::config_extras_mode::error);
   App.add_flag("--check-settings", State->IsCheckOnly,
@@ -68,14 +67,18 @@
 
 void settings_parser::text(const std::string &Key, std::string &Target,
                            const std::string &Help, bool IsRequired) {
-  State->add(State->App.add_option("--" + Key, Target, Help)->capture_default_str(), Key,
-             IsRequired);
+  State->add(
+      State->App.add_option("--" + Key, Target, Help)->capture_default_str(),
+      Key, IsRequired);
 }
 
 void settings_parser::choice(const std::string &Key, std::string &Target,
                              const std::vector<std::string> &Words,
                              const std::string &Help) {
-  State->add(State->App.add_option("--" + Key, Target, Help)->capture_default_str(), Key, false)
+  State
+      ->add(State->App.add_option("--" + Key, Target, Help)
+                ->capture_default_str(),
+            Key, false)
       ->check(CLI::IsMember(Words));
 }
 
@@ -83,19 +86,24 @@
                               const std::string &Help, bool IsRequired) {
   const CLI::Validator Check(
       [](const std::string &Text) {
-        return parseEndpoint(Text) ? std::string()
-                                   : "'" + Text +
-                                         "' is not ADDRESS:PORT by number";
+        return parseEndpoint(Text)
+                   ? std::string()
+                   : "'" + Text + "' is not ADDRESS:PORT by number";
       },
       "ADDRESS:PORT");
-  State->add(State->App.add_option("--" + Key, Target, Help)->capture_default_str(), Key,
-             IsRequired)
+  State
+      ->add(State->App.add_option("--" + Key, Target, Help)
+                ->capture_default_str(),
+            Key, IsRequired)
       ->check(Check);
 }
 
 void settings_parser::number(const std::string &Key, int &Target, int Min,
                              int Max, const std::string &Help) {
-  State->add(State->App.add_option("--" + Key, Target, Help)->capture_default_str(), Key, false)
+  State
+      ->add(State->App.add_option("--" + Key, Target, Help)
+                ->capture_default_str(),
+            Key, false)
       ->check(CLI::Range(Min, Max));
 }
 
--- a/apps/scheduler/election.cpp
+++ b/apps/scheduler/election.cpp
@@ -24,7 +24,8 @@
 
 task<void> election::run() {
   while (!IsResigning) {
-    if (co_await tryWin()) {
+    const bool IsWon = co_await tryWin();
+    if (IsWon) {
       OnChange(true, Epoch);
       co_await holdUntilLost();
       OnChange(false, Epoch);
--- a/apps/scheduler/main.cpp
+++ b/apps/scheduler/main.cpp
@@ -56,10 +56,9 @@
     spawn(tickLoop());
     spawn(feedTables(Context, Store, ConfirmInterval,
                      [this](tables_seen Seen) { post(std::move(Seen)); }));
-    spawn(feedInstances(Context, List, instance_kind::Worker, Config.DataCentre,
-                        ListInterval, [this](std::vector<instance> Instances) {
-                          takeWorkers(Instances);
-                        }));
+    spawn(feedInstances(
+        Context, List, instance_kind::Worker, Config.DataCentre, ListInterval,
+        [this](std::vector<instance> Instances) { takeWorkers(Instances); }));
     spawn(Election.run());
     Io.start();
   }
--- a/apps/scheduler/save_queue.cpp
+++ b/apps/scheduler/save_queue.cpp
@@ -10,9 +10,9 @@
 namespace galenastage {
 namespace {
 
-constexpr std::size_t MaxGroup = 64;      // transactions in one call
-constexpr milliseconds GatherTime{5};     // for a group to fill
-constexpr milliseconds OutageDelay{500};  // after a call that failed
+constexpr std::size_t MaxGroup = 64;     // transactions in one call
+constexpr milliseconds GatherTime{5};    // for a group to fill
+constexpr milliseconds OutageDelay{500}; // after a call that failed
 
 } // namespace
 
--- a/apps/scheduler/save_queue.hpp
+++ b/apps/scheduler/save_queue.hpp
@@ -9,7 +9,8 @@
 namespace galenastage {
 
 /// Writes job records in groups: what is wanted while one call is on its way
-/// goes into the next, so that a burst costs few calls. Lives on one I/O thread.
+/// goes into the next, so that a burst costs few calls. Lives on one I/O
+/// thread.
 class save_queue {
 public:
   /// OnEvent gets a job_saved for each save, and a job_seen or job_forgotten
--- a/core/config/tables.cpp
+++ b/core/config/tables.cpp
@@ -57,10 +57,9 @@
     Problems.require(findPool(Tables, Row.Pool) != nullptr,
                      fieldOf("routes", I, "pool"),
                      "no pool is called '" + Row.Pool.Value + "'");
-    Problems.require(Row.Timeout > milliseconds(0) &&
-                         Row.Timeout <= MaxRouteTimeout,
-                     fieldOf("routes", I, "timeout_ms"),
-                     "must lie in [1, 3600000]");
+    Problems.require(
+        Row.Timeout > milliseconds(0) && Row.Timeout <= MaxRouteTimeout,
+        fieldOf("routes", I, "timeout_ms"), "must lie in [1, 3600000]");
     checkDataCentreList(Tables, Row.DataCentres,
                         fieldOf("routes", I, "data_centres"), Problems);
   }
@@ -80,11 +79,11 @@
                          Row.Guaranteed.Workers <= MaxGuaranteedWorkers,
                      fieldOf("pools", I, "guaranteed.workers"),
                      "must lie in [0, 1024]");
-    Problems.require(
-        Row.Guaranteed.AcceleratorsPerWorker >= 1 &&
-            Row.Guaranteed.AcceleratorsPerWorker <= MaxAcceleratorsPerWorker,
-        fieldOf("pools", I, "guaranteed.accelerators_per_worker"),
-        "must lie in [1, 64]");
+    Problems.require(Row.Guaranteed.AcceleratorsPerWorker >= 1 &&
+                         Row.Guaranteed.AcceleratorsPerWorker <=
+                             MaxAcceleratorsPerWorker,
+                     fieldOf("pools", I, "guaranteed.accelerators_per_worker"),
+                     "must lie in [1, 64]");
     checkDataCentreList(Tables, Row.DataCentres,
                         fieldOf("pools", I, "data_centres"), Problems);
   }
@@ -128,8 +127,8 @@
                  const data_centre_id &Name) {
   if (!isInService(Tables, Name))
     return false;
-  return Permitted.empty() || std::ranges::find(Permitted, Name) !=
-                                  Permitted.end();
+  return Permitted.empty() ||
+         std::ranges::find(Permitted, Name) != Permitted.end();
 }
 
 std::string tablesHistoryKey(std::uint64_t Version) {
--- a/core/config/tables.hpp
+++ b/core/config/tables.hpp
@@ -22,10 +22,10 @@
 
 /// Says where one kind of request goes and what may be done with it.
 struct route {
-  route_id Name;                           //
-  std::string PathPrefix;                  // starts with "/"; longest match wins
-  service_id Service;                      // the upstream service that answers
-  pool_id Pool;                            // joins this row to a pool
+  route_id Name;          //
+  std::string PathPrefix; // starts with "/"; longest match wins
+  service_id Service;     // the upstream service that answers
+  pool_id Pool;           // joins this row to a pool
   work_class Class = work_class::Ordinary; //
   bool IsIdempotent = true;                // false: runs at most once
   milliseconds Timeout{30'000};            // upper bound for one request
--- a/core/config/tables_json.cpp
+++ b/core/config/tables_json.cpp
@@ -126,12 +126,9 @@
 }
 
 void to_json(json &Json, const tables &Tables) {
-  Json = {{"version", Tables.Version},
-          {"author", Tables.Author},
-          {"reason", Tables.Reason},
-          {"edit_token", Tables.EditToken},
-          {"routes", json::array()},
-          {"pools", json::array()},
+  Json = {{"version", Tables.Version},    {"author", Tables.Author},
+          {"reason", Tables.Reason},      {"edit_token", Tables.EditToken},
+          {"routes", json::array()},      {"pools", json::array()},
           {"data_centres", json::array()}};
   for (const route &Row : Tables.Routes)
     Json["routes"].push_back(printRoute(Row));
--- a/core/job/job.cpp
+++ b/core/job/job.cpp
@@ -25,10 +25,10 @@
   Spec.Pool = Reader.identifier<pool_id>("pool");
   Spec.Class = Reader.workClass("class");
   Spec.Tasks = readRanged(Reader, "tasks", 1, MaxTasks);
-  Spec.AcceleratorsPerTask = readRanged(Reader, "accelerators_per_task", 1,
-                                        MaxAcceleratorsPerTask);
-  Spec.DeclaredRunTime = seconds(
-      readRanged(Reader, "declared_seconds", 60, MaxDeclaredSeconds));
+  Spec.AcceleratorsPerTask =
+      readRanged(Reader, "accelerators_per_task", 1, MaxAcceleratorsPerTask);
+  Spec.DeclaredRunTime =
+      seconds(readRanged(Reader, "declared_seconds", 60, MaxDeclaredSeconds));
   Spec.IsCheckpointable = Reader.optional<bool>("checkpointable", false);
   Spec.IsIdempotent = Reader.optional<bool>("idempotent", true);
   Spec.DataCentres = Reader.identifierList<data_centre_id>("data_centres");
--- a/core/job/job.hpp
+++ b/core/job/job.hpp
@@ -20,17 +20,17 @@
 
 /// A job as submitted: a gang of equal tasks that starts whole or not at all.
 struct job_spec {
-  job_id Id;                                // chosen by the system
-  organisation_id Organisation;             // who asks
-  pool_id Pool;                             // joins the pools table
-  work_class Class = work_class::Ordinary;  //
-  int Tasks = 1;                            // gang members, 1 to 1,024
-  int AcceleratorsPerTask = 1;              // on one worker, 1 to 64
-  milliseconds DeclaredRunTime{60'000};     // the caller's guess, not trusted
-  bool IsCheckpointable = false;            // may be moved without losing work
-  bool IsIdempotent = true;                 // false: starts at most once
-  std::vector<data_centre_id> DataCentres;  // empty: those of the pool
-  std::string IdempotencyKey;               // the caller's, may be empty
+  job_id Id;                               // chosen by the system
+  organisation_id Organisation;            // who asks
+  pool_id Pool;                            // joins the pools table
+  work_class Class = work_class::Ordinary; //
+  int Tasks = 1;                           // gang members, 1 to 1,024
+  int AcceleratorsPerTask = 1;             // on one worker, 1 to 64
+  milliseconds DeclaredRunTime{60'000};    // the caller's guess, not trusted
+  bool IsCheckpointable = false;           // may be moved without losing work
+  bool IsIdempotent = true;                // false: starts at most once
+  std::vector<data_centre_id> DataCentres; // empty: those of the pool
+  std::string IdempotencyKey;              // the caller's, may be empty
 
   friend bool operator==(const job_spec &, const job_spec &) = default;
 };
@@ -56,16 +56,16 @@
 /// A job as stored in the key-value service, under the data centre that owns
 /// it.
 struct job_record {
-  job_spec Spec;                           //
-  job_phase Phase = job_phase::Waiting;    //
-  std::uint32_t Attempt = 0;               // grows by one with each placement
-  verdict Verdict = verdict::NotRun;       // whether any part may have run
-  bool IsCancelRequested = false;          // the caller wants it stopped
-  data_centre_id DataCentre;               // owner; only its scheduler starts it
-  std::string Reason;                      // why it waits, failed or was refused
-  std::vector<worker_id> Placement;        // one worker for each task
-  wall_instant SubmittedAt{};              //
-  wall_instant FinishedAt{};               // epoch while not final
+  job_spec Spec;                        //
+  job_phase Phase = job_phase::Waiting; //
+  std::uint32_t Attempt = 0;            // grows by one with each placement
+  verdict Verdict = verdict::NotRun;    // whether any part may have run
+  bool IsCancelRequested = false;       // the caller wants it stopped
+  data_centre_id DataCentre;            // owner; only its scheduler starts it
+  std::string Reason;                   // why it waits, failed or was refused
+  std::vector<worker_id> Placement;     // one worker for each task
+  wall_instant SubmittedAt{};           //
+  wall_instant FinishedAt{};            // epoch while not final
 
   friend bool operator==(const job_record &, const job_record &) = default;
 };
--- a/core/job/scheduler.cpp
+++ b/core/job/scheduler.cpp
@@ -191,8 +191,8 @@
   std::vector<worker_capacity> Workers;
   for (const auto &[Name, Worker] : State.Workers)
     if (Worker.IsListed && !Worker.IsLeaving && !Worker.IsSilent)
-      Workers.push_back({Name, Worker.Rack, Worker.freeAccelerators(),
-                         Worker.Accelerators});
+      Workers.push_back(
+          {Name, Worker.Rack, Worker.freeAccelerators(), Worker.Accelerators});
   auto Members =
       choosePlacement(Workers, {Spec.Tasks, Spec.AcceleratorsPerTask});
   if (Members.empty()) {
--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -31,15 +31,15 @@
 // [1] Settings
 
 struct scheduler_settings {
-  data_centre_id DataCentre;         //
+  data_centre_id DataCentre;           //
   milliseconds ReservationLife{2'000}; // of reservations and armed tasks
-  milliseconds Lease{6'000};         // a worker stops what isn't renewed
-  milliseconds RenewInterval{1'000}; // between two renewals of one worker
-  milliseconds EvidenceLife{2'000};  // how old "in service" may be at a start
-  milliseconds StepTimeout{1'500};   // a gang step not done by then is undone
-  milliseconds RetryDelay{1'000};    // after a gang start that was undone
-  milliseconds RebuildWindow{3'000}; // to hear workers after a take-over
-  std::uint32_t MaxTaskFailures = 5; // then an idempotent job has failed
+  milliseconds Lease{6'000};           // a worker stops what isn't renewed
+  milliseconds RenewInterval{1'000};   // between two renewals of one worker
+  milliseconds EvidenceLife{2'000};    // how old "in service" may be at a start
+  milliseconds StepTimeout{1'500};     // a gang step not done by then is undone
+  milliseconds RetryDelay{1'000};      // after a gang start that was undone
+  milliseconds RebuildWindow{3'000};   // to hear workers after a take-over
+  std::uint32_t MaxTaskFailures = 5;   // then an idempotent job has failed
 };
 
 // [2] Events
@@ -168,20 +168,20 @@
 /// One worker's part in a gang, and how far it has come in the current step.
 struct gang_member {
   placed_member Place;
-  bool IsDone = false;         // it has answered the current step
-  bool HasSucceeded = false;   // its tasks have ended well
-  instant ConfirmedAt{};       // when it was armed
+  bool IsDone = false;       // it has answered the current step
+  bool HasSucceeded = false; // its tasks have ended well
+  instant ConfirmedAt{};     // when it was armed
 };
 
 struct scheduled_job {
   job_record Record;
-  std::int64_t Revision = 0;     // of the record in the store
+  std::int64_t Revision = 0; // of the record in the store
   gang_step Step = gang_step::Waiting;
   std::vector<gang_member> Members;
-  instant StepDeadline{};        // the step is undone when it isn't done by then
-  instant RetryAt{};             // no placement before this
-  bool IsConfirmed = false;      // a renewal let it run
-  bool HasRun = false;           // a worker has reported it running
+  instant StepDeadline{};   // the step is undone when it isn't done by then
+  instant RetryAt{};        // no placement before this
+  bool IsConfirmed = false; // a renewal let it run
+  bool HasRun = false;      // a worker has reported it running
   std::uint32_t TaskFailures = 0; // runs that ended because a task failed
   bool IsSaveInFlight = false;
   bool IsSaveWanted = false;
@@ -210,8 +210,8 @@
   std::shared_ptr<const tables> Tables; // null until first seen
   instant TablesAsOf{};                 // when these tables were known to hold
   bool IsLeading = false;
-  bool IsLoaded = false;                // the stored jobs are known
-  bool IsRebuilding = false;            // workers are being asked what runs
+  bool IsLoaded = false;     // the stored jobs are known
+  bool IsRebuilding = false; // workers are being asked what runs
   instant RebuildEnds{};
   epoch Epoch = 0;
   wall_instant WallNow{};
--- a/core/job/scheduler_gang.cpp
+++ b/core/job/scheduler_gang.cpp
@@ -38,8 +38,8 @@
   }
   const bool IsRelease = Event.Kind == step_answered::step_kind::Release;
   scheduled_job *Job = findJob(Event.Attempt.Job);
-  const bool IsCurrent = Job && attemptOf(*Job) == Event.Attempt &&
-                         answersStep(Event, Job->Step);
+  const bool IsCurrent =
+      Job && attemptOf(*Job) == Event.Attempt && answersStep(Event, Job->Step);
   if (!IsCurrent) {
     if (Event.IsAccepted && !IsRelease)
       releaseStray(Event.Worker, Event.Attempt); // an answer that came late
@@ -114,10 +114,10 @@
   Job.StepDeadline = Now + State.Settings.StepTimeout;
   expectAnswers(Job);
   for (const gang_member &Member : Job.Members)
-    emit(send_start{Member.Place.Worker,
-                    {State.Epoch, attemptOf(Job),
-                     State.Settings.ReservationLife,
-                     Job.Record.Spec.DeclaredRunTime}});
+    emit(
+        send_start{Member.Place.Worker,
+                   {State.Epoch, attemptOf(Job), State.Settings.ReservationLife,
+                    Job.Record.Spec.DeclaredRunTime}});
 }
 
 void scheduler_run::runGang(scheduled_job &Job) {
@@ -151,10 +151,9 @@
   const job_spec &Spec = Job.Record.Spec;
   const bool MayRunAgain = Spec.IsIdempotent || !Job.IsConfirmed;
   const bool IsHopeless = Job.TaskFailures >= State.Settings.MaxTaskFailures;
-  releaseGang(Job,
-              MayRunAgain && !IsHopeless ? job_phase::Waiting
-                                         : job_phase::Failed,
-              Why);
+  releaseGang(
+      Job, MayRunAgain && !IsHopeless ? job_phase::Waiting : job_phase::Failed,
+      Why);
 }
 
 void scheduler_run::releaseGang(scheduled_job &Job, job_phase Next,
@@ -163,8 +162,7 @@
   Job.AfterRelease = Next;
   Job.Record.Reason = std::move(Reason);
   // Nothing renews the gang from here on, so by then its leases have lapsed.
-  Job.StepDeadline =
-      Now + State.Settings.Lease + State.Settings.StepTimeout;
+  Job.StepDeadline = Now + State.Settings.Lease + State.Settings.StepTimeout;
   expectAnswers(Job);
   const bool KeepCheckpoint =
       Next == job_phase::Waiting && Job.Record.Spec.IsCheckpointable;
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -189,10 +189,9 @@
     Job.HasRun |= IsStarted;
     Worker.Held[attemptOf(Job)] = Task->Accelerators;
     Job.Record.Placement.insert(Job.Record.Placement.end(), Task->Tasks, Name);
-    Job.Members.push_back(
-        {.Place = {Name, Task->Tasks, Task->Accelerators},
-         .HasSucceeded = Task->State == task_state::Succeeded,
-         .ConfirmedAt = Now});
+    Job.Members.push_back({.Place = {Name, Task->Tasks, Task->Accelerators},
+                           .HasSucceeded = Task->State == task_state::Succeeded,
+                           .ConfirmedAt = Now});
   }
   const bool IsWhole = RunningTasks == Job.Record.Spec.Tasks;
   if (IsWhole) {
--- a/core/job/worker_protocol.cpp
+++ b/core/job/worker_protocol.cpp
@@ -161,16 +161,16 @@
 }
 
 template std::optional<reserve_request>
-parseWorkerMessage<reserve_request>(std::string_view);
+    parseWorkerMessage<reserve_request>(std::string_view);
 template std::optional<start_request>
-parseWorkerMessage<start_request>(std::string_view);
+    parseWorkerMessage<start_request>(std::string_view);
 template std::optional<renew_request>
-parseWorkerMessage<renew_request>(std::string_view);
+    parseWorkerMessage<renew_request>(std::string_view);
 template std::optional<release_request>
-parseWorkerMessage<release_request>(std::string_view);
+    parseWorkerMessage<release_request>(std::string_view);
 template std::optional<worker_answer>
-parseWorkerMessage<worker_answer>(std::string_view);
+    parseWorkerMessage<worker_answer>(std::string_view);
 template std::optional<worker_report>
-parseWorkerMessage<worker_report>(std::string_view);
+    parseWorkerMessage<worker_report>(std::string_view);
 
 } // namespace galenastage
--- a/core/job/worker_protocol.hpp
+++ b/core/job/worker_protocol.hpp
@@ -37,20 +37,20 @@
 };
 
 struct reserve_request {
-  epoch Epoch = 0;        //
-  attempt_id Attempt;     //
-  int Tasks = 0;          // members of the gang on this worker
-  int Accelerators = 0;   // for all of them together
-  milliseconds Life{0};   // on the worker's clock; then the hold is dropped
+  epoch Epoch = 0;      //
+  attempt_id Attempt;   //
+  int Tasks = 0;        // members of the gang on this worker
+  int Accelerators = 0; // for all of them together
+  milliseconds Life{0}; // on the worker's clock; then the hold is dropped
 
   friend bool operator==(const reserve_request &,
                          const reserve_request &) = default;
 };
 
 struct start_request {
-  epoch Epoch = 0;                //
-  attempt_id Attempt;             // must hold a live reservation
-  milliseconds Lease{0};          // dropped when not renewed within this
+  epoch Epoch = 0;                 //
+  attempt_id Attempt;              // must hold a live reservation
+  milliseconds Lease{0};           // dropped when not renewed within this
   milliseconds DeclaredRunTime{0}; //
 
   friend bool operator==(const start_request &,
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -7,9 +7,9 @@
 
 using enum log_level;
 
-const log_event ProcessStarted{
-    1001, Info, "process-started",
-    "The process has read its settings and listens.", "None."};
+const log_event ProcessStarted{1001, Info, "process-started",
+                               "The process has read its settings and listens.",
+                               "None."};
 const log_event ProcessStopping{
     1002, Info, "process-stopping",
     "A stop was asked for; the process finishes what is in progress.",
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -15,7 +15,8 @@
 /// search for; it never changes its meaning. docs/LOG-EVENTS.md is printed from
 /// this catalogue.
 struct log_event {
-  int Number;               // 1000s process, 2000s tables, 3000s jobs, 4000s requests, 5000s ownership
+  int Number; // 1000s process, 2000s tables, 3000s jobs, 4000s requests, 5000s
+              // ownership
   log_level Level;          //
   std::string_view Name;    // short, for people
   std::string_view Meaning; // what happened and why
--- a/core/request/entry_state.cpp
+++ b/core/request/entry_state.cpp
@@ -52,9 +52,9 @@
   if (!IsNew)
     return;
   State.Tables = Event.Tables;
-  Effects.push_back(write_log{
-      {&events::TablesInForce,
-       {{"version", std::to_string(State.Tables->Version)}}}});
+  Effects.push_back(
+      write_log{{&events::TablesInForce,
+                 {{"version", std::to_string(State.Tables->Version)}}}});
   publish(State, Effects);
 }
 
--- a/standin/executor_service.cpp
+++ b/standin/executor_service.cpp
@@ -95,8 +95,8 @@
                                  {"path", Request.path()},
                                  {"echo", Request.Body}};
   co_return jsonResponse(
-      200, Answer.dump(-1, ' ', false,
-                       nlohmann::json::error_handler_t::replace));
+      200,
+      Answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 } // namespace galenastage::standin
--- a/standin/executor_service.hpp
+++ b/standin/executor_service.hpp
@@ -29,7 +29,9 @@
   [[nodiscard]] int refusedOverSlots() const { return RefusedOverSlots; }
   [[nodiscard]] int mostAtOnce() const { return MostAtOnce; }
   [[nodiscard]] const std::string &name() const { return Name; }
-  [[nodiscard]] endpoint localEndpoint() const { return Server.localEndpoint(); }
+  [[nodiscard]] endpoint localEndpoint() const {
+    return Server.localEndpoint();
+  }
   void stopAccepting() { Server.stopAccepting(); }
 
 private:
--- a/standin/kv_service.cpp
+++ b/standin/kv_service.cpp
@@ -58,9 +58,9 @@
   if (Faults.DelayMilliseconds > 0)
     co_await pause(Context, milliseconds(Faults.DelayMilliseconds));
   const std::string Path(Request.path());
-  http_response Response =
-      Path == "/v3/watch" ? startWatch(Request.Body, Request.Peer)
-                          : act(Path, Request.Body);
+  http_response Response = Path == "/v3/watch"
+                               ? startWatch(Request.Body, Request.Peer)
+                               : act(Path, Request.Body);
   if (Faults.LosesAnswers && Path != "/v3/watch")
     co_return dropConnection();
   co_return Response;
@@ -93,8 +93,7 @@
     }
     return jsonResponse(200, Answer.dump());
   } catch (const std::exception &Error) {
-    return jsonResponse(400,
-                        json{{"error", Error.what()}, {"code", 3}}.dump());
+    return jsonResponse(400, json{{"error", Error.what()}, {"code", 3}}.dump());
   }
 }
 
@@ -121,8 +120,7 @@
     };
     return Response;
   } catch (const std::exception &Error) {
-    return jsonResponse(400,
-                        json{{"error", Error.what()}, {"code", 3}}.dump());
+    return jsonResponse(400, json{{"error", Error.what()}, {"code", 3}}.dump());
   }
 }
 
--- a/standin/kv_service.hpp
+++ b/standin/kv_service.hpp
@@ -26,7 +26,9 @@
     std::uint64_t WatchesWaiting = 0;
   };
   [[nodiscard]] const call_counts &counts() const { return Counts; }
-  [[nodiscard]] endpoint localEndpoint() const { return Server.localEndpoint(); }
+  [[nodiscard]] endpoint localEndpoint() const {
+    return Server.localEndpoint();
+  }
   void stopAccepting() { Server.stopAccepting(); }
 
   /// Lets leases run out. Call several times a second.
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -78,7 +78,8 @@
   try {
     standin::stand_in_platform Instance(Threads.context(0), Settings);
     Threads.start();
-    writeLog(events::ProcessStarted, {{"store", Store}, {"platform", Platform}});
+    writeLog(events::ProcessStarted,
+             {{"store", Store}, {"platform", Platform}});
     waitForStop();
     writeLog(events::ProcessStopping, {});
     Threads.stop();
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -217,8 +217,8 @@
 
   http_response setPartitions(const std::string &Body) {
     return applyFaults(Body, CutOff, [](detail::object_reader &Reader) {
-      const auto Names = Reader.optional<std::vector<std::string>>(
-          "cut_from_platform", {});
+      const auto Names =
+          Reader.optional<std::vector<std::string>>("cut_from_platform", {});
       return std::set<std::string>(Names.begin(), Names.end());
     });
   }
@@ -311,10 +311,9 @@
       json Runs = json::object();
       for (const auto &[Job, Count] : Worker->Model.runs())
         Runs[Job.Value] = Count;
-      Ledger["workers"].push_back(
-          {{"name", Worker->Model.id().Value},
-           {"free", Worker->Model.freeAccelerators()},
-           {"runs", std::move(Runs)}});
+      Ledger["workers"].push_back({{"name", Worker->Model.id().Value},
+                                   {"free", Worker->Model.freeAccelerators()},
+                                   {"runs", std::move(Runs)}});
     }
     return jsonResponse(200, Ledger.dump());
   }
--- a/standin/platform.hpp
+++ b/standin/platform.hpp
@@ -26,39 +26,39 @@
 };
 
 struct platform_settings {
-  endpoint Store{"127.0.0.1", 2379};     // key-value service
-  endpoint Platform{"127.0.0.1", 2380};  // instance list, faults, ledgers
+  endpoint Store{"127.0.0.1", 2379};    // key-value service
+  endpoint Platform{"127.0.0.1", 2380}; // instance list, faults, ledgers
   std::vector<data_centre_settings> DataCentres;
-  service_id Service{"portal-core"};     //
-  int WorkersPerDataCentre = 6;          //
-  int WorkersPerRack = 3;                //
-  int AcceleratorsPerWorker = 8;         //
-  int ExecutorsPerDataCentre = 2;        //
-  int SlotsPerExecutor = 8;              // requests at once
-  int ConnectionsPerExecutor = 64;       //
-  int FirstWorkerPort = 21'000;          // 0: any free port
-  int FirstExecutorPort = 22'000;        // 0: any free port
+  service_id Service{"portal-core"}; //
+  int WorkersPerDataCentre = 6;      //
+  int WorkersPerRack = 3;            //
+  int AcceleratorsPerWorker = 8;     //
+  int ExecutorsPerDataCentre = 2;    //
+  int SlotsPerExecutor = 8;          // requests at once
+  int ConnectionsPerExecutor = 64;   //
+  int FirstWorkerPort = 21'000;      // 0: any free port
+  int FirstExecutorPort = 22'000;    // 0: any free port
 };
 
 // [2] Faults
 
 struct store_faults {
-  bool IsDown = false;          // closes connections without acting
-  bool LosesAnswers = false;    // acts, then closes without an answer
-  bool CutsWatches = false;     // ends every watch and refuses new ones
-  int DelayMilliseconds = 0;    // before acting
+  bool IsDown = false;       // closes connections without acting
+  bool LosesAnswers = false; // acts, then closes without an answer
+  bool CutsWatches = false;  // ends every watch and refuses new ones
+  int DelayMilliseconds = 0; // before acting
 
   friend bool operator==(const store_faults &, const store_faults &) = default;
 };
 
 struct executor_faults {
-  bool IsLeaving = false;          // the list says so, after its lag
-  bool RefusesAll = false;         // 503 before running anything
-  bool FailsAll = false;           // runs, then answers 500
-  bool DropsAnswers = false;       // runs, then closes without an answer
-  bool CutsAnswers = false;        // runs, then sends part of the answer
-  int DelayMilliseconds = 0;       // before answering, after running
-  int JitterMilliseconds = 0;      // more delay, so that answers change order
+  bool IsLeaving = false;     // the list says so, after its lag
+  bool RefusesAll = false;    // 503 before running anything
+  bool FailsAll = false;      // runs, then answers 500
+  bool DropsAnswers = false;  // runs, then closes without an answer
+  bool CutsAnswers = false;   // runs, then sends part of the answer
+  int DelayMilliseconds = 0;  // before answering, after running
+  int JitterMilliseconds = 0; // more delay, so that answers change order
 
   friend bool operator==(const executor_faults &,
                          const executor_faults &) = default;
--- a/standin/worker_model.cpp
+++ b/standin/worker_model.cpp
@@ -82,8 +82,8 @@
     // A task that ends before its lease does has ended, however late we look.
     const instant Ends = Task.RunningSince + (Task.RunTime - Task.Progress);
     if (IsRunning && Ends <= std::min(Now, Task.Expires)) {
-      Task.State = Faults.FailsEverything ? task_state::Failed
-                                          : task_state::Succeeded;
+      Task.State =
+          Faults.FailsEverything ? task_state::Failed : task_state::Succeeded;
       Task.Progress = Task.RunTime;
       Checkpoints.erase(It->first.Job);
     }
--- a/standin/worker_model.hpp
+++ b/standin/worker_model.hpp
@@ -8,9 +8,9 @@
 
 /// How a worker misbehaves.
 struct worker_faults {
-  bool FailsEverything = false;    // each task fails at once
-  bool IsPaused = false;           // answers nothing; its clock stands still
-  int RunTimePercent = 100;        // real run time against the declared one
+  bool FailsEverything = false; // each task fails at once
+  bool IsPaused = false;        // answers nothing; its clock stands still
+  int RunTimePercent = 100;     // real run time against the declared one
 
   friend bool operator==(const worker_faults &,
                          const worker_faults &) = default;
--- a/standin/worker_service.hpp
+++ b/standin/worker_service.hpp
@@ -13,7 +13,9 @@
 
   worker_model Model;
 
-  [[nodiscard]] endpoint localEndpoint() const { return Server.localEndpoint(); }
+  [[nodiscard]] endpoint localEndpoint() const {
+    return Server.localEndpoint();
+  }
   void stopAccepting() { Server.stopAccepting(); }
 
 private:
--- a/tests/contract/store_test.cpp
+++ b/tests/contract/store_test.cpp
@@ -24,10 +24,9 @@
   /// Runs a task to its end and returns what it gave.
   template <typename Result> Result run(task<Result> Task) {
     std::optional<Result> Outcome;
-    asio::co_spawn(Context, std::move(Task),
-                   [&](std::exception_ptr, Result Value) {
-                     Outcome = std::move(Value);
-                   });
+    asio::co_spawn(
+        Context, std::move(Task),
+        [&](std::exception_ptr, Result Value) { Outcome = std::move(Value); });
     while (!Outcome)
       Context.run_one();
     return *Outcome;
@@ -44,7 +43,8 @@
 
 } // namespace
 
-TEST_CASE_METHOD(store_fixture, "compare-and-swap lets one of two writers win") {
+TEST_CASE_METHOD(store_fixture,
+                 "compare-and-swap lets one of two writers win") {
   const store_write First = put("/k", "one", key_missing{"/k"});
   REQUIRE(First.IsApplied);
   const store_write Second = put("/k", "two", key_missing{"/k"});
@@ -59,7 +59,8 @@
   CHECK(Read.Entries.front().ModRevision == Third.Revision);
 }
 
-TEST_CASE_METHOD(store_fixture, "a group commits each part by its own condition") {
+TEST_CASE_METHOD(store_fixture,
+                 "a group commits each part by its own condition") {
   put("/taken", "x", key_missing{"/taken"});
   std::vector<store_transaction> Group(2);
   Group[0].Conditions.push_back(key_missing{"/taken"});
