--- a/apps/scheduler/save_queue.cpp
+++ b/apps/scheduler/save_queue.cpp
@@ -5,8 +5,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <algorithm>
-
 namespace galenastage {
 namespace {
 
@@ -57,12 +55,13 @@
 task<void> save_queue::drain() {
   while (!Queue.empty()) {
     co_await sleepFor(Context, GatherTime);
-    const std::size_t Count = std::min(MaxGroup, Queue.size());
-    std::vector<queued_write> Group(
-        std::make_move_iterator(Queue.begin()),
-        std::make_move_iterator(Queue.begin() + Count));
-    Queue.erase(Queue.begin(), Queue.begin() + Count);
+    std::vector<queued_write> Group;
+    while (!Queue.empty() && Group.size() < MaxGroup) {
+      Group.push_back(std::move(Queue.front()));
+      Queue.pop_front();
+    }
     std::vector<store_transaction> Transactions;
+    Transactions.reserve(Group.size());
     for (const queued_write &Write : Group)
       Transactions.push_back(Write.Transaction);
     const std::vector<store_write> Results =
