--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -182,6 +182,7 @@
   instant RetryAt{};        // no placement before this
   bool IsConfirmed = false; // a renewal let it run
   bool HasRun = false;      // a worker has reported it running
+  verdict VerdictBefore = verdict::NotRun; // as it was before this attempt
   std::uint32_t TaskFailures = 0; // runs that ended because a task failed
   bool IsSaveInFlight = false;
   bool IsSaveWanted = false;
--- a/core/job/scheduler_gang.cpp
+++ b/core/job/scheduler_gang.cpp
@@ -64,6 +64,7 @@
 void scheduler_run::reserveGang(scheduled_job &Job,
                                 std::vector<placed_member> Members) {
   ++Job.Record.Attempt;
+  Job.VerdictBefore = Job.Record.Verdict;
   Job.Record.Placement.clear();
   Job.Members.clear();
   Job.Step = gang_step::Reserving;
@@ -89,7 +90,9 @@
       armGang(Job);
       return;
     }
-    // At most once: the start is on record before anything can run.
+    // At most once: the start is on record before anything can run. Whoever
+    // reads that record after this process has died can't know what followed.
+    Job.Record.Verdict = verdict::Unknown;
     Job.Step = gang_step::Saving;
     Job.StepDeadline = Now + State.Settings.StepTimeout;
     saveJob(Job);
@@ -178,6 +181,8 @@
     if (known_worker *Worker = findWorker(Member.Place.Worker))
       Worker->Held.erase(attemptOf(Job));
   Job.Members.clear();
+  if (!Job.IsConfirmed)
+    Job.Record.Verdict = Job.VerdictBefore; // armed at most, so it didn't run
   Job.IsConfirmed = false;
   if (Job.HasRun)
     Job.Record.Verdict = verdict::Ran;
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -198,9 +198,14 @@
     Job.Step = gang_step::Running;
     Job.IsConfirmed = true;
     Job.Record.Phase = job_phase::Running;
+    Job.Record.Verdict = verdict::Unknown;
     saveJob(Job);
     return;
   }
+  // Starts of idempotent jobs are saved after the fact, so that one which waits
+  // by its record may have run before the take-over, where nobody answers now.
+  if (Job.Record.Spec.IsIdempotent && Job.Record.Verdict == verdict::NotRun)
+    Job.Record.Verdict = verdict::Unknown;
   const bool MayHaveRun =
       !Job.Members.empty() || Job.Record.Phase != job_phase::Waiting;
   if (!MayHaveRun)
--- a/standin/worker_model.cpp
+++ b/standin/worker_model.cpp
@@ -67,6 +67,10 @@
         Task.Expires = Now + Request.Lease;
     }
   }
+  return report(Now);
+}
+
+worker_report worker_model::report(instant Now) const {
   worker_report Report{Worker,       DataCentre,   Rack,
                        Accelerators, HighestEpoch, {}};
   for (const auto &[Attempt, Task] : Tasks)
--- a/standin/worker_model.hpp
+++ b/standin/worker_model.hpp
@@ -34,6 +34,9 @@
   /// Stops everything, as a failed instance does.
   void crash();
 
+  /// What this worker is and holds now.
+  [[nodiscard]] worker_report report(instant Now) const;
+
   worker_faults Faults;
 
   [[nodiscard]] const worker_id &id() const { return Worker; }
