Heed what another scheduler started, ended or moved

Cause: around a take-over and a lost answer the reducer trusted its own memory of a job over the record in the store. Nine directed tests of the reducer and the worker model were written from that suspicion.

Failed before, pass now (tests/faults/gang_start_test.cpp): - a non-idempotent job whose start the former scheduler saved late was started again: the save was repeated on top of that record; - likewise an unknown job whose record said running; - a late sight of an ended job placed it again; - a job whose move had no known outcome was placed here when the data centre returned; - a worker that runs another gang's attempt of the same number kept it; - a non-idempotent gang that was only reserved failed at a take-over; - a worker gave the hold of one epoch to a scheduler of another.

Change: starts sent to the store are remembered by attempt, and a start that isn't among them ends the job as failed with the verdict unknown; ended jobs are remembered by revision for one to two minutes; a job with a move under way is only moved; holds carry their epoch.

--- a/core/job/scheduler.cpp
+++ b/core/job/scheduler.cpp
@@ -48,6 +48,7 @@
   State.WallNow = Event.WallNow;
   if (!State.IsLeading)
     return;
+  dropOldEnds();
   noticeSilence();
   checkDeadlines();
   if (State.IsRebuilding && State.IsLoaded && Now >= State.RebuildEnds)
@@ -98,23 +99,24 @@
   const job_id &Id = Event.Record.Spec.Id;
   scheduled_job *Known = findJob(Id);
   if (!Known) {
-    if (isFinal(Event.Record.Phase))
-      return;
-    scheduled_job &Job = State.Jobs[Id];
-    Job.Record = Event.Record;
-    Job.Revision = Event.Revision;
-    if (canAct())
-      placeJob(Job);
+    takeNewJob(Event);
     return;
   }
   if (Event.Revision <= Known->Revision)
     return;
   Known->Revision = Event.Revision;
+  Known->MovingTo = {}; // it is still here, and the move was of an older record
   if (isFinal(Event.Record.Phase) && !isFinal(Known->Record.Phase)) {
     apply(job_forgotten{Id});
     return;
   }
+  if (!canAct()) {
+    Known->Record = Event.Record; // nothing was done about it yet
+    return;
+  }
   Known->Record.IsCancelRequested |= Event.Record.IsCancelRequested;
+  if (isForeignStart(*Known, Event.Record))
+    yieldToStart(*Known);
   if (Known->IsSaveWanted)
     saveJob(*Known);
   if (Known->Record.IsCancelRequested && canAct())
@@ -128,7 +130,7 @@
   const attempt_id Attempt = attemptOf(*Job);
   for (const gang_member &Member : Job->Members)
     releaseStray(Member.Place.Worker, Attempt);
-  State.Jobs.erase(Event.Job);
+  forgetJob(*Job);
 }
 
 void scheduler_run::apply(const jobs_loaded &) {
@@ -148,18 +150,87 @@
     return;
   }
   Job->Revision = std::max(Job->Revision, Event.Revision);
+  Job->MovingTo = {};
   if (Job->IsSaveWanted) {
     saveJob(*Job);
     return;
   }
   if (isFinal(Job->Record.Phase)) {
-    State.Jobs.erase(Event.Job);
+    forgetJob(*Job);
     return;
   }
   if (Job->Step == gang_step::Saving)
     armGang(*Job);
 }
 
+// What is seen of jobs
+
+void scheduler_run::takeNewJob(const job_seen &Event) {
+  const job_id &Id = Event.Record.Spec.Id;
+  for (const auto *Generation : {&State.Ended, &State.EndedEarlier}) {
+    const auto Ended = Generation->find(Id);
+    if (Ended != Generation->end() && Event.Revision <= Ended->second)
+      return;
+  }
+  if (isFinal(Event.Record.Phase))
+    return;
+  scheduled_job &Job = State.Jobs[Id];
+  Job.Record = Event.Record;
+  Job.Revision = Event.Revision;
+  if (!canAct())
+    return;
+  if (Job.Record.Phase == job_phase::Waiting)
+    placeJob(Job);
+  else
+    adoptGang(Job); // started by a scheduler that led before
+  if (Job.Record.IsCancelRequested)
+    cancelJob(Job);
+}
+
+/// Whether the store holds a start that this scheduler didn't send there: a
+/// write of the one that led before, which arrived late.
+bool scheduler_run::isForeignStart(const scheduled_job &Job,
+                                   const job_record &Stored) const {
+  const bool IsStart =
+      Stored.Phase == job_phase::Starting || Stored.Phase == job_phase::Running;
+  const bool MayBeginHere =
+      Job.Step != gang_step::Arming && Job.Step != gang_step::Running;
+  if (!IsStart || !MayBeginHere)
+    return false;
+  const auto Own = Job.SavedStarts.find(Stored.Attempt);
+  return Own == Job.SavedStarts.end() || Own->second != Stored.Placement;
+}
+
+void scheduler_run::yieldToStart(scheduled_job &Job) {
+  Job.Record.Verdict = verdict::Unknown;
+  Job.VerdictBefore = verdict::Unknown;
+  if (Job.Record.Spec.IsIdempotent || isFinal(Job.Record.Phase))
+    return;
+  const std::string Why =
+      "another scheduler saved its start and may have run it";
+  if (Job.Step != gang_step::Releasing) {
+    releaseGang(Job, job_phase::Failed, Why);
+    return;
+  }
+  if (Job.AfterRelease == job_phase::Waiting) {
+    Job.AfterRelease = job_phase::Failed;
+    Job.Record.Reason = Why;
+  }
+}
+
+void scheduler_run::forgetJob(const scheduled_job &Job) {
+  const job_id Id = Job.Record.Spec.Id;
+  State.Ended[Id] = Job.Revision;
+  State.Jobs.erase(Id);
+}
+
+void scheduler_run::dropOldEnds() {
+  if (Now - State.EndedSince < State.Settings.EndedMemory)
+    return;
+  State.EndedEarlier = std::exchange(State.Ended, {});
+  State.EndedSince = Now;
+}
+
 // Job life cycle
 
 void scheduler_run::placeWaitingJobs() {
@@ -181,6 +252,10 @@
   }
   if (Now < Job.RetryAt || !State.Tables)
     return;
+  if (!Job.MovingTo.isEmpty()) {
+    moveJob(Job, Job.MovingTo); // it may belong to the other one by now
+    return;
+  }
   if (refuseIfImpossible(Job) || moveIfNotPermitted(Job))
     return;
   if (!mayStartTasks(State, Now)) {
@@ -237,6 +312,7 @@
   if (Job.IsSaveInFlight)
     return; // its revision isn't known; the next tick tries again
   Job.RetryAt = Now + State.Settings.RetryDelay;
+  Job.MovingTo = To;
   job_record Record = Job.Record;
   Record.DataCentre = To;
   Record.Reason = "moved from " + State.Settings.DataCentre.Value;
--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -39,6 +39,7 @@
   milliseconds StepTimeout{1'500};     // a gang step not done by then is undone
   milliseconds RetryDelay{1'000};      // after a gang start that was undone
   milliseconds RebuildWindow{3'000};   // to hear workers after a take-over
+  milliseconds EndedMemory{60'000};    // for late sights of ended jobs
   std::uint32_t MaxTaskFailures = 5;   // then an idempotent job has failed
 };
 
@@ -183,6 +184,10 @@
   bool IsConfirmed = false; // a renewal let it run
   bool HasRun = false;      // a worker has reported it running
   verdict VerdictBefore = verdict::NotRun; // as it was before this attempt
+  data_centre_id MovingTo; // a move there was sent; its outcome isn't known
+  // Of a non-idempotent job: where each attempt whose start was sent to the
+  // store was to run. Tells one's own record from that of another scheduler.
+  std::map<std::uint32_t, std::vector<worker_id>> SavedStarts;
   std::uint32_t TaskFailures = 0; // runs that ended because a task failed
   bool IsSaveInFlight = false;
   bool IsSaveWanted = false;
@@ -218,6 +223,11 @@
   wall_instant WallNow{};
   std::map<job_id, scheduled_job> Jobs; // those that are not final
   std::map<worker_id, known_worker> Workers;
+  // Revisions of jobs that have ended or left, so that an older sight of them
+  // doesn't bring them back. Two generations, of which the older is dropped.
+  std::map<job_id, std::int64_t> Ended;
+  std::map<job_id, std::int64_t> EndedEarlier;
+  instant EndedSince{}; // of the younger generation
 };
 
 // [5] The reducer
--- a/core/job/scheduler_gang.cpp
+++ b/core/job/scheduler_gang.cpp
@@ -93,6 +93,7 @@
     // At most once: the start is on record before anything can run. Whoever
     // reads that record after this process has died can't know what followed.
     Job.Record.Verdict = verdict::Unknown;
+    Job.SavedStarts[Job.Record.Attempt] = Job.Record.Placement;
     Job.Step = gang_step::Saving;
     Job.StepDeadline = Now + State.Settings.StepTimeout;
     saveJob(Job);
--- a/core/job/scheduler_internal.hpp
+++ b/core/job/scheduler_internal.hpp
@@ -34,6 +34,11 @@
   void endJob(scheduled_job &Job, job_phase Phase, std::string Reason);
   void saveJob(scheduled_job &Job);
   void setReason(scheduled_job &Job, std::string Reason);
+  void takeNewJob(const job_seen &Event);
+  bool isForeignStart(const scheduled_job &Job, const job_record &Stored) const;
+  void yieldToStart(scheduled_job &Job);
+  void forgetJob(const scheduled_job &Job);
+  void dropOldEnds();
 
   // Gang steps: scheduler_gang.cpp
   void reserveGang(scheduled_job &Job, std::vector<placed_member> Members);
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -62,8 +62,10 @@
   }
   for (const task_report &Task : Report.Tasks) {
     const scheduled_job *Job = findJob(Task.Attempt.Job);
+    // A scheduler that led before may have used the same number elsewhere.
     const bool IsOurs = Job && attemptOf(*Job) == Task.Attempt &&
-                        Job->Step != gang_step::Waiting;
+                        Job->Step != gang_step::Waiting &&
+                        Worker->Held.contains(Task.Attempt);
     if (!IsOurs)
       releaseStray(Report.Worker, Task.Attempt);
   }
@@ -178,6 +180,7 @@
   Job.Record.Attempt = Attempt;
 
   int RunningTasks = 0;
+  bool IsArmed = false;
   Job.Members.clear();
   Job.Record.Placement.clear();
   for (auto &[Name, Worker] : State.Workers) {
@@ -186,6 +189,7 @@
       continue;
     const bool IsStarted = Task->State >= task_state::Running;
     RunningTasks += IsStarted ? Task->Tasks : 0;
+    IsArmed |= Task->State >= task_state::Armed;
     Job.HasRun |= IsStarted;
     Worker.Held[attemptOf(Job)] = Task->Accelerators;
     Job.Record.Placement.insert(Job.Record.Placement.end(), Task->Tasks, Name);
@@ -210,7 +214,10 @@
       !Job.Members.empty() || Job.Record.Phase != job_phase::Waiting;
   if (!MayHaveRun)
     return;
-  Job.IsConfirmed = true;
+  // A non-idempotent job that waits by its record was reserved at most.
+  Job.IsConfirmed = Job.Record.Spec.IsIdempotent || IsArmed ||
+                    Job.Record.Phase != job_phase::Waiting;
+  Job.VerdictBefore = Job.Record.Verdict;
   loseGang(Job, "the gang wasn't whole after a take-over");
 }
 
--- a/standin/worker_model.hpp
+++ b/standin/worker_model.hpp
@@ -47,6 +47,7 @@
 
 private:
   struct held_task {
+    epoch Epoch = 0; // of the scheduler that reserved it
     task_state State = task_state::Reserved;
     int Tasks = 0;
     int Accelerators = 0;
