Place by policy: guaranteed cells, fair order, reclaim, departure; measure it

Cause: placement rebuilt a worker list for each waiting job, knew no guarantee, evicted nothing and took no part in a departure.

Change: an index of workers by rack is built once a pass; guaranteed shapes are bound to adjacent workers and unstoppable work stays off the cells of other pools; guaranteed, urgent and blocked large work claims accelerators by stopping idempotent gangs; checkpointable gangs leave a data centre that is out of service. first-fit and best-fit-backfill are strategies beside it. The stand-in keeps checkpoints for all workers, as the platform does. Work that isn't idempotent counts as unstoppable even when it is checkpointable: a worker's answer doesn't say whether the checkpoint was taken before the end.

--- a/core/job/placement.cpp
+++ b/core/job/placement.cpp
@@ -1,78 +1,157 @@
 #include "core/job/placement.hpp"
 
 #include <algorithm>
-#include <map>
 
 namespace galenastage {
 namespace {
 
-struct rack_view {
-  std::vector<const worker_capacity *> Workers;
-  int Slots = 0; // tasks of this request that fit
-};
-
-int slotsOn(const worker_capacity &Worker, const placement_request &Request) {
-  return std::max(0, Worker.Free) / Request.AcceleratorsPerTask;
+const pool_use *findUse(const worker_capacity &Worker, const pool_id &Pool) {
+  const auto Found = std::ranges::find(Worker.Pools, Pool, &pool_use::Pool);
+  return Found == Worker.Pools.end() ? nullptr : &*Found;
 }
 
-std::vector<rack_view> groupByRack(std::span<const worker_capacity> Workers,
-                                   const placement_request &Request) {
-  std::map<rack_id, rack_view> Racks;
-  for (const worker_capacity &Worker : Workers) {
-    const int Slots = slotsOn(Worker, Request);
-    if (Slots == 0)
-      continue;
-    rack_view &Rack = Racks[Worker.Rack];
-    Rack.Workers.push_back(&Worker);
-    Rack.Slots += Slots;
-  }
-  std::vector<rack_view> Views;
-  Views.reserve(Racks.size());
-  for (auto &[Name, Rack] : Racks)
-    Views.push_back(std::move(Rack));
-  return Views;
+/// Puts up to Left tasks on the worker.
+void fillWorker(const worker_capacity &Worker, const placement_request &Request,
+                int &Left, std::vector<placed_member> &Members) {
+  const int Tasks = std::min(Left, slotsOn(Worker, Request));
+  if (Tasks == 0)
+    return;
+  Members.push_back(
+      {Worker.Worker, Tasks, Tasks * Request.AcceleratorsPerTask});
+  Left -= Tasks;
 }
 
 /// Fills the fullest workers first, so that whole workers stay whole.
-void fillRack(rack_view Rack, const placement_request &Request, int &Left,
+void fillRack(std::vector<const worker_capacity *> Workers,
+              const placement_request &Request, int &Left,
               std::vector<placed_member> &Members) {
-  std::ranges::stable_sort(Rack.Workers, {}, [&](const worker_capacity *W) {
+  std::ranges::stable_sort(Workers, {}, [&](const worker_capacity *W) {
     const int Slots = slotsOn(*W, Request);
     // A worker that takes all that is left goes before one that doesn't.
     return std::pair(Slots < Left, Slots < Left ? -Slots : W->Free);
   });
-  for (const worker_capacity *Worker : Rack.Workers) {
-    if (Left == 0)
-      return;
-    const int Tasks = std::min(Left, slotsOn(*Worker, Request));
-    Members.push_back(
-        {Worker->Worker, Tasks, Tasks * Request.AcceleratorsPerTask});
-    Left -= Tasks;
-  }
+  for (const worker_capacity *Worker : Workers)
+    fillWorker(*Worker, Request, Left, Members);
 }
 
 } // namespace
 
+int unguaranteedRoom(const worker_capacity &Worker) {
+  int Room = Worker.Total;
+  for (const pool_use &Use : Worker.Pools)
+    Room -= std::max(Use.Guaranteed, Use.Unstoppable);
+  return Room;
+}
+
+int unstoppableRoom(const worker_capacity &Worker, const pool_id &Pool) {
+  const int Shared = std::max(0, unguaranteedRoom(Worker));
+  const pool_use *Use = findUse(Worker, Pool);
+  return Shared + (Use ? std::max(0, Use->Guaranteed - Use->Unstoppable) : 0);
+}
+
+void addUnstoppable(worker_capacity &Worker, const pool_id &Pool,
+                    int Accelerators) {
+  const auto Found = std::ranges::find(Worker.Pools, Pool, &pool_use::Pool);
+  if (Found == Worker.Pools.end())
+    Worker.Pools.push_back({Pool, 0, Accelerators});
+  else
+    Found->Unstoppable += Accelerators;
+}
+
+int slotsOn(const worker_capacity &Worker, const placement_request &Request) {
+  int Room = std::max(0, Worker.Free);
+  if (!Request.IsStoppable)
+    Room = std::min(Room, unstoppableRoom(Worker, Request.Pool));
+  return Room / Request.AcceleratorsPerTask;
+}
+
+struct capacity_index::rack_fit {
+  const rack *Rack = nullptr;
+  int Slots = 0; // tasks of the request that fit
+};
+
+void capacity_index::add(worker_capacity Worker) {
+  const auto [Row, IsNew] = RackByName.try_emplace(Worker.Rack, Racks.size());
+  if (IsNew)
+    Racks.emplace_back();
+  std::vector<worker_capacity> &Workers = Racks[Row->second].Workers;
+  Positions[Worker.Worker] = {Row->second, Workers.size()};
+  Workers.push_back(std::move(Worker));
+}
+
 std::vector<placed_member>
-choosePlacement(std::span<const worker_capacity> Workers,
-                const placement_request &Request) {
-  std::vector<rack_view> Racks = groupByRack(Workers, Request);
+capacity_index::choose(const placement_request &Request) const {
+  std::vector<rack_fit> Fits;
+  for (const rack &Rack : Racks) {
+    rack_fit Fit{&Rack};
+    for (const worker_capacity &Worker : Rack.Workers)
+      Fit.Slots += slotsOn(Worker, Request);
+    if (Fit.Slots > 0)
+      Fits.push_back(Fit);
+  }
   // Racks that hold the whole gang first, the tightest of them in front; then
   // the others, the roomiest in front.
-  std::ranges::stable_sort(Racks, {}, [&](const rack_view &Rack) {
-    const bool IsTooSmall = Rack.Slots < Request.Tasks;
-    return std::pair(IsTooSmall, IsTooSmall ? -Rack.Slots : Rack.Slots);
+  std::ranges::stable_sort(Fits, {}, [&](const rack_fit &Fit) {
+    const bool IsTooSmall = Fit.Slots < Request.Tasks;
+    return std::pair(IsTooSmall, IsTooSmall ? -Fit.Slots : Fit.Slots);
   });
   std::vector<placed_member> Members;
   int Left = Request.Tasks;
-  for (rack_view &Rack : Racks) {
+  for (const rack_fit &Fit : Fits) {
     if (Left == 0)
       break;
-    fillRack(std::move(Rack), Request, Left, Members);
+    std::vector<const worker_capacity *> Workers;
+    for (const worker_capacity &Worker : Fit.Rack->Workers)
+      Workers.push_back(&Worker);
+    fillRack(std::move(Workers), Request, Left, Members);
   }
   if (Left > 0)
     Members.clear();
   return Members;
 }
 
+std::vector<placed_member>
+capacity_index::chooseFirst(const placement_request &Request) const {
+  std::vector<placed_member> Members;
+  int Left = Request.Tasks;
+  for (const rack &Rack : Racks)
+    for (const worker_capacity &Worker : Rack.Workers)
+      fillWorker(Worker, Request, Left, Members);
+  if (Left > 0)
+    Members.clear();
+  return Members;
+}
+
+void capacity_index::take(std::span<const placed_member> Members,
+                          const placement_request &Request) {
+  setAside(Members);
+  if (Request.IsStoppable)
+    return;
+  for (const placed_member &Member : Members)
+    if (worker_capacity *Worker = find(Member.Worker))
+      addUnstoppable(*Worker, Request.Pool, Member.Accelerators);
+}
+
+void capacity_index::setAside(std::span<const placed_member> Members) {
+  for (const placed_member &Member : Members)
+    if (worker_capacity *Worker = find(Member.Worker))
+      Worker->Free -= Member.Accelerators;
+}
+
+int capacity_index::freeAccelerators() const {
+  int Free = 0;
+  for (const rack &Rack : Racks)
+    for (const worker_capacity &Worker : Rack.Workers)
+      Free += std::max(0, Worker.Free);
+  return Free;
+}
+
+worker_capacity *capacity_index::find(const worker_id &Worker) {
+  const auto Found = Positions.find(Worker);
+  if (Found == Positions.end())
+    return nullptr;
+  const auto [Rack, Row] = Found->second;
+  return &Racks[Rack].Workers[Row];
+}
+
 } // namespace galenastage
--- /dev/null
+++ b/core/job/policy/strategy.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "core/types.hpp"
+
+#include <string_view>
+#include <variant>
+
+namespace galenastage {
+
+/// Places jobs in order of arrival on the first workers that fit. A job that
+/// doesn't fit holds back those behind it. A baseline for measurements.
+struct first_fit {
+  friend bool operator==(const first_fit &, const first_fit &) = default;
+};
+
+/// Places jobs in order of arrival on the tightest workers. Behind a job that
+/// doesn't fit, others start when their declared run times end before it could
+/// (EASY backfill). A baseline for measurements.
+struct best_fit_backfill {
+  friend bool operator==(const best_fit_backfill &,
+                         const best_fit_backfill &) = default;
+};
+
+/// Keeps guaranteed shapes reclaimable, lends what isn't used, orders by class
+/// and fair share, and opens shapes by moving checkpointable work. What the
+/// product uses.
+struct guaranteed_sharing {
+  seconds PromotePatientAfter{4 * 3'600}; // then it ranks as ordinary work
+  seconds AgeingTime{1'800}; // this much waiting outweighs the whole fleet
+  seconds MoveAfter{30};     // a job waits this long before others are moved
+  seconds MinRunBeforeMove{120};  // a gang runs this long before it is moved
+  seconds MoveInterval{15};        // between two searches for one job
+  int SearchesPerPass = 8;         // for gangs to stop, in one pass
+  int DepartureGangsPerPass = 16; // gangs checkpointed in one pass
+
+  friend bool operator==(const guaranteed_sharing &,
+                         const guaranteed_sharing &) = default;
+};
+
+/// How waiting jobs are ordered and placed.
+using placement_strategy =
+    std::variant<guaranteed_sharing, first_fit, best_fit_backfill>;
+
+/// "galenastage", "first-fit" or "best-fit-backfill".
+std::string_view name(const placement_strategy &Strategy);
+
+} // namespace galenastage
--- a/core/job/scheduler.cpp
+++ b/core/job/scheduler.cpp
@@ -1,7 +1,6 @@
 #include "core/job/scheduler_internal.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 namespace galenastage {
 
@@ -9,6 +8,7 @@
   scheduler_effects Effects;
   detail::scheduler_run Run(State, Event.Now, Effects);
   std::visit([&](const auto &Body) { Run.apply(Body); }, Event.Body);
+  Run.refreshGuarantees();
   return Effects;
 }
 
@@ -18,23 +18,54 @@
   return isInService(*State.Tables, State.Settings.DataCentre);
 }
 
+bool isStoppable(const job_spec &Spec) { return Spec.IsIdempotent; }
+
+placement_request placementRequest(const job_spec &Spec) {
+  return {Spec.Tasks, Spec.AcceleratorsPerTask, Spec.Pool, isStoppable(Spec)};
+}
+
+void known_worker::hold(const attempt_id &Attempt, int Count,
+                        const job_spec &Spec) {
+  drop(Attempt);
+  Held[Attempt] = Count;
+  HeldAccelerators += Count;
+  if (!isStoppable(Spec))
+    Unstoppable[Attempt] = Spec.Pool;
+}
+
+void known_worker::drop(const attempt_id &Attempt) {
+  const auto Found = Held.find(Attempt);
+  if (Found == Held.end())
+    return;
+  HeldAccelerators -= Found->second;
+  Held.erase(Found);
+  Unstoppable.erase(Attempt);
+}
+
+void known_worker::dropAll() {
+  Held.clear();
+  Unstoppable.clear();
+  HeldAccelerators = 0;
+}
+
 int known_worker::freeAccelerators() const {
-  int Free = Accelerators;
-  for (const auto &[Attempt, Count] : Held)
-    Free -= Count;
-  return Free;
+  return Accelerators - HeldAccelerators;
 }
 
-namespace detail {
-namespace {
+bool known_worker::isUsable() const {
+  return IsListed && !IsLeaving && !IsSilent;
+}
 
-/// Order in which waiting jobs are placed: the most pressing class first, then
-/// the oldest.
-auto placementOrder(const scheduled_job &Job) {
-  return std::tuple(Job.Record.Spec.Class, Job.Record.SubmittedAt,
-                    Job.Record.Spec.Id);
+worker_capacity known_worker::capacity(const worker_id &Name) const {
+  worker_capacity Row{Name, Rack, freeAccelerators(), Accelerators, Cells};
+  for (const auto &[Attempt, Pool] : Unstoppable)
+    addUnstoppable(Row, Pool, Held.at(Attempt));
+  return Row;
 }
 
+namespace detail {
+namespace {
+
 const std::vector<data_centre_id> &permittedDataCentres(const job_spec &Spec,
                                                         const pool &Pool) {
   return Spec.DataCentres.empty() ? Pool.DataCentres : Spec.DataCentres;
@@ -68,6 +99,7 @@
   State.TablesAsOf = std::max(State.TablesAsOf, Event.AsOf);
   if (!IsNew)
     return;
+  State.Policy.IsPlanStale = true;
   log(events::TablesInForce,
       {{"version", std::to_string(State.Tables->Version)}});
   if (canAct())
@@ -79,11 +111,12 @@
     return;
   State.IsLeading = Event.IsLeading;
   State.Epoch = Event.Epoch;
+  State.Policy.IsPlanStale = true;
   State.IsLoaded = false;
   State.IsRebuilding = Event.IsLeading;
   State.Jobs.clear();
   for (auto &[Name, Worker] : State.Workers) {
-    Worker.Held.clear();
+    Worker.dropAll();
     Worker.Reported.clear();
     Worker.NextRenew = Now;
   }
@@ -103,8 +136,7 @@
     scheduled_job &Job = State.Jobs[Id];
     Job.Record = Event.Record;
     Job.Revision = Event.Revision;
-    if (canAct())
-      placeJob(Job);
+    Job.WaitingSince = Now; // placed at the next tick
     return;
   }
   if (Event.Revision <= Known->Revision)
@@ -162,48 +194,6 @@
 
 // Job life cycle
 
-void scheduler_run::placeWaitingJobs() {
-  std::vector<scheduled_job *> Waiting;
-  for (auto &[Id, Job] : State.Jobs)
-    if (Job.Step == gang_step::Waiting && !isFinal(Job.Record.Phase))
-      Waiting.push_back(&Job);
-  std::ranges::sort(Waiting, {}, [](const scheduled_job *Job) {
-    return placementOrder(*Job);
-  });
-  for (scheduled_job *Job : Waiting)
-    placeJob(*Job);
-}
-
-void scheduler_run::placeJob(scheduled_job &Job) {
-  if (Job.Record.IsCancelRequested) {
-    cancelJob(Job);
-    return;
-  }
-  if (Now < Job.RetryAt || !State.Tables)
-    return;
-  if (refuseIfImpossible(Job) || moveIfNotPermitted(Job))
-    return;
-  if (!mayStartTasks(State, Now)) {
-    setReason(Job, "no recent evidence that the data centre is in service");
-    return;
-  }
-  const job_spec &Spec = Job.Record.Spec;
-  std::vector<worker_capacity> Workers;
-  for (const auto &[Name, Worker] : State.Workers)
-    if (Worker.IsListed && !Worker.IsLeaving && !Worker.IsSilent)
-      Workers.push_back(
-          {Name, Worker.Rack, Worker.freeAccelerators(), Worker.Accelerators});
-  auto Members =
-      choosePlacement(Workers, {Spec.Tasks, Spec.AcceleratorsPerTask});
-  if (Members.empty()) {
-    setReason(Job, "waits for " + std::to_string(Spec.Tasks) + " times " +
-                       std::to_string(Spec.AcceleratorsPerTask) +
-                       " free accelerators");
-    return;
-  }
-  reserveGang(Job, std::move(Members));
-}
-
 /// Ends a job that can never run under these tables. False when it can.
 bool scheduler_run::refuseIfImpossible(scheduled_job &Job) {
   if (findPool(*State.Tables, Job.Record.Spec.Pool))
@@ -233,6 +223,18 @@
   return true;
 }
 
+bool scheduler_run::isPermittedElsewhere(const scheduled_job &Job) const {
+  const pool *Pool = findPool(*State.Tables, Job.Record.Spec.Pool);
+  if (!Pool)
+    return false;
+  const auto &Permitted = permittedDataCentres(Job.Record.Spec, *Pool);
+  return std::ranges::any_of(
+      State.Tables->DataCentres, [&](const data_centre_row &Row) {
+        return Row.Name != State.Settings.DataCentre &&
+               isPermitted(*State.Tables, Permitted, Row.Name);
+      });
+}
+
 void scheduler_run::moveJob(scheduled_job &Job, const data_centre_id &To) {
   if (Job.IsSaveInFlight)
     return; // its revision isn't known; the next tick tries again
@@ -288,6 +290,13 @@
 
 // Shared
 
+std::string joinNames(const std::vector<worker_id> &Names) {
+  std::string Joined;
+  for (const worker_id &Name : Names)
+    Joined += (Joined.empty() ? "" : " ") + Name.Value;
+  return Joined;
+}
+
 scheduled_job *scheduler_run::findJob(const job_id &Id) {
   const auto Found = State.Jobs.find(Id);
   return Found == State.Jobs.end() ? nullptr : &Found->second;
--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -17,6 +17,8 @@
 #include "core/config/tables.hpp"
 #include "core/job/job.hpp"
 #include "core/job/placement.hpp"
+#include "core/job/policy/guarantee.hpp"
+#include "core/job/policy/strategy.hpp"
 #include "core/job/worker_protocol.hpp"
 #include "core/log_event.hpp"
 
@@ -40,6 +42,7 @@
   milliseconds RetryDelay{1'000};      // after a gang start that was undone
   milliseconds RebuildWindow{3'000};   // to hear workers after a take-over
   std::uint32_t MaxTaskFailures = 5;   // then an idempotent job has failed
+  placement_strategy Strategy;         // baselines are for measurements
 };
 
 // [2] Events
@@ -186,8 +189,21 @@
   bool IsSaveInFlight = false;
   bool IsSaveWanted = false;
   job_phase AfterRelease = job_phase::Waiting; // becomes this once released
+  instant WaitingSince{};           // in this scheduler; ages the job
+  instant RunningSince{};           // when every member had confirmed
+  std::vector<placed_member> Claim; // kept free for it until it starts there
+  instant ClaimEnds{};              // the claim is given up by then
+  instant NextClaim{};              // no search for gangs to stop before this
 };
 
+/// Whether a gang may be stopped in the middle and run again later. A gang that
+/// is not idempotent mustn't: it may have ended just before the stop, and a
+/// worker's answer doesn't tell.
+bool isStoppable(const job_spec &Spec);
+
+/// What a job asks of placement.
+placement_request placementRequest(const job_spec &Spec);
+
 struct known_worker {
   rack_id Rack;
   int Accelerators = 0;
@@ -197,9 +213,26 @@
   instant LastHeard{};            //
   instant NextRenew{};            //
   std::map<attempt_id, int> Held; // accelerators held by each attempt
-  std::vector<task_report> Reported; // as last heard
-
+  std::map<attempt_id, pool_id> Unstoppable; // those that mustn't be stopped
+  int HeldAccelerators = 0;                  // sum over Held
+  std::vector<pool_use> Cells;               // guaranteed here, by the plan
+  std::vector<task_report> Reported;         // as last heard
+
+  void hold(const attempt_id &Attempt, int Count, const job_spec &Spec);
+  void drop(const attempt_id &Attempt);
+  void dropAll();
   [[nodiscard]] int freeAccelerators() const;
+  /// Whether new work may go there.
+  [[nodiscard]] bool isUsable() const;
+  [[nodiscard]] worker_capacity capacity(const worker_id &Name) const;
+};
+
+/// What the policy remembers between events.
+struct policy_state {
+  guarantee_plan Guarantees;
+  bool IsPlanStale = true; // workers or tables changed since it was made
+
+  friend bool operator==(const policy_state &, const policy_state &) = default;
 };
 
 struct scheduler_state {
@@ -217,6 +250,7 @@
   wall_instant WallNow{};
   std::map<job_id, scheduled_job> Jobs; // those that are not final
   std::map<worker_id, known_worker> Workers;
+  policy_state Policy;
 };
 
 // [5] The reducer
--- a/core/job/scheduler_gang.cpp
+++ b/core/job/scheduler_gang.cpp
@@ -56,7 +56,7 @@
       Member.IsDone = true;
   if (IsRelease)
     if (known_worker *Worker = findWorker(Event.Worker))
-      Worker->Held.erase(Event.Attempt);
+      Worker->drop(Event.Attempt);
   if (areAllDone(*Job))
     advanceGang(*Job);
 }
@@ -70,7 +70,8 @@
   Job.StepDeadline = Now + State.Settings.StepTimeout;
   const attempt_id Attempt = attemptOf(Job);
   for (placed_member &Place : Members) {
-    State.Workers.at(Place.Worker).Held[Attempt] = Place.Accelerators;
+    State.Workers.at(Place.Worker)
+        .hold(Attempt, Place.Accelerators, Job.Record.Spec);
     Job.Record.Placement.insert(Job.Record.Placement.end(), Place.Tasks,
                                 Place.Worker);
     emit(send_reserve{Place.Worker,
@@ -127,6 +128,7 @@
   }
   Job.Step = gang_step::Running;
   Job.IsConfirmed = true;
+  Job.RunningSince = Now;
   Job.Record.Phase = job_phase::Running;
   Job.Record.Verdict = verdict::Unknown;
   Job.Record.Reason.clear();
@@ -176,7 +178,7 @@
 void scheduler_run::finishRelease(scheduled_job &Job) {
   for (const gang_member &Member : Job.Members)
     if (known_worker *Worker = findWorker(Member.Place.Worker))
-      Worker->Held.erase(attemptOf(Job));
+      Worker->drop(attemptOf(Job));
   Job.Members.clear();
   Job.IsConfirmed = false;
   if (Job.HasRun)
@@ -187,6 +189,7 @@
   }
   Job.Step = gang_step::Waiting;
   Job.RetryAt = Now + State.Settings.RetryDelay;
+  Job.WaitingSince = Now;
   Job.Record.Phase = job_phase::Waiting;
   Job.Record.Placement.clear();
   saveJob(Job);
--- a/core/job/scheduler_internal.hpp
+++ b/core/job/scheduler_internal.hpp
@@ -2,8 +2,13 @@
 
 #include "core/job/scheduler.hpp"
 
+#include <optional>
+
 namespace galenastage::detail {
 
+/// Names with a blank between them, for log fields.
+std::string joinNames(const std::vector<worker_id> &Names);
+
 /// One run of the scheduler's reducer: the state it changes, the moment, and
 /// the effects collected so far.
 class scheduler_run {
@@ -23,12 +28,30 @@
   void apply(const step_answered &Event);
   void apply(const job_saved &Event);
 
+  /// Binds the guaranteed shapes again when workers or tables changed.
+  void refreshGuarantees();
+
 private:
-  // Job life cycle: scheduler.cpp
+  // Placement of waiting jobs: scheduler_policy.cpp
   void placeWaitingJobs();
-  void placeJob(scheduled_job &Job);
+  void placeByPolicy(const guaranteed_sharing &Policy,
+                     std::vector<scheduled_job *> Waiting);
+  void placeFirstFit(const std::vector<scheduled_job *> &Waiting);
+  void placeBackfill(const std::vector<scheduled_job *> &Waiting);
+  bool mayBePlaced(scheduled_job &Job);
+  void explainWait(scheduled_job &Job);
+  capacity_index indexWorkers() const;
+  std::map<organisation_id, double> dominantShares() const;
+
+  // Claims and reclaim: scheduler_reclaim.cpp
+  void serveClaims();
+  bool claimByEviction(const guaranteed_sharing &Policy, scheduled_job &Job);
+  void checkpointForDeparture(const guaranteed_sharing &Policy);
+
+  // Job life cycle: scheduler.cpp
   bool refuseIfImpossible(scheduled_job &Job);
   bool moveIfNotPermitted(scheduled_job &Job);
+  [[nodiscard]] bool isPermittedElsewhere(const scheduled_job &Job) const;
   void moveJob(scheduled_job &Job, const data_centre_id &To);
   void cancelJob(scheduled_job &Job);
   void endJob(scheduled_job &Job, job_phase Phase, std::string Reason);
--- /dev/null
+++ b/core/job/scheduler_policy.cpp
@@ -0,0 +1,278 @@
+#include "core/job/scheduler_internal.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <limits>
+#include <tuple>
+
+namespace galenastage::detail {
+namespace {
+
+int acceleratorsOf(const job_spec &Spec) {
+  return Spec.Tasks * Spec.AcceleratorsPerTask;
+}
+
+int heldBy(const scheduled_job &Job) {
+  int Sum = 0;
+  for (const gang_member &Member : Job.Members)
+    Sum += Member.Place.Accelerators;
+  return Sum;
+}
+
+auto arrivalOrder(const scheduled_job *Job) {
+  return std::tuple(Job->Record.SubmittedAt, Job->Record.Spec.Id);
+}
+
+/// The class a job ranks with. Patient work rises once it has waited long.
+work_class rankOf(const scheduled_job &Job, const guaranteed_sharing &Policy,
+                  wall_instant WallNow) {
+  const work_class Class = Job.Record.Spec.Class;
+  const bool IsOld =
+      WallNow - Job.Record.SubmittedAt >= Policy.PromotePatientAfter;
+  return Class == work_class::Patient && IsOld ? work_class::Ordinary : Class;
+}
+
+/// The waiting jobs of one organisation in one class, in the order in which it
+/// wants them.
+struct organisation_queue {
+  std::deque<scheduled_job *> Jobs;
+  double Share = 0; // of its dominant resource, the accelerators
+
+  /// Low goes first: a small share, or a long wait.
+  [[nodiscard]] double rank(const guaranteed_sharing &Policy,
+                            wall_instant WallNow) const {
+    const std::chrono::duration<double> Waited =
+        WallNow - Jobs.front()->Record.SubmittedAt;
+    return Share - Waited / Policy.AgeingTime;
+  }
+};
+
+} // namespace
+
+void scheduler_run::refreshGuarantees() {
+  const bool IsDue = State.Policy.IsPlanStale && State.Tables && canAct();
+  if (!IsDue)
+    return;
+  State.Policy.IsPlanStale = false;
+  std::vector<worker_capacity> Usable;
+  for (const auto &[Name, Worker] : State.Workers)
+    if (Worker.isUsable())
+      Usable.push_back(Worker.capacity(Name));
+  const guarantee_plan Old = std::move(State.Policy.Guarantees);
+  State.Policy.Guarantees =
+      bindGuarantees(*State.Tables, State.Settings.DataCentre, Usable, Old);
+  const guarantee_plan &Plan = State.Policy.Guarantees;
+
+  auto Cells = cellsByWorker(Plan);
+  for (auto &[Name, Worker] : State.Workers)
+    Worker.Cells = std::move(Cells[Name]);
+  for (const auto &[Pool, Binding] : Plan.Bindings) {
+    const auto Before = Old.Bindings.find(Pool);
+    if (Before != Old.Bindings.end() && Before->second == Binding)
+      continue;
+    log(events::GuaranteeBound, {{"pool", Pool.Value},
+                                 {"rack", Binding.Rack.Value},
+                                 {"workers", joinNames(Binding.Workers)}});
+  }
+  for (const pool_id &Pool : Plan.Unmet) {
+    if (std::ranges::binary_search(Old.Unmet, Pool))
+      continue;
+    std::vector<worker_id> Lost;
+    if (const auto Before = Old.Bindings.find(Pool);
+        Before != Old.Bindings.end())
+      for (const worker_id &Worker : Before->second.Workers)
+        if (!State.Workers.at(Worker).isUsable())
+          Lost.push_back(Worker);
+    log(events::GuaranteeUnmet,
+        {{"pool", Pool.Value},
+         {"data_centre", State.Settings.DataCentre.Value},
+         {"lost", joinNames(Lost)}});
+  }
+}
+
+void scheduler_run::placeWaitingJobs() {
+  std::vector<scheduled_job *> Waiting;
+  for (auto &[Id, Job] : State.Jobs)
+    if (Job.Step == gang_step::Waiting && !isFinal(Job.Record.Phase))
+      Waiting.push_back(&Job);
+  std::erase_if(Waiting,
+                [this](scheduled_job *Job) { return !mayBePlaced(*Job); });
+  // A guarantee that hardware loss left unmet may fit again by now.
+  State.Policy.IsPlanStale |= !State.Policy.Guarantees.Unmet.empty();
+  refreshGuarantees();
+  std::visit(overloaded{
+                 [&](const guaranteed_sharing &Policy) {
+                   checkpointForDeparture(Policy);
+                   placeByPolicy(Policy, std::move(Waiting));
+                 },
+                 [&](const first_fit &) { placeFirstFit(Waiting); },
+                 [&](const best_fit_backfill &) { placeBackfill(Waiting); },
+             },
+             State.Settings.Strategy);
+}
+
+/// Whether the job only lacks accelerators. Ends or moves it where it must.
+bool scheduler_run::mayBePlaced(scheduled_job &Job) {
+  if (Job.Record.IsCancelRequested) {
+    cancelJob(Job);
+    return false;
+  }
+  if (Now < Job.RetryAt || !State.Tables)
+    return false;
+  if (refuseIfImpossible(Job) || moveIfNotPermitted(Job))
+    return false;
+  if (!mayStartTasks(State, Now)) {
+    setReason(Job, "no recent evidence that the data centre is in service");
+    return false;
+  }
+  return true;
+}
+
+void scheduler_run::explainWait(scheduled_job &Job) {
+  const job_spec &Spec = Job.Record.Spec;
+  setReason(Job, "waits for " + std::to_string(Spec.Tasks) + " times " +
+                     std::to_string(Spec.AcceleratorsPerTask) +
+                     " free accelerators");
+}
+
+/// The usable workers, less what is kept for jobs with a claim.
+capacity_index scheduler_run::indexWorkers() const {
+  capacity_index Index;
+  for (const auto &[Name, Worker] : State.Workers)
+    if (Worker.isUsable())
+      Index.add(Worker.capacity(Name));
+  for (const auto &[Id, Job] : State.Jobs)
+    if (!Job.Claim.empty())
+      Index.take(Job.Claim, placementRequest(Job.Record.Spec));
+  return Index;
+}
+
+std::map<organisation_id, double> scheduler_run::dominantShares() const {
+  double Total = 1;
+  for (const auto &[Name, Worker] : State.Workers)
+    Total += Worker.isUsable() ? Worker.Accelerators : 0;
+  std::map<organisation_id, double> Shares;
+  for (const auto &[Id, Job] : State.Jobs)
+    if (!Job.Members.empty())
+      Shares[Job.Record.Spec.Organisation] += heldBy(Job) / Total;
+  return Shares;
+}
+
+/// Takes one class after the other. Within it, the organisation with the
+/// smallest dominant share places its next job.
+void scheduler_run::placeByPolicy(const guaranteed_sharing &Policy,
+                                  std::vector<scheduled_job *> Waiting) {
+  serveClaims();
+  std::erase_if(Waiting, [](const scheduled_job *Job) {
+    return Job->Step != gang_step::Waiting || !Job->Claim.empty();
+  });
+  if (Waiting.empty())
+    return;
+  std::ranges::sort(Waiting, {}, arrivalOrder);
+  const auto Shares = dominantShares();
+  std::map<work_class, std::map<organisation_id, organisation_queue>> Classes;
+  for (scheduled_job *Job : Waiting) {
+    const organisation_id &Name = Job->Record.Spec.Organisation;
+    organisation_queue &Queue =
+        Classes[rankOf(*Job, Policy, State.WallNow)][Name];
+    const auto Share = Shares.find(Name);
+    Queue.Share = Share == Shares.end() ? 0 : Share->second;
+    Queue.Jobs.push_back(Job);
+  }
+  capacity_index Index = indexWorkers();
+  const double Total = std::max(1, Index.freeAccelerators());
+  std::set<placement_request> Failed; // shapes that don't fit in this pass
+  int Searches = Policy.SearchesPerPass;
+  for (auto &[Class, Queues] : Classes) {
+    while (!Queues.empty()) {
+      const auto Next = std::ranges::min_element(Queues, {}, [&](auto &Row) {
+        return Row.second.rank(Policy, State.WallNow);
+      });
+      scheduled_job &Job = *Next->second.Jobs.front();
+      Next->second.Jobs.pop_front();
+      const placement_request Request = placementRequest(Job.Record.Spec);
+      std::vector<placed_member> Members;
+      if (!Failed.contains(Request))
+        Members = Index.choose(Request);
+      if (!Members.empty()) {
+        Index.take(Members, Request);
+        reserveGang(Job, std::move(Members));
+        Next->second.Share += acceleratorsOf(Job.Record.Spec) / Total;
+      } else if (Now >= Job.NextClaim && Searches-- > 0 &&
+                 claimByEviction(Policy, Job)) {
+        Index.take(Job.Claim, Request);
+      } else {
+        Failed.insert(Request);
+        explainWait(Job);
+      }
+      if (Next->second.Jobs.empty())
+        Queues.erase(Next);
+    }
+  }
+}
+
+void scheduler_run::placeFirstFit(const std::vector<scheduled_job *> &Waiting) {
+  std::vector<scheduled_job *> Ordered = Waiting;
+  std::ranges::sort(Ordered, {}, arrivalOrder);
+  capacity_index Index = indexWorkers();
+  bool IsBlocked = false;
+  for (scheduled_job *Job : Ordered) {
+    placement_request Request = placementRequest(Job->Record.Spec);
+    Request.IsStoppable = true; // guarantees mean nothing to this strategy
+    auto Members =
+        IsBlocked ? std::vector<placed_member>{} : Index.chooseFirst(Request);
+    if (Members.empty()) {
+      IsBlocked = true;
+      explainWait(*Job);
+      continue;
+    }
+    Index.take(Members, Request);
+    reserveGang(*Job, std::move(Members));
+  }
+}
+
+void scheduler_run::placeBackfill(const std::vector<scheduled_job *> &Waiting) {
+  std::vector<scheduled_job *> Ordered = Waiting;
+  std::ranges::sort(Ordered, {}, arrivalOrder);
+  capacity_index Index = indexWorkers();
+  std::optional<instant> Shadow; // when the first blocked job could start
+  int Spare = 0;                 // accelerators it will leave free then
+  for (scheduled_job *Job : Ordered) {
+    const job_spec &Spec = Job->Record.Spec;
+    placement_request Request = placementRequest(Spec);
+    Request.IsStoppable = true; // guarantees mean nothing to this strategy
+    const int Needed = acceleratorsOf(Spec);
+    const bool EndsInTime = !Shadow || Now + Spec.DeclaredRunTime <= *Shadow;
+    auto Members = EndsInTime || Needed <= Spare ? Index.choose(Request)
+                                                 : std::vector<placed_member>{};
+    if (!Members.empty()) {
+      if (!EndsInTime)
+        Spare -= Needed;
+      Index.take(Members, Request);
+      reserveGang(*Job, std::move(Members));
+      continue;
+    }
+    explainWait(*Job);
+    if (Shadow)
+      continue;
+    std::vector<std::pair<instant, int>> Ends;
+    for (const auto &[Id, Other] : State.Jobs)
+      if (!Other.Members.empty())
+        Ends.emplace_back(Other.RunningSince +
+                              Other.Record.Spec.DeclaredRunTime,
+                          heldBy(Other));
+    std::ranges::sort(Ends);
+    int Free = Index.freeAccelerators();
+    Shadow = instant::max();
+    for (const auto &[End, Count] : Ends) {
+      Free += Count;
+      if (Free >= Needed) {
+        Shadow = std::max(End, Now);
+        break;
+      }
+    }
+    Spare = std::max(0, Free - Needed);
+  }
+}
+
+} // namespace galenastage::detail
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -17,6 +17,9 @@
 
 void scheduler_run::apply(const worker_listed &Event) {
   known_worker &Worker = State.Workers[Event.Worker];
+  State.Policy.IsPlanStale |= !Worker.IsListed || Worker.Rack != Event.Rack ||
+                              Worker.Accelerators != Event.Accelerators ||
+                              Worker.IsLeaving != Event.IsLeaving;
   Worker.Rack = Event.Rack;
   Worker.Accelerators = Event.Accelerators;
   Worker.IsListed = true;
@@ -25,8 +28,10 @@
 
 void scheduler_run::apply(const worker_unlisted &Event) {
   // The list lags: a worker that answers stays known until it falls silent.
-  if (known_worker *Worker = findWorker(Event.Worker))
+  if (known_worker *Worker = findWorker(Event.Worker)) {
+    State.Policy.IsPlanStale |= Worker->IsListed;
     Worker->IsListed = false;
+  }
 }
 
 void scheduler_run::apply(const worker_reported &Event) {
@@ -40,6 +45,7 @@
   }
   if (Worker->IsSilent && Worker->LastHeard != instant{})
     log(events::WorkerBack, {{"worker", Report.Worker.Value}});
+  State.Policy.IsPlanStale |= Worker->IsSilent;
   Worker->IsSilent = false;
   Worker->LastHeard = Now;
   Worker->Reported = Report.Tasks;
@@ -128,6 +134,7 @@
     if (Worker.IsSilent || Now - Worker.LastHeard <= State.Settings.Lease)
       continue;
     Worker.IsSilent = true;
+    State.Policy.IsPlanStale = true;
     Worker.Reported.clear();
     log(events::WorkerSilent, {{"worker", Name.Value}});
     loseMembersOn(Name, Name.Value + " fell silent");
@@ -149,7 +156,7 @@
 void scheduler_run::releaseStray(const worker_id &Worker,
                                  const attempt_id &Attempt) {
   if (known_worker *Known = findWorker(Worker))
-    Known->Held.erase(Attempt);
+    Known->drop(Attempt);
   emit(send_release{Worker, {State.Epoch, Attempt, false}});
 }
 
@@ -187,7 +194,7 @@
     const bool IsStarted = Task->State >= task_state::Running;
     RunningTasks += IsStarted ? Task->Tasks : 0;
     Job.HasRun |= IsStarted;
-    Worker.Held[attemptOf(Job)] = Task->Accelerators;
+    Worker.hold(attemptOf(Job), Task->Accelerators, Job.Record.Spec);
     Job.Record.Placement.insert(Job.Record.Placement.end(), Task->Tasks, Name);
     Job.Members.push_back({.Place = {Name, Task->Tasks, Task->Accelerators},
                            .HasSucceeded = Task->State == task_state::Succeeded,
@@ -197,6 +204,7 @@
   if (IsWhole) {
     Job.Step = gang_step::Running;
     Job.IsConfirmed = true;
+    Job.RunningSince = Now;
     Job.Record.Phase = job_phase::Running;
     saveJob(Job);
     return;
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -75,6 +75,23 @@
     "A stored job record can't be read and is left as it is.",
     "Compare the versions of the programs that are running."};
 
+const log_event GuaranteeUnmet{
+    3101, Warning, "guarantee-unmet",
+    "No rack has enough workers left for a pool's guaranteed shape; the line "
+    "names the workers of its cell that were lost.",
+    "Repair the workers named, or change the pool's shape."};
+const log_event GuaranteeBound{
+    3102, Info, "guarantee-bound",
+    "A pool's guaranteed shape is bound to these workers; work that can't be "
+    "stopped doesn't take them.",
+    "None."};
+const log_event GangEvicted{
+    3103, Info, "gang-evicted",
+    "A gang was checkpointed or stopped and waits again, so that the job named "
+    "can start.",
+    "None. If one organisation's gangs are evicted all day, its work exceeds "
+    "what it is guaranteed."};
+
 const log_event RequestAnswered{
     4001, Info, "request-answered",
     "Access log: one request, its route, verdict and duration.", "None."};
@@ -103,6 +120,8 @@
     &events::JobMoved,         &events::GangStartAborted,
     &events::JobRefused,       &events::WorkerSilent,
     &events::WorkerBack,       &events::JobUnreadable,
+    &events::GuaranteeUnmet,   &events::GuaranteeBound,
+    &events::GangEvicted,
     &events::RequestAnswered,  &events::LeadershipGained,
     &events::LeadershipLost,
 };
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -79,6 +79,10 @@
 extern const log_event WorkerSilent;
 extern const log_event WorkerBack;
 extern const log_event JobUnreadable;
+// 3100: policy
+extern const log_event GuaranteeUnmet;
+extern const log_event GuaranteeBound;
+extern const log_event GangEvicted;
 // 4000: requests
 extern const log_event RequestAnswered;
 // 5000: ownership
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -1,3 +1,5 @@
+#include "measure/policy.hpp"
+
 #include <CLI/CLI.hpp>
 
 int main(int Argc, char **Argv) {
@@ -5,6 +7,7 @@
   App.name("galenastage-measure");
   App.set_version_flag("--version", "galenastage-measure " GALENASTAGE_VERSION);
   App.require_subcommand(1);
+  galenastage::measure::addPolicyCommand(App);
   CLI11_PARSE(App, Argc, Argv);
   return 0;
 }
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -116,7 +116,7 @@
       Workers.push_back(std::make_unique<worker_service>(
           Context, addressOf(DataCentre, Settings.FirstWorkerPort, I),
           worker_model(worker_id(Name), DataCentre.Name, RackName,
-                       Settings.AcceleratorsPerWorker)));
+                       Settings.AcceleratorsPerWorker, Checkpoints)));
       instance &Row = Listed[Name];
       Row.Name = Name;
       Row.Kind = instance_kind::Worker;
@@ -335,6 +335,8 @@
   milliseconds ListLag{0};
   std::map<std::string, instance> Listed;
   std::deque<list_snapshot> Snapshots;
+  std::shared_ptr<checkpoint_map> Checkpoints =
+      std::make_shared<checkpoint_map>();
   std::vector<std::unique_ptr<worker_service>> Workers;
   std::vector<std::unique_ptr<executor_service>> Executors;
   kv_service Store;
--- a/standin/worker_model.cpp
+++ b/standin/worker_model.cpp
@@ -3,9 +3,11 @@
 namespace galenastage::standin {
 
 worker_model::worker_model(worker_id Worker, data_centre_id DataCentre,
-                           rack_id Rack, int Accelerators)
+                           rack_id Rack, int Accelerators,
+                           std::shared_ptr<checkpoint_map> Checkpoints)
     : Worker(std::move(Worker)), DataCentre(std::move(DataCentre)),
-      Rack(std::move(Rack)), Accelerators(Accelerators) {}
+      Rack(std::move(Rack)), Accelerators(Accelerators),
+      Checkpoints(std::move(Checkpoints)) {}
 
 worker_answer worker_model::reserve(const reserve_request &Request,
                                     instant Now) {
@@ -48,7 +50,7 @@
   if (Found == Tasks.end())
     return accept();
   if (Request.KeepCheckpoint && Found->second.State == task_state::Running)
-    Checkpoints[Request.Attempt.Job] = progressOf(Found->second, Now);
+    (*Checkpoints)[Request.Attempt.Job] = progressOf(Found->second, Now);
   Tasks.erase(Found);
   return accept();
 }
@@ -85,7 +87,7 @@
       Task.State =
           Faults.FailsEverything ? task_state::Failed : task_state::Succeeded;
       Task.Progress = Task.RunTime;
-      Checkpoints.erase(It->first.Job);
+      Checkpoints->erase(It->first.Job);
     }
     if (Now >= Task.Expires)
       It = Tasks.erase(It);
@@ -96,7 +98,6 @@
 
 void worker_model::crash() {
   Tasks.clear();
-  Checkpoints.clear();
   HighestEpoch = 0;
 }
 
@@ -128,8 +129,8 @@
   ++Runs[Attempt.Job];
   Task.State = task_state::Running;
   Task.RunningSince = Now;
-  const auto Saved = Checkpoints.find(Attempt.Job);
-  if (Saved != Checkpoints.end())
+  const auto Saved = Checkpoints->find(Attempt.Job);
+  if (Saved != Checkpoints->end())
     Task.Progress = std::min(Saved->second, Task.RunTime);
   if (Faults.FailsEverything)
     Task.State = task_state::Failed;
--- a/standin/worker_model.hpp
+++ b/standin/worker_model.hpp
@@ -3,6 +3,7 @@
 #include "core/job/worker_protocol.hpp"
 
 #include <map>
+#include <memory>
 
 namespace galenastage::standin {
 
@@ -16,12 +17,18 @@
                          const worker_faults &) = default;
 };
 
+/// Progress saved by checkpoints, by job. The platform keeps it, so that a
+/// checkpoint outlives its worker and can be used on another one.
+using checkpoint_map = std::map<job_id, milliseconds>;
+
 /// A worker in small: reservations, armed tasks, leases, checkpoints and the
 /// fence of epochs. It has no clock; the caller passes the moment.
 class worker_model {
 public:
   worker_model(worker_id Worker, data_centre_id DataCentre, rack_id Rack,
-               int Accelerators);
+               int Accelerators,
+               std::shared_ptr<checkpoint_map> Checkpoints =
+                   std::make_shared<checkpoint_map>());
 
   worker_answer reserve(const reserve_request &Request, instant Now);
   worker_answer start(const start_request &Request, instant Now);
@@ -66,7 +73,7 @@
   int Accelerators;
   epoch HighestEpoch = 0;
   std::map<attempt_id, held_task> Tasks;
-  std::map<job_id, milliseconds> Checkpoints; // progress saved, by job
+  std::shared_ptr<checkpoint_map> Checkpoints; // never null
   std::map<job_id, int> Runs;
 };
 
