Quarantine workers that fail everything, and probe them back

Cause: a worker that fails everything looks idle and attracts work.

Change: three different jobs in a row that fail on a worker, with no success between, quarantine it, up to a tenth of the fleet; a job that fails on a second worker clears both of it. A failed job avoids workers where it failed. One small idempotent job probes after 5 minutes, then after twice as long, up to an hour.

--- a/core/job/placement.cpp
+++ b/core/job/placement.cpp
@@ -59,6 +59,8 @@
 }
 
 int slotsOn(const worker_capacity &Worker, const placement_request &Request) {
+  if (std::ranges::find(Request.Avoid, Worker.Worker) != Request.Avoid.end())
+    return 0;
   int Room = std::max(0, Worker.Free);
   if (!Request.IsStoppable)
     Room = std::min(Room, unstoppableRoom(Worker, Request.Pool));
--- a/core/job/placement.hpp
+++ b/core/job/placement.hpp
@@ -56,6 +56,7 @@
   int AcceleratorsPerTask = 1;
   pool_id Pool;            // matters to unstoppable work only
   bool IsStoppable = true; // may run on cells guaranteed to other pools
+  std::vector<worker_id> Avoid = {}; // no task goes there
 
   friend auto operator<=>(const placement_request &,
                           const placement_request &) = default;
--- a/core/job/policy/strategy.hpp
+++ b/core/job/policy/strategy.hpp
@@ -29,8 +29,8 @@
   seconds AgeingTime{1'800}; // this much waiting outweighs the whole fleet
   seconds MoveAfter{30};     // a job waits this long before others are moved
   seconds MinRunBeforeMove{120};  // a gang runs this long before it is moved
-  seconds MoveInterval{15};        // between two searches for one job
-  int SearchesPerPass = 8;         // for gangs to stop, in one pass
+  seconds MoveInterval{15};       // between two searches for one job
+  int SearchesPerPass = 8;        // for gangs to stop, in one pass
   int DepartureGangsPerPass = 16; // gangs checkpointed in one pass
 
   friend bool operator==(const guaranteed_sharing &,
--- a/core/job/scheduler.cpp
+++ b/core/job/scheduler.cpp
@@ -53,6 +53,10 @@
 }
 
 bool known_worker::isUsable() const {
+  return isReachable() && !Health.IsQuarantined;
+}
+
+bool known_worker::isReachable() const {
   return IsListed && !IsLeaving && !IsSilent;
 }
 
--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -18,6 +18,7 @@
 #include "core/job/job.hpp"
 #include "core/job/placement.hpp"
 #include "core/job/policy/guarantee.hpp"
+#include "core/job/policy/quarantine.hpp"
 #include "core/job/policy/strategy.hpp"
 #include "core/job/worker_protocol.hpp"
 #include "core/log_event.hpp"
@@ -43,6 +44,7 @@
   milliseconds RebuildWindow{3'000};   // to hear workers after a take-over
   std::uint32_t MaxTaskFailures = 5;   // then an idempotent job has failed
   placement_strategy Strategy;         // baselines are for measurements
+  quarantine_settings Quarantine;      //
 };
 
 // [2] Events
@@ -193,6 +195,7 @@
   instant RunningSince{};           // when every member had confirmed
   std::vector<placed_member> Claim; // kept free for it until it starts there
   instant ClaimEnds{};              // the claim is given up by then
+  std::set<worker_id> FailedOn;     // workers where a task of it failed
   instant NextClaim{};              // no search for gangs to stop before this
 };
 
@@ -218,12 +221,16 @@
   std::vector<pool_use> Cells;               // guaranteed here, by the plan
   std::vector<task_report> Reported;         // as last heard
 
+  worker_health Health;
+
   void hold(const attempt_id &Attempt, int Count, const job_spec &Spec);
   void drop(const attempt_id &Attempt);
   void dropAll();
   [[nodiscard]] int freeAccelerators() const;
   /// Whether new work may go there.
   [[nodiscard]] bool isUsable() const;
+  /// Whether it is listed, stays and answers.
+  [[nodiscard]] bool isReachable() const;
   [[nodiscard]] worker_capacity capacity(const worker_id &Name) const;
 };
 
--- a/core/job/scheduler_internal.hpp
+++ b/core/job/scheduler_internal.hpp
@@ -48,6 +48,11 @@
   bool claimByEviction(const guaranteed_sharing &Policy, scheduled_job &Job);
   void checkpointForDeparture(const guaranteed_sharing &Policy);
 
+  // Bad workers: scheduler_health.cpp
+  void countFailure(scheduled_job &Job, const worker_id &Name);
+  void countSuccess(const worker_id &Name);
+  void placeProbes(std::vector<scheduled_job *> &Waiting);
+
   // Job life cycle: scheduler.cpp
   bool refuseIfImpossible(scheduled_job &Job);
   bool moveIfNotPermitted(scheduled_job &Job);
--- a/core/job/scheduler_policy.cpp
+++ b/core/job/scheduler_policy.cpp
@@ -163,6 +163,7 @@
 void scheduler_run::placeByPolicy(const guaranteed_sharing &Policy,
                                   std::vector<scheduled_job *> Waiting) {
   serveClaims();
+  placeProbes(Waiting);
   std::erase_if(Waiting, [](const scheduled_job *Job) {
     return Job->Step != gang_step::Waiting || !Job->Claim.empty();
   });
@@ -192,7 +193,12 @@
       Next->second.Jobs.pop_front();
       const placement_request Request = placementRequest(Job.Record.Spec);
       std::vector<placed_member> Members;
-      if (!Failed.contains(Request))
+      if (!Failed.contains(Request) && !Job.FailedOn.empty()) {
+        placement_request Careful = Request;
+        Careful.Avoid.assign(Job.FailedOn.begin(), Job.FailedOn.end());
+        Members = Index.choose(Careful);
+      }
+      if (!Failed.contains(Request) && Members.empty())
         Members = Index.choose(Request);
       if (!Members.empty()) {
         Index.take(Members, Request);
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -90,11 +90,13 @@
     return;
   case task_state::Failed:
     Job.HasRun = true;
-    ++Job.TaskFailures;
+    countFailure(Job, Member.Place.Worker);
     loseGang(Job, "a task failed on " + Member.Place.Worker.Value);
     return;
   case task_state::Succeeded:
     Job.HasRun = true;
+    if (!Member.HasSucceeded)
+      countSuccess(Member.Place.Worker);
     Member.HasSucceeded = true;
     if (std::ranges::all_of(Job.Members, &gang_member::HasSucceeded))
       releaseGang(Job, job_phase::Finished, "");
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -91,6 +91,15 @@
     "can start.",
     "None. If one organisation's gangs are evicted all day, its work exceeds "
     "what it is guaranteed."};
+const log_event WorkerQuarantined{
+    3104, Warning, "worker-quarantined",
+    "Several different jobs in a row failed on the worker; it gets no work but "
+    "a probe now and then.",
+    "Look at the worker. It returns by itself once a probe ends well."};
+const log_event WorkerReinstated{
+    3105, Info, "worker-reinstated",
+    "A probe ended well on a quarantined worker; it takes work again.",
+    "None."};
 
 const log_event RequestAnswered{
     4001, Info, "request-answered",
@@ -121,9 +130,9 @@
     &events::JobRefused,       &events::WorkerSilent,
     &events::WorkerBack,       &events::JobUnreadable,
     &events::GuaranteeUnmet,   &events::GuaranteeBound,
-    &events::GangEvicted,
-    &events::RequestAnswered,  &events::LeadershipGained,
-    &events::LeadershipLost,
+    &events::GangEvicted,      &events::WorkerQuarantined,
+    &events::WorkerReinstated, &events::RequestAnswered,
+    &events::LeadershipGained, &events::LeadershipLost,
 };
 
 } // namespace
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -83,6 +83,8 @@
 extern const log_event GuaranteeUnmet;
 extern const log_event GuaranteeBound;
 extern const log_event GangEvicted;
+extern const log_event WorkerQuarantined;
+extern const log_event WorkerReinstated;
 // 4000: requests
 extern const log_event RequestAnswered;
 // 5000: ownership
