--- a/tests/support/virtual_scheduler.cpp
+++ b/tests/support/virtual_scheduler.cpp
@@ -152,13 +152,15 @@
   store_transaction Transaction;
   Transaction.Conditions.push_back(key_missing{LeaderKey});
   Transaction.Changes.push_back(put_key{LeaderKey, Token, NewLease});
-  const auto Finish = [this, NewLease](bool IsWon, std::int64_t Revision) {
+  const auto Finish = [this, NewLease, Token](bool IsWon,
+                                              std::int64_t Revision) {
     if (!IsWon) {
       Around.Store.revokeLease(Name, NewLease);
       after(CampaignInterval, [this] { campaign(); });
       return;
     }
     Lease = NewLease;
+    LeaderToken = Token;
     lead(std::max<epoch>(Revision, HighestSeen + 1));
     after(KeepInterval, [this] { hold(); });
   };
@@ -315,6 +317,7 @@
 void virtual_scheduler::perform(const save_job &Effect) {
   queued_write Write;
   Write.Job = Effect.Record.Spec.Id;
+  Write.Revision = Effect.Revision;
   Write.Key = jobKey(Effect.Record.DataCentre, Write.Job);
   Write.Value = printJobRecord(Effect.Record);
   Write.Transaction.Conditions.push_back(
@@ -326,6 +329,7 @@
 void virtual_scheduler::perform(const move_job &Effect) {
   queued_write Write;
   Write.Job = Effect.Record.Spec.Id;
+  Write.Revision = Effect.Revision;
   Write.Key = jobKey(Effect.From, Write.Job);
   const data_centre_id &To = Effect.Record.DataCentre;
   Write.Transaction.Conditions.push_back(
@@ -339,6 +343,8 @@
 }
 
 void virtual_scheduler::enqueue(queued_write Write) {
+  // A scheduler that no longer holds the leader key changes no job.
+  Write.Transaction.Conditions.push_back(value_is{LeaderKey, LeaderToken});
   Queue.push_back(std::move(Write));
   if (std::exchange(IsDraining, true))
     return;
@@ -379,7 +385,8 @@
     return;
   }
   Around.Store.read(Name, Write.Key, [this, Write](const store_read &Read) {
-    if (Read.Error) {
+    // A read from before the record existed says nothing about it.
+    if (Read.Error || Read.Revision < Write.Revision) {
       report(Write.Job, job_saved::outcome::Unreachable, 0);
       return;
     }
