Route requests through a reducer with fair queueing, budgeted retries and ejection

Cause: requests polled for a free slot, retried without a bound, and a retry that was refused hid an earlier try that may have run: the caller was told not-run. The dispatch record cost one store call a request, never expired, and a repeat never got the first answer.

Change: core/request/ holds admission (weighted fair queueing by organisation and class, bounded queues, early refusal), the choice of executor (power of two choices, ejection of at most half, probes) and retries (budget of a tenth, decorrelated jitter) as one reducer. The stage of an exchange decides the verdict, and verdicts of several tries are joined. Dispatch records are written by group commit under a rate of calls, expire with a lease, keep small answers for repeats and refuse a key that comes with another body. Repeated header fields are all passed on, those that Connection names are not, and an answer whose end can't be recognised is not taken for whole.

Conclusion: decisions about requests are now values that tests drive without a clock or a socket.

--- /dev/null
+++ b/apps/entry/dispatch_log.cpp
@@ -0,0 +1,291 @@
+#include "apps/entry/dispatch_log.hpp"
+
+#include "apps/runtime/process.hpp"
+#include "core/error.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace galenastage {
+namespace {
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+// A lease holds all records of this long; then a new one is taken. Records so
+// live for DispatchRecordLife at least and that much longer at most.
+constexpr seconds LeaseTurn{3'600};
+constexpr int ReplaceAttempts = 3;
+
+const std::string &keyOf(const store_change &Change) {
+  return std::visit(
+      [](const auto &Any) -> const std::string & { return Any.Key; }, Change);
+}
+
+/// One record to be written with the next call that has room.
+struct pending_write {
+  pending_write(asio::io_context &Context, store_transaction Transaction)
+      : Transaction(std::move(Transaction)), Done(Context) {}
+
+  store_transaction Transaction;
+  asio::steady_timer Done; // cancelled when Result has come
+  std::optional<store_write> Result;
+  bool IsWithdrawn = false; // nobody waits any more; not yet sent
+  int AttemptsLeft = 1;
+};
+using pending_write_ptr = std::shared_ptr<pending_write>;
+
+} // namespace
+
+struct dispatch_log::state : std::enable_shared_from_this<state> {
+  state(asio::io_context &Context, const endpoint &Endpoint,
+        std::string LocalAddress, dispatch_log_settings Settings)
+      : Context(Context), Store(Context, Endpoint, std::move(LocalAddress)),
+        Settings(Settings) {}
+
+  // Group commit
+
+  void add(const pending_write_ptr &Write) {
+    Pending.push_back(Write);
+    ++Unfinished;
+    if (IsWriting)
+      return;
+    IsWriting = true;
+    asio::co_spawn(Context, writeAll(), asio::detached);
+  }
+
+  task<void> writeAll() {
+    auto Self = shared_from_this();
+    while (!Pending.empty()) {
+      co_await waitForTurn();
+      std::vector<pending_write_ptr> Group = takeGroup();
+      if (!Group.empty())
+        co_await writeGroup(std::move(Group));
+    }
+    IsWriting = false;
+  }
+
+  /// Keeps to the rate of calls: each one moves the moment at which the burst
+  /// is whole again (generic cell rate algorithm).
+  task<void> waitForTurn() {
+    const milliseconds Interval(1'000 / Settings.WritesPerSecond);
+    const instant Earliest = NextTurn - Interval * (Settings.Burst - 1);
+    const milliseconds Wait = Earliest - readClock();
+    if (Wait > milliseconds(0))
+      co_await sleepFor(Context, Wait);
+    NextTurn = std::max(NextTurn, readClock()) + Interval;
+  }
+
+  /// The oldest writes, with each key once: a call must not change one twice.
+  std::vector<pending_write_ptr> takeGroup() {
+    std::vector<pending_write_ptr> Group;
+    std::deque<pending_write_ptr> Rest;
+    std::set<std::string> Keys;
+    for (pending_write_ptr &Write : Pending) {
+      if (Write->IsWithdrawn) {
+        --Unfinished;
+        continue;
+      }
+      const bool IsNewKey =
+          Keys.insert(keyOf(Write->Transaction.Changes.front())).second;
+      const bool Fits = IsNewKey && Group.size() < Settings.GroupSize;
+      (Fits ? static_cast<void>(Group.push_back(std::move(Write)))
+            : static_cast<void>(Rest.push_back(std::move(Write))));
+    }
+    Pending = std::move(Rest);
+    return Group;
+  }
+
+  task<void> writeGroup(std::vector<pending_write_ptr> Group) {
+    const std::int64_t Lease = co_await currentLease();
+    if (Lease == 0) { // without one the records would stay for ever
+      store_write Failed;
+      Failed.Error = errc::StoreUnavailable;
+      for (const pending_write_ptr &Write : Group)
+        finish(Write, Failed);
+      co_return;
+    }
+    std::vector<store_transaction> Transactions;
+    Transactions.reserve(Group.size());
+    for (const pending_write_ptr &Write : Group)
+      Transactions.push_back(withLease(Write->Transaction, Lease));
+    std::vector<store_write> Writes = co_await Store.commitGroup(Transactions);
+    if (!Writes.empty() && Writes.front().Error)
+      LeaseId = 0; // it may be the lease that the store doesn't know
+    if (isAmbiguous(Writes))
+      Writes = co_await readBack(Transactions);
+    for (std::size_t I = 0; I < Group.size(); ++I)
+      finish(Group[I], Writes[I]);
+  }
+
+  static bool isAmbiguous(const std::vector<store_write> &Writes) {
+    return std::ranges::any_of(Writes, [](const store_write &Write) {
+      return Write.Error && Write.Verdict == verdict::Unknown;
+    });
+  }
+
+  /// After a lost answer: asks, for each write at once, whether it took effect.
+  task<std::vector<store_write>>
+  readBack(const std::vector<store_transaction> &Written) {
+    std::vector<store_transaction> Questions;
+    Questions.reserve(Written.size());
+    for (const store_transaction &Transaction : Written) {
+      store_transaction Question;
+      const store_change &Change = Transaction.Changes.front();
+      if (const auto *Put = std::get_if<put_key>(&Change))
+        Question.Conditions.push_back(value_is{Put->Key, Put->Value});
+      else
+        Question.Conditions.push_back(key_missing{keyOf(Change)});
+      Questions.push_back(std::move(Question));
+    }
+    std::vector<store_write> Answers =
+        co_await Store.commitGroup(std::move(Questions));
+    co_return Answers;
+  }
+
+  static store_transaction withLease(store_transaction Transaction,
+                                     std::int64_t Lease) {
+    for (store_change &Change : Transaction.Changes)
+      if (auto *Put = std::get_if<put_key>(&Change))
+        Put->Lease = Lease;
+    return Transaction;
+  }
+
+  void finish(const pending_write_ptr &Write, const store_write &Result) {
+    --Unfinished;
+    --Write->AttemptsLeft;
+    if (Result.Error && Write->AttemptsLeft > 0) {
+      add(Write);
+      return;
+    }
+    Write->Result = Result;
+    Write->Done.cancel();
+  }
+
+  /// The lease that new records hang on; 0 when the store grants none.
+  task<std::int64_t> currentLease() {
+    const instant Now = readClock();
+    if (LeaseId != 0 && Now < LeaseTaken + LeaseTurn)
+      co_return LeaseId;
+    const store_lease Lease =
+        co_await Store.grantLease(DispatchRecordLife + LeaseTurn);
+    LeaseId = Lease.Error ? 0 : Lease.Id;
+    LeaseTaken = Now;
+    co_return LeaseId;
+  }
+
+  // The calls of traffic threads, on this thread
+
+  task<recorded> create(std::string Key, dispatch_record Record,
+                        instant Deadline) {
+    auto Self = shared_from_this();
+    store_transaction Transaction;
+    Transaction.Conditions.push_back(key_missing{Key});
+    Transaction.Changes.push_back(put_key{Key, printDispatchRecord(Record)});
+    const auto Write =
+        std::make_shared<pending_write>(Context, std::move(Transaction));
+    Write->Done.expires_after(
+        std::max(Deadline - readClock(), milliseconds(0)));
+    add(Write);
+    if (!Write->Result)
+      co_await Write->Done.async_wait(AsTuple);
+    const bool IsLate = !Write->Result;
+    if (IsLate || Write->Result->Error) {
+      // It may still be written. Nothing leaves, so it is taken back.
+      Write->IsWithdrawn = true;
+      if (IsLate || Write->Result->Verdict != verdict::NotRun)
+        replace(Key, Record, std::nullopt);
+      const errc Reason =
+          IsLate ? errc::DeadlineExceeded : errc::StoreUnavailable;
+      co_return recorded{Reason, std::nullopt};
+    }
+    if (Write->Result->IsApplied)
+      co_return recorded{{}, std::move(Record)};
+    recorded Found = co_await read(std::move(Key));
+    co_return Found;
+  }
+
+  task<recorded> read(std::string Key) {
+    auto Self = shared_from_this();
+    const store_read Read = co_await Store.read(std::move(Key));
+    recorded Result;
+    Result.Error = Read.Error;
+    if (Read.Error)
+      co_return Result;
+    if (!Read.Entries.empty())
+      Result.Found = parseDispatchRecord(Read.Entries.front().Value);
+    if (!Result.Found)
+      Result.Error = errc::StoreUnavailable; // removed meanwhile, or unreadable
+    co_return Result;
+  }
+
+  void replace(const std::string &Key, const dispatch_record &Old,
+               const std::optional<dispatch_record> &New) {
+    store_transaction Transaction;
+    Transaction.Conditions.push_back(value_is{Key, printDispatchRecord(Old)});
+    if (New)
+      Transaction.Changes.push_back(put_key{Key, printDispatchRecord(*New)});
+    else
+      Transaction.Changes.push_back(delete_key{Key});
+    const auto Write =
+        std::make_shared<pending_write>(Context, std::move(Transaction));
+    Write->AttemptsLeft = ReplaceAttempts;
+    add(Write);
+  }
+
+  asio::io_context &Context;
+  store_client Store;
+  dispatch_log_settings Settings;
+  std::deque<pending_write_ptr> Pending;
+  bool IsWriting = false;
+  std::atomic<int> Unfinished{0};
+  instant NextTurn;
+  std::int64_t LeaseId = 0;
+  instant LeaseTaken;
+};
+
+dispatch_log::dispatch_log(asio::io_context &Context, const endpoint &Store,
+                           std::string LocalAddress,
+                           dispatch_log_settings Settings)
+    : State(std::make_shared<state>(Context, Store, std::move(LocalAddress),
+                                    Settings)) {}
+
+dispatch_log::~dispatch_log() = default;
+
+task<dispatch_log::recorded> dispatch_log::create(std::string Key,
+                                                  dispatch_record Record,
+                                                  instant Deadline) {
+  recorded Result = co_await asio::co_spawn(
+      State->Context,
+      State->create(std::move(Key), std::move(Record), Deadline),
+      asio::use_awaitable);
+  co_return Result;
+}
+
+task<dispatch_log::recorded> dispatch_log::read(std::string Key) {
+  recorded Result = co_await asio::co_spawn(
+      State->Context, State->read(std::move(Key)), asio::use_awaitable);
+  co_return Result;
+}
+
+void dispatch_log::replace(std::string Key, dispatch_record Old,
+                           std::optional<dispatch_record> New) {
+  // Counted at once: a stop must not overlook what is on its way.
+  ++State->Unfinished;
+  asio::post(State->Context, [State = State, Key = std::move(Key),
+                              Old = std::move(Old), New = std::move(New)] {
+    State->replace(Key, Old, New);
+    --State->Unfinished;
+  });
+}
+
+std::uint64_t dispatch_log::calls() const { return State->Store.calls(); }
+
+bool dispatch_log::isIdle() const { return State->Unfinished == 0; }
+
+} // namespace galenastage
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds ConfirmInterval{1'000};
 constexpr milliseconds ListInterval{500};
 constexpr milliseconds DrainPoll{20};
+constexpr milliseconds GateInterval{10};
 // The balancer needs this long to notice that /readyz fails.
 constexpr milliseconds BalancerDelay{500};
 
@@ -28,10 +29,11 @@
         State({instance_id(Config.Instance), Config.DataCentre,
                Config.SlotsPerExecutor}),
         Store(Io.context(0), Config.Store, Config.Listen.Address),
-        List(Io.context(0), Config.Platform, Config.Listen.Address) {
+        List(Io.context(0), Config.Platform, Config.Listen.Address),
+        Requests(Io.context(0), Config) {
     for (int I = 1; I <= Config.Threads; ++I) {
       Traffic.push_back(
-          std::make_unique<traffic_thread>(Io.context(I), Config));
+          std::make_unique<traffic_thread>(Io.context(I), Config, Requests));
       traffic_thread &Thread = *Traffic.back();
       Servers.push_back(std::make_unique<http_server>(
           Io.context(I), Config.Listen, [&Thread](http_request Request) {
@@ -61,6 +63,7 @@
                                    post(toMembers(Instances));
                                  }),
                    asio::detached);
+    asio::co_spawn(Context, passTime(), asio::detached);
     for (auto &Thread : Traffic)
       Thread->IsReady = true;
     Io.start();
@@ -73,12 +76,19 @@
     std::this_thread::sleep_for(BalancerDelay);
     for (auto &Server : Servers)
       Server->stopAccepting();
-    while (openRequests() > 0)
+    while (openRequests() > 0 || !Requests.Log.isIdle())
       std::this_thread::sleep_for(DrainPoll);
     Io.stop();
   }
 
 private:
+  task<void> passTime() {
+    while (true) {
+      Requests.Gate.passTime();
+      co_await sleepFor(Io.context(0), GateInterval);
+    }
+  }
+
   static executors_seen toExecutors(const std::vector<instance> &Instances) {
     executors_seen Seen;
     for (const instance &Row : Instances)
@@ -102,6 +112,7 @@
   }
 
   void perform(const publish_snapshot &Effect) {
+    Requests.Gate.list(Effect.Snapshot->Executors);
     for (auto &Thread : Traffic)
       asio::post(Thread->Context,
                  [&Thread = *Thread, Snapshot = Effect.Snapshot] {
@@ -123,6 +134,7 @@
   entry_state State; // touched by the control thread only
   store_client Store;
   instance_list_client List;
+  request_services Requests;
   std::vector<std::unique_ptr<traffic_thread>> Traffic;
   std::vector<std::unique_ptr<http_server>> Servers;
   control_thread Control;
--- a/apps/entry/requests_api.cpp
+++ b/apps/entry/requests_api.cpp
@@ -3,8 +3,6 @@
 #include "apps/runtime/process.hpp"
 #include "core/request/routing.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -12,32 +10,58 @@
 namespace galenastage {
 namespace {
 
-using nlohmann::json;
-
+constexpr const char *VerdictHeader = "Galenastage-Verdict";
 constexpr std::string_view PathPrefix = "/v1/requests";
 constexpr std::size_t RequestIdDigits = 16;
-constexpr int MaxTries = 3;
-constexpr milliseconds SlotPoll{2};
-constexpr milliseconds MaxSlotWait{5'000};
+// A repeat that finds its first request still in progress looks again.
+constexpr milliseconds RepeatPoll{400};
+constexpr int RepeatPolls = 3;
 
 // Fields that concern one connection only (RFC 9110, 7.6.1).
 constexpr std::array HopByHop = {
     "Connection",        "Keep-Alive", "Proxy-Connection",
     "Transfer-Encoding", "Upgrade",    "TE",
     "Trailer",           "Host",       "Proxy-Authorization",
-    "Content-Length"};
+    "Content-Length",    "Expect"};
 
-bool isHopByHop(const std::string &Name) {
+bool isSameName(std::string_view Left, std::string_view Right) {
   http_headers Single;
-  Single.Fields.push_back({Name, "x"});
-  return std::ranges::any_of(
-      HopByHop, [&](const char *Field) { return !Single.find(Field).empty(); });
+  Single.Fields.push_back({std::string(Left), "x"});
+  return !Single.find(Right).empty();
+}
+
+std::string_view trimmed(std::string_view Text) {
+  const std::size_t First = Text.find_first_not_of(" \t");
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(" \t") - First + 1);
 }
 
+/// Whether a Connection field names this one as its own.
+bool isNamedByConnection(const http_headers &Headers, std::string_view Name) {
+  std::string_view Rest = Headers.find("Connection");
+  while (!Rest.empty()) {
+    const std::size_t Comma = std::min(Rest.find(','), Rest.size());
+    if (isSameName(trimmed(Rest.substr(0, Comma)), Name))
+      return true;
+    Rest.remove_prefix(std::min(Comma + 1, Rest.size()));
+  }
+  return false;
+}
+
+bool isHopByHop(const http_headers &Headers, const std::string &Name) {
+  const bool IsKnown = std::ranges::any_of(
+      HopByHop, [&](const char *Field) { return isSameName(Name, Field); });
+  return IsKnown || isNamedByConnection(Headers, Name);
+}
+
+/// The fields that concern the message itself. The verdict is this system's to
+/// give, in either direction.
 http_headers passThrough(const http_headers &Headers) {
   http_headers Result;
   for (const http_header &Field : Headers.Fields)
-    if (!isHopByHop(Field.Name))
+    if (!isHopByHop(Headers, Field.Name) &&
+        !isSameName(Field.Name, VerdictHeader))
       Result.Fields.push_back(Field);
   return Result;
 }
@@ -52,165 +76,296 @@
   return std::min(Route.Timeout, milliseconds(Wanted));
 }
 
-http_response overloadedResponse() {
-  http_response Response =
-      problemResponse(503, "overloaded", "no executor slot became free in time",
-                      verdict::NotRun);
-  Response.Headers.set("Retry-After", "1");
-  return Response;
-}
-
 /// One request on its way through this instance.
 struct routed_request {
   http_request Request;
   route Route;
+  organisation_id Organisation;
   std::string Id;
   instant Deadline;
 };
 
-/// Waits for a free slot until the deadline or a bound, whichever is first.
-task<std::optional<executor_choice>> waitForSlot(traffic_thread &Thread,
-                                                 const routed_request &Routed) {
-  const instant GiveUp = std::min(Routed.Deadline, readClock() + MaxSlotWait);
-  while (readClock() < GiveUp) {
-    if (const executor_choice *Choice =
-            takeSlot(*Thread.Snapshot, Routed.Route))
-      co_return *Choice;
-    co_await sleepFor(Thread.Context, SlotPoll);
+/// What a request came to, for the caller and for the access log.
+struct routed_answer {
+  http_response Response;
+  verdict Verdict = verdict::NotRun;
+  executor_id Executor; // of the last try
+  int Tries = 0;
+};
+
+organisation_id organisationOf(const tables &Tables, const route &Route) {
+  const pool *Pool = findPool(Tables, Route.Pool);
+  return Pool ? Pool->Organisation : organisation_id();
+}
+
+request_ask askOf(const routed_request &Routed) {
+  request_ask Ask;
+  Ask.Organisation = Routed.Organisation;
+  Ask.Class = Routed.Route.Class;
+  Ask.Query.Service = Routed.Route.Service;
+  Ask.Query.DataCentres = Routed.Route.DataCentres;
+  Ask.Query.IsIdempotent = Routed.Route.IsIdempotent;
+  Ask.Deadline = Routed.Deadline;
+  return Ask;
+}
+
+// Answers of the system's own
+
+std::string_view describe(refusal Reason) {
+  switch (Reason) {
+  case refusal::NoExecutor:
+    return "no executor may answer this route at the moment";
+  case refusal::QueueFull:
+    return "too many requests of this organisation and class wait already";
+  case refusal::DeadlineTooSoon:
+    break;
   }
-  co_return std::nullopt;
+  return "the request can't be answered before its deadline";
 }
 
-/// Sends the request to one executor and gives its slot back.
-task<http_result> sendOnce(traffic_thread &Thread, const routed_request &Routed,
-                           executor_choice Choice) {
+routed_answer ownAnswer(unsigned Status, std::string_view Title,
+                        std::string_view Detail, verdict Verdict) {
+  routed_answer Answer;
+  Answer.Response = problemResponse(Status, Title, Detail, Verdict);
+  Answer.Verdict = Verdict;
+  return Answer;
+}
+
+routed_answer storeUnavailable() {
+  routed_answer Answer;
+  Answer.Response = storeUnavailableResponse(verdict::NotRun);
+  return Answer;
+}
+
+/// The answer to a request that is not tried (again). The verdict covers the
+/// tries that were made.
+routed_answer refusedAnswer(const refuse_request &Refused) {
+  const unsigned Status = Refused.Verdict == verdict::NotRun ? 503 : 504;
+  routed_answer Answer = ownAnswer(Status, "overloaded",
+                                   describe(Refused.Reason), Refused.Verdict);
+  Answer.Response.Headers.set("Retry-After",
+                              std::to_string(Refused.RetryAfter.count()));
+  return Answer;
+}
+
+// One try
+
+http_request forwardedRequest(const routed_request &Routed, milliseconds Left) {
   http_request Forwarded;
   Forwarded.Method = Routed.Request.Method;
   Forwarded.Target = Routed.Request.Target.substr(PathPrefix.size());
   Forwarded.Headers = passThrough(Routed.Request.Headers);
   Forwarded.Headers.set("Galenastage-Request-Id", Routed.Id);
-  Forwarded.Body = Routed.Request.Body;
-  const milliseconds Left = Routed.Deadline - readClock();
   Forwarded.Headers.set("Galenastage-Timeout-Ms", std::to_string(Left.count()));
-  http_result Result =
-      co_await Thread.Upstream.send(Choice.Row.Address, std::move(Forwarded),
-                                    std::max(Left, milliseconds(1)));
-  Choice.Counter->InUse.fetch_sub(1);
-  // An executor over its limits says so before it runs anything.
-  const bool IsRefused = !Result.Error && Result.Response.Status == 503 &&
-                         Result.Response.Headers.find("Galenastage-Verdict") ==
-                             name(verdict::NotRun);
-  if (IsRefused)
+  Forwarded.Body = Routed.Request.Body;
+  return Forwarded;
+}
+
+answer_facts factsOf(const http_result &Result) {
+  const std::string_view Verdict = Result.Response.Headers.find(VerdictHeader);
+  return {Result.Response.Status, Verdict == name(verdict::NotRun),
+          Result.Closes};
+}
+
+/// Sends the request to one executor. A refusal before running is NotRun.
+task<http_result> sendOnce(traffic_thread &Thread, const routed_request &Routed,
+                           endpoint Executor) {
+  const milliseconds Left =
+      std::max(Routed.Deadline - readClock(), milliseconds(1));
+  const connection_use Use =
+      Routed.Route.IsIdempotent ? connection_use::Reuse : connection_use::Fresh;
+  http_result Result = co_await Thread.Upstream.send(
+      Executor, forwardedRequest(Routed, Left), Left, Use);
+  if (Result.Stage == exchange_stage::Answered && isRefusal(factsOf(Result)))
     Result.Verdict = verdict::NotRun;
   co_return Result;
 }
 
-bool isAnswered(const http_result &Result) {
-  return !Result.Error && Result.Verdict == verdict::Ran;
+/// The answer after the last try. Earlier tries count in the verdict.
+routed_answer finalAnswer(http_result Result, const finish_request &Finished) {
+  routed_answer Answer;
+  if (Result.Verdict == verdict::Ran) {
+    Answer.Response = std::move(Result.Response);
+    Answer.Response.Headers = passThrough(Answer.Response.Headers);
+  } else if (Finished.Verdict == verdict::NotRun) {
+    Answer = ownAnswer(503, "no executor accepted the request",
+                       Result.Error ? Result.Error.message() : "refused",
+                       verdict::NotRun);
+    Answer.Response.Headers.set("Retry-After", "1");
+  } else {
+    Answer = ownAnswer(504, "no whole answer",
+                       Result.Error ? Result.Error.message() : "refused",
+                       Finished.Verdict);
+  }
+  Answer.Verdict = Finished.Verdict;
+  return Answer;
 }
 
-/// Tries executors until one answers or a retry is no longer safe.
-task<http_result> sendWithRetries(traffic_thread &Thread,
-                                  const routed_request &Routed) {
+/// Performs the gate's decisions until one of them is final.
+task<routed_answer> sendThroughGate(traffic_thread &Thread,
+                                    const routed_request &Routed,
+                                    request_number Number) {
+  request_gate &Gate = Thread.Requests.Gate;
   http_result Result;
-  for (int Try = 0; Try < MaxTries; ++Try) {
-    const auto Choice = co_await waitForSlot(Thread, Routed);
-    if (!Choice) {
-      if (Try == 0)
-        Result.Error =
-            std::make_error_code(std::errc::resource_unavailable_try_again);
-      break;
-    }
-    Result = co_await sendOnce(Thread, Routed, *Choice);
-    const bool MayRetry =
-        Result.Verdict == verdict::NotRun || Routed.Route.IsIdempotent;
-    if (isAnswered(Result) || !MayRetry || readClock() >= Routed.Deadline)
-      break;
+  executor_id Executor;
+  int Tries = 0;
+  request_effect Effect =
+      co_await Gate.arrive(Thread.Context, Number, askOf(Routed));
+  while (const auto *Send = std::get_if<send_request>(&Effect)) {
+    Executor = Send->Executor.Executor;
+    ++Tries;
+    const instant Began = readClock();
+    Result = co_await sendOnce(Thread, Routed, Send->Executor.Address);
+    try_ended Ended;
+    Ended.Number = Number;
+    Ended.Outcome = outcomeOf(Result.Stage, factsOf(Result));
+    Ended.Verdict = Result.Verdict;
+    Ended.Took = readClock() - Began;
+    Effect = co_await Gate.endTry(Thread.Context, Ended);
   }
-  co_return Result;
+  routed_answer Answer;
+  if (const auto *Refused = std::get_if<refuse_request>(&Effect))
+    Answer = refusedAnswer(*Refused);
+  else
+    Answer = finalAnswer(std::move(Result), std::get<finish_request>(Effect));
+  Answer.Executor = Executor;
+  Answer.Tries = Tries;
+  co_return Answer;
 }
 
-http_response answerOf(http_result Result) {
-  if (isAnswered(Result)) {
-    Result.Response.Headers = passThrough(Result.Response.Headers);
-    return std::move(Result.Response);
-  }
-  if (Result.Verdict == verdict::NotRun)
-    return overloadedResponse();
-  return problemResponse(504, "no whole answer", Result.Error.message(),
-                         Result.Verdict);
+// At most once
+
+routed_answer replayed(const kept_answer &Kept) {
+  routed_answer Answer;
+  Answer.Response.Status = Kept.Status;
+  Answer.Response.Body = Kept.Body;
+  if (!Kept.ContentType.empty())
+    Answer.Response.Headers.set("Content-Type", Kept.ContentType);
+  Answer.Response.Headers.set("Galenastage-Replayed", "true");
+  Answer.Verdict = verdict::Ran;
+  return Answer;
 }
 
-// At most once
+/// The answer to a repeat; nullopt when the record is the request's own.
+std::optional<routed_answer> answerRepeat(const repeat_decision &Decision) {
+  using answer = std::optional<routed_answer>;
+  return std::visit(
+      overloaded{[](const own_record &) -> answer { return std::nullopt; },
+                 [](const key_reused &) -> answer {
+                   return ownAnswer(422, "Idempotency-Key reused",
+                                    "another request has already used this key",
+                                    verdict::NotRun);
+                 },
+                 [](const replay_answer &Replay) -> answer {
+                   return replayed(Replay.Answer);
+                 },
+                 [](const already_ran &) -> answer {
+                   return ownAnswer(409, "already ran",
+                                    "the first answer was too large to be kept",
+                                    verdict::Ran);
+                 },
+                 [](const still_dispatched &) -> answer {
+                   return ownAnswer(
+                       409, "already dispatched",
+                       "the first request has not been answered yet",
+                       verdict::Unknown);
+                 },
+                 [](const outcome_unknown &) -> answer {
+                   return ownAnswer(409, "already dispatched",
+                                    "the first request got no whole answer",
+                                    verdict::Unknown);
+                 }},
+      Decision);
+}
 
-std::string dispatchKey(const route &Route, const std::string &Key) {
-  return "/galenastage/dispatch/" + Route.Name.Value + "/" + Key;
-}
-
-/// Records that a non-idempotent request is about to leave. Returns an answer
-/// for the caller when it must not leave.
-task<std::optional<http_response>> recordDispatch(traffic_thread &Thread,
-                                                  const routed_request &Routed,
-                                                  std::string Key) {
-  const std::string Record =
-      json{{"request_id", Routed.Id}, {"state", "dispatched"}}.dump();
-  store_transaction Transaction;
-  Transaction.Conditions.push_back(key_missing{Key});
-  Transaction.Changes.push_back(put_key{Key, Record});
-  const store_write Write =
-      co_await Thread.Store.commit(std::move(Transaction));
-  if (!Write.Error && Write.IsApplied)
-    co_return std::nullopt;
-  if (Write.Error && Write.Verdict == verdict::NotRun)
-    co_return storeUnavailableResponse(verdict::NotRun);
-  const store_read Read = co_await Thread.Store.read(Key);
-  if (Read.Error)
-    co_return storeUnavailableResponse(verdict::NotRun);
-  const bool IsOurs =
-      !Read.Entries.empty() && Read.Entries.front().Value == Record;
-  if (IsOurs)
-    co_return std::nullopt; // the write took effect, its answer was lost
-  if (Read.Entries.empty())
-    co_return storeUnavailableResponse(verdict::NotRun);
-  const json Earlier = json::parse(Read.Entries.front().Value, nullptr, false);
-  const bool HasRun =
-      Earlier.is_object() && Earlier.value("state", "") == "answered";
-  co_return problemResponse(409, "already dispatched",
-                            "a request with this Idempotency-Key has left",
-                            HasRun ? verdict::Ran : verdict::Unknown);
-}
-
-/// Notes the outcome for later repeats. Best effort: without it a repeat is
-/// told "unknown", which is true as well.
-task<void> recordOutcome(traffic_thread &Thread, std::string Id,
-                         std::string Key, verdict Verdict) {
-  store_transaction Transaction;
-  if (Verdict == verdict::NotRun)
-    Transaction.Changes.push_back(delete_key{Key});
-  else
-    Transaction.Changes.push_back(put_key{
-        Key, json{{"request_id", Id},
-                  {"state", Verdict == verdict::Ran ? "answered" : "unknown"}}
-                 .dump()});
-  co_await Thread.Store.commit(std::move(Transaction));
-}
-
-task<http_response> routeRequest(traffic_thread &Thread,
-                                 routed_request Routed) {
-  if (Routed.Route.IsIdempotent) {
-    http_result Result = co_await sendWithRetries(Thread, Routed);
-    co_return answerOf(std::move(Result));
+/// Looks again while the first request of this key may still be in progress.
+task<repeat_decision> awaitFirst(traffic_thread &Thread, std::string Key,
+                                 dispatch_record Own, instant Deadline,
+                                 repeat_decision Decision) {
+  for (int I = 0; I < RepeatPolls; ++I) {
+    if (!std::holds_alternative<still_dispatched>(Decision) ||
+        readClock() + RepeatPoll >= Deadline)
+      break;
+    co_await sleepFor(Thread.Context, RepeatPoll);
+    const dispatch_log::recorded Read = co_await Thread.Requests.Log.read(Key);
+    if (Read.Found)
+      Decision = decideRepeat(*Read.Found, Own);
   }
+  co_return Decision;
+}
+
+/// What the record becomes after the exchange; none: it is removed, so that a
+/// repeat may run.
+std::optional<dispatch_record> outcomeRecord(const dispatch_record &Record,
+                                             const routed_answer &Answer) {
+  if (Answer.Verdict == verdict::NotRun)
+    return std::nullopt;
+  if (Answer.Verdict == verdict::Ran)
+    return answeredRecord(
+        Record, {Answer.Response.Status,
+                 std::string(Answer.Response.Headers.find("Content-Type")),
+                 Answer.Response.Body});
+  dispatch_record Unknown = Record;
+  Unknown.State = dispatch_state::Unknown;
+  return Unknown;
+}
+
+/// Records the dispatch, sends, and records the outcome.
+task<routed_answer> sendAtMostOnce(traffic_thread &Thread,
+                                   const routed_request &Routed,
+                                   request_number Number) {
+  dispatch_log &Log = Thread.Requests.Log;
   std::string CallerKey(Routed.Request.Headers.find("Idempotency-Key"));
+  if (CallerKey.size() > MaxIdempotencyKeyBytes)
+    co_return ownAnswer(400, "Idempotency-Key too long",
+                        "at most 200 characters", verdict::NotRun);
   if (CallerKey.empty())
-    CallerKey = Routed.Id;
-  const std::string Key = dispatchKey(Routed.Route, CallerKey);
-  auto Refused = co_await recordDispatch(Thread, Routed, Key);
-  if (Refused)
-    co_return std::move(*Refused);
-  const http_result Result = co_await sendWithRetries(Thread, Routed);
-  co_await recordOutcome(Thread, Routed.Id, Key, Result.Verdict);
-  co_return answerOf(Result);
+    CallerKey = "request-" + Routed.Id;
+  const auto Refusal = Thread.Requests.Gate.refusalNow(Number, askOf(Routed));
+  if (Refusal)
+    co_return refusedAnswer(*Refusal);
+
+  const std::string Key = dispatchRecordKey(Routed.Organisation, CallerKey);
+  dispatch_record Own;
+  Own.RequestId = Routed.Id;
+  Own.ContentHash = contentHash(Routed.Request.Method, Routed.Request.Target,
+                                Routed.Request.Body);
+  const dispatch_log::recorded Recorded =
+      co_await Log.create(Key, Own, Routed.Deadline);
+  if (Recorded.Error || !Recorded.Found)
+    co_return storeUnavailable();
+  repeat_decision Decision = decideRepeat(*Recorded.Found, Own);
+  Decision = co_await awaitFirst(Thread, Key, Own, Routed.Deadline,
+                                 std::move(Decision));
+  auto Repeated = answerRepeat(Decision);
+  if (Repeated)
+    co_return std::move(*Repeated);
+
+  routed_answer Answer = co_await sendThroughGate(Thread, Routed, Number);
+  Log.replace(Key, Own, outcomeRecord(Own, Answer));
+  co_return Answer;
+}
+
+task<routed_answer> routeRequest(traffic_thread &Thread,
+                                 const routed_request &Routed) {
+  const request_number Number = Thread.Requests.Gate.nextNumber();
+  if (Routed.Route.IsIdempotent)
+    co_return co_await sendThroughGate(Thread, Routed, Number);
+  co_return co_await sendAtMostOnce(Thread, Routed, Number);
+}
+
+void logAccess(const routed_request &Routed, const routed_answer &Answer,
+               milliseconds Took) {
+  writeLog(events::RequestAnswered,
+           {{"request", Routed.Id},
+            {"route", Routed.Route.Name.Value},
+            {"organisation", Routed.Organisation.Value},
+            {"class", std::string(name(Routed.Route.Class))},
+            {"executor", Answer.Executor.Value},
+            {"tries", std::to_string(Answer.Tries)},
+            {"status", std::to_string(Answer.Response.Status)},
+            {"verdict", std::string(name(Answer.Verdict))},
+            {"ms", std::to_string(Took.count())}});
 }
 
 } // namespace
@@ -220,28 +375,22 @@
   if (!Thread.Snapshot)
     co_return storeUnavailableResponse(verdict::NotRun);
   const instant Began = readClock();
+  const entry_snapshot_ptr Snapshot = Thread.Snapshot;
   const std::string Path(Request.path().substr(PathPrefix.size()));
-  const route *Route = matchRoute(*Thread.Snapshot->Tables, Path);
+  const route *Route = matchRoute(*Snapshot->Tables, Path);
   if (!Route)
     co_return problemResponse(404, "no route", Path, verdict::NotRun);
 
   routed_request Routed;
   Routed.Route = *Route;
+  Routed.Organisation = organisationOf(*Snapshot->Tables, *Route);
   Routed.Id = randomHex(RequestIdDigits);
   Routed.Deadline = Began + timeoutOf(Request, *Route);
   Routed.Request = std::move(Request);
-  const std::string Id = Routed.Id;
-  const std::string RouteName = Route->Name.Value;
-  http_response Response = co_await routeRequest(Thread, std::move(Routed));
-  Response.Headers.set("Galenastage-Request-Id", Id);
-  const std::string_view Verdict = Response.Headers.find("Galenastage-Verdict");
-  writeLog(events::RequestAnswered,
-           {{"request", Id},
-            {"route", RouteName},
-            {"status", std::to_string(Response.Status)},
-            {"verdict", Verdict.empty() ? "ran" : std::string(Verdict)},
-            {"ms", std::to_string((readClock() - Began).count())}});
-  co_return Response;
+  routed_answer Answer = co_await routeRequest(Thread, Routed);
+  Answer.Response.Headers.set("Galenastage-Request-Id", Routed.Id);
+  logAccess(Routed, Answer, readClock() - Began);
+  co_return std::move(Answer.Response);
 }
 
 } // namespace galenastage
--- a/apps/entry/traffic.hpp
+++ b/apps/entry/traffic.hpp
@@ -3,16 +3,19 @@
 // What one traffic thread of the entry owns, and the handlers of its requests.
 //
 // Index of this file
-// [1] The thread
-// [2] Handlers
+// [1] What threads share
+// [2] The thread
+// [3] Handlers
 
+#include "apps/entry/dispatch_log.hpp"
+#include "apps/entry/request_gate.hpp"
 #include "core/request/entry_state.hpp"
 #include "platform/http.hpp"
 #include "platform/store.hpp"
 
 namespace galenastage {
 
-// [1] The thread
+// [1] What threads share
 
 struct entry_config {
   std::string Instance;      //
@@ -24,23 +27,38 @@
   int SlotsPerExecutor = 8;  // from all entry instances together
 };
 
+/// What the traffic threads of one process share.
+struct request_services {
+  /// Context runs the dispatch log and outlives this.
+  request_services(asio::io_context &Context, const entry_config &Config)
+      : Gate(Config.DataCentre),
+        Log(Context, Config.Store, Config.Listen.Address) {}
+
+  request_gate Gate;
+  dispatch_log Log;
+};
+
+// [2] The thread
+
 /// The state of one traffic thread. Only that thread touches it, but for
 /// IsReady.
 struct traffic_thread {
-  traffic_thread(asio::io_context &Context, const entry_config &Config)
-      : Context(Context), Config(Config),
+  traffic_thread(asio::io_context &Context, const entry_config &Config,
+                 request_services &Requests)
+      : Context(Context), Config(Config), Requests(Requests),
         Store(Context, Config.Store, Config.Listen.Address),
         Upstream(Context, Config.Listen.Address) {}
 
   asio::io_context &Context;
   const entry_config &Config;
+  request_services &Requests;
   store_client Store;
   http_client Upstream;
   entry_snapshot_ptr Snapshot;      // null until the tables are known
   std::atomic<bool> IsReady{false}; // whether the balancer may send requests
 };
 
-// [2] Handlers
+// [3] Handlers
 
 /// Answers anything that arrives at the entry.
 task<http_response> handleAny(traffic_thread &Thread, http_request Request);
--- /dev/null
+++ b/core/request/admission.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+// Waiting requests: weighted fair queueing among organisations and classes,
+// bounded queues, and the estimate behind an early refusal. Plain values.
+//
+// Index of this file
+// [1] Waiting requests
+// [2] Flows
+// [3] Service times
+// [4] Queueing
+
+#include "core/request/upstreams.hpp"
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace galenastage {
+
+// [1] Waiting requests
+
+/// Names a request within one process.
+using request_number = std::uint64_t;
+
+/// What a request needs of the queue and of an executor.
+struct request_ask {
+  organisation_id Organisation;
+  work_class Class = work_class::Ordinary;
+  executor_query Query;
+  instant Deadline;
+};
+
+struct waiting_request {
+  request_number Number = 0;
+  request_ask Ask;
+  double Start = 0; // virtual start time, which orders flows
+};
+
+// [2] Flows
+
+/// Requests that compete as one: those of an organisation, class and service.
+struct flow_key {
+  service_id Service;
+  organisation_id Organisation;
+  work_class Class = work_class::Ordinary;
+
+  friend auto operator<=>(const flow_key &, const flow_key &) = default;
+};
+
+struct request_flow {
+  std::deque<waiting_request> Waiting;
+  double LastFinish = 0; // virtual finish time of the last one that was queued
+};
+
+/// Share of a flow of this class when several are waiting.
+double weightOf(work_class Class);
+
+// Bounds of what may wait in one entry instance.
+constexpr std::size_t MaxWaitingInFlow = 256;
+constexpr std::size_t MaxWaiting = 4'096;
+
+// [3] Service times
+
+constexpr std::size_t ClassCount = 3;
+
+/// Exponentially weighted means of how long tries took, of one service.
+struct service_times {
+  static constexpr double NewShare = 0.1; // weight of the newest try
+
+  double MeanMs = 0;                            // 0: nothing seen yet
+  std::array<double, ClassCount> ClassMeanMs{}; // of each class
+};
+
+void noteServiceTime(service_times &Times, work_class Class, milliseconds Took);
+
+/// How long a request of this class takes once it has a slot.
+milliseconds expectedServiceTime(const service_times &Times, work_class Class);
+
+// [4] Queueing
+
+struct request_queue {
+  std::map<flow_key, request_flow> Flows;
+  std::map<service_id, double> VirtualTime;
+  std::map<service_id, service_times> Times;
+  std::size_t Waiting = 0;
+};
+
+/// How long a request would wait in its flow if it were queued now, when
+/// Capacity requests run at once.
+milliseconds expectedWait(const request_queue &Queue, const request_ask &Ask,
+                          int Capacity);
+
+/// Queues a request; false when its queue is full.
+bool enqueue(request_queue &Queue, request_number Number, request_ask Ask);
+
+/// Takes the next request in fair order for which CanStart holds. Only the
+/// first of each flow is asked about.
+std::optional<waiting_request>
+dequeue(request_queue &Queue,
+        const std::function<bool(const request_ask &)> &CanStart);
+
+/// Removes and returns every request for which Drops holds.
+std::vector<waiting_request>
+removeIf(request_queue &Queue,
+         const std::function<bool(const request_ask &)> &Drops);
+
+} // namespace galenastage
--- a/core/request/entry_state.cpp
+++ b/core/request/entry_state.cpp
@@ -7,25 +7,6 @@
 namespace galenastage {
 namespace {
 
-int freeSlots(const executor_choice &Choice) {
-  return Choice.Slots - Choice.Counter->InUse.load(std::memory_order_relaxed);
-}
-
-/// Takes one slot unless other threads have taken the last one meanwhile.
-bool tryTake(const executor_choice &Choice) {
-  if (Choice.Counter->InUse.fetch_add(1) < Choice.Slots)
-    return true;
-  Choice.Counter->InUse.fetch_sub(1);
-  return false;
-}
-
-slot_counter_ptr counterOf(entry_state &State, const executor_id &Executor) {
-  slot_counter_ptr &Counter = State.Counters[Executor];
-  if (!Counter)
-    Counter = new slot_counter;
-  return Counter;
-}
-
 entry_snapshot_ptr makeSnapshot(entry_state &State) {
   boost::intrusive_ptr<entry_snapshot> Snapshot = new entry_snapshot;
   Snapshot->Tables = State.Tables;
@@ -35,7 +16,7 @@
       continue;
     const int Slots = slotShare(Row.Executor, State.Settings.Self,
                                 State.Members, State.Settings.SlotsPerExecutor);
-    Snapshot->Executors.push_back({Row, Slots, counterOf(State, Row.Executor)});
+    Snapshot->Executors.push_back({Row, Slots});
   }
   return Snapshot;
 }
@@ -81,23 +62,6 @@
 
 } // namespace
 
-const executor_choice *takeSlot(const entry_snapshot &Snapshot,
-                                const route &Route) {
-  const executor_choice *Best = nullptr;
-  for (const executor_choice &Choice : Snapshot.Executors) {
-    const executor_row &Row = Choice.Row;
-    if (Row.Service != Route.Service || Row.DataCentre != Snapshot.DataCentre)
-      continue;
-    if (!isPermitted(*Snapshot.Tables, Route.DataCentres, Row.DataCentre))
-      continue;
-    if (!Best || freeSlots(Choice) > freeSlots(*Best))
-      Best = &Choice;
-  }
-  if (!Best || !tryTake(*Best))
-    return nullptr;
-  return Best;
-}
-
 entry_effects reduce(entry_state &State, const entry_event &Event) {
   entry_effects Effects;
   std::visit([&](const auto &Body) { apply(State, Body, Effects); },
--- a/core/request/entry_state.hpp
+++ b/core/request/entry_state.hpp
@@ -15,8 +15,6 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include <atomic>
-#include <map>
 #include <memory>
 #include <variant>
 #include <vector>
@@ -56,19 +54,13 @@
 
 // [2] The snapshot
 
-/// Requests in progress at one executor from this instance. Shared by all
-/// traffic threads and by every snapshot that names the executor.
-struct slot_counter
-    : boost::intrusive_ref_counter<slot_counter, boost::thread_safe_counter> {
-  std::atomic<int> InUse{0};
-};
-using slot_counter_ptr = boost::intrusive_ptr<slot_counter>;
-
 /// An executor that new requests may go to.
 struct executor_choice {
   executor_row Row;
   int Slots = 0; // this instance's share
-  slot_counter_ptr Counter;
+
+  friend bool operator==(const executor_choice &,
+                         const executor_choice &) = default;
 };
 
 /// Everything a traffic thread needs to route a request. Never changes.
@@ -80,12 +72,6 @@
 };
 using entry_snapshot_ptr = boost::intrusive_ptr<const entry_snapshot>;
 
-/// Takes a slot of an executor that may answer this route: the one with most
-/// free slots in this instance's own data centre. Null when none is free. The
-/// caller gives the slot back.
-const executor_choice *takeSlot(const entry_snapshot &Snapshot,
-                                const route &Route);
-
 // [3] Effects
 
 struct publish_snapshot {
@@ -111,7 +97,6 @@
   std::shared_ptr<const tables> Tables;
   std::vector<executor_row> Executors;
   std::vector<instance_id> Members;
-  std::map<executor_id, slot_counter_ptr> Counters;
 };
 
 /// Applies one event in place.
--- /dev/null
+++ b/core/request/upstreams.cpp
@@ -0,0 +1,207 @@
+#include "core/request/upstreams.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace galenastage {
+namespace {
+
+// Failures in a row after which an executor that still accepts connections is
+// ejected. One is enough for an executor that refuses.
+constexpr int StrikesToEject = 5;
+// Servers close a connection now and then; twice in a row looks like leaving.
+constexpr int ClosesToEject = 2;
+// An executor that still answers after so many ejections isn't leaving: it has
+// begun to close every connection.
+constexpr int EjectionsOfCloser = 6;
+constexpr milliseconds RefusedPause{250};
+constexpr milliseconds ConnectFailedPause{500};
+constexpr milliseconds FailedPause{1'000};
+constexpr milliseconds MaxPause{15'000};
+constexpr int MaxDoublings = 6;
+
+struct ejection_rule {
+  int Strikes;        // failures in a row that eject
+  milliseconds Pause; // before the first probe; doubles each time
+};
+
+ejection_rule ruleOf(try_outcome Outcome) {
+  switch (Outcome) {
+  case try_outcome::AnsweredLeaving:
+    return {ClosesToEject, FailedPause};
+  case try_outcome::Refused:
+    return {1, RefusedPause};
+  case try_outcome::ConnectFailed:
+    return {1, ConnectFailedPause};
+  case try_outcome::Answered:
+  case try_outcome::AnsweredError:
+  case try_outcome::Failed:
+    break;
+  }
+  return {StrikesToEject, FailedPause};
+}
+
+/// Whether ejecting this one leaves half of its service's executors in use.
+bool mayEject(const upstreams &Upstreams, const upstream_executor &Executor) {
+  int Listed = 0;
+  int Ejected = 1;
+  for (const upstream_executor &Other : Upstreams.Executors) {
+    if (Other.Row.Service != Executor.Row.Service || Other.Slots == 0)
+      continue;
+    ++Listed;
+    Ejected += Other.IsEjected && Other.Row != Executor.Row ? 1 : 0;
+  }
+  return Ejected * 2 <= Listed;
+}
+
+bool isFree(const upstream_executor &Executor, instant Now, bool AllowsProbe) {
+  if (!Executor.IsEjected)
+    return Executor.Outstanding < Executor.Slots;
+  // A probe is one request alone.
+  return AllowsProbe && Executor.Slots > 0 && Executor.Outstanding == 0 &&
+         Now >= Executor.EjectedUntil;
+}
+
+enum class reach { OwnDataCentre, Everywhere };
+
+struct search {
+  reach Reach;
+  bool AllowsProbe;
+  bool AllowsAvoided;
+};
+
+// From the best kind of candidate to the last resort.
+constexpr std::array Searches = {
+    search{reach::OwnDataCentre, false, false},
+    search{reach::OwnDataCentre, true, false},
+    search{reach::Everywhere, false, false},
+    search{reach::Everywhere, true, true},
+};
+
+bool isCandidate(const upstreams &Upstreams, const upstream_executor &Executor,
+                 const executor_query &Query, const search &Search,
+                 instant Now) {
+  if (!isEligible(Executor, Query) ||
+      !isFree(Executor, Now, Search.AllowsProbe))
+    return false;
+  if (Search.Reach == reach::OwnDataCentre &&
+      Executor.Row.DataCentre != Upstreams.DataCentre)
+    return false;
+  return Search.AllowsAvoided || Executor.Row.Executor != Query.Avoid;
+}
+
+bool isLessLoaded(const upstream_executor &Left,
+                  const upstream_executor &Right) {
+  return Left.Outstanding * Right.Slots < Right.Outstanding * Left.Slots;
+}
+
+upstream_executor *pickOfTwo(std::span<upstream_executor *const> Candidates,
+                             std::uint64_t Random) {
+  const std::size_t Count = Candidates.size();
+  const std::size_t First = (Random & 0xffffffff) % Count;
+  if (Count == 1)
+    return Candidates[First];
+  const std::size_t Step = 1 + (Random >> 32) % (Count - 1);
+  upstream_executor *Left = Candidates[First];
+  upstream_executor *Right = Candidates[(First + Step) % Count];
+  return isLessLoaded(*Right, *Left) ? Right : Left;
+}
+
+void eject(upstream_executor &Executor, milliseconds Pause, instant Now) {
+  const int Doublings = std::min(Executor.Ejections, MaxDoublings);
+  Executor.IsEjected = true;
+  Executor.EjectedUntil = Now + std::min(Pause * (1 << Doublings), MaxPause);
+  ++Executor.Ejections;
+}
+
+} // namespace
+
+upstream_executor *findExecutor(upstreams &Upstreams, const executor_id &Name) {
+  const auto Found =
+      std::ranges::find_if(Upstreams.Executors, [&](const auto &Executor) {
+        return Executor.Row.Executor == Name;
+      });
+  return Found == Upstreams.Executors.end() ? nullptr : &*Found;
+}
+
+void replaceExecutors(upstreams &Upstreams,
+                      std::span<const executor_choice> Listed) {
+  for (upstream_executor &Executor : Upstreams.Executors)
+    Executor.Slots = 0;
+  for (const executor_choice &Choice : Listed) {
+    upstream_executor *Known = findExecutor(Upstreams, Choice.Row.Executor);
+    if (!Known) {
+      upstream_executor New;
+      New.Row = Choice.Row;
+      New.Slots = Choice.Slots;
+      Upstreams.Executors.push_back(std::move(New));
+      continue;
+    }
+    Known->Row = Choice.Row;
+    Known->Slots = Choice.Slots;
+  }
+  std::erase_if(Upstreams.Executors, [](const upstream_executor &Executor) {
+    return Executor.Slots == 0 && Executor.Outstanding == 0;
+  });
+}
+
+bool isEligible(const upstream_executor &Executor,
+                const executor_query &Query) {
+  if (Executor.Slots == 0 || Executor.Row.Service != Query.Service)
+    return false;
+  return Query.DataCentres.empty() ||
+         std::ranges::find(Query.DataCentres, Executor.Row.DataCentre) !=
+             Query.DataCentres.end();
+}
+
+int capacityFor(const upstreams &Upstreams, const executor_query &Query) {
+  int Capacity = 0;
+  for (const upstream_executor &Executor : Upstreams.Executors)
+    if (isEligible(Executor, Query))
+      Capacity += Executor.IsEjected ? 1 : Executor.Slots;
+  return Capacity;
+}
+
+upstream_executor *chooseExecutor(upstreams &Upstreams,
+                                  const executor_query &Query,
+                                  std::uint64_t Random, instant Now) {
+  std::vector<upstream_executor *> Candidates;
+  for (const search &Search : Searches) {
+    const bool IsLastResort = Search.AllowsAvoided;
+    if (Search.AllowsProbe && !Query.IsIdempotent && !IsLastResort)
+      continue;
+    for (upstream_executor &Executor : Upstreams.Executors)
+      if (isCandidate(Upstreams, Executor, Query, Search, Now))
+        Candidates.push_back(&Executor);
+    if (!Candidates.empty())
+      return pickOfTwo(Candidates, Random);
+  }
+  return nullptr;
+}
+
+void noteOutcome(upstreams &Upstreams, upstream_executor &Executor,
+                 try_outcome Outcome, instant Now) {
+  if (Outcome == try_outcome::Answered)
+    Executor.KeepsAlive = true;
+  if (Outcome == try_outcome::AnsweredLeaving &&
+      Executor.Ejections >= EjectionsOfCloser)
+    Executor.KeepsAlive = false;
+  const bool IsHealthy =
+      Outcome == try_outcome::Answered ||
+      (Outcome == try_outcome::AnsweredLeaving && !Executor.KeepsAlive);
+  if (IsHealthy) {
+    Executor.Strikes = 0;
+    Executor.Ejections = 0;
+    Executor.IsEjected = false;
+    return;
+  }
+  ++Executor.Strikes;
+  const ejection_rule Rule = ruleOf(Outcome);
+  const bool IsProbeFailed = Executor.IsEjected && Now >= Executor.EjectedUntil;
+  const bool IsOutlier =
+      !Executor.IsEjected && Executor.Strikes >= Rule.Strikes;
+  if (IsProbeFailed || (IsOutlier && mayEject(Upstreams, Executor)))
+    eject(Executor, Rule.Pause, Now);
+}
+
+} // namespace galenastage
