Relay tables between peers; decide starts by evidence; take over with local epochs

Cause: every process read the store each 0.5 to 1 s and held a watch; a data centre that couldn't reach the store stopped starting tasks even when its peers could; standbys polled, and nobody took over while the store was down. Change: one instance of a data centre reads and watches the store, chosen by rendezvous hashing, with the next in rank taking over by the evidence's age. Peers pass tables and evidence on over nghttp2 streams (CBOR, versioned). Versions only grow; a restored store is written back. Starts follow the rule stop-unless-total-outage. Standbys hear the leader through peers, and claim a local epoch when the store is out of reach. A leader's writes are conditional on its key.

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr milliseconds ConfirmInterval{1'000};
 constexpr milliseconds ListInterval{500};
 constexpr milliseconds DrainPoll{20};
 // The balancer needs this long to notice that /readyz fails.
@@ -28,11 +27,14 @@
         State({instance_id(Config.Instance), Config.DataCentre,
                Config.SlotsPerExecutor}),
         Store(Io.context(0), Config.Store, Config.Listen.Address),
-        List(Io.context(0), Config.Platform, Config.Listen.Address) {
+        List(Io.context(0), Config.Platform, Config.Listen.Address),
+        Tables(Io.context(0), Store, List, relaySettings(Config),
+               tablesCallbacks()) {
     for (int I = 1; I <= Config.Threads; ++I) {
       Traffic.push_back(
           std::make_unique<traffic_thread>(Io.context(I), Config));
       traffic_thread &Thread = *Traffic.back();
+      Thread.Tables = &Tables;
       Servers.push_back(std::make_unique<http_server>(
           Io.context(I), Config.Listen, [&Thread](http_request Request) {
             return handleAny(Thread, std::move(Request));
@@ -42,11 +44,7 @@
 
   void start() {
     asio::io_context &Context = Io.context(0);
-    asio::co_spawn(
-        Context,
-        feedTables(Context, Store, ConfirmInterval,
-                   [this](tables_seen Seen) { post(std::move(Seen)); }),
-        asio::detached);
+    Tables.start();
     asio::co_spawn(Context,
                    feedInstances(Context, List, instance_kind::Executor,
                                  Config.DataCentre, ListInterval,
@@ -79,6 +77,25 @@
   }
 
 private:
+  static relay_settings relaySettings(const entry_config &Config) {
+    relay_settings Settings;
+    Settings.Self = instance_id(Config.Instance);
+    Settings.DataCentre = Config.DataCentre;
+    Settings.PeerAddress = peerAddressOf(Config.Listen);
+    Settings.Incarnation =
+        static_cast<std::uint64_t>(readWallClock().time_since_epoch().count());
+    return Settings;
+  }
+
+  tables_callbacks tablesCallbacks() {
+    tables_callbacks Callbacks;
+    Callbacks.OnTables = [this](tables_seen Seen) { apply(std::move(Seen)); };
+    Callbacks.PostControl = [this](std::function<void()> Work) {
+      Control.post(std::move(Work));
+    };
+    return Callbacks;
+  }
+
   static executors_seen toExecutors(const std::vector<instance> &Instances) {
     executors_seen Seen;
     for (const instance &Row : Instances)
@@ -95,10 +112,15 @@
   }
 
   void post(entry_event_body Body) {
-    Control.post([this, Event = entry_event{readClock(), std::move(Body)}] {
-      for (entry_effect &Effect : reduce(State, Event))
-        std::visit([this](auto &Value) { perform(Value); }, Effect);
-    });
+    Control.post(
+        [this, Body = std::move(Body)]() mutable { apply(std::move(Body)); });
+  }
+
+  /// Runs on the control thread.
+  void apply(entry_event_body Body) {
+    const entry_event Event{readClock(), std::move(Body)};
+    for (entry_effect &Effect : reduce(State, Event))
+      std::visit([this](auto &Value) { perform(Value); }, Effect);
   }
 
   void perform(const publish_snapshot &Effect) {
@@ -123,6 +145,7 @@
   entry_state State; // touched by the control thread only
   store_client Store;
   instance_list_client List;
+  tables_feed Tables;
   std::vector<std::unique_ptr<traffic_thread>> Traffic;
   std::vector<std::unique_ptr<http_server>> Servers;
   control_thread Control;
--- a/apps/entry/tables_api.cpp
+++ b/apps/entry/tables_api.cpp
@@ -115,8 +115,10 @@
   writeLog(events::EditAccepted, {{"version", std::to_string(Edited.Version)},
                                   {"author", Edited.Author},
                                   {"reason", Edited.Reason}});
-  co_return tablesResponse(200, json{{"version", Edited.Version}},
-                           Edited.Version);
+  const std::uint64_t Version = Edited.Version;
+  Thread.Tables->post(
+      edit_stored{{std::make_shared<const tables>(std::move(Edited)), Text}});
+  co_return tablesResponse(200, json{{"version", Version}}, Version);
 }
 
 /// Which table a path names: "routes", "pools" or "data_centres".
@@ -178,12 +180,38 @@
                          verdict::NotRun);
 }
 
+/// An age in milliseconds, or null for never.
+json ageJson(instant Moment, instant Now) {
+  if (Moment == Never)
+    return nullptr;
+  return (Now - Moment).count();
+}
+
+json memberRow(const member &Member, instant Now) {
+  return {{"instance", Member.Name.Value},
+          {"kind", name(Member.Kind)},
+          {"data_centre", Member.DataCentre.Value},
+          {"listed", Member.IsListed},
+          {"version_in_force", Member.Version},
+          {"heard_ms_ago", ageJson(Member.LastHeard, Now)}};
+}
+
 http_response showStatus(const traffic_thread &Thread) {
   const std::uint64_t Version =
       Thread.Snapshot ? Thread.Snapshot->Tables->Version : 0;
+  const auto Status = Thread.Tables->status();
+  const instant Now = readClock();
+  json Others = json::array();
+  for (const member &Member : Status->Members)
+    Others.push_back(memberRow(Member, Now));
   return jsonResponse(200, json{{"instance", Thread.Config.Instance},
                                 {"data_centre", Thread.Config.DataCentre.Value},
-                                {"version_in_force", Version}}
+                                {"version_in_force", Version},
+                                {"evidence_ms", ageJson(Status->AsOf, Now)},
+                                {"reads_store", Status->IsReader},
+                                {"peer_messages", Status->MessagesSent},
+                                {"peer_bytes", Status->BytesSent},
+                                {"others", std::move(Others)}}
                                .dump());
 }
 
@@ -202,6 +230,11 @@
   if (Base.Error)
     co_return storeUnavailableResponse(verdict::NotRun);
   const std::uint64_t Current = Base.Tables ? Base.Tables->Version : 0;
+  const std::uint64_t InForce =
+      Thread.Snapshot ? Thread.Snapshot->Tables->Version : 0;
+  // An edit on top of a restored copy would be older than what is in force.
+  if (Current < InForce)
+    co_return storeUnavailableResponse(verdict::NotRun);
   if (Current != *Expected)
     co_return conflictResponse(*Expected, Current);
 
--- a/apps/entry/traffic.hpp
+++ b/apps/entry/traffic.hpp
@@ -6,6 +6,7 @@
 // [1] The thread
 // [2] Handlers
 
+#include "apps/runtime/platform_feed.hpp"
 #include "core/request/entry_state.hpp"
 #include "platform/http.hpp"
 #include "platform/store.hpp"
@@ -37,6 +38,7 @@
   store_client Store;
   http_client Upstream;
   entry_snapshot_ptr Snapshot;      // null until the tables are known
+  tables_feed *Tables = nullptr;    // of the process; set before it starts
   std::atomic<bool> IsReady{false}; // whether the balancer may send requests
 };
 
--- a/apps/scheduler/election.cpp
+++ b/apps/scheduler/election.cpp
@@ -1,5 +1,6 @@
 #include "apps/scheduler/election.hpp"
 
+#include "apps/runtime/logging.hpp"
 #include "apps/runtime/process.hpp"
 #include "core/error.hpp"
 
@@ -20,24 +21,34 @@
                    std::function<void(bool, epoch)> OnChange)
     : Context(Context), Store(Store),
       Key("/galenastage/leader/" + DataCentre.Value),
-      Instance(std::move(Instance)), OnChange(std::move(OnChange)) {}
+      Instance(std::move(Instance)), OnChange(std::move(OnChange)),
+      StandbySince(readClock()) {}
 
 task<void> election::run() {
   while (!IsResigning) {
-    const bool IsWon = co_await tryWin();
-    if (IsWon) {
-      OnChange(true, Epoch);
-      co_await holdUntilLost();
-      OnChange(false, Epoch);
+    const standby_step Step = decide();
+    if (Step == standby_step::AskStore) {
+      const bool IsWon = co_await tryWin();
+      if (IsWon)
+        co_await lead();
+    } else if (Step == standby_step::ClaimLocally) {
+      co_await leadLocally();
     }
     co_await sleepFor(Context, CampaignInterval);
   }
 }
 
+void election::noteLeader(const publish_leader &Heard) {
+  Leader = Heard;
+  noteEpoch(Heard.Epoch);
+}
+
 void election::noteEpoch(epoch Highest) {
   HighestSeen = std::max(HighestSeen, Highest);
 }
 
+store_condition election::fence() const { return value_is{Key, Token}; }
+
 task<void> election::resign() {
   IsResigning = true;
   if (Lease != 0)
@@ -45,6 +56,16 @@
   Lease = 0;
 }
 
+standby_step election::decide() const {
+  standby_view View;
+  View.StandbySince = StandbySince;
+  View.LeaderHeardAt = Leader.HeardAt;
+  View.IsStoreReached = Leader.IsStoreReached;
+  View.IsLinked = Leader.IsLinked;
+  View.Rank = Leader.Rank;
+  return nextStep(View, {}, readClock());
+}
+
 task<bool> election::tryWin() {
   // Reads are cheaper for the service than writes: most campaigns end here.
   const store_read Holder = co_await Store.read(Key);
@@ -53,33 +74,65 @@
   const store_lease Granted = co_await Store.grantLease(LeaseLife);
   if (Granted.Error)
     co_return false;
-  const std::string Token = Instance + " " + randomHex(TokenDigits);
+  const std::string Mine = Instance + " " + randomHex(TokenDigits);
   store_transaction Transaction;
   Transaction.Conditions.push_back(key_missing{Key});
-  Transaction.Changes.push_back(put_key{Key, Token, Granted.Id});
+  Transaction.Changes.push_back(put_key{Key, Mine, Granted.Id});
   const store_write Write = co_await Store.commit(std::move(Transaction));
   bool IsWon = !Write.Error && Write.IsApplied;
   std::int64_t Revision = Write.Revision;
   if (Write.Error) {
     const store_read Read = co_await Store.read(Key);
-    IsWon = !Read.Entries.empty() && Read.Entries.front().Value == Token;
+    IsWon = !Read.Entries.empty() && Read.Entries.front().Value == Mine;
     Revision = Read.Revision;
   }
   if (!IsWon) {
     co_await Store.revokeLease(Granted.Id);
     co_return false;
   }
+  Token = Mine;
   Lease = Granted.Id;
-  Epoch = std::max<epoch>(Revision, HighestSeen + 1);
+  Epoch = storeEpoch(Revision, std::max(HighestSeen, Epoch));
   co_return true;
 }
 
+task<void> election::lead() {
+  OnChange(true, Epoch);
+  co_await holdUntilLost();
+  endTerm();
+}
+
+/// Leads without the store until the workers refuse this epoch, or the store
+/// answers again and somebody wins it there.
+task<void> election::leadLocally() {
+  Epoch = localEpoch(std::max(HighestSeen, Epoch), instance_id(Instance));
+  writeLog(events::LeadershipClaimed, {{"epoch", std::to_string(Epoch)}});
+  OnChange(true, Epoch);
+  while (!IsResigning && HighestSeen <= Epoch) {
+    co_await sleepFor(Context, KeepInterval);
+    if (!Leader.IsStoreReached)
+      continue;
+    const bool IsWon = co_await tryWin();
+    if (IsWon) {
+      co_await lead();
+      co_return;
+    }
+  }
+  endTerm();
+}
+
+void election::endTerm() {
+  Token.clear();
+  StandbySince = readClock();
+  OnChange(false, Epoch);
+}
+
 task<void> election::holdUntilLost() {
   while (!IsResigning && HighestSeen <= Epoch) {
     co_await sleepFor(Context, KeepInterval);
     const std::error_code Error = co_await Store.keepLease(Lease);
-    // An unreachable store takes nobody's leadership away; a standby can't win
-    // without it either.
+    // An unreachable store takes nobody's leadership away by itself; a standby
+    // that takes over locally is told by the workers.
     if (Error == errc::NotFound)
       co_return;
   }
--- a/apps/scheduler/main.cpp
+++ b/apps/scheduler/main.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr milliseconds TickInterval{100};
-constexpr milliseconds ConfirmInterval{500};
 constexpr milliseconds ListInterval{500};
 constexpr milliseconds WorkerCallTimeout{1'000};
 constexpr milliseconds ReloadDelay{300};
@@ -42,6 +41,7 @@
         Store(Context, Config.Store, Config.Listen.Address),
         List(Context, Config.Platform, Config.Listen.Address),
         Workers(Context, Config.Listen.Address),
+        Tables(Context, Store, List, relaySettings(Config), tablesCallbacks()),
         Saves(Context, Store,
               [this](scheduler_event_body Body) { post(std::move(Body)); }),
         Election(Context, Store, Config.DataCentre, Config.Instance,
@@ -54,8 +54,7 @@
 
   void start() {
     spawn(tickLoop());
-    spawn(feedTables(Context, Store, ConfirmInterval,
-                     [this](tables_seen Seen) { post(std::move(Seen)); }));
+    Tables.start();
     spawn(feedInstances(
         Context, List, instance_kind::Worker, Config.DataCentre, ListInterval,
         [this](std::vector<instance> Instances) { takeWorkers(Instances); }));
@@ -80,6 +79,29 @@
     return Settings;
   }
 
+  static relay_settings relaySettings(const scheduler_config &Config) {
+    relay_settings Settings;
+    Settings.Self = instance_id(Config.Instance);
+    Settings.DataCentre = Config.DataCentre;
+    Settings.Kind = process_kind::Scheduler;
+    Settings.PeerAddress = peerAddressOf(Config.Listen);
+    Settings.Incarnation =
+        static_cast<std::uint64_t>(readWallClock().time_since_epoch().count());
+    return Settings;
+  }
+
+  tables_callbacks tablesCallbacks() {
+    tables_callbacks Callbacks;
+    Callbacks.OnTables = [this](tables_seen Seen) { apply(std::move(Seen)); };
+    Callbacks.OnLeader = [this](publish_leader Leader) {
+      Election.noteLeader(Leader);
+    };
+    Callbacks.PostControl = [this](std::function<void()> Work) {
+      Control.post(std::move(Work));
+    };
+    return Callbacks;
+  }
+
   void spawn(task<void> Task) {
     asio::co_spawn(Context, std::move(Task), asio::detached);
   }
@@ -87,14 +109,19 @@
   // Events
 
   void post(scheduler_event_body Body) {
-    Control.post([this, Event = scheduler_event{readClock(), std::move(Body)}] {
-      scheduler_effects Effects = reduce(State, Event);
-      if (!Effects.empty())
-        asio::post(Context, [this, Effects = std::move(Effects)]() mutable {
-          for (scheduler_effect &Effect : Effects)
-            std::visit([this](auto &Value) { perform(std::move(Value)); },
-                       Effect);
-        });
+    Control.post(
+        [this, Body = std::move(Body)]() mutable { apply(std::move(Body)); });
+  }
+
+  /// Runs on the control thread.
+  void apply(scheduler_event_body Body) {
+    const scheduler_event Event{readClock(), std::move(Body)};
+    scheduler_effects Effects = reduce(State, Event);
+    if (Effects.empty())
+      return;
+    asio::post(Context, [this, Effects = std::move(Effects)]() mutable {
+      for (scheduler_effect &Effect : Effects)
+        std::visit([this](auto &Value) { perform(std::move(Value)); }, Effect);
     });
   }
 
@@ -121,6 +148,8 @@
   }
 
   void changeLeadership(bool IsLeading, epoch Epoch) {
+    Saves.setFence(Election.fence());
+    Tables.post(leading_changed{IsLeading ? Epoch : 0});
     post(leadership_changed{IsLeading, Epoch});
     ++Term;
     if (IsLeading)
@@ -261,6 +290,7 @@
   store_client Store;
   instance_list_client List;
   http_client Workers;
+  tables_feed Tables;
   std::map<worker_id, endpoint> Addresses;
   int Term = 0; // grows with each change of leadership
   save_queue Saves;
--- a/apps/scheduler/save_queue.cpp
+++ b/apps/scheduler/save_queue.cpp
@@ -44,7 +44,12 @@
   enqueue(std::move(Write));
 }
 
+void save_queue::setFence(store_condition Condition) {
+  Fence = std::move(Condition);
+}
+
 void save_queue::enqueue(queued_write Write) {
+  Write.Transaction.Conditions.push_back(Fence);
   Queue.push_back(std::move(Write));
   if (IsDraining)
     return;
--- a/apps/scheduler/save_queue.hpp
+++ b/apps/scheduler/save_queue.hpp
@@ -18,6 +18,9 @@
   save_queue(asio::io_context &Context, store_client &Store,
              std::function<void(scheduler_event_body)> OnEvent);
 
+  /// Every write from now on is applied only under this condition as well.
+  void setFence(store_condition Condition);
+
   void save(save_job Wanted);
   void move(move_job Wanted);
 
@@ -39,6 +42,7 @@
   asio::io_context &Context;
   store_client &Store;
   std::function<void(scheduler_event_body)> OnEvent;
+  store_condition Fence = value_is{}; // holds for nobody
   std::deque<queued_write> Queue;
   bool IsDraining = false;
 };
--- a/core/config/tables.hpp
+++ b/core/config/tables.hpp
@@ -130,11 +130,13 @@
 
 // [5] Events
 
-/// The tables as a source held them at AsOf. Sent on each change and on each
+/// The newest tables that are known. Sent on each change and on each
 /// confirmation that nothing changed.
 struct tables_seen {
   std::shared_ptr<const tables> Tables;
-  instant AsOf;
+  instant AsOf;                        // no newer tables existed then
+  instant OutageAsOf = instant::min(); // no data centre could store an edit
+                                       // then; the first moment: not known
 };
 
 /// The key that holds the tables.
--- a/core/job/scheduler.cpp
+++ b/core/job/scheduler.cpp
@@ -1,5 +1,7 @@
 #include "core/job/scheduler_internal.hpp"
 
+#include "core/recovery/evidence.hpp"
+
 #include <algorithm>
 #include <tuple>
 
@@ -13,9 +15,13 @@
 }
 
 bool mayStartTasks(const scheduler_state &State, instant Now) {
-  if (!State.Tables || Now - State.TablesAsOf > State.Settings.EvidenceLife)
+  if (!State.Tables)
     return false;
-  return isInService(*State.Tables, State.Settings.DataCentre);
+  const start_evidence Evidence{
+      isInService(*State.Tables, State.Settings.DataCentre), State.TablesAsOf,
+      State.OutageAsOf};
+  return mayStart(Evidence, start_rule::StopUnlessTotalOutage,
+                  State.Settings.EvidenceLife, Now);
 }
 
 int known_worker::freeAccelerators() const {
@@ -66,6 +72,7 @@
       !State.Tables || State.Tables->Version < Event.Tables->Version;
   State.Tables = Event.Tables;
   State.TablesAsOf = std::max(State.TablesAsOf, Event.AsOf);
+  State.OutageAsOf = Event.OutageAsOf;
   if (!IsNew)
     return;
   log(events::TablesInForce,
--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -208,7 +208,8 @@
 
   scheduler_settings Settings;
   std::shared_ptr<const tables> Tables; // null until first seen
-  instant TablesAsOf{};                 // when these tables were known to hold
+  instant TablesAsOf{};                 // no newer tables existed then
+  instant OutageAsOf = instant::min();  // nobody could store an edit then
   bool IsLeading = false;
   bool IsLoaded = false;     // the stored jobs are known
   bool IsRebuilding = false; // workers are being asked what runs
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -40,6 +40,21 @@
                                "The key-value service answers again.", "None."};
 const log_event EditAccepted{2005, Info, "edit-accepted",
                              "An edit of the tables is stored.", "None."};
+const log_event StoreBehind{
+    2006, Warning, "store-behind",
+    "The key-value service holds older tables than those in force, or answers "
+    "from an older state. The tables in force stay, and are written back if "
+    "the service takes the write.",
+    "Ask those who run the service whether it was restored from a copy."};
+const log_event TablesRestored{
+    2007, Warning, "tables-restored",
+    "The tables in force were written back to a key-value service that held "
+    "older ones.",
+    "Look at galenastagectl history; job records may be missing as well."};
+const log_event PeerLinkFailed{
+    2101, Warning, "peer-link-failed",
+    "A peer sent something unreadable; the connection was closed.",
+    "Compare the versions of the programs that are running."};
 
 const log_event JobAccepted{3001, Info, "job-accepted",
                             "The job is stored and won't be lost.", "None."};
@@ -87,6 +102,12 @@
     "This scheduler stands by; another one is active or will be.",
     "None, unless it happens every few minutes: look at pauses of the "
     "instance."};
+const log_event LeadershipClaimed{
+    5003, Warning, "leadership-claimed",
+    "The key-value service can't be reached and the active scheduler is "
+    "silent: this scheduler continues with a local epoch, so that what runs "
+    "goes on.",
+    "Look at the key-value service and at the scheduler that fell silent."};
 
 } // namespace events
 
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -68,6 +68,9 @@
 extern const log_event StoreUnreachable;
 extern const log_event StoreReachable;
 extern const log_event EditAccepted;
+extern const log_event StoreBehind;
+extern const log_event TablesRestored;
+extern const log_event PeerLinkFailed;
 // 3000: jobs
 extern const log_event JobAccepted;
 extern const log_event JobPlaced;
@@ -84,6 +87,7 @@
 // 5000: ownership
 extern const log_event LeadershipGained;
 extern const log_event LeadershipLost;
+extern const log_event LeadershipClaimed;
 
 } // namespace events
 } // namespace galenastage
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -1,10 +1,17 @@
+#include "measure/edit_latency.hpp"
+#include "measure/evidence_trial.hpp"
+
 #include <CLI/CLI.hpp>
 
+using namespace galenastage;
+
 int main(int Argc, char **Argv) {
   CLI::App App("Measures the decisions of galenastage.");
   App.name("galenastage-measure");
   App.set_version_flag("--version", "galenastage-measure " GALENASTAGE_VERSION);
   App.require_subcommand(1);
+  addEditLatency(App);
+  addEvidenceTrial(App);
   CLI11_PARSE(App, Argc, Argv);
   return 0;
 }
