Send peers less while the store is reached

Change: links to other data centres are quiet (2 s) while both sides reach the store; other data centres' statements travel only when they are needed; lists of members go out once a second and without addresses.

--- a/core/recovery/membership.cpp
+++ b/core/recovery/membership.cpp
@@ -12,12 +12,17 @@
   return XXH64(Pair.data(), Pair.size(), 0);
 }
 
+/// Whether two differently named processes stand on one known address.
+bool isSamePlace(const member &One, const member &Two) {
+  return One.Name != Two.Name && One.Address == Two.Address &&
+         One.Address != endpoint{};
+}
+
 /// Drops the processes that stood on the address of a newer one.
 void dropReplaced(membership &Membership, const member &Newer) {
   std::erase_if(Membership.Members, [&](const auto &Item) {
     const member &Known = Item.second;
-    return Known.Name != Newer.Name && Known.Address == Newer.Address &&
-           Known.Incarnation < Newer.Incarnation;
+    return isSamePlace(Known, Newer) && Known.Incarnation < Newer.Incarnation;
   });
 }
 
@@ -25,8 +30,7 @@
 bool isReplaced(const membership &Membership, const member &Heard) {
   return std::ranges::any_of(Membership.Members, [&](const auto &Item) {
     const member &Known = Item.second;
-    return Known.Name != Heard.Name && Known.Address == Heard.Address &&
-           Known.Incarnation > Heard.Incarnation;
+    return isSamePlace(Known, Heard) && Known.Incarnation > Heard.Incarnation;
   });
 }
 
@@ -70,7 +74,8 @@
   const bool IsNewProcess = Heard.Incarnation > Known.Incarnation;
   Known.DataCentre = Heard.DataCentre;
   Known.Kind = Heard.Kind;
-  Known.Address = Heard.Address;
+  if (Heard.Address != endpoint{})
+    Known.Address = Heard.Address;
   Known.Incarnation = Heard.Incarnation;
   Known.Version =
       IsNewProcess ? Heard.Version : std::max(Known.Version, Heard.Version);
--- a/core/recovery/membership.hpp
+++ b/core/recovery/membership.hpp
@@ -27,7 +27,7 @@
   instance_id Name;                        //
   data_centre_id DataCentre;               //
   process_kind Kind = process_kind::Entry; //
-  endpoint Address;                        // where peers connect
+  endpoint Address;              // where peers connect; may be unknown
   std::uint64_t Incarnation = 0; // of the process; grows with each start. 0:
                                  // listed and never heard
   std::uint64_t Version = 0;     // of the tables in force there
--- a/core/recovery/relay.cpp
+++ b/core/recovery/relay.cpp
@@ -3,6 +3,24 @@
 #include <algorithm>
 
 namespace galenastage {
+namespace detail {
+namespace {
+
+/// Whether a data centre reads the store itself, as far as is known.
+bool isReaching(const relay_state &State, const data_centre_id &DataCentre,
+                instant Now) {
+  const auto Found = State.Reach.find(DataCentre);
+  if (Found == State.Reach.end() || Found->second.ReachedAt == Never)
+    return false;
+  // Of another data centre nothing newer is known than what it said.
+  const bool IsOwn = DataCentre == State.Settings.DataCentre;
+  const instant KnownAt = IsOwn ? Now : Found->second.SaidAt;
+  return Found->second.ReachedAt + State.Settings.HelpAfter >= KnownAt;
+}
+
+} // namespace
+} // namespace detail
+
 namespace {
 
 constexpr std::string_view ReaderPurpose = "store-reader";
@@ -47,12 +65,15 @@
   void connectTo(const instance_id &Name);
   void closeSilentLinks();
   void sendDue();
+  [[nodiscard]] bool isReaching(const data_centre_id &DataCentre) const;
+  [[nodiscard]] milliseconds sendInterval(const peer_link &Link) const;
   void sendTo(link_id Id, peer_link &Link);
   void sendNow(bool IsOwnOnly);
   [[nodiscard]] bool isLinked(const instance_id &Name) const;
   [[nodiscard]] bool isRemote(const peer_link &Link) const;
   void takeStatements(const peer_message &Message, instant MadeAt);
-  void takeMember(const member_statement &Statement, instant MadeAt);
+  void takeMember(const member_statement &Statement,
+                  const data_centre_id &DataCentre, instant MadeAt);
   void takeLeader(const leader_statement &Leader, instant MadeAt);
 
   void log(const log_event &Event, std::vector<log_field> Fields) {
@@ -269,7 +290,7 @@
 void relay_run::connect() {
   std::map<data_centre_id, std::vector<instance_id>> Entries;
   for (const auto &[Name, Member] : State.Membership.Members)
-    if (Member.Kind == process_kind::Entry && Name != State.Settings.Self)
+    if (Member.Kind == process_kind::Entry && Member.Address != endpoint{})
       Entries[Member.DataCentre].push_back(Name);
   const bool IsEntry = State.Settings.Kind == process_kind::Entry;
   for (auto &[DataCentre, Names] : Entries) {
@@ -316,10 +337,25 @@
   });
 }
 
+/// Whether a data centre reads the store itself.
+bool relay_run::isReaching(const data_centre_id &DataCentre) const {
+  return detail::isReaching(State, DataCentre, Now);
+}
+
+milliseconds relay_run::sendInterval(const peer_link &Link) const {
+  const auto Peer = State.Membership.Members.find(Link.Name);
+  const bool IsQuiet = isRemote(Link) &&
+                       isReaching(State.Settings.DataCentre) &&
+                       isReaching(Peer->second.DataCentre);
+  return IsQuiet ? State.Settings.RemoteInterval
+                 : State.Settings.HeartbeatInterval;
+}
+
 void relay_run::sendTo(link_id Id, peer_link &Link) {
-  Link.NextSend = Now + (isRemote(Link) ? State.Settings.RemoteInterval
-                                        : State.Settings.HeartbeatInterval);
+  Link.SentAt = Now;
   peer_message Message = makeMessage(State, Link, Now);
+  if (!Message.Members.empty())
+    Link.MembersSentAt = Now;
   if (!Message.TablesText.empty())
     Link.PeerVersion = State.InForce.version();
   Effects.push_back(send_message{Id, std::move(Message)});
@@ -327,7 +363,7 @@
 
 void relay_run::sendDue() {
   for (auto &[Id, Link] : State.Links)
-    if (Now >= Link.NextSend)
+    if (Link.SentAt + sendInterval(Link) <= Now)
       sendTo(Id, Link);
 }
 
@@ -369,7 +405,11 @@
 }
 
 void relay_run::apply(const entries_listed &Event) {
-  takeList(State.Membership, Event.Members);
+  std::vector<member> Others = Event.Members;
+  std::erase_if(Others, [&](const member &Row) {
+    return Row.Name == State.Settings.Self;
+  });
+  takeList(State.Membership, Others);
 }
 
 void relay_run::apply(const link_opened &Event) {
@@ -439,15 +479,17 @@
     mergeReach(State.Reach, Statement.DataCentre, Heard);
   }
   for (const member_statement &Statement : Message.Members)
-    takeMember(Statement, MadeAt);
+    takeMember(Statement, Message.From.DataCentre, MadeAt);
   if (Message.From.DataCentre == State.Settings.DataCentre)
     takeLeader(Message.Leader, MadeAt);
 }
 
-void relay_run::takeMember(const member_statement &Statement, instant MadeAt) {
+void relay_run::takeMember(const member_statement &Statement,
+                           const data_centre_id &DataCentre, instant MadeAt) {
   if (Statement.Member.Name == State.Settings.Self || MadeAt == Never)
     return;
   member Heard = Statement.Member;
+  Heard.DataCentre = DataCentre;
   Heard.LastHeard = momentOf(Statement.HeardAge, MadeAt);
   if (Heard.LastHeard != Never)
     takeHeartbeat(State.Membership, Heard);
@@ -468,6 +510,27 @@
   sendNow(true);
 }
 
+std::vector<member_statement>
+describeMembers(const relay_state &State, const peer_link &Link, instant Now) {
+  std::vector<member_statement> Statements;
+  for (const auto &[Name, Member] : State.Membership.Members) {
+    const bool IsTold = Member.DataCentre == State.Settings.DataCentre &&
+                        Name != Link.Name && Name != State.Settings.Self &&
+                        Member.Incarnation != 0 &&
+                        isLive(State.Membership, Member, Now);
+    if (!IsTold)
+      continue;
+    member_statement Statement;
+    Statement.Member.Name = Name;
+    Statement.Member.Kind = Member.Kind;
+    Statement.Member.Incarnation = Member.Incarnation;
+    Statement.Member.Version = Member.Version;
+    Statement.HeardAge = ageOf(Member.LastHeard, Now);
+    Statements.push_back(std::move(Statement));
+  }
+  return Statements;
+}
+
 } // namespace
 
 peer_message makeMessage(const relay_state &State, const peer_link &Link,
@@ -488,25 +551,23 @@
     Message.Leader = {State.LedEpoch, milliseconds(0)};
   else if (State.LeaderEpoch != 0)
     Message.Leader = {State.LeaderEpoch, ageOf(State.LeaderHeardAt, Now)};
+  const bool IsHelpWanted =
+      !detail::isReaching(State, Settings.DataCentre, Now);
   for (const auto &[DataCentre, Reach] : State.Reach) {
-    // An entry instance speaks for its own data centre.
-    const bool IsOwn = DataCentre == Settings.DataCentre &&
-                       Settings.Kind == process_kind::Entry;
-    const instant SaidAt = IsOwn ? Now : Reach.SaidAt;
-    Message.Reach.push_back(
-        {DataCentre, ageOf(SaidAt, Now), ageOf(Reach.ReachedAt, Now)});
-  }
-  for (const auto &[Name, Member] : State.Membership.Members) {
-    const bool IsTold = Member.DataCentre == Settings.DataCentre &&
-                        Settings.Kind == process_kind::Entry &&
-                        Name != Link.Name && Member.Incarnation != 0 &&
-                        isLive(State.Membership, Member, Now);
-    if (!IsTold)
+    const bool IsOwn = DataCentre == Settings.DataCentre;
+    if (!IsOwn && !IsHelpWanted)
       continue;
-    member_statement Statement{Member, ageOf(Member.LastHeard, Now)};
-    Statement.Member.LastHeard = instant::min();
-    Message.Members.push_back(std::move(Statement));
+    // An entry instance speaks for its own data centre.
+    const bool IsSpeaker = IsOwn && Settings.Kind == process_kind::Entry;
+    Message.Reach.push_back({DataCentre,
+                             ageOf(IsSpeaker ? Now : Reach.SaidAt, Now),
+                             ageOf(Reach.ReachedAt, Now)});
   }
+  const bool IsMembersDue =
+      Settings.Kind == process_kind::Entry &&
+      Link.MembersSentAt + Settings.MembersInterval <= Now;
+  if (IsMembersDue)
+    Message.Members = describeMembers(State, Link, Now);
   if (Link.HeardAt != Never && Link.PeerVersion < State.InForce.version())
     Message.TablesText = State.InForce.Text;
   return Message;
--- a/core/recovery/relay.hpp
+++ b/core/recovery/relay.hpp
@@ -44,11 +44,14 @@
                                            // evidence is older than this
   int MaxReaders = 3;                      // in one data centre at once
   milliseconds HeartbeatInterval{500};     // within the data centre
-  milliseconds RemoteInterval{1'000};      // to other data centres
-  milliseconds LinkTimeout{3'000};         // a silent link is closed
+  milliseconds RemoteInterval{2'000};      // to other data centres, while both
+                                           // reach the store
+  milliseconds MembersInterval{1'000};     // between two lists of members
+  milliseconds LinkTimeout{5'000};         // a silent link is closed
   milliseconds ReconnectInterval{500};     //
+  milliseconds HelpAfter{1'000}; // without contact: peers are asked more often
   milliseconds CutOffAfter{1'500}; // without contact: the store is out of reach
-  int MaxOwnLinks = 3;             // of a scheduler, to entry instances
+  int MaxOwnLinks = 2;             // of a scheduler, to entry instances
   int LowerReadsUntilCheck = 4;    // then a write settles whether the store
                                    // was restored or the reads are stale
 };
@@ -235,7 +238,8 @@
   instant HeardAt = Never;
   std::int64_t PeerSentAt = -1;  // the last SentAt heard
   std::uint64_t PeerVersion = 0; // of the tables, as last said or sent
-  instant NextSend = Never;
+  instant SentAt = Never;
+  instant MembersSentAt = Never;
 };
 
 struct relay_state {
--- a/peer/message.cpp
+++ b/peer/message.cpp
@@ -18,12 +18,15 @@
                       Member.Version});
 }
 
+process_kind kindOf(const json &Json) {
+  return Json.get<int>() == 0 ? process_kind::Entry : process_kind::Scheduler;
+}
+
 member memberOf(const json &Json) {
   member Member;
   Member.Name = instance_id(Json.at(0).get<std::string>());
   Member.DataCentre = data_centre_id(Json.at(1).get<std::string>());
-  Member.Kind = Json.at(2).get<int>() == 0 ? process_kind::Entry
-                                           : process_kind::Scheduler;
+  Member.Kind = kindOf(Json.at(2));
   const auto Address = parseEndpoint(Json.at(3).get<std::string>());
   if (!Address || Member.Name.isEmpty())
     throw std::invalid_argument("member without name or address");
@@ -40,6 +43,26 @@
   return milliseconds(Age > MaxAge ? -1 : std::max<std::int64_t>(Age, -1));
 }
 
+json statementJson(const member_statement &Statement) {
+  const member &Member = Statement.Member;
+  return json::array({Member.Name.Value, static_cast<int>(Member.Kind),
+                      Member.Incarnation, Member.Version,
+                      Statement.HeardAge.count()});
+}
+
+member_statement statementOf(const json &Json) {
+  member_statement Statement;
+  member &Member = Statement.Member;
+  Member.Name = instance_id(Json.at(0).get<std::string>());
+  Member.Kind = kindOf(Json.at(1));
+  Member.Incarnation = Json.at(2).get<std::uint64_t>();
+  Member.Version = Json.at(3).get<std::uint64_t>();
+  Statement.HeardAge = std::max(ageAt(Json, 4), milliseconds(0));
+  if (Member.Name.isEmpty())
+    throw std::invalid_argument("member without name");
+  return Statement;
+}
+
 peer_message messageOf(const json &Json) {
   constexpr std::int64_t MaxMoment = 1LL << 53;
   peer_message Message;
@@ -58,9 +81,9 @@
   for (const json &Item : Json.at("r"))
     Message.Reach.push_back({data_centre_id(Item.at(0).get<std::string>()),
                              ageAt(Item, 1), ageAt(Item, 2)});
-  for (const json &Item : Json.at("m"))
-    Message.Members.push_back(
-        {memberOf(Item.at(0)), std::max(ageAt(Item, 1), milliseconds(0))});
+  if (Json.contains("m"))
+    for (const json &Item : Json.at("m"))
+      Message.Members.push_back(statementOf(Item));
   if (Json.contains("x"))
     Message.TablesText = Json.at("x").get<std::string>();
   return Message;
@@ -75,15 +98,13 @@
                 {Message.SentAt, Message.EchoOf, Message.EchoHeld.count(),
                  Message.EvidenceAge.count()}},
                {"l", {Message.Leader.Epoch, Message.Leader.Age.count()}},
-               {"r", json::array()},
-               {"m", json::array()}};
+               {"r", json::array()}};
   for (const reach_statement &Item : Message.Reach)
     Json["r"].push_back(
         json::array({Item.DataCentre.Value, Item.SaidAge.count(),
                      Item.ReachedAge.count()}));
   for (const member_statement &Item : Message.Members)
-    Json["m"].push_back(
-        json::array({memberJson(Item.Member), Item.HeardAge.count()}));
+    Json["m"].push_back(statementJson(Item));
   if (!Message.TablesText.empty())
     Json["x"] = Message.TablesText;
   std::string Bytes;
--- a/tests/contract/peer_test.cpp
+++ b/tests/contract/peer_test.cpp
@@ -70,7 +70,12 @@
   Message.Reach = {
       {data_centre_id("ma-north-a"), milliseconds(0), milliseconds(-1)},
       {data_centre_id("ma-north-b"), milliseconds(15), milliseconds(900)}};
-  Message.Members = {{Message.From, milliseconds(3)}};
+  member_statement Other;
+  Other.Member.Name = instance_id("ma-north-a-entry-1");
+  Other.Member.Incarnation = 1'700'000'000'001;
+  Other.Member.Version = 41;
+  Other.HeardAge = milliseconds(3);
+  Message.Members = {Other};
   Message.TablesText = R"({"version":42})";
   return Message;
 }
