--- a/apps/runtime/settings.cpp
+++ b/apps/runtime/settings.cpp
@@ -28,6 +28,19 @@
   });
 }
 
+constexpr const char *PageFlag = "--print-settings-page";
+
+/// One row of the page of settings.
+std::string pageRow(const std::string &Key, const CLI::Option &Option) {
+  const std::string Default =
+      Option.get_required() ? "required" : "`" + Option.get_default_str() + "`";
+  // The text ends with the variable's name, which has a column of its own.
+  std::string Help = Option.get_description();
+  Help.erase(Help.rfind(" ["));
+  return "| `" + Key + "` | `" + environmentName(Key) + "` | " +
+         Option.get_type_name() + " | " + Default + " | " + Help + " |\n";
+}
+
 } // namespace
 
 struct settings_parser::state {
@@ -44,9 +57,19 @@
     return Option;
   }
 
+  [[nodiscard]] std::string printPage() const {
+    std::string Page = "## " + Program + "\n\n" + App.get_description() +
+                       "\n\n| key | environment | value | default | meaning "
+                       "|\n|---|---|---|---|---|\n";
+    for (const std::string &Key : Keys)
+      Page += pageRow(Key, *App.get_option("--" + Key));
+    return Page;
+  }
+
   std::string Program;
   CLI::App App;
   bool IsCheckOnly = false;
+  bool IsPageWanted = false; // for --help alone: it is read before parsing
   std::vector<std::string> Keys;
 };
 
@@ -61,6 +84,9 @@
   App.add_flag("--check-settings", State->IsCheckOnly,
                "check the settings, print them and exit")
       ->configurable(false);
+  bool &IsPage = State->IsPageWanted;
+  App.add_flag(PageFlag, IsPage, "print the settings as a Markdown page")
+      ->configurable(false);
 }
 
 settings_parser::~settings_parser() = default;
@@ -109,6 +135,10 @@
 
 std::optional<int> settings_parser::parse(int Argc, char **Argv) {
   std::vector<std::string> Arguments(Argv + 1, Argv + Argc);
+  if (isOnCommandLine(Arguments, PageFlag)) {
+    std::cout << State->printPage();
+    return EXIT_SUCCESS;
+  }
   for (const std::string &Key : State->Keys) {
     const char *Value = std::getenv(environmentName(Key).c_str());
     if (Value && !isOnCommandLine(Arguments, "--" + Key))
--- a/apps/runtime/settings.hpp
+++ b/apps/runtime/settings.hpp
@@ -34,7 +34,8 @@
               const std::string &Help);
 
   /// Reads everything. Returns an exit code when the program should end at
-  /// once: after --help, --version, --check-settings, or an error.
+  /// once: after --help, --version, --check-settings, --print-settings-page, or
+  /// an error.
   std::optional<int> parse(int Argc, char **Argv);
 
 private:
