--- a/measure/capacity_state.cpp
+++ b/measure/capacity_state.cpp
@@ -3,6 +3,7 @@
 #include "measure/capacity_fleet.hpp"
 #include "measure/capacity_memory.hpp"
 #include "measure/capacity_samples.hpp"
+#include "platform/instance_list.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -34,6 +35,22 @@
   return static_cast<double>(allocatedBytes() - Before);
 }
 
+/// The platform's list of this many workers, as a scheduler reads it.
+double instanceListBytes(int Workers) {
+  nlohmann::json Rows = nlohmann::json::array();
+  for (int I = 0; I < Workers; ++I) {
+    instance Row;
+    Row.Name = sampleReport(0).Worker.Value;
+    Row.Kind = instance_kind::Worker;
+    Row.DataCentre = sampleReport(0).DataCentre;
+    Row.Rack = sampleReport(0).Rack;
+    Row.Address = {"10.20.131.204", 21'000};
+    Row.Accelerators = sampleReport(0).Accelerators;
+    Rows.push_back(Row);
+  }
+  return encodedBytes(nlohmann::json{{"instances", std::move(Rows)}});
+}
+
 /// A copy of the scheduler's state alone, without the fleet around it.
 double stateBytes(const fleet &Fleet) {
   return heldBytes(
@@ -73,6 +90,8 @@
                                   proposedQuietRenewal().size() +
                                   proposedQuietReport().size());
                             })),
+      makeSlope("instance list, answer", "bytes", "worker",
+                sampleSizes({50, 100, 200, 400, 714}, instanceListBytes)),
       makeSlope("job record", "bytes", "member",
                 sampleSizes({1, 2, 8, 32, 64, 128},
                             [](int Members) {
