--- a/core/job/scheduler_gang.cpp
+++ b/core/job/scheduler_gang.cpp
@@ -38,8 +38,9 @@
   }
   const bool IsRelease = Event.Kind == step_answered::step_kind::Release;
   scheduled_job *Job = findJob(Event.Attempt.Job);
-  const bool IsCurrent =
-      Job && attemptOf(*Job) == Event.Attempt && answersStep(Event, Job->Step);
+  const bool IsCurrent = Job && attemptOf(*Job) == Event.Attempt &&
+                         !isFinal(Job->Record.Phase) &&
+                         answersStep(Event, Job->Step);
   if (!IsCurrent) {
     if (Event.IsAccepted && !IsRelease)
       releaseStray(Event.Worker, Event.Attempt); // an answer that came late
@@ -56,7 +57,7 @@
       Member.IsDone = true;
   if (IsRelease)
     if (known_worker *Worker = findWorker(Event.Worker))
-      Worker->Held.erase(Event.Attempt);
+      Worker->drop(Event.Attempt);
   if (areAllDone(*Job))
     advanceGang(*Job);
 }
@@ -71,7 +72,8 @@
   Job.StepDeadline = Now + State.Settings.StepTimeout;
   const attempt_id Attempt = attemptOf(Job);
   for (placed_member &Place : Members) {
-    State.Workers.at(Place.Worker).Held[Attempt] = Place.Accelerators;
+    State.Workers.at(Place.Worker)
+        .hold(Attempt, Place.Accelerators, Job.Record.Spec);
     Job.Record.Placement.insert(Job.Record.Placement.end(), Place.Tasks,
                                 Place.Worker);
     emit(send_reserve{Place.Worker,
@@ -131,6 +133,7 @@
   }
   Job.Step = gang_step::Running;
   Job.IsConfirmed = true;
+  Job.RunningSince = Now;
   Job.Record.Phase = job_phase::Running;
   Job.Record.Verdict = verdict::Unknown;
   Job.Record.Reason.clear();
@@ -180,7 +183,7 @@
 void scheduler_run::finishRelease(scheduled_job &Job) {
   for (const gang_member &Member : Job.Members)
     if (known_worker *Worker = findWorker(Member.Place.Worker))
-      Worker->Held.erase(attemptOf(Job));
+      Worker->drop(attemptOf(Job));
   Job.Members.clear();
   if (!Job.IsConfirmed)
     Job.Record.Verdict = Job.VerdictBefore; // armed at most, so it didn't run
@@ -193,6 +196,7 @@
   }
   Job.Step = gang_step::Waiting;
   Job.RetryAt = Now + State.Settings.RetryDelay;
+  Job.WaitingSince = Now;
   Job.Record.Phase = job_phase::Waiting;
   Job.Record.Placement.clear();
   saveJob(Job);
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -1,4 +1,7 @@
 #include "measure/capacity.hpp"
+#include "measure/policy.hpp"
+
+#include <CLI/CLI.hpp>
 
 int main(int Argc, char **Argv) {
   CLI::App App("Measures the decisions of galenastage.");
@@ -6,6 +9,7 @@
   App.set_version_flag("--version", "galenastage-measure " GALENASTAGE_VERSION);
   App.require_subcommand(1);
   galenastage::measure::addCapacityCommands(App);
+  galenastage::measure::addPolicyCommand(App);
   CLI11_PARSE(App, Argc, Argv);
   return 0;
 }
