--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -1,3 +1,4 @@
+#include "measure/capacity.hpp"
 #include "measure/edit_latency.hpp"
 #include "measure/evidence_trial.hpp"
 #include "measure/policy.hpp"
@@ -11,6 +12,7 @@
   App.name("galenastage-measure");
   App.set_version_flag("--version", "galenastage-measure " GALENASTAGE_VERSION);
   App.require_subcommand(1);
+  galenastage::measure::addCapacityCommands(App);
   galenastage::measure::addPolicyCommand(App);
   addEditLatency(App);
   addEvidenceTrial(App);
