--- a/core/job/scheduler_gang.cpp
+++ b/core/job/scheduler_gang.cpp
@@ -38,8 +38,9 @@
   }
   const bool IsRelease = Event.Kind == step_answered::step_kind::Release;
   scheduled_job *Job = findJob(Event.Attempt.Job);
-  const bool IsCurrent =
-      Job && attemptOf(*Job) == Event.Attempt && answersStep(Event, Job->Step);
+  const bool IsCurrent = Job && attemptOf(*Job) == Event.Attempt &&
+                         !isFinal(Job->Record.Phase) &&
+                         answersStep(Event, Job->Step);
   if (!IsCurrent) {
     if (Event.IsAccepted && !IsRelease)
       releaseStray(Event.Worker, Event.Attempt); // an answer that came late
--- a/tests/faults/gang_start_test.cpp
+++ b/tests/faults/gang_start_test.cpp
@@ -144,6 +144,25 @@
   CHECK(Last.Verdict == verdict::Unknown);
 }
 
+TEST_CASE("a late answer to a release doesn't end a job again") {
+  driven_scheduler Scheduler;
+  Scheduler.takeOver({});
+  Scheduler.apply(job_seen{recordOf(job_phase::Waiting, true), 10});
+  const worker_id Worker = Scheduler.sent<send_reserve>().front().Worker;
+  Scheduler.answer(step_answered::step_kind::Reserve, Worker, 1);
+  Scheduler.answer(step_answered::step_kind::Start, Worker, 1);
+  REQUIRE(Scheduler.sent<save_job>().back().Record.Phase == job_phase::Running);
+  job_record Cancelled = recordOf(job_phase::Waiting, true);
+  Cancelled.IsCancelRequested = true;
+  Scheduler.apply(job_seen{Cancelled, 11});
+  Scheduler.answer(step_answered::step_kind::Release, Worker, 1);
+  Scheduler.answer(step_answered::step_kind::Release, Worker, 1);
+  Scheduler.apply(job_saved{Job, job_saved::outcome::Saved, 12});
+  const job_record Last = Scheduler.sent<save_job>().back().Record;
+  CHECK(Last.Phase == job_phase::Cancelled);
+  CHECK(Last.Verdict == verdict::Unknown);
+}
+
 TEST_CASE("a cancellation of one's own record isn't another's start") {
   driven_scheduler Scheduler;
   Scheduler.takeOver({recordOf(job_phase::Waiting, false)});
--- a/tests/support/virtual_system.cpp
+++ b/tests/support/virtual_system.cpp
@@ -276,6 +276,7 @@
   OnStep({step::Stop, Active, {}});
   if (!Network.isUp(Active) || Network.isPaused(Active))
     return;
+  RunningAtStop = Promises.attemptsRunning();
   Promises.forgetProcess(Active);
   Schedulers.at(Active)->stopGracefully();
 }
@@ -351,6 +352,18 @@
   Promises.checkEnd(Records, Index);
 }
 
+void virtual_system::checkStop() {
+  for (const attempt_id &Attempt : RunningAtStop) {
+    const auto Record = this->record(Attempt.Job);
+    // A caller may end it too, while the stop is under way.
+    const bool HasEnded =
+        Record && Record->Attempt == Attempt.Attempt &&
+        (Record->Phase == job_phase::Finished || Record->IsCancelRequested);
+    if (!HasEnded)
+      Promises.note(promise::StopCutsNothing, Attempt.Job.Value);
+  }
+}
+
 std::string
 virtual_system::activeScheduler(const data_centre_id &DataCentre) const {
   std::string Active;
--- a/tests/support/virtual_system.hpp
+++ b/tests/support/virtual_system.hpp
@@ -62,6 +62,8 @@
   [[nodiscard]] bool areAllJobsFinal();
   /// Checks what must hold once everything has come to rest.
   void checkEnd();
+  /// Checks that every gang that ran at the planned stop ran to its end.
+  void checkStop();
 
   [[nodiscard]] std::string
   activeScheduler(const data_centre_id &DataCentre) const;
@@ -101,6 +103,7 @@
   std::set<attempt_id> Placed;
   std::set<attempt_id> Confirmed;
   int Edits = 0;
+  std::set<attempt_id> RunningAtStop;
 };
 
 } // namespace galenastage::test
