Learn run times, order by response ratio, reserve late for what starves

Work that loses its progress when stopped goes off other pools' cells if it can.

The measure also counts failed jobs as done at the horizon: a strategy that fails jobs leaves their accelerators to others.

--- a/core/job/placement.cpp
+++ b/core/job/placement.cpp
@@ -140,6 +140,16 @@
       Worker->Free -= Member.Accelerators;
 }
 
+void capacity_index::giveBack(const placed_member &Member,
+                              const placement_request &Request) {
+  worker_capacity *Worker = find(Member.Worker);
+  if (!Worker)
+    return;
+  Worker->Free += Member.Accelerators;
+  if (!Request.IsStoppable)
+    addUnstoppable(*Worker, Request.Pool, -Member.Accelerators);
+}
+
 int capacity_index::freeAccelerators() const {
   int Free = 0;
   for (const rack &Rack : Racks)
--- a/core/job/placement.hpp
+++ b/core/job/placement.hpp
@@ -99,6 +99,9 @@
   /// Puts accelerators aside for another job; they count as not free.
   void setAside(std::span<const placed_member> Members);
 
+  /// Puts back what a member of a gang holds, as if it had ended.
+  void giveBack(const placed_member &Member, const placement_request &Request);
+
   [[nodiscard]] int freeAccelerators() const;
 
 private:
--- a/core/job/policy/strategy.hpp
+++ b/core/job/policy/strategy.hpp
@@ -26,11 +26,16 @@
 /// product uses.
 struct guaranteed_sharing {
   seconds PromotePatientAfter{4 * 3'600}; // then it ranks as ordinary work
-  seconds AgeingTime{1'800}; // this much waiting outweighs the whole fleet
-  seconds MoveAfter{30};     // a job waits this long before others are moved
-  seconds MinRunBeforeMove{120};  // a gang runs this long before it is moved
-  seconds MoveInterval{15};       // between two searches for one job
-  int SearchesPerPass = 8;        // for gangs to stop, in one pass
+  double FairnessWeight = 8; // of an organisation's share of the fleet
+  double SizeExponent = 0.5; // how much a large job's wait counts less
+  seconds MoveAfter{120};    // a job waits this long before others are moved
+  seconds MoveInterval{30};  // between two searches for one job
+  seconds MinRunBeforeMove{600};   // a gang runs this long before it is moved
+  seconds ReserveAfter{4 * 3'600}; // a blocked job gets workers kept for it
+  seconds ReservationLife{1'800};  // then the workers are chosen anew
+  double BackfillShare =
+      0.95;                // of like jobs must end before the reserved start
+  int SearchesPerPass = 8; // for gangs to stop, in one pass
   int DepartureGangsPerPass = 16; // gangs checkpointed in one pass
 
   friend bool operator==(const guaranteed_sharing &,
--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -19,6 +19,7 @@
 #include "core/job/placement.hpp"
 #include "core/job/policy/guarantee.hpp"
 #include "core/job/policy/quarantine.hpp"
+#include "core/job/policy/run_times.hpp"
 #include "core/job/policy/strategy.hpp"
 #include "core/job/worker_protocol.hpp"
 #include "core/log_event.hpp"
@@ -195,8 +196,10 @@
   instant RunningSince{};           // when every member had confirmed
   std::vector<placed_member> Claim; // kept free for it until it starts there
   instant ClaimEnds{};              // the claim is given up by then
-  std::set<worker_id> FailedOn;     // workers where a task of it failed
-  instant NextClaim{};              // no search for gangs to stop before this
+  bool IsReservation = false;       // the claim waits for gangs to end
+  instant ReservedStart{};      // when they should have, by what was learned
+  std::set<worker_id> FailedOn; // workers where a task of it failed
+  instant NextClaim{};          // no search for gangs to stop before this
 };
 
 /// Whether a gang may be stopped in the middle and run again later. A gang that
@@ -237,9 +240,8 @@
 /// What the policy remembers between events.
 struct policy_state {
   guarantee_plan Guarantees;
-  bool IsPlanStale = true; // workers or tables changed since it was made
-
-  friend bool operator==(const policy_state &, const policy_state &) = default;
+  bool IsPlanStale = true;   // workers or tables changed since it was made
+  run_time_learner RunTimes; // from the ends seen by this scheduler
 };
 
 struct scheduler_state {
--- a/core/job/scheduler_internal.hpp
+++ b/core/job/scheduler_internal.hpp
@@ -9,6 +9,21 @@
 /// Names with a blank between them, for log fields.
 std::string joinNames(const std::vector<worker_id> &Names);
 
+/// The workers as one placement pass sees them.
+struct pass_indexes {
+  capacity_index Kept;     // less what is reserved for a large job
+  capacity_index Open;     // with it, for work that ends before
+  instant ReservedStart{}; // of that large job
+  std::set<placement_request> Failed = {};     // shapes that don't fit in Kept
+  std::set<placement_request> FailedOpen = {}; // nor in Open
+
+  void take(std::span<const placed_member> Members,
+            const placement_request &Request) {
+    Kept.take(Members, Request);
+    Open.take(Members, Request);
+  }
+};
+
 /// One run of the scheduler's reducer: the state it changes, the moment, and
 /// the effects collected so far.
 class scheduler_run {
@@ -36,11 +51,20 @@
   void placeWaitingJobs();
   void placeByPolicy(const guaranteed_sharing &Policy,
                      std::vector<scheduled_job *> Waiting);
+  [[nodiscard]] double responseOf(const guaranteed_sharing &Policy,
+                                  const scheduled_job &Job) const;
   void placeFirstFit(const std::vector<scheduled_job *> &Waiting);
   void placeBackfill(const std::vector<scheduled_job *> &Waiting);
   bool mayBePlaced(scheduled_job &Job);
   void explainWait(scheduled_job &Job);
   capacity_index indexWorkers() const;
+  capacity_index indexWithout(const scheduled_job *Skipped) const;
+  bool placeNow(const guaranteed_sharing &Policy, pass_indexes &Indexes,
+                scheduled_job &Job);
+  void waitLonger(const guaranteed_sharing &Policy, pass_indexes &Indexes,
+                  scheduled_job &Job, int &Searches);
+  bool reserveAhead(const guaranteed_sharing &Policy, scheduled_job &Job);
+  [[nodiscard]] const scheduled_job *findReservation() const;
   std::map<organisation_id, double> dominantShares() const;
 
   // Claims and reclaim: scheduler_reclaim.cpp
--- a/core/job/scheduler_policy.cpp
+++ b/core/job/scheduler_policy.cpp
@@ -1,8 +1,7 @@
 #include "core/job/scheduler_internal.hpp"
 
 #include <algorithm>
-#include <deque>
-#include <limits>
+#include <cmath>
 #include <tuple>
 
 namespace galenastage::detail {
@@ -32,21 +31,37 @@
   return Class == work_class::Patient && IsOld ? work_class::Ordinary : Class;
 }
 
-/// The waiting jobs of one organisation in one class, in the order in which it
-/// wants them.
+/// A waiting job and how much it wants to go next.
+struct ranked_job {
+  double Response = 1; // grows with the wait, faster for small jobs
+  scheduled_job *Job = nullptr;
+};
+
+/// The waiting jobs of one organisation in one class, the first at the back.
 struct organisation_queue {
-  std::deque<scheduled_job *> Jobs;
+  std::vector<ranked_job> Jobs;
   double Share = 0; // of its dominant resource, the accelerators
 
-  /// Low goes first: a small share, or a long wait.
-  [[nodiscard]] double rank(const guaranteed_sharing &Policy,
-                            wall_instant WallNow) const {
-    const std::chrono::duration<double> Waited =
-        WallNow - Jobs.front()->Record.SubmittedAt;
-    return Share - Waited / Policy.AgeingTime;
+  /// High goes first.
+  [[nodiscard]] double rank(const guaranteed_sharing &Policy) const {
+    return std::log(Jobs.back().Response) - Policy.FairnessWeight * Share;
   }
 };
 
+/// Work that loses what it did when stopped goes off the cells of other pools
+/// when it can.
+std::vector<placed_member> chooseGently(const capacity_index &Index,
+                                        const job_spec &Spec,
+                                        const placement_request &Request) {
+  std::vector<placed_member> Members;
+  if (Request.IsStoppable && !Spec.IsCheckpointable) {
+    placement_request Gentle = Request;
+    Gentle.IsStoppable = false;
+    Members = Index.choose(Gentle);
+  }
+  return Members.empty() ? Index.choose(Request) : Members;
+}
+
 } // namespace
 
 void scheduler_run::refreshGuarantees() {
@@ -137,12 +152,17 @@
 
 /// The usable workers, less what is kept for jobs with a claim.
 capacity_index scheduler_run::indexWorkers() const {
+  return indexWithout(nullptr);
+}
+
+/// The same, with the claim of one job left out.
+capacity_index scheduler_run::indexWithout(const scheduled_job *Skipped) const {
   capacity_index Index;
   for (const auto &[Name, Worker] : State.Workers)
     if (Worker.isUsable())
       Index.add(Worker.capacity(Name));
   for (const auto &[Id, Job] : State.Jobs)
-    if (!Job.Claim.empty())
+    if (!Job.Claim.empty() && &Job != Skipped)
       Index.take(Job.Claim, placementRequest(Job.Record.Spec));
   return Index;
 }
@@ -158,6 +178,19 @@
   return Shares;
 }
 
+/// The response ratio: one, plus the wait over what the job takes. Small jobs
+/// go ahead of large ones, and every job gets there in time.
+double scheduler_run::responseOf(const guaranteed_sharing &Policy,
+                                 const scheduled_job &Job) const {
+  const job_spec &Spec = Job.Record.Spec;
+  const std::chrono::duration<double> Taken =
+      State.Policy.RunTimes.estimate(Spec, 0.5);
+  const std::chrono::duration<double> Waited =
+      State.WallNow - Job.Record.SubmittedAt;
+  const double Size = std::pow(acceleratorsOf(Spec), Policy.SizeExponent);
+  return 1 + (1 + Waited.count()) / (Taken.count() * Size);
+}
+
 /// Takes one class after the other. Within it, the organisation with the
 /// smallest dominant share places its next job.
 void scheduler_run::placeByPolicy(const guaranteed_sharing &Policy,
@@ -169,7 +202,6 @@
   });
   if (Waiting.empty())
     return;
-  std::ranges::sort(Waiting, {}, arrivalOrder);
   const auto Shares = dominantShares();
   std::map<work_class, std::map<organisation_id, organisation_queue>> Classes;
   for (scheduled_job *Job : Waiting) {
@@ -178,45 +210,133 @@
         Classes[rankOf(*Job, Policy, State.WallNow)][Name];
     const auto Share = Shares.find(Name);
     Queue.Share = Share == Shares.end() ? 0 : Share->second;
-    Queue.Jobs.push_back(Job);
+    Queue.Jobs.push_back({responseOf(Policy, *Job), Job});
   }
-  capacity_index Index = indexWorkers();
-  const double Total = std::max(1, Index.freeAccelerators());
-  std::set<placement_request> Failed; // shapes that don't fit in this pass
+  for (auto &[Class, Queues] : Classes)
+    for (auto &[Name, Queue] : Queues)
+      std::ranges::sort(Queue.Jobs, {}, [](const ranked_job &Ranked) {
+        return std::pair(Ranked.Response, Ranked.Job->Record.Spec.Id);
+      });
+  pass_indexes Indexes{indexWorkers(), indexWithout(findReservation()), {}};
+  if (const scheduled_job *Reserved = findReservation())
+    Indexes.ReservedStart = Reserved->ReservedStart;
+  const double Total = std::max(1, Indexes.Open.freeAccelerators());
   int Searches = Policy.SearchesPerPass;
   for (auto &[Class, Queues] : Classes) {
     while (!Queues.empty()) {
-      const auto Next = std::ranges::min_element(Queues, {}, [&](auto &Row) {
-        return Row.second.rank(Policy, State.WallNow);
-      });
-      scheduled_job &Job = *Next->second.Jobs.front();
-      Next->second.Jobs.pop_front();
-      const placement_request Request = placementRequest(Job.Record.Spec);
-      std::vector<placed_member> Members;
-      if (!Failed.contains(Request) && !Job.FailedOn.empty()) {
-        placement_request Careful = Request;
-        Careful.Avoid.assign(Job.FailedOn.begin(), Job.FailedOn.end());
-        Members = Index.choose(Careful);
-      }
-      if (!Failed.contains(Request) && Members.empty())
-        Members = Index.choose(Request);
-      if (!Members.empty()) {
-        Index.take(Members, Request);
-        reserveGang(Job, std::move(Members));
+      const auto Next = std::ranges::max_element(
+          Queues, {}, [&](auto &Row) { return Row.second.rank(Policy); });
+      scheduled_job &Job = *Next->second.Jobs.back().Job;
+      Next->second.Jobs.pop_back();
+      if (placeNow(Policy, Indexes, Job))
         Next->second.Share += acceleratorsOf(Job.Record.Spec) / Total;
-      } else if (Now >= Job.NextClaim && Searches-- > 0 &&
-                 claimByEviction(Policy, Job)) {
-        Index.take(Job.Claim, Request);
-      } else {
-        Failed.insert(Request);
-        explainWait(Job);
-      }
+      else
+        waitLonger(Policy, Indexes, Job, Searches);
       if (Next->second.Jobs.empty())
         Queues.erase(Next);
     }
   }
 }
 
+/// Starts the job where it fits. Workers reserved for a larger job are open to
+/// it when such jobs end before that one can start.
+bool scheduler_run::placeNow(const guaranteed_sharing &Policy,
+                             pass_indexes &Indexes, scheduled_job &Job) {
+  const job_spec &Spec = Job.Record.Spec;
+  const placement_request Request = placementRequest(Spec);
+  const auto RunTime =
+      State.Policy.RunTimes.learned(Spec, Policy.BackfillShare);
+  const bool MayBackfill = RunTime && Now + *RunTime <= Indexes.ReservedStart;
+  std::set<placement_request> &Failed =
+      MayBackfill ? Indexes.FailedOpen : Indexes.Failed;
+  if (Failed.contains(Request))
+    return false;
+  const capacity_index &Index = MayBackfill ? Indexes.Open : Indexes.Kept;
+  std::vector<placed_member> Members;
+  if (!Job.FailedOn.empty()) {
+    placement_request Careful = Request;
+    Careful.Avoid.assign(Job.FailedOn.begin(), Job.FailedOn.end());
+    Members = Index.choose(Careful);
+  }
+  if (Members.empty())
+    Members = chooseGently(Index, Spec, Request);
+  if (Members.empty()) {
+    Failed.insert(Request);
+    return false;
+  }
+  Indexes.take(Members, Request);
+  reserveGang(Job, std::move(Members));
+  return true;
+}
+
+/// Stops others for the job, reserves ahead for it, or says why it waits.
+void scheduler_run::waitLonger(const guaranteed_sharing &Policy,
+                               pass_indexes &Indexes, scheduled_job &Job,
+                               int &Searches) {
+  const placement_request Request = placementRequest(Job.Record.Spec);
+  if (Now >= Job.NextClaim && Searches-- > 0 && claimByEviction(Policy, Job)) {
+    Indexes.take(Job.Claim, Request);
+    return;
+  }
+  const bool IsOld = Now - Job.WaitingSince >= Policy.ReserveAfter;
+  if (IsOld && !findReservation() && reserveAhead(Policy, Job)) {
+    Indexes.Kept.take(Job.Claim, Request);
+    Indexes.ReservedStart = Job.ReservedStart;
+    return;
+  }
+  explainWait(Job);
+}
+
+const scheduled_job *scheduler_run::findReservation() const {
+  for (const auto &[Id, Job] : State.Jobs)
+    if (!Job.Claim.empty() && Job.IsReservation)
+      return &Job;
+  return nullptr;
+}
+
+/// Keeps the workers for the job that will hold it first, when gangs end as
+/// such gangs have so far.
+bool scheduler_run::reserveAhead(const guaranteed_sharing &Policy,
+                                 scheduled_job &Job) {
+  std::vector<std::pair<instant, const scheduled_job *>> Ends;
+  for (const auto &[Id, Other] : State.Jobs)
+    if (!Other.Members.empty()) {
+      const milliseconds Taken =
+          State.Policy.RunTimes.estimate(Other.Record.Spec, 0.5);
+      // What has outrun its estimate is taken to be halfway.
+      const milliseconds Run = Now - Other.RunningSince;
+      Ends.emplace_back(Now + std::max(Taken - Run, Run / 2), &Other);
+    }
+  std::ranges::sort(Ends, {}, [](const auto &End) {
+    return std::pair(End.first, End.second->Record.Spec.Id);
+  });
+  const placement_request Request = placementRequest(Job.Record.Spec);
+  const auto ChooseAfter = [&](std::size_t Ended) {
+    capacity_index Index = indexWorkers();
+    for (const auto &End : std::span(Ends).first(Ended))
+      for (const gang_member &Member : End.second->Members)
+        Index.giveBack(Member.Place, placementRequest(End.second->Record.Spec));
+    return Index.choose(Request);
+  };
+  if (ChooseAfter(Ends.size()).empty())
+    return false;
+  std::size_t Low = 0;
+  std::size_t High = Ends.size();
+  while (Low < High) {
+    const std::size_t Middle = (Low + High) / 2;
+    if (ChooseAfter(Middle).empty())
+      Low = Middle + 1;
+    else
+      High = Middle;
+  }
+  Job.Claim = ChooseAfter(Low);
+  Job.IsReservation = true;
+  Job.ReservedStart = Low == 0 ? Now : Ends[Low - 1].first;
+  Job.ClaimEnds = Now + Policy.ReservationLife;
+  setReason(Job, "waits for workers that are reserved for it");
+  return true;
+}
+
 void scheduler_run::placeFirstFit(const std::vector<scheduled_job *> &Waiting) {
   std::vector<scheduled_job *> Ordered = Waiting;
   std::ranges::sort(Ordered, {}, arrivalOrder);
--- a/core/job/scheduler_reclaim.cpp
+++ b/core/job/scheduler_reclaim.cpp
@@ -196,6 +196,15 @@
     if (Job.Claim.empty())
       continue;
     const placement_request Request = placementRequest(Job.Record.Spec);
+    if (Job.IsReservation && !isFinal(Job.Record.Phase) && mayBePlaced(Job)) {
+      // It may fit elsewhere by now.
+      auto Members = indexWithout(&Job).choose(Request);
+      if (!Members.empty()) {
+        Job.Claim.clear();
+        reserveGang(Job, std::move(Members));
+        continue;
+      }
+    }
     bool IsFree = true;
     bool IsLost = isFinal(Job.Record.Phase) || Now >= Job.ClaimEnds ||
                   Job.Step != gang_step::Waiting || !mayBePlaced(Job);
@@ -264,6 +273,7 @@
   if (!Best)
     return false;
   Job.Claim = std::move(Best->Members);
+  Job.IsReservation = false;
   Job.ClaimEnds = Now + State.Settings.Lease + 2 * State.Settings.StepTimeout;
   for (scheduled_job *Victim : Best->Victims) {
     log(events::GangEvicted,
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -98,8 +98,10 @@
     if (!Member.HasSucceeded)
       countSuccess(Member.Place.Worker);
     Member.HasSucceeded = true;
-    if (std::ranges::all_of(Job.Members, &gang_member::HasSucceeded))
-      releaseGang(Job, job_phase::Finished, "");
+    if (!std::ranges::all_of(Job.Members, &gang_member::HasSucceeded))
+      return;
+    State.Policy.RunTimes.add(Job.Record.Spec, Report->Progress);
+    releaseGang(Job, job_phase::Finished, "");
     return;
   default:
     return;
--- a/measure/policy.hpp
+++ b/measure/policy.hpp
@@ -99,9 +99,11 @@
 /// What one strategy did with one seed.
 struct policy_result {
   std::map<completion_key, std::vector<double>> Completion; // s, sorted
-  std::vector<double> AllCompletions;                       // s, sorted
-  std::vector<double> UrgentStarts; // s from submission to running, sorted
-  std::vector<double> Reclaims;     // s from eviction to running, sorted
+  std::vector<double> AllCompletions; // s, sorted, of what finished
+  std::vector<double> WithFailures;   // s, sorted; a failed job never completes
+                                      // and counts as done at the horizon
+  std::vector<double> UrgentStarts;   // s from submission to running, sorted
+  std::vector<double> Reclaims;       // s from eviction to running, sorted
   double Fragmentation = 0; // share of the fleet: waiting work would fit there
                             // if the free accelerators weren't scattered
   double IdleWhileWanted = 0; // share of the fleet: free while work waits
--- a/measure/policy_driver.cpp
+++ b/measure/policy_driver.cpp
@@ -426,6 +426,7 @@
       case job_phase::Failed:
       case job_phase::Refused:
         ++Result.Failed;
+        Result.WithFailures.push_back(toSeconds(sinceSubmission(Job, Now)));
         continue;
       default:
         ++Result.Unfinished;
@@ -435,10 +436,12 @@
       const job_spec &Spec = Job.Arrival.Spec;
       Result.Completion[{Spec.Class, Spec.Organisation}].push_back(Time);
       Result.AllCompletions.push_back(Time);
+      Result.WithFailures.push_back(Time);
     }
     for (auto &[Key, Times] : Result.Completion)
       std::ranges::sort(Times);
     std::ranges::sort(Result.AllCompletions);
+    std::ranges::sort(Result.WithFailures);
     std::ranges::sort(Result.UrgentStarts);
     std::ranges::sort(Result.Reclaims);
     const int Fleet =
--- a/measure/policy_report.cpp
+++ b/measure/policy_report.cpp
@@ -19,6 +19,7 @@
 struct score {
   double CompletionMean = 0;
   double CompletionP95 = 0;
+  double WithFailures = 0;
   double Fragmentation = 0;
   double IdleWhileWanted = 0;
   double DepartureWork = 0;
@@ -26,7 +27,8 @@
 
 score scoreOf(const policy_result &Result) {
   return {mean(Result.AllCompletions), quantile(Result.AllCompletions, 0.95),
-          Result.Fragmentation, Result.IdleWhileWanted, Result.DepartureWork};
+          mean(Result.WithFailures),   Result.Fragmentation,
+          Result.IdleWhileWanted,      Result.DepartureWork};
 }
 
 nlohmann::json quantiles(const std::vector<double> &Sorted) {
@@ -43,6 +45,7 @@
   for (const auto &[Key, Times] : Result.Completion)
     Json["completion_by_class_s"][std::string(name(Key.Class))]
         [Key.Organisation.Value] = quantiles(Times);
+  Json["completion_with_failures_s"] = quantiles(Result.WithFailures);
   Json["urgent_start_s"] = quantiles(Result.UrgentStarts);
   Json["reclaim_s"] = quantiles(Result.Reclaims);
   Json["fragmentation"] = Result.Fragmentation;
@@ -90,6 +93,7 @@
 struct win_count {
   int CompletionMean = 0;
   int CompletionP95 = 0;
+  int WithFailures = 0;
   int Fragmentation = 0;
   int IdleWhileWanted = 0;
   int DepartureWork = 0;
@@ -98,11 +102,13 @@
   void add(const score &Ours, const score &Other) {
     CompletionMean += Ours.CompletionMean < Other.CompletionMean ? 1 : 0;
     CompletionP95 += Ours.CompletionP95 < Other.CompletionP95 ? 1 : 0;
+    WithFailures += Ours.WithFailures < Other.WithFailures ? 1 : 0;
     Fragmentation += Ours.Fragmentation < Other.Fragmentation ? 1 : 0;
     IdleWhileWanted += Ours.IdleWhileWanted < Other.IdleWhileWanted ? 1 : 0;
     DepartureWork += Ours.DepartureWork > Other.DepartureWork ? 1 : 0;
     Sum.CompletionMean += Other.CompletionMean;
     Sum.CompletionP95 += Other.CompletionP95;
+    Sum.WithFailures += Other.WithFailures;
     Sum.Fragmentation += Other.Fragmentation;
     Sum.IdleWhileWanted += Other.IdleWhileWanted;
     Sum.DepartureWork += Other.DepartureWork;
@@ -143,22 +149,28 @@
       Json["sum"][Name] = {
           {"completion_mean_s", W.Sum.CompletionMean / Options.Seeds},
           {"completion_p95_s", W.Sum.CompletionP95 / Options.Seeds},
+          {"completion_with_failures_mean_s",
+           W.Sum.WithFailures / Options.Seeds},
           {"fragmentation", W.Sum.Fragmentation / Options.Seeds},
           {"idle_while_wanted", W.Sum.IdleWhileWanted / Options.Seeds},
           {"departure_work_h", W.Sum.DepartureWork / Options.Seeds},
           {"beaten",
            {{"completion_mean", W.CompletionMean},
             {"completion_p95", W.CompletionP95},
+            {"completion_with_failures_mean_s",
+             W.Sum.WithFailures / Options.Seeds},
             {"fragmentation", W.Fragmentation},
             {"departure_work", W.DepartureWork}}}};
       continue;
     }
-    std::printf("  %-18s completion mean %8.1f (%d) p95 %8.1f (%d)  "
+    std::printf("  %-18s completion mean %8.1f (%d) p95 %8.1f (%d)  with "
+                "failures %8.1f (%d)  "
                 "fragmentation %% %6.3f (%d)  idle %% %6.3f (%d)  departure "
                 "work h %7.1f (%d)\n",
                 Name.c_str(), W.Sum.CompletionMean / Options.Seeds,
                 W.CompletionMean, W.Sum.CompletionP95 / Options.Seeds,
-                W.CompletionP95, W.Sum.Fragmentation * 100 / Options.Seeds,
+                W.CompletionP95, W.Sum.WithFailures / Options.Seeds,
+                W.WithFailures, W.Sum.Fragmentation * 100 / Options.Seeds,
                 W.Fragmentation, W.Sum.IdleWhileWanted * 100 / Options.Seeds,
                 W.IdleWhileWanted, W.Sum.DepartureWork / Options.Seeds,
                 W.DepartureWork);
