Bound slots and connections of all entry instances while membership lags

Cause: members with different lists used shares that added up to more than an executor has.

Change: a smaller share counts at once, a larger one only when every list of the last share-wait-ms gives it; a new instance isn't ready before. Idle connections have a share of their own, a fresh connection replaces an idle one, and a request that timed out keeps its slot for 5 s, since the executor may go on. The entry reports ready once its share has settled. The load generator checks what callers were told against the executors' ledger.

Conclusion: the limit holds as long as share-wait-ms covers the lag of the list and the longest request.

--- a/apps/entry/dispatch_log.hpp
+++ b/apps/entry/dispatch_log.hpp
@@ -9,9 +9,12 @@
 namespace galenastage {
 
 struct dispatch_log_settings {
-  int WritesPerSecond = 4;    // calls of this instance, in the long run
-  int Burst = 8;              // calls that may follow each other at once
-  std::size_t GroupSize = 64; // records written by one call
+  int WritesPerSecond = 4; // calls of this instance, in the long run
+
+  // Calls that may follow each other at once.
+  static constexpr int Burst = 8;
+  // Records written by one call. The store limits the operations of a call.
+  static constexpr std::size_t GroupSize = 64;
 };
 
 /// Writes dispatch records by group commit: what arrives while a call is under
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -27,7 +27,8 @@
   explicit entry_app(entry_config NewConfig)
       : Config(std::move(NewConfig)), Io(Config.Threads + 1),
         State({instance_id(Config.Instance), Config.DataCentre,
-               Config.SlotsPerExecutor}),
+               Config.SlotsPerExecutor, Config.ConnectionsPerExecutor,
+               Config.Threads, Config.ShareWait}),
         Store(Io.context(0), Config.Store, Config.Listen.Address),
         List(Io.context(0), Config.Platform, Config.Listen.Address),
         Requests(Io.context(0), Config) {
@@ -117,6 +118,7 @@
       asio::post(Thread->Context,
                  [&Thread = *Thread, Snapshot = Effect.Snapshot] {
                    Thread.Snapshot = Snapshot;
+                   Thread.Upstream.limitIdle(Snapshot->IdleConnections);
                  });
   }
 
@@ -149,6 +151,7 @@
   std::string Store;
   std::string Platform;
   std::string Format = "key-value";
+  int ShareWaitMs = static_cast<int>(Config.ShareWait.count());
 
   settings_parser Parser("galenastage-entry",
                          "Entry instance: callers' requests, jobs and the "
@@ -161,6 +164,13 @@
   Parser.number("threads", Config.Threads, 1, 64, "traffic threads");
   Parser.number("executor-slots", Config.SlotsPerExecutor, 1, 1'024,
                 "requests at once at one executor, from all entry instances");
+  Parser.number("executor-connections", Config.ConnectionsPerExecutor, 1, 4'096,
+                "connections to one executor, from all entry instances");
+  Parser.number("dispatch-writes", Config.DispatchWrites, 1, 1'000,
+                "store calls a second for dispatch records");
+  Parser.number("share-wait-ms", ShareWaitMs, 0, 600'000,
+                "lag of the instance list and longest request together: a new "
+                "share of an executor is used only after so long");
   Parser.choice("log-format", Format, {"key-value", "json"},
                 "format of log lines");
   if (const auto ExitCode = Parser.parse(Argc, Argv))
@@ -169,6 +179,7 @@
   startLogging("galenastage-entry",
                Format == "json" ? log_format::Json : log_format::KeyValue);
   Config.DataCentre = data_centre_id(DataCentre);
+  Config.ShareWait = milliseconds(ShareWaitMs);
   Config.Listen = *parseEndpoint(Listen);
   Config.Store = *parseEndpoint(Store);
   Config.Platform = *parseEndpoint(Platform);
--- a/apps/entry/requests_api.cpp
+++ b/apps/entry/requests_api.cpp
@@ -1,6 +1,7 @@
 #include "apps/entry/traffic.hpp"
 #include "apps/runtime/logging.hpp"
 #include "apps/runtime/process.hpp"
+#include "core/error.hpp"
 #include "core/request/routing.hpp"
 
 #include <algorithm>
@@ -218,7 +219,8 @@
     Result = co_await sendOnce(Thread, Routed, Send->Executor.Address);
     try_ended Ended;
     Ended.Number = Number;
-    Ended.Outcome = outcomeOf(Result.Stage, factsOf(Result));
+    Ended.Outcome = outcomeOf(
+        Result.Stage, Result.Error == errc::DeadlineExceeded, factsOf(Result));
     Ended.Verdict = Result.Verdict;
     Ended.Took = readClock() - Began;
     Effect = co_await Gate.endTry(Thread.Context, Ended);
--- a/apps/entry/traffic.cpp
+++ b/apps/entry/traffic.cpp
@@ -40,7 +40,8 @@
   if (Path == "/healthz")
     co_return jsonResponse(200, R"({"healthy":true})");
   if (Path == "/readyz") {
-    const bool IsReady = Thread.IsReady && Thread.Snapshot;
+    const bool IsReady =
+        Thread.IsReady && Thread.Snapshot && Thread.Snapshot->IsShareSettled;
     co_return jsonResponse(IsReady ? 200 : 503, IsReady ? R"({"ready":true})"
                                                         : R"({"ready":false})");
   }
--- a/apps/entry/traffic.hpp
+++ b/apps/entry/traffic.hpp
@@ -18,13 +18,16 @@
 // [1] What threads share
 
 struct entry_config {
-  std::string Instance;      //
-  data_centre_id DataCentre; //
-  endpoint Listen;           // for callers and operators
-  endpoint Store;            // key-value service
-  endpoint Platform;         // instance list
-  int Threads = 2;           // of traffic
-  int SlotsPerExecutor = 8;  // from all entry instances together
+  std::string Instance;            //
+  data_centre_id DataCentre;       //
+  endpoint Listen;                 // for callers and operators
+  endpoint Store;                  // key-value service
+  endpoint Platform;               // instance list
+  int Threads = 2;                 // of traffic
+  int SlotsPerExecutor = 8;        // from all entry instances together
+  int ConnectionsPerExecutor = 64; // likewise, idle ones included
+  int DispatchWrites = 4;          // store calls a second for dispatch records
+  milliseconds ShareWait{30'000};  // see core/request/share.hpp
 };
 
 /// What the traffic threads of one process share.
@@ -32,7 +35,8 @@
   /// Context runs the dispatch log and outlives this.
   request_services(asio::io_context &Context, const entry_config &Config)
       : Gate(Config.DataCentre),
-        Log(Context, Config.Store, Config.Listen.Address) {}
+        Log(Context, Config.Store, Config.Listen.Address,
+            {Config.DispatchWrites}) {}
 
   request_gate Gate;
   dispatch_log Log;
--- a/core/request/entry_state.cpp
+++ b/core/request/entry_state.cpp
@@ -7,23 +7,39 @@
 namespace galenastage {
 namespace {
 
-entry_snapshot_ptr makeSnapshot(entry_state &State) {
+entry_snapshot_ptr makeSnapshot(const entry_state &State) {
+  const entry_settings &Settings = State.Settings;
   boost::intrusive_ptr<entry_snapshot> Snapshot = new entry_snapshot;
   Snapshot->Tables = State.Tables;
-  Snapshot->DataCentre = State.Settings.DataCentre;
+  Snapshot->DataCentre = Settings.DataCentre;
   for (const executor_row &Row : State.Executors) {
     if (Row.IsLeaving || !isInService(*State.Tables, Row.DataCentre))
       continue;
-    const int Slots = slotShare(Row.Executor, State.Settings.Self,
-                                State.Members, State.Settings.SlotsPerExecutor);
+    const int Slots = safeShare(State.Members, Row.Executor, Settings.Self,
+                                Settings.SlotsPerExecutor);
     Snapshot->Executors.push_back({Row, Slots});
   }
+  Snapshot->IsShareSettled = isSettled(State.Members, Settings.Self);
+  Snapshot->IdleConnections = idleConnectionShare(
+      Settings.ConnectionsPerExecutor, Settings.SlotsPerExecutor,
+      fewestMembers(State.Members), Settings.Threads);
   return Snapshot;
 }
 
+bool isSame(const entry_snapshot &Left, const entry_snapshot &Right) {
+  return Left.Tables == Right.Tables && Left.Executors == Right.Executors &&
+         Left.IdleConnections == Right.IdleConnections &&
+         Left.IsShareSettled == Right.IsShareSettled;
+}
+
 void publish(entry_state &State, entry_effects &Effects) {
-  if (State.Tables)
-    Effects.push_back(publish_snapshot{makeSnapshot(State)});
+  if (!State.Tables)
+    return;
+  entry_snapshot_ptr Snapshot = makeSnapshot(State);
+  if (State.Published && isSame(*State.Published, *Snapshot))
+    return;
+  State.Published = Snapshot;
+  Effects.push_back(publish_snapshot{std::move(Snapshot)});
 }
 
 void apply(entry_state &State, const tables_seen &Event,
@@ -41,30 +57,26 @@
 
 void apply(entry_state &State, const executors_seen &Event,
            entry_effects &Effects) {
-  if (State.Executors == Event.Executors)
-    return;
   State.Executors = Event.Executors;
   publish(State, Effects);
 }
 
-void apply(entry_state &State, const members_seen &Event,
+void apply(entry_state &State, const members_seen &Event, instant Now,
            entry_effects &Effects) {
-  std::vector<instance_id> Members = Event.Members;
-  // The list lags: this instance counts itself even when it isn't named yet.
-  if (std::ranges::find(Members, State.Settings.Self) == Members.end())
-    Members.push_back(State.Settings.Self);
-  std::ranges::sort(Members);
-  if (State.Members == Members)
-    return;
-  State.Members = std::move(Members);
+  noteMembers(State.Members, Event.Members, Now, State.Settings.ShareWait);
   publish(State, Effects);
 }
 
+void apply(entry_state &State, const auto &Event, instant,
+           entry_effects &Effects) {
+  apply(State, Event, Effects);
+}
+
 } // namespace
 
 entry_effects reduce(entry_state &State, const entry_event &Event) {
   entry_effects Effects;
-  std::visit([&](const auto &Body) { apply(State, Body, Effects); },
+  std::visit([&](const auto &Body) { apply(State, Body, Event.Now, Effects); },
              Event.Body);
   return Effects;
 }
--- a/core/request/entry_state.hpp
+++ b/core/request/entry_state.hpp
@@ -11,6 +11,7 @@
 
 #include "core/config/tables.hpp"
 #include "core/log_event.hpp"
+#include "core/request/share.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -69,6 +70,8 @@
   std::shared_ptr<const tables> Tables; // never null
   data_centre_id DataCentre;            // of this instance
   std::vector<executor_choice> Executors;
+  int IdleConnections = 0;     // to each executor, of each traffic thread
+  bool IsShareSettled = false; // whether this instance may use its share
 };
 using entry_snapshot_ptr = boost::intrusive_ptr<const entry_snapshot>;
 
@@ -86,7 +89,10 @@
 struct entry_settings {
   instance_id Self;
   data_centre_id DataCentre;
-  int SlotsPerExecutor = 8; // requests at once, from all entry instances
+  int SlotsPerExecutor = 8;        // requests at once, from all entry instances
+  int ConnectionsPerExecutor = 64; // idle or not, from all entry instances
+  int Threads = 1;                 // of traffic
+  milliseconds ShareWait{30'000};  // see share.hpp
 };
 
 struct entry_state {
@@ -96,7 +102,8 @@
   entry_settings Settings;
   std::shared_ptr<const tables> Tables;
   std::vector<executor_row> Executors;
-  std::vector<instance_id> Members;
+  member_history Members;
+  entry_snapshot_ptr Published; // the last one
 };
 
 /// Applies one event in place.
--- a/core/request/exchange.cpp
+++ b/core/request/exchange.cpp
@@ -26,11 +26,12 @@
   return Answer.Status == ServiceUnavailable && Answer.SaysNotRun;
 }
 
-try_outcome outcomeOf(exchange_stage Stage, const answer_facts &Answer) {
+try_outcome outcomeOf(exchange_stage Stage, bool HasTimedOut,
+                      const answer_facts &Answer) {
   if (Stage == exchange_stage::NothingSent)
     return try_outcome::ConnectFailed;
   if (Stage != exchange_stage::Answered)
-    return try_outcome::Failed;
+    return HasTimedOut ? try_outcome::TimedOut : try_outcome::Failed;
   if (isRefusal(Answer))
     return try_outcome::Refused;
   if (Answer.Status >= FirstServerError)
--- a/core/request/exchange.hpp
+++ b/core/request/exchange.hpp
@@ -30,7 +30,8 @@
 bool isRefusal(const answer_facts &Answer);
 
 /// How the exchange counts for the executor's health. Answer matters only at
-/// the stage Answered.
-try_outcome outcomeOf(exchange_stage Stage, const answer_facts &Answer);
+/// the stage Answered, HasTimedOut only before.
+try_outcome outcomeOf(exchange_stage Stage, bool HasTimedOut,
+                      const answer_facts &Answer);
 
 } // namespace galenastage
--- a/core/request/request_flow.cpp
+++ b/core/request/request_flow.cpp
@@ -132,7 +132,7 @@
     return;
   active_request &Request = Found->second;
   if (auto *Executor = findExecutor(State.Upstreams, Request.Executor)) {
-    --Executor->Outstanding;
+    releaseSlot(*Executor, Event.Outcome, Now);
     noteOutcome(State.Upstreams, *Executor, Event.Outcome, Now);
   }
   if (Request.Ask.Class == work_class::Patient)
@@ -175,6 +175,7 @@
 
 void apply(request_state &State, const time_passed &, instant Now,
            request_effects &Effects) {
+  releaseAbandoned(State.Upstreams, Now);
   const auto Late = removeIf(State.Queue, [&](const request_ask &Ask) {
     return Now + expectedServiceTime(State, Ask) >= Ask.Deadline;
   });
--- a/core/request/routing.hpp
+++ b/core/request/routing.hpp
@@ -18,4 +18,10 @@
 int slotShare(const executor_id &Executor, const instance_id &Self,
               std::span<const instance_id> Members, int Slots);
 
+/// How many idle connections to one executor each traffic thread may keep, so
+/// that those of all entry instances and the ones in use stay below the limit.
+/// An eighth is left free: an executor may see a new connection before it sees
+/// that the old one is closed.
+int idleConnectionShare(int Connections, int Slots, int Members, int Threads);
+
 } // namespace galenastage
--- a/core/request/upstreams.cpp
+++ b/core/request/upstreams.cpp
@@ -36,6 +36,7 @@
   case try_outcome::Answered:
   case try_outcome::AnsweredError:
   case try_outcome::Failed:
+  case try_outcome::TimedOut:
     break;
   }
   return {StrikesToEject, FailedPause};
@@ -179,6 +180,22 @@
   return nullptr;
 }
 
+void releaseSlot(upstream_executor &Executor, try_outcome Outcome,
+                 instant Now) {
+  if (Outcome == try_outcome::TimedOut)
+    Executor.Abandoned.push_back(Now + AbandonedHold);
+  else
+    --Executor.Outstanding;
+}
+
+void releaseAbandoned(upstreams &Upstreams, instant Now) {
+  for (upstream_executor &Executor : Upstreams.Executors) {
+    const auto Released = std::erase_if(
+        Executor.Abandoned, [&](instant Until) { return Until <= Now; });
+    Executor.Outstanding -= static_cast<int>(Released);
+  }
+}
+
 void noteOutcome(upstreams &Upstreams, upstream_executor &Executor,
                  try_outcome Outcome, instant Now) {
   if (Outcome == try_outcome::Answered)
--- a/core/request/upstreams.hpp
+++ b/core/request/upstreams.hpp
@@ -26,6 +26,7 @@
   Refused,         // 503 with verdict not-run: nothing ran
   ConnectFailed,   // no connection, so nothing left
   Failed,          // bytes left and no whole answer came back
+  TimedOut,        // as Failed, and the executor may still be at it
 };
 
 // [2] Executors
@@ -39,6 +40,8 @@
   bool IsEjected = false;  // gets probes only
   instant EjectedUntil;    // no probe before this
   bool KeepsAlive = false; // it has left a connection open after an answer
+  std::vector<instant> Abandoned; // when each timed-out request gives up its
+                                  // slot, which is part of Outstanding
 
   friend bool operator==(const upstream_executor &,
                          const upstream_executor &) = default;
@@ -82,6 +85,16 @@
 
 // [4] Health
 
+/// An executor that was given up on may go on working. Its slot stays taken
+/// for this long.
+constexpr milliseconds AbandonedHold{5'000};
+
+/// Gives the slot of an ended try back; later, when it timed out.
+void releaseSlot(upstream_executor &Executor, try_outcome Outcome, instant Now);
+
+/// Gives back the slots of requests that were abandoned long enough ago.
+void releaseAbandoned(upstreams &Upstreams, instant Now);
+
 /// Notes how a try ended. Ejects an outlier, but never more than half of a
 /// service's executors, and returns it after a probe that went well.
 void noteOutcome(upstreams &Upstreams, upstream_executor &Executor,
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -1,3 +1,5 @@
+#include "measure/load.hpp"
+
 #include <CLI/CLI.hpp>
 
 int main(int Argc, char **Argv) {
@@ -5,6 +7,8 @@
   App.name("galenastage-measure");
   App.set_version_flag("--version", "galenastage-measure " GALENASTAGE_VERSION);
   App.require_subcommand(1);
+  int ExitCode = 0;
+  galenastage::measure::addLoadCommand(App, ExitCode);
   CLI11_PARSE(App, Argc, Argv);
-  return 0;
+  return ExitCode;
 }
--- a/standin/executor_service.hpp
+++ b/standin/executor_service.hpp
@@ -28,6 +28,10 @@
   }
   [[nodiscard]] int refusedOverSlots() const { return RefusedOverSlots; }
   [[nodiscard]] int mostAtOnce() const { return MostAtOnce; }
+  [[nodiscard]] int mostConnections() const { return Server.mostConnections(); }
+  [[nodiscard]] int refusedConnections() const {
+    return Server.refusedConnections();
+  }
   [[nodiscard]] const std::string &name() const { return Name; }
   [[nodiscard]] endpoint localEndpoint() const {
     return Server.localEndpoint();
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -305,6 +305,8 @@
           {{"name", Executor->name()},
            {"most_at_once", Executor->mostAtOnce()},
            {"refused_over_slots", Executor->refusedOverSlots()},
+           {"most_connections", Executor->mostConnections()},
+           {"refused_connections", Executor->refusedConnections()},
            {"requests", std::move(Requests)}});
     }
     for (const auto &Worker : Workers) {
--- a/tests/support/request_system.hpp
+++ b/tests/support/request_system.hpp
@@ -342,6 +342,7 @@
     Wanted.DataCentre = data_centre_id("north-a");
     Wanted.Listen = {"127.2.9.4", 0};
     Wanted.Store = Store.address();
+    Wanted.DispatchWrites = 1'000;
     return Wanted;
   }
 
--- a/tests/unit/request_flow_test.cpp
+++ b/tests/unit/request_flow_test.cpp
@@ -282,3 +282,16 @@
   }
   CHECK(Distinct.size() > 20);
 }
+
+TEST_CASE_METHOD(flow_fixture,
+                 "an abandoned request keeps its slot for a while") {
+  list({executor(0)});
+  const request_number Slow = arrive(ask());
+  const request_number Next = arrive(ask());
+  end(Slow, try_outcome::TimedOut, verdict::Unknown);
+  CHECK(sent() == 0);
+  pass(AbandonedHold - milliseconds(1));
+  CHECK(sent() == 0);
+  pass(milliseconds(1));
+  CHECK((sent() == Next || sent() == Slow));
+}
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -46,3 +46,14 @@
     }
   }
 }
+
+TEST_CASE("connections of all members stay below the limit, idle ones too") {
+  for (int Members = 1; Members <= 12; ++Members)
+    for (int Threads = 1; Threads <= 16; ++Threads) {
+      const int Idle = idleConnectionShare(64, 8, Members, Threads);
+      const int OwnSlots = (8 + Members - 1) / Members;
+      CAPTURE(Members, Threads);
+      CHECK(Idle >= 0);
+      CHECK(Members * (Idle * Threads + OwnSlots) <= 64);
+    }
+}
