--- a/apps/scheduler/save_queue.hpp
+++ b/apps/scheduler/save_queue.hpp
@@ -26,8 +26,9 @@
   struct queued_write {
     store_transaction Transaction;
     job_id Job;
-    std::string Key;   // of the record
-    std::string Value; // that was written; empty for a move
+    std::int64_t Revision = 0; // that the record was known to have
+    std::string Key;           // of the record
+    std::string Value;         // that was written; empty for a move
   };
 
   void enqueue(queued_write Write);
--- a/core/job/scheduler.cpp
+++ b/core/job/scheduler.cpp
@@ -1,7 +1,6 @@
 #include "core/job/scheduler_internal.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 namespace galenastage {
 
@@ -9,6 +8,7 @@
   scheduler_effects Effects;
   detail::scheduler_run Run(State, Event.Now, Effects);
   std::visit([&](const auto &Body) { Run.apply(Body); }, Event.Body);
+  Run.refreshGuarantees();
   return Effects;
 }
 
@@ -18,23 +18,58 @@
   return isInService(*State.Tables, State.Settings.DataCentre);
 }
 
+bool isStoppable(const job_spec &Spec) { return Spec.IsIdempotent; }
+
+placement_request placementRequest(const job_spec &Spec) {
+  return {Spec.Tasks, Spec.AcceleratorsPerTask, Spec.Pool, isStoppable(Spec)};
+}
+
+void known_worker::hold(const attempt_id &Attempt, int Count,
+                        const job_spec &Spec) {
+  drop(Attempt);
+  Held[Attempt] = Count;
+  HeldAccelerators += Count;
+  if (!isStoppable(Spec))
+    Unstoppable[Attempt] = Spec.Pool;
+}
+
+void known_worker::drop(const attempt_id &Attempt) {
+  const auto Found = Held.find(Attempt);
+  if (Found == Held.end())
+    return;
+  HeldAccelerators -= Found->second;
+  Held.erase(Found);
+  Unstoppable.erase(Attempt);
+}
+
+void known_worker::dropAll() {
+  Held.clear();
+  Unstoppable.clear();
+  HeldAccelerators = 0;
+}
+
 int known_worker::freeAccelerators() const {
-  int Free = Accelerators;
-  for (const auto &[Attempt, Count] : Held)
-    Free -= Count;
-  return Free;
+  return Accelerators - HeldAccelerators;
 }
 
-namespace detail {
-namespace {
+bool known_worker::isUsable() const {
+  return isReachable() && !Health.IsQuarantined;
+}
 
-/// Order in which waiting jobs are placed: the most pressing class first, then
-/// the oldest.
-auto placementOrder(const scheduled_job &Job) {
-  return std::tuple(Job.Record.Spec.Class, Job.Record.SubmittedAt,
-                    Job.Record.Spec.Id);
+bool known_worker::isReachable() const {
+  return IsListed && !IsLeaving && !IsSilent;
 }
 
+worker_capacity known_worker::capacity(const worker_id &Name) const {
+  worker_capacity Row{Name, Rack, freeAccelerators(), Accelerators, Cells};
+  for (const auto &[Attempt, Pool] : Unstoppable)
+    addUnstoppable(Row, Pool, Held.at(Attempt));
+  return Row;
+}
+
+namespace detail {
+namespace {
+
 const std::vector<data_centre_id> &permittedDataCentres(const job_spec &Spec,
                                                         const pool &Pool) {
   return Spec.DataCentres.empty() ? Pool.DataCentres : Spec.DataCentres;
@@ -48,6 +83,7 @@
   State.WallNow = Event.WallNow;
   if (!State.IsLeading)
     return;
+  dropOldEnds();
   noticeSilence();
   checkDeadlines();
   if (State.IsRebuilding && State.IsLoaded && Now >= State.RebuildEnds)
@@ -68,6 +104,7 @@
   State.TablesAsOf = std::max(State.TablesAsOf, Event.AsOf);
   if (!IsNew)
     return;
+  State.Policy.IsPlanStale = true;
   log(events::TablesInForce,
       {{"version", std::to_string(State.Tables->Version)}});
   if (canAct())
@@ -79,11 +116,12 @@
     return;
   State.IsLeading = Event.IsLeading;
   State.Epoch = Event.Epoch;
+  State.Policy.IsPlanStale = true;
   State.IsLoaded = false;
   State.IsRebuilding = Event.IsLeading;
   State.Jobs.clear();
   for (auto &[Name, Worker] : State.Workers) {
-    Worker.Held.clear();
+    Worker.dropAll();
     Worker.Reported.clear();
     Worker.NextRenew = Now;
   }
@@ -98,23 +136,24 @@
   const job_id &Id = Event.Record.Spec.Id;
   scheduled_job *Known = findJob(Id);
   if (!Known) {
-    if (isFinal(Event.Record.Phase))
-      return;
-    scheduled_job &Job = State.Jobs[Id];
-    Job.Record = Event.Record;
-    Job.Revision = Event.Revision;
-    if (canAct())
-      placeJob(Job);
+    takeNewJob(Event);
     return;
   }
   if (Event.Revision <= Known->Revision)
     return;
   Known->Revision = Event.Revision;
+  Known->MovingTo = {}; // it is still here, and the move was of an older record
   if (isFinal(Event.Record.Phase) && !isFinal(Known->Record.Phase)) {
     apply(job_forgotten{Id});
     return;
   }
+  if (!canAct()) {
+    Known->Record = Event.Record; // nothing was done about it yet
+    return;
+  }
   Known->Record.IsCancelRequested |= Event.Record.IsCancelRequested;
+  if (isForeignStart(*Known, Event.Record))
+    yieldToStart(*Known);
   if (Known->IsSaveWanted)
     saveJob(*Known);
   if (Known->Record.IsCancelRequested && canAct())
@@ -128,7 +167,7 @@
   const attempt_id Attempt = attemptOf(*Job);
   for (const gang_member &Member : Job->Members)
     releaseStray(Member.Place.Worker, Attempt);
-  State.Jobs.erase(Event.Job);
+  forgetJob(*Job);
 }
 
 void scheduler_run::apply(const jobs_loaded &) {
@@ -148,62 +187,88 @@
     return;
   }
   Job->Revision = std::max(Job->Revision, Event.Revision);
+  Job->MovingTo = {};
   if (Job->IsSaveWanted) {
     saveJob(*Job);
     return;
   }
   if (isFinal(Job->Record.Phase)) {
-    State.Jobs.erase(Event.Job);
+    forgetJob(*Job);
     return;
   }
   if (Job->Step == gang_step::Saving)
     armGang(*Job);
 }
 
-// Job life cycle
-
-void scheduler_run::placeWaitingJobs() {
-  std::vector<scheduled_job *> Waiting;
-  for (auto &[Id, Job] : State.Jobs)
-    if (Job.Step == gang_step::Waiting && !isFinal(Job.Record.Phase))
-      Waiting.push_back(&Job);
-  std::ranges::sort(Waiting, {}, [](const scheduled_job *Job) {
-    return placementOrder(*Job);
-  });
-  for (scheduled_job *Job : Waiting)
-    placeJob(*Job);
-}
+// What is seen of jobs
 
-void scheduler_run::placeJob(scheduled_job &Job) {
-  if (Job.Record.IsCancelRequested) {
-    cancelJob(Job);
-    return;
+void scheduler_run::takeNewJob(const job_seen &Event) {
+  const job_id &Id = Event.Record.Spec.Id;
+  for (const auto *Generation : {&State.Ended, &State.EndedEarlier}) {
+    const auto Ended = Generation->find(Id);
+    if (Ended != Generation->end() && Event.Revision <= Ended->second)
+      return;
   }
-  if (Now < Job.RetryAt || !State.Tables)
+  if (isFinal(Event.Record.Phase))
     return;
-  if (refuseIfImpossible(Job) || moveIfNotPermitted(Job))
+  scheduled_job &Job = State.Jobs[Id];
+  Job.Record = Event.Record;
+  Job.Revision = Event.Revision;
+  Job.WaitingSince = Now; // placed at the next tick
+  if (!canAct())
     return;
-  if (!mayStartTasks(State, Now)) {
-    setReason(Job, "no recent evidence that the data centre is in service");
+  if (Job.Record.Phase != job_phase::Waiting)
+    adoptGang(Job); // started by a scheduler that led before
+  if (Job.Record.IsCancelRequested)
+    cancelJob(Job);
+}
+
+/// Whether the store holds a start that this scheduler didn't send there: a
+/// write of the one that led before, which arrived late.
+bool scheduler_run::isForeignStart(const scheduled_job &Job,
+                                   const job_record &Stored) const {
+  const bool IsStart =
+      Stored.Phase == job_phase::Starting || Stored.Phase == job_phase::Running;
+  const bool MayBeginHere =
+      Job.Step != gang_step::Arming && Job.Step != gang_step::Running;
+  if (!IsStart || !MayBeginHere)
+    return false;
+  const auto Own = Job.SavedStarts.find(Stored.Attempt);
+  return Own == Job.SavedStarts.end() || Own->second != Stored.Placement;
+}
+
+void scheduler_run::yieldToStart(scheduled_job &Job) {
+  Job.Record.Verdict = verdict::Unknown;
+  Job.VerdictBefore = verdict::Unknown;
+  if (Job.Record.Spec.IsIdempotent || isFinal(Job.Record.Phase))
     return;
-  }
-  const job_spec &Spec = Job.Record.Spec;
-  std::vector<worker_capacity> Workers;
-  for (const auto &[Name, Worker] : State.Workers)
-    if (Worker.IsListed && !Worker.IsLeaving && !Worker.IsSilent)
-      Workers.push_back(
-          {Name, Worker.Rack, Worker.freeAccelerators(), Worker.Accelerators});
-  auto Members =
-      choosePlacement(Workers, {Spec.Tasks, Spec.AcceleratorsPerTask});
-  if (Members.empty()) {
-    setReason(Job, "waits for " + std::to_string(Spec.Tasks) + " times " +
-                       std::to_string(Spec.AcceleratorsPerTask) +
-                       " free accelerators");
+  const std::string Why =
+      "another scheduler saved its start and may have run it";
+  if (Job.Step != gang_step::Releasing) {
+    releaseGang(Job, job_phase::Failed, Why);
     return;
   }
-  reserveGang(Job, std::move(Members));
+  if (Job.AfterRelease == job_phase::Waiting) {
+    Job.AfterRelease = job_phase::Failed;
+    Job.Record.Reason = Why;
+  }
+}
+
+void scheduler_run::forgetJob(const scheduled_job &Job) {
+  const job_id Id = Job.Record.Spec.Id;
+  State.Ended[Id] = Job.Revision;
+  State.Jobs.erase(Id);
 }
 
+void scheduler_run::dropOldEnds() {
+  if (Now - State.EndedSince < State.Settings.EndedMemory)
+    return;
+  State.EndedEarlier = std::exchange(State.Ended, {});
+  State.EndedSince = Now;
+}
+
+// Job life cycle
+
 /// Ends a job that can never run under these tables. False when it can.
 bool scheduler_run::refuseIfImpossible(scheduled_job &Job) {
   if (findPool(*State.Tables, Job.Record.Spec.Pool))
@@ -233,10 +298,23 @@
   return true;
 }
 
+bool scheduler_run::isPermittedElsewhere(const scheduled_job &Job) const {
+  const pool *Pool = findPool(*State.Tables, Job.Record.Spec.Pool);
+  if (!Pool)
+    return false;
+  const auto &Permitted = permittedDataCentres(Job.Record.Spec, *Pool);
+  return std::ranges::any_of(
+      State.Tables->DataCentres, [&](const data_centre_row &Row) {
+        return Row.Name != State.Settings.DataCentre &&
+               isPermitted(*State.Tables, Permitted, Row.Name);
+      });
+}
+
 void scheduler_run::moveJob(scheduled_job &Job, const data_centre_id &To) {
   if (Job.IsSaveInFlight)
     return; // its revision isn't known; the next tick tries again
   Job.RetryAt = Now + State.Settings.RetryDelay;
+  Job.MovingTo = To;
   job_record Record = Job.Record;
   Record.DataCentre = To;
   Record.Reason = "moved from " + State.Settings.DataCentre.Value;
@@ -288,6 +366,13 @@
 
 // Shared
 
+std::string joinNames(const std::vector<worker_id> &Names) {
+  std::string Joined;
+  for (const worker_id &Name : Names)
+    Joined += (Joined.empty() ? "" : " ") + Name.Value;
+  return Joined;
+}
+
 scheduled_job *scheduler_run::findJob(const job_id &Id) {
   const auto Found = State.Jobs.find(Id);
   return Found == State.Jobs.end() ? nullptr : &Found->second;
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -17,6 +17,9 @@
 
 void scheduler_run::apply(const worker_listed &Event) {
   known_worker &Worker = State.Workers[Event.Worker];
+  State.Policy.IsPlanStale |= !Worker.IsListed || Worker.Rack != Event.Rack ||
+                              Worker.Accelerators != Event.Accelerators ||
+                              Worker.IsLeaving != Event.IsLeaving;
   Worker.Rack = Event.Rack;
   Worker.Accelerators = Event.Accelerators;
   Worker.IsListed = true;
@@ -25,8 +28,10 @@
 
 void scheduler_run::apply(const worker_unlisted &Event) {
   // The list lags: a worker that answers stays known until it falls silent.
-  if (known_worker *Worker = findWorker(Event.Worker))
+  if (known_worker *Worker = findWorker(Event.Worker)) {
+    State.Policy.IsPlanStale |= Worker->IsListed;
     Worker->IsListed = false;
+  }
 }
 
 void scheduler_run::apply(const worker_reported &Event) {
@@ -40,6 +45,7 @@
   }
   if (Worker->IsSilent && Worker->LastHeard != instant{})
     log(events::WorkerBack, {{"worker", Report.Worker.Value}});
+  State.Policy.IsPlanStale |= Worker->IsSilent;
   Worker->IsSilent = false;
   Worker->LastHeard = Now;
   Worker->Reported = Report.Tasks;
@@ -62,8 +68,10 @@
   }
   for (const task_report &Task : Report.Tasks) {
     const scheduled_job *Job = findJob(Task.Attempt.Job);
+    // A scheduler that led before may have used the same number elsewhere.
     const bool IsOurs = Job && attemptOf(*Job) == Task.Attempt &&
-                        Job->Step != gang_step::Waiting;
+                        Job->Step != gang_step::Waiting &&
+                        Worker->Held.contains(Task.Attempt);
     if (!IsOurs)
       releaseStray(Report.Worker, Task.Attempt);
   }
@@ -84,11 +92,13 @@
     return;
   case task_state::Failed:
     Job.HasRun = true;
-    ++Job.TaskFailures;
+    countFailure(Job, Member.Place.Worker);
     loseGang(Job, "a task failed on " + Member.Place.Worker.Value);
     return;
   case task_state::Succeeded:
     Job.HasRun = true;
+    if (!Member.HasSucceeded)
+      countSuccess(Member.Place.Worker);
     Member.HasSucceeded = true;
     if (std::ranges::all_of(Job.Members, &gang_member::HasSucceeded))
       releaseGang(Job, job_phase::Finished, "");
@@ -128,6 +138,7 @@
     if (Worker.IsSilent || Now - Worker.LastHeard <= State.Settings.Lease)
       continue;
     Worker.IsSilent = true;
+    State.Policy.IsPlanStale = true;
     Worker.Reported.clear();
     log(events::WorkerSilent, {{"worker", Name.Value}});
     loseMembersOn(Name, Name.Value + " fell silent");
@@ -149,7 +160,7 @@
 void scheduler_run::releaseStray(const worker_id &Worker,
                                  const attempt_id &Attempt) {
   if (known_worker *Known = findWorker(Worker))
-    Known->Held.erase(Attempt);
+    Known->drop(Attempt);
   emit(send_release{Worker, {State.Epoch, Attempt, false}});
 }
 
@@ -170,6 +181,13 @@
 void scheduler_run::adoptGang(scheduled_job &Job) {
   if (isFinal(Job.Record.Phase))
     return;
+  // An idempotent start is saved after it has begun: the scheduler that led
+  // before may have run it and never said so.
+  const bool MayHaveBegun =
+      Job.Record.Spec.IsIdempotent && Job.Record.Verdict == verdict::NotRun;
+  if (MayHaveBegun)
+    Job.Record.Verdict = verdict::Unknown;
+  Job.VerdictBefore = Job.Record.Verdict;
   std::uint32_t Attempt = Job.Record.Attempt;
   for (const auto &[Name, Worker] : State.Workers)
     for (const task_report &Task : Worker.Reported)
@@ -178,6 +196,7 @@
   Job.Record.Attempt = Attempt;
 
   int RunningTasks = 0;
+  bool IsArmed = false;
   Job.Members.clear();
   Job.Record.Placement.clear();
   for (auto &[Name, Worker] : State.Workers) {
@@ -186,8 +205,9 @@
       continue;
     const bool IsStarted = Task->State >= task_state::Running;
     RunningTasks += IsStarted ? Task->Tasks : 0;
+    IsArmed |= Task->State >= task_state::Armed;
     Job.HasRun |= IsStarted;
-    Worker.Held[attemptOf(Job)] = Task->Accelerators;
+    Worker.hold(attemptOf(Job), Task->Accelerators, Job.Record.Spec);
     Job.Record.Placement.insert(Job.Record.Placement.end(), Task->Tasks, Name);
     Job.Members.push_back({.Place = {Name, Task->Tasks, Task->Accelerators},
                            .HasSucceeded = Task->State == task_state::Succeeded,
@@ -197,15 +217,24 @@
   if (IsWhole) {
     Job.Step = gang_step::Running;
     Job.IsConfirmed = true;
+    Job.RunningSince = Now;
     Job.Record.Phase = job_phase::Running;
+    Job.Record.Verdict = verdict::Unknown;
     saveJob(Job);
     return;
   }
+  // Starts of idempotent jobs are saved after the fact, so that one which waits
+  // by its record may have run before the take-over, where nobody answers now.
+  if (Job.Record.Spec.IsIdempotent && Job.Record.Verdict == verdict::NotRun)
+    Job.Record.Verdict = verdict::Unknown;
   const bool MayHaveRun =
       !Job.Members.empty() || Job.Record.Phase != job_phase::Waiting;
   if (!MayHaveRun)
     return;
-  Job.IsConfirmed = true;
+  // A non-idempotent job that waits by its record was reserved at most.
+  Job.IsConfirmed = Job.Record.Spec.IsIdempotent || IsArmed ||
+                    Job.Record.Phase != job_phase::Waiting;
+  Job.VerdictBefore = Job.Record.Verdict;
   loseGang(Job, "the gang wasn't whole after a take-over");
 }
 
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -75,6 +75,32 @@
     "A stored job record can't be read and is left as it is.",
     "Compare the versions of the programs that are running."};
 
+const log_event GuaranteeUnmet{
+    3101, Warning, "guarantee-unmet",
+    "No rack has enough workers left for a pool's guaranteed shape; the line "
+    "names the workers of its cell that were lost.",
+    "Repair the workers named, or change the pool's shape."};
+const log_event GuaranteeBound{
+    3102, Info, "guarantee-bound",
+    "A pool's guaranteed shape is bound to these workers; work that can't be "
+    "stopped doesn't take them.",
+    "None."};
+const log_event GangEvicted{
+    3103, Info, "gang-evicted",
+    "A gang was checkpointed or stopped and waits again, so that the job named "
+    "can start.",
+    "None. If one organisation's gangs are evicted all day, its work exceeds "
+    "what it is guaranteed."};
+const log_event WorkerQuarantined{
+    3104, Warning, "worker-quarantined",
+    "Several different jobs in a row failed on the worker; it gets no work but "
+    "a probe now and then.",
+    "Look at the worker. It returns by itself once a probe ends well."};
+const log_event WorkerReinstated{
+    3105, Info, "worker-reinstated",
+    "A probe ended well on a quarantined worker; it takes work again.",
+    "None."};
+
 const log_event RequestAnswered{
     4001, Info, "request-answered",
     "Access log: one request, its route, verdict and duration.", "None."};
@@ -103,8 +129,10 @@
     &events::JobMoved,         &events::GangStartAborted,
     &events::JobRefused,       &events::WorkerSilent,
     &events::WorkerBack,       &events::JobUnreadable,
-    &events::RequestAnswered,  &events::LeadershipGained,
-    &events::LeadershipLost,
+    &events::GuaranteeUnmet,   &events::GuaranteeBound,
+    &events::GangEvicted,      &events::WorkerQuarantined,
+    &events::WorkerReinstated, &events::RequestAnswered,
+    &events::LeadershipGained, &events::LeadershipLost,
 };
 
 } // namespace
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -1,4 +1,5 @@
 #include "measure/load.hpp"
+#include "measure/policy.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -9,6 +10,7 @@
   App.require_subcommand(1);
   int ExitCode = 0;
   galenastage::measure::addLoadCommand(App, ExitCode);
+  galenastage::measure::addPolicyCommand(App);
   CLI11_PARSE(App, Argc, Argv);
   return ExitCode;
 }
--- a/standin/worker_model.cpp
+++ b/standin/worker_model.cpp
@@ -3,20 +3,28 @@
 namespace galenastage::standin {
 
 worker_model::worker_model(worker_id Worker, data_centre_id DataCentre,
-                           rack_id Rack, int Accelerators)
+                           rack_id Rack, int Accelerators,
+                           std::shared_ptr<checkpoint_map> Checkpoints)
     : Worker(std::move(Worker)), DataCentre(std::move(DataCentre)),
-      Rack(std::move(Rack)), Accelerators(Accelerators) {}
+      Rack(std::move(Rack)), Accelerators(Accelerators),
+      Checkpoints(std::move(Checkpoints)) {}
 
 worker_answer worker_model::reserve(const reserve_request &Request,
                                     instant Now) {
   advance(Now);
   if (!admit(Request.Epoch))
     return refuse("epoch is too low");
-  if (Tasks.contains(Request.Attempt))
+  const auto Held = Tasks.find(Request.Attempt);
+  if (Held != Tasks.end()) {
+    // Two schedulers may arrive at the same number for their attempts.
+    if (Held->second.Epoch != Request.Epoch)
+      return refuse("held since another epoch");
     return accept(); // a repeat of what is already held
+  }
   if (Request.Accelerators > freeAccelerators())
     return refuse("not enough free accelerators");
   held_task &Task = Tasks[Request.Attempt];
+  Task.Epoch = Request.Epoch;
   Task.Tasks = Request.Tasks;
   Task.Accelerators = Request.Accelerators;
   Task.Expires = Now + Request.Life;
@@ -31,6 +39,8 @@
   if (Found == Tasks.end())
     return refuse("no live reservation");
   held_task &Task = Found->second;
+  if (Task.Epoch != Request.Epoch)
+    return refuse("reserved in another epoch");
   if (Task.State != task_state::Reserved)
     return accept();
   Task.State = task_state::Armed;
@@ -48,7 +58,7 @@
   if (Found == Tasks.end())
     return accept();
   if (Request.KeepCheckpoint && Found->second.State == task_state::Running)
-    Checkpoints[Request.Attempt.Job] = progressOf(Found->second, Now);
+    (*Checkpoints)[Request.Attempt.Job] = progressOf(Found->second, Now);
   Tasks.erase(Found);
   return accept();
 }
@@ -61,12 +71,18 @@
       if (Found == Tasks.end())
         continue;
       held_task &Task = Found->second;
-      if (Task.State == task_state::Armed && Renewed.IsConfirmed)
+      const bool MayBegin = Task.State == task_state::Armed &&
+                            Renewed.IsConfirmed && Task.Epoch == Request.Epoch;
+      if (MayBegin)
         beginRun(Renewed.Attempt, Task, Now);
       if (Task.State >= task_state::Running)
         Task.Expires = Now + Request.Lease;
     }
   }
+  return report(Now);
+}
+
+worker_report worker_model::report(instant Now) const {
   worker_report Report{Worker,       DataCentre,   Rack,
                        Accelerators, HighestEpoch, {}};
   for (const auto &[Attempt, Task] : Tasks)
@@ -85,7 +101,7 @@
       Task.State =
           Faults.FailsEverything ? task_state::Failed : task_state::Succeeded;
       Task.Progress = Task.RunTime;
-      Checkpoints.erase(It->first.Job);
+      Checkpoints->erase(It->first.Job);
     }
     if (Now >= Task.Expires)
       It = Tasks.erase(It);
@@ -96,7 +112,6 @@
 
 void worker_model::crash() {
   Tasks.clear();
-  Checkpoints.clear();
   HighestEpoch = 0;
 }
 
@@ -128,8 +143,8 @@
   ++Runs[Attempt.Job];
   Task.State = task_state::Running;
   Task.RunningSince = Now;
-  const auto Saved = Checkpoints.find(Attempt.Job);
-  if (Saved != Checkpoints.end())
+  const auto Saved = Checkpoints->find(Attempt.Job);
+  if (Saved != Checkpoints->end())
     Task.Progress = std::min(Saved->second, Task.RunTime);
   if (Faults.FailsEverything)
     Task.State = task_state::Failed;
