--- a/measure/edit_latency.cpp
+++ b/measure/edit_latency.cpp
@@ -2,13 +2,13 @@
 
 #include "platform/http.hpp"
 
-#include <CLI/CLI.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <iomanip>
 #include <iostream>
 
@@ -154,7 +154,8 @@
     std::ranges::sort(Spreads);
     const auto At = [&](double Quantile) {
       const auto Last = static_cast<double>(Spreads.size() - 1);
-      return Spreads[static_cast<std::size_t>(Quantile * Last + 0.5)].count();
+      return Spreads[static_cast<std::size_t>(std::lround(Quantile * Last))]
+          .count();
     };
     std::cout << "  accepted to in force everywhere: p50 " << At(0.5)
               << " ms, p99 " << At(0.99) << " ms, longest " << At(1) << " ms\n";
--- a/measure/edit_latency.hpp
+++ b/measure/edit_latency.hpp
@@ -1,8 +1,6 @@
 #pragma once
 
-namespace CLI {
-class App;
-}
+#include <CLI/CLI.hpp>
 
 namespace galenastage {
 
--- a/measure/evidence_trial.cpp
+++ b/measure/evidence_trial.cpp
@@ -2,8 +2,6 @@
 
 #include "standin/relay_net.hpp"
 
-#include <CLI/CLI.hpp>
-
 #include <array>
 #include <iomanip>
 #include <iostream>
@@ -70,6 +68,15 @@
                  cutFromPeers(Net);
                },
                ""},
+    fault_case{"store down 5 s, then back for b, c",
+               [](relay_net &Net) {
+                 Net.IsStoreDown = true;
+                 Net.run(Settle);
+                 Net.IsStoreDown = false;
+                 cutFromStore(Net, "a");
+                 cutFromPeers(Net);
+               },
+               "b"},
     fault_case{"reader of a pauses",
                [](relay_net &Net) {
                  for (const char *Name : {"a0", "a1"})
--- a/peer/connection.cpp
+++ b/peer/connection.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 
 namespace galenastage {
 namespace {
@@ -154,7 +153,7 @@
         std::min(Length, Self.Outgoing.size() - Self.OutgoingAt);
     if (Count == 0)
       return NGHTTP2_ERR_DEFERRED;
-    std::memcpy(Buffer, Self.Outgoing.data() + Self.OutgoingAt, Count);
+    std::copy_n(Self.Outgoing.data() + Self.OutgoingAt, Count, Buffer);
     Self.OutgoingAt += Count;
     if (Self.OutgoingAt == Self.Outgoing.size()) {
       Self.Outgoing.clear();
--- a/standin/relay_net.hpp
+++ b/standin/relay_net.hpp
@@ -49,8 +49,8 @@
   node &at(const std::string &Name) { return Nodes.at(instance_id(Name)); }
 
   /// Stores a version; DataCentres out of service are named in Out.
-  void store(std::uint64_t Version, std::set<std::string> Out = {}) {
-    Stored = makeTables(Version, std::move(Out));
+  void store(std::uint64_t Version, const std::set<std::string> &Out = {}) {
+    Stored = makeTables(Version, Out);
     ++Revision;
     for (auto &[Name, Node] : Nodes)
       if (Node.IsWatching && reachesStore(Node))
