--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -15,6 +15,7 @@
 
 constexpr milliseconds ListInterval{500};
 constexpr milliseconds DrainPoll{20};
+constexpr milliseconds GateInterval{10};
 // The balancer needs this long to notice that /readyz fails.
 constexpr milliseconds BalancerDelay{500};
 
@@ -29,10 +30,11 @@
         Store(Io.context(0), Config.Store, Config.Listen.Address),
         List(Io.context(0), Config.Platform, Config.Listen.Address),
         Tables(Io.context(0), Store, List, relaySettings(Config),
-               tablesCallbacks()) {
+               tablesCallbacks()),
+        Requests(Io.context(0), Config) {
     for (int I = 1; I <= Config.Threads; ++I) {
       Traffic.push_back(
-          std::make_unique<traffic_thread>(Io.context(I), Config));
+          std::make_unique<traffic_thread>(Io.context(I), Config, Requests));
       traffic_thread &Thread = *Traffic.back();
       Thread.Tables = &Tables;
       Servers.push_back(std::make_unique<http_server>(
@@ -59,6 +61,7 @@
                                    post(toMembers(Instances));
                                  }),
                    asio::detached);
+    asio::co_spawn(Context, passTime(), asio::detached);
     for (auto &Thread : Traffic)
       Thread->IsReady = true;
     Io.start();
@@ -71,7 +74,7 @@
     std::this_thread::sleep_for(BalancerDelay);
     for (auto &Server : Servers)
       Server->stopAccepting();
-    while (openRequests() > 0)
+    while (openRequests() > 0 || !Requests.Log.isIdle())
       std::this_thread::sleep_for(DrainPoll);
     Io.stop();
   }
@@ -96,6 +99,13 @@
     return Callbacks;
   }
 
+  task<void> passTime() {
+    while (true) {
+      Requests.Gate.passTime();
+      co_await sleepFor(Io.context(0), GateInterval);
+    }
+  }
+
   static executors_seen toExecutors(const std::vector<instance> &Instances) {
     executors_seen Seen;
     for (const instance &Row : Instances)
@@ -124,6 +134,7 @@
   }
 
   void perform(const publish_snapshot &Effect) {
+    Requests.Gate.list(Effect.Snapshot->Executors);
     for (auto &Thread : Traffic)
       asio::post(Thread->Context,
                  [&Thread = *Thread, Snapshot = Effect.Snapshot] {
@@ -146,6 +157,7 @@
   store_client Store;
   instance_list_client List;
   tables_feed Tables;
+  request_services Requests;
   std::vector<std::unique_ptr<traffic_thread>> Traffic;
   std::vector<std::unique_ptr<http_server>> Servers;
   control_thread Control;
--- a/core/job/scheduler.cpp
+++ b/core/job/scheduler.cpp
@@ -3,7 +3,6 @@
 #include "core/recovery/evidence.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 namespace galenastage {
 
@@ -11,6 +10,7 @@
   scheduler_effects Effects;
   detail::scheduler_run Run(State, Event.Now, Effects);
   std::visit([&](const auto &Body) { Run.apply(Body); }, Event.Body);
+  Run.refreshGuarantees();
   return Effects;
 }
 
@@ -24,23 +24,58 @@
                   State.Settings.EvidenceLife, Now);
 }
 
+bool isStoppable(const job_spec &Spec) { return Spec.IsIdempotent; }
+
+placement_request placementRequest(const job_spec &Spec) {
+  return {Spec.Tasks, Spec.AcceleratorsPerTask, Spec.Pool, isStoppable(Spec)};
+}
+
+void known_worker::hold(const attempt_id &Attempt, int Count,
+                        const job_spec &Spec) {
+  drop(Attempt);
+  Held[Attempt] = Count;
+  HeldAccelerators += Count;
+  if (!isStoppable(Spec))
+    Unstoppable[Attempt] = Spec.Pool;
+}
+
+void known_worker::drop(const attempt_id &Attempt) {
+  const auto Found = Held.find(Attempt);
+  if (Found == Held.end())
+    return;
+  HeldAccelerators -= Found->second;
+  Held.erase(Found);
+  Unstoppable.erase(Attempt);
+}
+
+void known_worker::dropAll() {
+  Held.clear();
+  Unstoppable.clear();
+  HeldAccelerators = 0;
+}
+
 int known_worker::freeAccelerators() const {
-  int Free = Accelerators;
-  for (const auto &[Attempt, Count] : Held)
-    Free -= Count;
-  return Free;
+  return Accelerators - HeldAccelerators;
 }
 
-namespace detail {
-namespace {
+bool known_worker::isUsable() const {
+  return isReachable() && !Health.IsQuarantined;
+}
+
+bool known_worker::isReachable() const {
+  return IsListed && !IsLeaving && !IsSilent;
+}
 
-/// Order in which waiting jobs are placed: the most pressing class first, then
-/// the oldest.
-auto placementOrder(const scheduled_job &Job) {
-  return std::tuple(Job.Record.Spec.Class, Job.Record.SubmittedAt,
-                    Job.Record.Spec.Id);
+worker_capacity known_worker::capacity(const worker_id &Name) const {
+  worker_capacity Row{Name, Rack, freeAccelerators(), Accelerators, Cells};
+  for (const auto &[Attempt, Pool] : Unstoppable)
+    addUnstoppable(Row, Pool, Held.at(Attempt));
+  return Row;
 }
 
+namespace detail {
+namespace {
+
 const std::vector<data_centre_id> &permittedDataCentres(const job_spec &Spec,
                                                         const pool &Pool) {
   return Spec.DataCentres.empty() ? Pool.DataCentres : Spec.DataCentres;
@@ -76,6 +111,7 @@
   State.OutageAsOf = Event.OutageAsOf;
   if (!IsNew)
     return;
+  State.Policy.IsPlanStale = true;
   log(events::TablesInForce,
       {{"version", std::to_string(State.Tables->Version)}});
   if (canAct())
@@ -87,11 +123,12 @@
     return;
   State.IsLeading = Event.IsLeading;
   State.Epoch = Event.Epoch;
+  State.Policy.IsPlanStale = true;
   State.IsLoaded = false;
   State.IsRebuilding = Event.IsLeading;
   State.Jobs.clear();
   for (auto &[Name, Worker] : State.Workers) {
-    Worker.Held.clear();
+    Worker.dropAll();
     Worker.Reported.clear();
     Worker.NextRenew = Now;
   }
@@ -184,11 +221,10 @@
   scheduled_job &Job = State.Jobs[Id];
   Job.Record = Event.Record;
   Job.Revision = Event.Revision;
+  Job.WaitingSince = Now; // placed at the next tick
   if (!canAct())
     return;
-  if (Job.Record.Phase == job_phase::Waiting)
-    placeJob(Job);
-  else
+  if (Job.Record.Phase != job_phase::Waiting)
     adoptGang(Job); // started by a scheduler that led before
   if (Job.Record.IsCancelRequested)
     cancelJob(Job);
@@ -240,52 +276,6 @@
 
 // Job life cycle
 
-void scheduler_run::placeWaitingJobs() {
-  std::vector<scheduled_job *> Waiting;
-  for (auto &[Id, Job] : State.Jobs)
-    if (Job.Step == gang_step::Waiting && !isFinal(Job.Record.Phase))
-      Waiting.push_back(&Job);
-  std::ranges::sort(Waiting, {}, [](const scheduled_job *Job) {
-    return placementOrder(*Job);
-  });
-  for (scheduled_job *Job : Waiting)
-    placeJob(*Job);
-}
-
-void scheduler_run::placeJob(scheduled_job &Job) {
-  if (Job.Record.IsCancelRequested) {
-    cancelJob(Job);
-    return;
-  }
-  if (Now < Job.RetryAt || !State.Tables)
-    return;
-  if (!Job.MovingTo.isEmpty()) {
-    moveJob(Job, Job.MovingTo); // it may belong to the other one by now
-    return;
-  }
-  if (refuseIfImpossible(Job) || moveIfNotPermitted(Job))
-    return;
-  if (!mayStartTasks(State, Now)) {
-    setReason(Job, "no recent evidence that the data centre is in service");
-    return;
-  }
-  const job_spec &Spec = Job.Record.Spec;
-  std::vector<worker_capacity> Workers;
-  for (const auto &[Name, Worker] : State.Workers)
-    if (Worker.IsListed && !Worker.IsLeaving && !Worker.IsSilent)
-      Workers.push_back(
-          {Name, Worker.Rack, Worker.freeAccelerators(), Worker.Accelerators});
-  auto Members =
-      choosePlacement(Workers, {Spec.Tasks, Spec.AcceleratorsPerTask});
-  if (Members.empty()) {
-    setReason(Job, "waits for " + std::to_string(Spec.Tasks) + " times " +
-                       std::to_string(Spec.AcceleratorsPerTask) +
-                       " free accelerators");
-    return;
-  }
-  reserveGang(Job, std::move(Members));
-}
-
 /// Ends a job that can never run under these tables. False when it can.
 bool scheduler_run::refuseIfImpossible(scheduled_job &Job) {
   if (findPool(*State.Tables, Job.Record.Spec.Pool))
@@ -315,6 +305,18 @@
   return true;
 }
 
+bool scheduler_run::isPermittedElsewhere(const scheduled_job &Job) const {
+  const pool *Pool = findPool(*State.Tables, Job.Record.Spec.Pool);
+  if (!Pool)
+    return false;
+  const auto &Permitted = permittedDataCentres(Job.Record.Spec, *Pool);
+  return std::ranges::any_of(
+      State.Tables->DataCentres, [&](const data_centre_row &Row) {
+        return Row.Name != State.Settings.DataCentre &&
+               isPermitted(*State.Tables, Permitted, Row.Name);
+      });
+}
+
 void scheduler_run::moveJob(scheduled_job &Job, const data_centre_id &To) {
   if (Job.IsSaveInFlight)
     return; // its revision isn't known; the next tick tries again
@@ -371,6 +373,13 @@
 
 // Shared
 
+std::string joinNames(const std::vector<worker_id> &Names) {
+  std::string Joined;
+  for (const worker_id &Name : Names)
+    Joined += (Joined.empty() ? "" : " ") + Name.Value;
+  return Joined;
+}
+
 scheduled_job *scheduler_run::findJob(const job_id &Id) {
   const auto Found = State.Jobs.find(Id);
   return Found == State.Jobs.end() ? nullptr : &Found->second;
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -1,5 +1,6 @@
 #include "measure/edit_latency.hpp"
 #include "measure/evidence_trial.hpp"
+#include "measure/policy.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -12,6 +13,7 @@
   App.require_subcommand(1);
   addEditLatency(App);
   addEvidenceTrial(App);
+  measure::addPolicyCommand(App);
   CLI11_PARSE(App, Argc, Argv);
   return 0;
 }
--- a/tests/support/virtual_scheduler.hpp
+++ b/tests/support/virtual_scheduler.hpp
@@ -49,6 +49,7 @@
   struct queued_write {
     store_transaction Transaction;
     job_id Job;
+    std::int64_t Revision = 0;
     std::string Key;
     std::string Value;
   };
@@ -95,6 +96,7 @@
   data_centre_id DataCentre;
   std::string Name;
   std::string LeaderKey;
+  std::string LeaderToken; // value of the key while this one leads
   scheduler_state State{{}};
   std::string LastTables;
   std::shared_ptr<const tables> Tables;
