--- a/core/job/policy/run_times.hpp
+++ b/core/job/policy/run_times.hpp
@@ -17,6 +17,8 @@
 public:
   run_time_learner();
   ~run_time_learner();
+  run_time_learner(const run_time_learner &Other);
+  run_time_learner &operator=(const run_time_learner &Other);
   run_time_learner(run_time_learner &&) noexcept;
   run_time_learner &operator=(run_time_learner &&) noexcept;
 
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -154,6 +154,8 @@
     &events::GangEvicted,      &events::WorkerQuarantined,
     &events::WorkerReinstated, &events::RequestAnswered,
     &events::LeadershipGained, &events::LeadershipLost,
+    &events::StoreBehind,      &events::TablesRestored,
+    &events::PeerLinkFailed,   &events::LeadershipClaimed,
 };
 
 } // namespace
