--- a/tests/faults/gang_start_test.cpp
+++ b/tests/faults/gang_start_test.cpp
@@ -148,6 +148,8 @@
   driven_scheduler Scheduler;
   Scheduler.takeOver({});
   Scheduler.apply(job_seen{recordOf(job_phase::Waiting, true), 10});
+  Scheduler.pass(milliseconds(100));
+  REQUIRE(Scheduler.sent<send_reserve>().size() == 1);
   const worker_id Worker = Scheduler.sent<send_reserve>().front().Worker;
   Scheduler.answer(step_answered::step_kind::Reserve, Worker, 1);
   Scheduler.answer(step_answered::step_kind::Start, Worker, 1);
