--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -1,8 +1,12 @@
 #include "measure/capacity.hpp"
+#include "measure/edit_latency.hpp"
+#include "measure/evidence_trial.hpp"
 #include "measure/policy.hpp"
 
 #include <CLI/CLI.hpp>
 
+using namespace galenastage;
+
 int main(int Argc, char **Argv) {
   CLI::App App("Measures the decisions of galenastage.");
   App.name("galenastage-measure");
@@ -10,6 +14,8 @@
   App.require_subcommand(1);
   galenastage::measure::addCapacityCommands(App);
   galenastage::measure::addPolicyCommand(App);
+  addEditLatency(App);
+  addEvidenceTrial(App);
   CLI11_PARSE(App, Argc, Argv);
   return 0;
 }
