--- a/core/job/placement.cpp
+++ b/core/job/placement.cpp
@@ -73,11 +73,18 @@
 };
 
 void capacity_index::add(worker_capacity Worker) {
-  const auto [Row, IsNew] = RackByName.try_emplace(Worker.Rack, Racks.size());
-  if (IsNew)
-    Racks.emplace_back();
-  std::vector<worker_capacity> &Workers = Racks[Row->second].Workers;
-  Positions[Worker.Worker] = {Row->second, Workers.size()};
+  // Workers usually come in order, those of one rack together.
+  const bool IsSameRack =
+      !Racks.empty() && Racks[LastRack].Workers.front().Rack == Worker.Rack;
+  if (!IsSameRack) {
+    const auto [Row, IsNew] = RackByName.try_emplace(Worker.Rack, Racks.size());
+    if (IsNew)
+      Racks.emplace_back();
+    LastRack = Row->second;
+  }
+  std::vector<worker_capacity> &Workers = Racks[LastRack].Workers;
+  Positions.emplace_hint(Positions.end(), Worker.Worker,
+                         std::pair(LastRack, Workers.size()));
   Workers.push_back(std::move(Worker));
 }
 
--- a/core/job/placement.hpp
+++ b/core/job/placement.hpp
@@ -113,6 +113,7 @@
   worker_capacity *find(const worker_id &Worker);
 
   std::vector<rack> Racks;
+  std::size_t LastRack = 0; // of the worker that was added last
   std::map<rack_id, std::size_t> RackByName;
   std::map<worker_id, std::pair<std::size_t, std::size_t>> Positions;
 };
--- a/core/job/scheduler.cpp
+++ b/core/job/scheduler.cpp
@@ -200,14 +200,44 @@
 
 /// Ends a job that can never run under these tables. False when it can.
 bool scheduler_run::refuseIfImpossible(scheduled_job &Job) {
-  if (findPool(*State.Tables, Job.Record.Spec.Pool))
-    return false;
+  const pool *Pool = findPool(*State.Tables, Job.Record.Spec.Pool);
+  if (Pool)
+    return refuseIfTooLarge(Job, *Pool);
   log(events::JobRefused, {{"job", Job.Record.Spec.Id.Value}});
   endJob(Job, job_phase::Refused,
          "no pool is called '" + Job.Record.Spec.Pool.Value + "'");
   return true;
 }
 
+/// Refuses what is larger than the workers here, when no other data centre may
+/// take it. Workers that are down count: they come back.
+bool scheduler_run::refuseIfTooLarge(scheduled_job &Job, const pool &Pool) {
+  const job_spec &Spec = Job.Record.Spec;
+  const auto &Permitted = permittedDataCentres(Spec, Pool);
+  const bool IsOnlyHere =
+      Permitted.size() == 1 && Permitted.front() == State.Settings.DataCentre;
+  const bool IsFleetKnown =
+      Now - State.Policy.FleetGrewAt >= State.Settings.FleetSettleTime;
+  if (!IsOnlyHere || !IsFleetKnown || State.Workers.empty())
+    return false;
+  int Slots = 0;
+  for (const auto &[Name, Worker] : State.Workers)
+    Slots += Worker.Accelerators / Spec.AcceleratorsPerTask;
+  if (Slots >= Spec.Tasks)
+    return false;
+  const std::string &Here = State.Settings.DataCentre.Value;
+  log(events::JobRefused, {{"job", Spec.Id.Value}});
+  if (Slots == 0)
+    endJob(Job, job_phase::Refused,
+           "no worker of " + Here + " has " +
+               std::to_string(Spec.AcceleratorsPerTask) + " accelerators");
+  else
+    endJob(Job, job_phase::Refused,
+           Here + " holds " + std::to_string(Slots) + " of its " +
+               std::to_string(Spec.Tasks) + " tasks at most");
+  return true;
+}
+
 /// Hands the job to a data centre where it may run. False when it may run here.
 bool scheduler_run::moveIfNotPermitted(scheduled_job &Job) {
   const pool *Pool = findPool(*State.Tables, Job.Record.Spec.Pool);
--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -44,8 +44,9 @@
   milliseconds RetryDelay{1'000};      // after a gang start that was undone
   milliseconds RebuildWindow{3'000};   // to hear workers after a take-over
   std::uint32_t MaxTaskFailures = 5;   // then an idempotent job has failed
-  placement_strategy Strategy;         // baselines are for measurements
-  quarantine_settings Quarantine;      //
+  milliseconds FleetSettleTime{60'000}; // without new workers: it is known
+  placement_strategy Strategy;          // baselines are for measurements
+  quarantine_settings Quarantine;       //
 };
 
 // [2] Events
@@ -241,6 +242,7 @@
 struct policy_state {
   guarantee_plan Guarantees;
   bool IsPlanStale = true;   // workers or tables changed since it was made
+  instant FleetGrewAt{};     // when a worker was first listed, or grew
   run_time_learner RunTimes; // from the ends seen by this scheduler
 };
 
--- a/core/job/scheduler_internal.hpp
+++ b/core/job/scheduler_internal.hpp
@@ -24,6 +24,10 @@
   }
 };
 
+/// What the workers reported of each job.
+using reports_by_job =
+    std::map<job_id, std::vector<std::pair<worker_id, task_report>>>;
+
 /// One run of the scheduler's reducer: the state it changes, the moment, and
 /// the effects collected so far.
 class scheduler_run {
@@ -70,6 +74,9 @@
   // Claims and reclaim: scheduler_reclaim.cpp
   void serveClaims();
   bool claimByEviction(const guaranteed_sharing &Policy, scheduled_job &Job);
+  [[nodiscard]] bool findRoomFor(std::span<scheduled_job *const> Victims,
+                                 std::span<const placed_member> Claim,
+                                 const job_spec &Spec) const;
   void checkpointForDeparture(const guaranteed_sharing &Policy);
 
   // Bad workers: scheduler_health.cpp
@@ -79,6 +86,7 @@
 
   // Job life cycle: scheduler.cpp
   bool refuseIfImpossible(scheduled_job &Job);
+  bool refuseIfTooLarge(scheduled_job &Job, const pool &Pool);
   bool moveIfNotPermitted(scheduled_job &Job);
   [[nodiscard]] bool isPermittedElsewhere(const scheduled_job &Job) const;
   void moveJob(scheduled_job &Job, const data_centre_id &To);
@@ -106,7 +114,7 @@
                   const task_report *Report, instant SentAt);
   void releaseStray(const worker_id &Worker, const attempt_id &Attempt);
   void settleRebuild();
-  void adoptGang(scheduled_job &Job);
+  void adoptGang(scheduled_job &Job, const reports_by_job &Reports);
 
   scheduled_job *findJob(const job_id &Id);
   known_worker *findWorker(const worker_id &Id);
--- a/core/job/scheduler_reclaim.cpp
+++ b/core/job/scheduler_reclaim.cpp
@@ -165,8 +165,8 @@
     case claim_ground::Move:
       break;
     }
-    return Other.IsCheckpointable && Other.Class >= Mine.Class && IsBorrowed &&
-           Now - Victim.RunningSince >= Policy.MinRunBeforeMove &&
+    return Other.IsCheckpointable && Other.Class != work_class::Urgent &&
+           IsBorrowed && Now - Victim.RunningSince >= Policy.MinRunBeforeMove &&
            2 * heldBy(Victim) <= Mine.Tasks * Mine.AcceleratorsPerTask;
   }
 
@@ -223,6 +223,25 @@
   }
 }
 
+/// Whether the gangs that a move would stop and that are more pressing than the
+/// job fit elsewhere at once.
+bool scheduler_run::findRoomFor(std::span<scheduled_job *const> Victims,
+                                std::span<const placed_member> Claim,
+                                const job_spec &Spec) const {
+  capacity_index Index = indexWorkers();
+  Index.take(Claim, placementRequest(Spec));
+  for (const scheduled_job *Victim : Victims) {
+    if (Victim->Record.Spec.Class >= Spec.Class)
+      continue;
+    const placement_request Request = placementRequest(Victim->Record.Spec);
+    const auto Members = Index.choose(Request);
+    if (Members.empty())
+      return false;
+    Index.take(Members, Request);
+  }
+  return true;
+}
+
 /// Stops gangs so that this job can start, if it has a ground for that. The
 /// accelerators are kept for it from now on.
 bool scheduler_run::claimByEviction(const guaranteed_sharing &Policy,
@@ -267,8 +286,11 @@
     if (!Best)
       Best = eviction_planner(State, Policy, Job, Ground, Now).plan(All);
     const int Needed = Spec.Tasks * Spec.AcceleratorsPerTask;
-    if (Best && Ground == claim_ground::Move && Best->Cost > 2 * Needed)
+    const bool IsMove = Ground == claim_ground::Move;
+    if (Best && IsMove && Best->Cost > 2 * Needed)
       Best.reset(); // the moves cost more than the wait
+    if (Best && IsMove && !findRoomFor(Best->Victims, Best->Members, Spec))
+      Best.reset();
   }
   if (!Best)
     return false;
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -20,6 +20,8 @@
   State.Policy.IsPlanStale |= !Worker.IsListed || Worker.Rack != Event.Rack ||
                               Worker.Accelerators != Event.Accelerators ||
                               Worker.IsLeaving != Event.IsLeaving;
+  if (Event.Accelerators > Worker.Accelerators)
+    State.Policy.FleetGrewAt = Now;
   Worker.Rack = Event.Rack;
   Worker.Accelerators = Event.Accelerators;
   Worker.IsListed = true;
@@ -168,8 +170,12 @@
 
 void scheduler_run::settleRebuild() {
   State.IsRebuilding = false;
+  reports_by_job Reports;
+  for (const auto &[Name, Worker] : State.Workers)
+    for (const task_report &Task : Worker.Reported)
+      Reports[Task.Attempt.Job].emplace_back(Name, Task);
   for (auto &[Id, Job] : State.Jobs)
-    adoptGang(Job);
+    adoptGang(Job, Reports);
   for (auto &[Id, Job] : State.Jobs)
     if (Job.Record.IsCancelRequested)
       cancelJob(Job);
@@ -178,30 +184,32 @@
 
 /// Takes over a gang that the workers report whole. Of one that isn't whole the
 /// rest is released.
-void scheduler_run::adoptGang(scheduled_job &Job) {
+void scheduler_run::adoptGang(scheduled_job &Job,
+                              const reports_by_job &Reports) {
   if (isFinal(Job.Record.Phase))
     return;
+  static const reports_by_job::mapped_type Nothing;
+  const auto Found = Reports.find(Job.Record.Spec.Id);
+  const auto &Mine = Found == Reports.end() ? Nothing : Found->second;
   std::uint32_t Attempt = Job.Record.Attempt;
-  for (const auto &[Name, Worker] : State.Workers)
-    for (const task_report &Task : Worker.Reported)
-      if (Task.Attempt.Job == Job.Record.Spec.Id)
-        Attempt = std::max(Attempt, Task.Attempt.Attempt);
+  for (const auto &[Name, Task] : Mine)
+    Attempt = std::max(Attempt, Task.Attempt.Attempt);
   Job.Record.Attempt = Attempt;
 
   int RunningTasks = 0;
   Job.Members.clear();
   Job.Record.Placement.clear();
-  for (auto &[Name, Worker] : State.Workers) {
-    const task_report *Task = findReport(Worker.Reported, attemptOf(Job));
-    if (!Task)
+  for (const auto &[Name, Task] : Mine) {
+    if (Task.Attempt != attemptOf(Job))
       continue;
-    const bool IsStarted = Task->State >= task_state::Running;
-    RunningTasks += IsStarted ? Task->Tasks : 0;
+    const bool IsStarted = Task.State >= task_state::Running;
+    RunningTasks += IsStarted ? Task.Tasks : 0;
     Job.HasRun |= IsStarted;
-    Worker.hold(attemptOf(Job), Task->Accelerators, Job.Record.Spec);
-    Job.Record.Placement.insert(Job.Record.Placement.end(), Task->Tasks, Name);
-    Job.Members.push_back({.Place = {Name, Task->Tasks, Task->Accelerators},
-                           .HasSucceeded = Task->State == task_state::Succeeded,
+    State.Workers.at(Name).hold(attemptOf(Job), Task.Accelerators,
+                                Job.Record.Spec);
+    Job.Record.Placement.insert(Job.Record.Placement.end(), Task.Tasks, Name);
+    Job.Members.push_back({.Place = {Name, Task.Tasks, Task.Accelerators},
+                           .HasSucceeded = Task.State == task_state::Succeeded,
                            .ConfirmedAt = Now});
   }
   const bool IsWhole = RunningTasks == Job.Record.Spec.Tasks;
