--- a/apps/entry/dispatch_log.hpp
+++ b/apps/entry/dispatch_log.hpp
@@ -9,7 +9,7 @@
 namespace galenastage {
 
 struct dispatch_log_settings {
-  int WritesPerSecond = 4; // calls of this instance, in the long run
+  int WritesPerSecond = 3; // calls of this instance, in the long run
 
   // Calls that may follow each other at once.
   static constexpr int Burst = 8;
--- a/apps/entry/requests_api.cpp
+++ b/apps/entry/requests_api.cpp
@@ -391,7 +391,11 @@
   Routed.Request = std::move(Request);
   routed_answer Answer = co_await routeRequest(Thread, Routed);
   Answer.Response.Headers.set("Galenastage-Request-Id", Routed.Id);
-  logAccess(Routed, Answer, readClock() - Began);
+  const milliseconds Took = readClock() - Began;
+  logAccess(Routed, Answer, Took);
+  Thread.Requests.Metrics.add(Routed.Organisation, Routed.Route.Class,
+                              Answer.Verdict, Answer.Response.Status,
+                              Answer.Tries, Took);
   co_return std::move(Answer.Response);
 }
 
--- a/apps/entry/traffic.cpp
+++ b/apps/entry/traffic.cpp
@@ -29,6 +29,24 @@
   return Response;
 }
 
+http_response showMetrics(traffic_thread &Thread) {
+  request_services &Requests = Thread.Requests;
+  std::string Text = Requests.Metrics.print();
+  Text += "# HELP galenastage_requests_waiting Requests that wait for a slot.\n"
+          "# TYPE galenastage_requests_waiting gauge\n"
+          "galenastage_requests_waiting " +
+          std::to_string(Requests.Gate.waiting()) + "\n";
+  Text += "# HELP galenastage_dispatch_store_calls_total Store calls made for "
+          "dispatch records.\n"
+          "# TYPE galenastage_dispatch_store_calls_total counter\n"
+          "galenastage_dispatch_store_calls_total " +
+          std::to_string(Requests.Log.calls()) + "\n";
+  http_response Response;
+  Response.Headers.set("Content-Type", "text/plain; version=0.0.4");
+  Response.Body = std::move(Text);
+  return Response;
+}
+
 task<http_response> handleAny(traffic_thread &Thread, http_request Request) {
   const std::string Path(Request.path());
   if (Path.starts_with("/v1/requests/"))
@@ -37,6 +55,8 @@
     co_return co_await handleJobs(Thread, std::move(Request));
   if (Path == "/v1/tables" || Path.starts_with("/v1/tables/"))
     co_return co_await handleTables(Thread, std::move(Request));
+  if (Path == "/metrics")
+    co_return showMetrics(Thread);
   if (Path == "/healthz")
     co_return jsonResponse(200, R"({"healthy":true})");
   if (Path == "/readyz") {
--- a/apps/entry/traffic.hpp
+++ b/apps/entry/traffic.hpp
@@ -9,6 +9,7 @@
 
 #include "apps/entry/dispatch_log.hpp"
 #include "apps/entry/request_gate.hpp"
+#include "apps/entry/request_metrics.hpp"
 #include "core/request/entry_state.hpp"
 #include "platform/http.hpp"
 #include "platform/store.hpp"
@@ -26,7 +27,7 @@
   int Threads = 2;                 // of traffic
   int SlotsPerExecutor = 8;        // from all entry instances together
   int ConnectionsPerExecutor = 64; // likewise, idle ones included
-  int DispatchWrites = 4;          // store calls a second for dispatch records
+  int DispatchWrites = 3;          // store calls a second for dispatch records
   milliseconds ShareWait{30'000};  // see core/request/share.hpp
 };
 
@@ -40,6 +41,7 @@
 
   request_gate Gate;
   dispatch_log Log;
+  request_metrics Metrics;
 };
 
 // [2] The thread
@@ -70,6 +72,9 @@
 /// POST /v1/requests/...: routes a caller's request to an executor.
 task<http_response> handleRequest(traffic_thread &Thread, http_request Request);
 
+/// GET /metrics: Prometheus text.
+http_response showMetrics(traffic_thread &Thread);
+
 /// /v1/jobs: submit, look up, list, cancel.
 task<http_response> handleJobs(traffic_thread &Thread, http_request Request);
 
