--- a/apps/entry/traffic.hpp
+++ b/apps/entry/traffic.hpp
@@ -9,6 +9,7 @@
 
 #include "apps/entry/dispatch_log.hpp"
 #include "apps/entry/request_gate.hpp"
+#include "apps/entry/request_metrics.hpp"
 #include "apps/runtime/platform_feed.hpp"
 #include "core/request/entry_state.hpp"
 #include "platform/http.hpp"
@@ -27,7 +28,7 @@
   int Threads = 2;                 // of traffic
   int SlotsPerExecutor = 8;        // from all entry instances together
   int ConnectionsPerExecutor = 64; // likewise, idle ones included
-  int DispatchWrites = 4;          // store calls a second for dispatch records
+  int DispatchWrites = 3;          // store calls a second for dispatch records
   milliseconds ShareWait{30'000};  // see core/request/share.hpp
 };
 
@@ -41,6 +42,7 @@
 
   request_gate Gate;
   dispatch_log Log;
+  request_metrics Metrics;
 };
 
 // [2] The thread
@@ -72,6 +74,9 @@
 /// POST /v1/requests/...: routes a caller's request to an executor.
 task<http_response> handleRequest(traffic_thread &Thread, http_request Request);
 
+/// GET /metrics: Prometheus text.
+http_response showMetrics(traffic_thread &Thread);
+
 /// /v1/jobs: submit, look up, list, cancel.
 task<http_response> handleJobs(traffic_thread &Thread, http_request Request);
 
