Show what a racing edit changed; history, rollback, diff, status of everyone

Cause: a 412 said only which version was stored; past versions could not be seen or brought back and were kept for ever; status showed one instance. The stand-in can give stale reads.

--- a/apps/ctl/commands.cpp
+++ b/apps/ctl/commands.cpp
@@ -1,6 +1,7 @@
 #include "apps/ctl/commands.hpp"
 
 #include "core/config/tables.hpp"
+#include "core/config/tables_diff.hpp"
 #include "core/job/job.hpp"
 #include "core/log_event.hpp"
 
@@ -18,6 +19,9 @@
 using nlohmann::json;
 
 constexpr milliseconds WaitPoll{200};
+constexpr milliseconds WatchInterval{1'000};
+constexpr milliseconds HeardLimit{10'000}; // longer ago: not heard
+constexpr seconds FollowLimit{30};
 
 http_request request(const std::string &Method, const std::string &Target) {
   http_request Request;
@@ -26,6 +30,17 @@
   return Request;
 }
 
+/// Prints the rows that differ, one a line, and their fields below.
+void printChanges(std::ostream &Stream, const json &Changes) {
+  for (const json &Change : Changes) {
+    Stream << "\n  " << Change.value("change", "") << " "
+           << Change.value("table", "") << "/" << Change.value("row", "");
+    for (const json &Field : Change.value("fields", json::array()))
+      Stream << "\n    " << Field.value("field", "") << ": "
+             << Field.at("before").dump() << " -> " << Field.at("after").dump();
+  }
+}
+
 /// Prints why a call failed and returns the code to exit with.
 exit_code explain(const http_result &Result) {
   if (Result.Error) {
@@ -38,6 +53,7 @@
   if (Problem.is_object()) {
     std::cerr << ": " << Problem.value("title", "") << " "
               << Problem.value("detail", "");
+    printChanges(std::cerr, Problem.value("changes", json::array()));
     for (const json &Item : Problem.value("problems", json::array()))
       std::cerr << "\n  " << Item.value("field", "") << " "
                 << Item.value("rule", "");
@@ -126,6 +142,39 @@
   return exit_code::Success;
 }
 
+/// Whether every instance that is heard has the version in force, the answering
+/// one included. Prints how many don't.
+bool isInForceEverywhere(const json &Status, int Version) {
+  int Lagging = Status.at("version_in_force").get<int>() < Version ? 1 : 0;
+  int Silent = 0;
+  for (const json &Row : Status.at("others")) {
+    const json &Heard = Row.at("heard_ms_ago");
+    if (Heard.is_null() || Heard.get<int>() > HeardLimit.count())
+      ++Silent;
+    else if (Row.at("version_in_force").get<int>() < Version)
+      ++Lagging;
+  }
+  std::cout << "version " << Version << ": " << Lagging << " instances lag, "
+            << Silent << " aren't heard\n";
+  return Lagging == 0;
+}
+
+/// Waits until a version is in force on every instance that is heard.
+exit_code followVersion(const command_context &Context, int Version) {
+  const auto GiveUp = std::chrono::steady_clock::now() + FollowLimit;
+  while (std::chrono::steady_clock::now() < GiveUp) {
+    const http_result Result =
+        Context.Entry.call(request("GET", "/v1/tables/status"));
+    if (!isSuccess(Result))
+      return explain(Result);
+    if (isInForceEverywhere(json::parse(Result.Response.Body), Version))
+      return exit_code::Success;
+    std::this_thread::sleep_for(WaitPoll);
+  }
+  std::cerr << "galenastagectl: some instances still lag\n";
+  return exit_code::Refused;
+}
+
 } // namespace
 
 exit_code showTables(const command_context &Context) {
@@ -170,7 +219,7 @@
 }
 
 exit_code setDataCentre(const command_context &Context, const std::string &Name,
-                        bool IsInService) {
+                        bool IsInService, bool IsFollowed) {
   const std::string Target = "/v1/tables/data-centres/" + Name;
   const http_result Current = Context.Entry.call(request("GET", Target));
   if (!isSuccess(Current))
@@ -183,19 +232,98 @@
   addAuthor(Context, Put);
   Put.Body = Row.dump();
   const http_result Result = Context.Entry.call(std::move(Put));
-  return finish(Context, Result, [&](const json &Answer) {
+  const exit_code Code = finish(Context, Result, [&](const json &Answer) {
     std::cout << Name << (IsInService ? " is in service" : " is out of service")
               << " from version " << Answer.at("version") << "\n";
   });
+  if (Code != exit_code::Success || !IsFollowed)
+    return Code;
+  return followVersion(
+      Context, json::parse(Result.Response.Body).at("version").get<int>());
 }
 
-exit_code showStatus(const command_context &Context) {
+exit_code diffTables(const command_context &Context, const std::string &File) {
+  const auto Text = readFile(File);
+  if (!Text)
+    return exit_code::Usage;
+  const parsed_tables Mine = parseTables(*Text);
+  for (const table_problem &Problem : Mine.Problems)
+    std::cerr << File << ": " << Problem.Field << " " << Problem.Rule << "\n";
+  if (!Mine.Tables)
+    return exit_code::Refused;
+  const http_result Result = Context.Entry.call(request("GET", "/v1/tables"));
+  if (!isSuccess(Result))
+    return explain(Result);
+  const parsed_tables Stored = parseTables(Result.Response.Body);
+  if (!Stored.Tables)
+    return exit_code::Refused;
+  const json Changes = diffTables(*Stored.Tables, *Mine.Tables);
+  if (Context.IsJson)
+    std::cout << Changes.dump() << "\n";
+  else {
+    std::cout << Changes.size() << " rows differ from version "
+              << Stored.Tables->Version;
+    printChanges(std::cout, Changes);
+    std::cout << "\n";
+  }
+  return exit_code::Success;
+}
+
+exit_code showHistory(const command_context &Context) {
+  const http_result Result =
+      Context.Entry.call(request("GET", "/v1/tables/history"));
+  return finish(Context, Result, [](const json &Answer) {
+    printRow({"VERSION", "AUTHOR", "REASON"});
+    for (const json &Row : Answer.at("versions"))
+      printRow({textOf(Row, "version"), textOf(Row, "author"),
+                textOf(Row, "reason")});
+  });
+}
+
+exit_code rollBack(const command_context &Context, int Version) {
+  const http_result Old = Context.Entry.call(
+      request("GET", "/v1/tables/history/" + std::to_string(Version)));
+  if (!isSuccess(Old))
+    return explain(Old);
+  const http_result Current = Context.Entry.call(request("GET", "/v1/tables"));
+  if (!isSuccess(Current))
+    return explain(Current);
+  http_request Put = request("PUT", "/v1/tables");
+  Put.Headers.set("If-Match",
+                  std::string(Current.Response.Headers.find("ETag")));
+  addAuthor(Context, Put);
+  if (Context.Reason.empty())
+    Put.Headers.set("Galenastage-Reason",
+                    "rollback to version " + std::to_string(Version));
+  Put.Body = Old.Response.Body;
+  const http_result Result = Context.Entry.call(std::move(Put));
+  return finish(Context, Result, [&](const json &Answer) {
+    std::cout << "the rows of version " << Version
+              << " are accepted as version " << Answer.at("version") << "\n";
+  });
+}
+
+exit_code showStatus(const command_context &Context, bool IsWatched) {
+  while (IsWatched) {
+    const exit_code Code = showStatus(Context, false);
+    if (Code != exit_code::Success)
+      return Code;
+    std::cout << std::endl;
+    std::this_thread::sleep_for(WatchInterval);
+  }
   const http_result Result =
       Context.Entry.call(request("GET", "/v1/tables/status"));
   return finish(Context, Result, [](const json &Answer) {
-    printRow({"INSTANCE", "DATA CENTRE", "VERSION IN FORCE"});
+    printRow({"INSTANCE", "DATA CENTRE", "KIND", "VERSION IN FORCE",
+              "HEARD MS AGO"});
     printRow({textOf(Answer, "instance"), textOf(Answer, "data_centre"),
-              textOf(Answer, "version_in_force")});
+              "entry", textOf(Answer, "version_in_force"), "this one"});
+    for (const json &Row : Answer.at("others"))
+      printRow({textOf(Row, "instance"), textOf(Row, "data_centre"),
+                textOf(Row, "kind"), textOf(Row, "version_in_force"),
+                Row.at("heard_ms_ago").is_null()
+                    ? "never"
+                    : textOf(Row, "heard_ms_ago")});
   });
 }
 
--- a/apps/ctl/commands.hpp
+++ b/apps/ctl/commands.hpp
@@ -26,9 +26,14 @@
 exit_code applyTables(const command_context &Context, const std::string &File);
 exit_code validateTables(const command_context &Context,
                          const std::string &File);
+/// Follow: waits until every instance that is heard has it in force.
 exit_code setDataCentre(const command_context &Context, const std::string &Name,
-                        bool IsInService);
-exit_code showStatus(const command_context &Context);
+                        bool IsInService, bool IsFollowed);
+/// Watch: again every second until interrupted.
+exit_code showStatus(const command_context &Context, bool IsWatched);
+exit_code diffTables(const command_context &Context, const std::string &File);
+exit_code showHistory(const command_context &Context);
+exit_code rollBack(const command_context &Context, int Version);
 exit_code submitJob(const command_context &Context, const std::string &File,
                     const std::string &IdempotencyKey);
 exit_code listJobs(const command_context &Context,
--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -29,6 +29,9 @@
   std::string Organisation;
   std::string IdempotencyKey;
   int LimitSeconds = 60;
+  int Version = 0;
+  bool IsWatched = false;
+  bool IsFollowed = false;
 };
 
 CLI::App *addCommand(CLI::App &App, const std::string &Name,
@@ -38,6 +41,19 @@
   return Command;
 }
 
+void addServiceCommand(CLI::App &App, const std::string &Name,
+                       const std::string &Help, bool IsInService,
+                       command_arguments &Arguments, command &Chosen) {
+  CLI::App *Command = addCommand(
+      App, Name, Help, Chosen, [&Arguments, IsInService](const auto &Context) {
+        return setDataCentre(Context, Arguments.Name, IsInService,
+                             Arguments.IsFollowed);
+      });
+  Command->add_option("data-centre", Arguments.Name, "its name")->required();
+  Command->add_flag("--follow", Arguments.IsFollowed,
+                    "wait until it is in force on every instance heard");
+}
+
 void addTableCommands(CLI::App &App, command_arguments &Arguments,
                       command &Chosen) {
   addCommand(App, "get", "print the tables", Chosen, showTables);
@@ -52,20 +68,26 @@
              })
       ->add_option("-f,--file", Arguments.File, "JSON file, or - for stdin")
       ->required();
-  addCommand(App, "drain", "take a data centre out of service", Chosen,
+  addServiceCommand(App, "drain", "take a data centre out of service", false,
+                    Arguments, Chosen);
+  addServiceCommand(App, "return", "bring a data centre back into service",
+                    true, Arguments, Chosen);
+  addCommand(App, "status", "show which version is in force where", Chosen,
              [&](const auto &Context) {
-               return setDataCentre(Context, Arguments.Name, false);
+               return showStatus(Context, Arguments.IsWatched);
              })
-      ->add_option("data-centre", Arguments.Name, "its name")
+      ->add_flag("--watch", Arguments.IsWatched, "again every second");
+  addCommand(
+      App, "diff", "show how a file differs from the stored tables", Chosen,
+      [&](const auto &Context) { return diffTables(Context, Arguments.File); })
+      ->add_option("-f,--file", Arguments.File, "JSON file, or - for stdin")
       ->required();
-  addCommand(App, "return", "bring a data centre back into service", Chosen,
-             [&](const auto &Context) {
-               return setDataCentre(Context, Arguments.Name, true);
-             })
-      ->add_option("data-centre", Arguments.Name, "its name")
+  addCommand(App, "history", "list the last versions", Chosen, showHistory);
+  addCommand(
+      App, "rollback", "store the rows of a past version as a new one", Chosen,
+      [&](const auto &Context) { return rollBack(Context, Arguments.Version); })
+      ->add_option("version", Arguments.Version, "the past version")
       ->required();
-  addCommand(App, "status", "show which version is in force", Chosen,
-             showStatus);
   addCommand(App, "log-events", "print the catalogue of log events", Chosen,
              [](const auto &) { return printLogEvents(); });
 }
--- a/apps/entry/tables_api.cpp
+++ b/apps/entry/tables_api.cpp
@@ -1,6 +1,7 @@
 #include "apps/entry/traffic.hpp"
 #include "apps/runtime/logging.hpp"
 #include "apps/runtime/process.hpp"
+#include "core/config/tables_diff.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -12,6 +13,7 @@
 using nlohmann::json;
 
 constexpr std::size_t EditTokenDigits = 32;
+constexpr std::uint64_t KeptVersions = 500; // in the history
 constexpr std::string_view DefaultAuthor = "unknown";
 
 struct stored_tables {
@@ -54,12 +56,38 @@
   return Response;
 }
 
-http_response conflictResponse(std::uint64_t Expected, std::uint64_t Found) {
-  return problemResponse(412, "version conflict",
-                         "the tables are at version " + std::to_string(Found) +
-                             ", the edit was made on " +
-                             std::to_string(Expected),
-                         verdict::NotRun);
+/// One past version; none when it is no longer kept.
+task<std::optional<tables>> readVersion(traffic_thread &Thread,
+                                        std::uint64_t Version) {
+  const store_read Read = co_await Thread.Store.read(tablesHistoryKey(Version));
+  if (Read.Error || Read.Entries.empty())
+    co_return std::nullopt;
+  co_return parseTables(Read.Entries.front().Value).Tables;
+}
+
+/// 412 with what has changed since the version that the edit was made on.
+task<http_response> conflictResponse(traffic_thread &Thread,
+                                     std::uint64_t Expected) {
+  const stored_tables Stored = co_await readTables(Thread);
+  const tables Current = Stored.Tables.value_or(tables{});
+  const std::optional<tables> Base = co_await readVersion(Thread, Expected);
+  json Body = {{"type", "about:blank"},
+               {"status", 412},
+               {"title", "version conflict"},
+               {"detail",
+                "the tables are at version " + std::to_string(Current.Version) +
+                    ", the edit was made on " + std::to_string(Expected)},
+               {"verdict", name(verdict::NotRun)},
+               {"version", Current.Version},
+               {"author", Current.Author},
+               {"reason", Current.Reason}};
+  if (Base)
+    Body["changes"] = diffTables(*Base, Current);
+  http_response Response = tablesResponse(412, Body, Current.Version);
+  Response.Headers.set("Content-Type", "application/problem+json");
+  Response.Headers.set("Galenastage-Verdict",
+                       std::string(name(verdict::NotRun)));
+  co_return Response;
 }
 
 /// Whether the edit with this token is the stored version: settles a write
@@ -98,6 +126,9 @@
   Transaction.Changes.push_back(put_key{std::string(TablesKey), Text});
   Transaction.Changes.push_back(
       put_key{tablesHistoryKey(Edited.Version), Text});
+  if (Edited.Version > KeptVersions)
+    Transaction.Changes.push_back(
+        delete_key{tablesHistoryKey(Edited.Version - KeptVersions)});
   const store_write Write =
       co_await Thread.Store.commit(std::move(Transaction));
   bool IsStored = !Write.Error && Write.IsApplied;
@@ -111,7 +142,7 @@
     IsStored = *Outcome;
   }
   if (!IsStored)
-    co_return conflictResponse(BaseVersion, BaseVersion + 1);
+    co_return co_await conflictResponse(Thread, BaseVersion);
   writeLog(events::EditAccepted, {{"version", std::to_string(Edited.Version)},
                                   {"author", Edited.Author},
                                   {"reason", Edited.Reason}});
@@ -236,7 +267,7 @@
   if (Current < InForce)
     co_return storeUnavailableResponse(verdict::NotRun);
   if (Current != *Expected)
-    co_return conflictResponse(*Expected, Current);
+    co_return co_await conflictResponse(Thread, *Expected);
 
   if (Rest.empty()) {
     parsed_tables Parsed = parseTables(Request.Body);
@@ -254,9 +285,39 @@
                              std::move(Request));
 }
 
+/// The kept versions, newest first, without their rows.
+task<http_response> showHistory(traffic_thread &Thread) {
+  const store_read Read =
+      co_await Thread.Store.readPrefix("/galenastage/history/");
+  if (Read.Error)
+    co_return storeUnavailableResponse(verdict::NotRun);
+  json Versions = json::array();
+  for (auto Entry = Read.Entries.rbegin(); Entry != Read.Entries.rend();
+       ++Entry)
+    if (const auto Kept = parseTables(Entry->Value).Tables)
+      Versions.push_back({{"version", Kept->Version},
+                          {"author", Kept->Author},
+                          {"reason", Kept->Reason}});
+  co_return jsonResponse(200, json{{"versions", std::move(Versions)}}.dump());
+}
+
+task<http_response> showVersion(traffic_thread &Thread, std::string Text) {
+  const auto Version = versionOf(Text);
+  std::optional<tables> Kept;
+  if (Version)
+    Kept = co_await readVersion(Thread, *Version);
+  if (!Kept)
+    co_return problemResponse(404, "no such version", Text, verdict::NotRun);
+  co_return tablesResponse(200, json(*Kept), Kept->Version);
+}
+
 task<http_response> readTablesPath(traffic_thread &Thread, std::string Rest) {
   if (Rest == "status")
     co_return showStatus(Thread);
+  if (Rest == "history")
+    co_return co_await showHistory(Thread);
+  if (Rest.starts_with("history/"))
+    co_return co_await showVersion(Thread, Rest.substr(8));
   const stored_tables Stored = co_await readTables(Thread);
   if (Stored.Error)
     co_return storeUnavailableResponse(verdict::NotRun);
--- a/core/config/tables.cpp
+++ b/core/config/tables.cpp
@@ -38,6 +38,13 @@
                      "no data centre is called '" + Name.Value + "'");
 }
 
+/// "/tiles" and "/tiles/" match the same paths but for one.
+std::string withoutFinalSlash(std::string Prefix) {
+  if (Prefix.size() > 1 && Prefix.ends_with('/'))
+    Prefix.pop_back();
+  return Prefix;
+}
+
 void checkRoutes(const tables &Tables, problem_list &Problems) {
   std::set<route_id> Names;
   std::set<std::string> Prefixes;
@@ -49,7 +56,7 @@
                      fieldOf("routes", I, "name"), "must be unique");
     Problems.require(Row.PathPrefix.starts_with("/"),
                      fieldOf("routes", I, "path_prefix"), "must start with /");
-    Problems.require(Prefixes.insert(Row.PathPrefix).second,
+    Problems.require(Prefixes.insert(withoutFinalSlash(Row.PathPrefix)).second,
                      fieldOf("routes", I, "path_prefix"),
                      "another route has the same prefix");
     Problems.require(!Row.Service.isEmpty(), fieldOf("routes", I, "service"),
--- a/core/config/tables_json.cpp
+++ b/core/config/tables_json.cpp
@@ -1,6 +1,8 @@
 #include "core/config/json_reader.hpp"
 #include "core/config/tables.hpp"
 
+#include <algorithm>
+
 namespace galenastage {
 namespace {
 
@@ -68,6 +70,12 @@
   return Rows;
 }
 
+/// The line in which a byte stands; both count from 1.
+std::ptrdiff_t lineOf(std::string_view Text, std::size_t Byte) {
+  const std::string_view Before = Text.substr(0, Byte == 0 ? 0 : Byte - 1);
+  return std::ranges::count(Before, '\n') + 1;
+}
+
 tables readDocument(const json &Document,
                     std::vector<table_problem> &Problems) {
   detail::object_reader Reader(Document, "", Problems);
@@ -114,9 +122,13 @@
 
 parsed_tables parseTables(std::string_view Text) {
   parsed_tables Result;
-  const json Document = json::parse(Text, nullptr, false);
-  if (Document.is_discarded()) {
-    Result.Problems.push_back({"", "is not valid JSON"});
+  json Document;
+  try {
+    Document = json::parse(Text);
+  } catch (const json::parse_error &Error) {
+    Result.Problems.push_back(
+        {"", "is not valid JSON, line " +
+                 std::to_string(lineOf(Text, Error.byte))});
     return Result;
   }
   tables Tables = readDocument(Document, Result.Problems);
--- a/standin/kv_service.cpp
+++ b/standin/kv_service.cpp
@@ -66,6 +66,17 @@
   co_return Response;
 }
 
+/// What reads see: the store, or how it was when reads became stale.
+const kv_store &kv_service::readable() {
+  if (!Faults.ReadsStale) {
+    Stale.reset();
+    return Store;
+  }
+  if (!Stale)
+    Stale = Store;
+  return *Stale;
+}
+
 http_response kv_service::act(const std::string &Path,
                               const std::string &Body) {
   const instant Now = readProcessClock();
@@ -75,7 +86,7 @@
     json Answer;
     if (Path == "/v3/kv/range") {
       ++Counts.Reads;
-      Answer = Store.range(Request);
+      Answer = readable().range(Request);
     } else if (Path == "/v3/kv/txn") {
       ++Counts.Writes;
       Answer = Store.transact(Request);
--- a/standin/kv_service.hpp
+++ b/standin/kv_service.hpp
@@ -5,6 +5,7 @@
 #include "standin/platform.hpp"
 
 #include <functional>
+#include <optional>
 
 namespace galenastage::standin {
 
@@ -36,6 +37,7 @@
 
 private:
   task<http_response> handle(http_request Request);
+  const kv_store &readable();
   http_response act(const std::string &Path, const std::string &Body);
   http_response startWatch(const std::string &Body, std::string Peer);
   task<void> streamChanges(chunk_writer Write, std::string Key, std::string End,
@@ -44,6 +46,7 @@
   asio::io_context &Context;
   std::function<bool(const std::string &)> IsCutOff;
   kv_store Store;
+  std::optional<kv_store> Stale; // while reads are stale
   call_counts Counts;
   http_server Server;
 };
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -64,6 +64,7 @@
   Faults.IsDown = Reader.optional<bool>("down", false);
   Faults.LosesAnswers = Reader.optional<bool>("lose_answers", false);
   Faults.CutsWatches = Reader.optional<bool>("cut_watches", false);
+  Faults.ReadsStale = Reader.optional<bool>("reads_stale", false);
   Faults.DelayMilliseconds = readDelay(Reader, "delay_ms");
   return Faults;
 }
--- a/standin/platform.hpp
+++ b/standin/platform.hpp
@@ -46,6 +46,7 @@
   bool IsDown = false;       // closes connections without acting
   bool LosesAnswers = false; // acts, then closes without an answer
   bool CutsWatches = false;  // ends every watch and refuses new ones
+  bool ReadsStale = false;   // reads see the store as it was at the first one
   int DelayMilliseconds = 0; // before acting
 
   friend bool operator==(const store_faults &, const store_faults &) = default;
--- a/tests/contract/store_test.cpp
+++ b/tests/contract/store_test.cpp
@@ -32,6 +32,18 @@
     return *Outcome;
   }
 
+  /// Switches faults of the stand-in on.
+  void setFaults(const std::string &Body) {
+    http_client Http(Context);
+    http_request Request;
+    Request.Method = "PUT";
+    Request.Target = "/faults/store";
+    Request.Body = Body;
+    const http_result Result = run(Http.send(
+        Platform.platformEndpoint(), std::move(Request), milliseconds(5'000)));
+    REQUIRE(Result.Response.Status == 200);
+  }
+
   store_write put(const std::string &Key, const std::string &Value,
                   store_condition Condition) {
     store_transaction Transaction;
@@ -72,3 +84,30 @@
   CHECK_FALSE(Writes[0].IsApplied);
   CHECK(Writes[1].IsApplied);
 }
+
+TEST_CASE_METHOD(store_fixture,
+                 "a stale read shows old values, and a write made from it is "
+                 "refused") {
+  const store_write First = put("/k", "one", key_missing{"/k"});
+  setFaults(R"({"reads_stale":true})");
+  run(Store.read("/k"));
+  put("/k", "two", revision_is{"/k", First.Revision});
+  const store_read Stale = run(Store.read("/k"));
+  REQUIRE(Stale.Entries.size() == 1);
+  CHECK(Stale.Entries.front().Value == "one");
+  const store_write FromStale =
+      put("/k", "three", revision_is{"/k", Stale.Entries.front().ModRevision});
+  CHECK_FALSE(FromStale.IsApplied);
+  setFaults("{}");
+  CHECK(run(Store.read("/k")).Entries.front().Value == "two");
+}
+
+TEST_CASE_METHOD(store_fixture,
+                 "a write on condition of the leader's key ends with the key") {
+  put("/leader", "me 1", key_missing{"/leader"});
+  const store_write Job = put("/job", "a", value_is{"/leader", "me 1"});
+  CHECK(Job.IsApplied);
+  put("/leader", "other 2", value_is{"/leader", "me 1"});
+  CHECK_FALSE(put("/job", "b", value_is{"/leader", "me 1"}).IsApplied);
+  CHECK(run(Store.read("/job")).Entries.front().Value == "a");
+}
