--- a/apps/ctl/commands.cpp
+++ b/apps/ctl/commands.cpp
@@ -142,32 +142,43 @@
   return exit_code::Success;
 }
 
-/// Whether every instance that is heard has the version in force, the answering
-/// one included. Prints how many don't.
-bool isInForceEverywhere(const json &Status, int Version) {
-  int Lagging = Status.at("version_in_force").get<int>() < Version ? 1 : 0;
-  int Silent = 0;
+/// How far a version has come among the instances that one of them knows.
+struct spread {
+  int Lagging = 0; // heard, with a lower version
+  int Silent = 0;  // not heard lately
+
+  friend bool operator==(const spread &, const spread &) = default;
+};
+
+spread spreadOf(const json &Status, int Version) {
+  spread Spread;
+  if (Status.at("version_in_force").get<int>() < Version)
+    ++Spread.Lagging;
   for (const json &Row : Status.at("others")) {
     const json &Heard = Row.at("heard_ms_ago");
     if (Heard.is_null() || Heard.get<int>() > HeardLimit.count())
-      ++Silent;
+      ++Spread.Silent;
     else if (Row.at("version_in_force").get<int>() < Version)
-      ++Lagging;
+      ++Spread.Lagging;
   }
-  std::cout << "version " << Version << ": " << Lagging << " instances lag, "
-            << Silent << " aren't heard\n";
-  return Lagging == 0;
+  return Spread;
 }
 
 /// Waits until a version is in force on every instance that is heard.
 exit_code followVersion(const command_context &Context, int Version) {
   const auto GiveUp = std::chrono::steady_clock::now() + FollowLimit;
+  std::optional<spread> Last;
   while (std::chrono::steady_clock::now() < GiveUp) {
     const http_result Result =
         Context.Entry.call(request("GET", "/v1/tables/status"));
     if (!isSuccess(Result))
       return explain(Result);
-    if (isInForceEverywhere(json::parse(Result.Response.Body), Version))
+    const spread Now = spreadOf(json::parse(Result.Response.Body), Version);
+    if (Now != Last)
+      std::cout << "version " << Version << ": " << Now.Lagging
+                << " instances lag, " << Now.Silent << " aren't heard\n";
+    Last = Now;
+    if (Now.Lagging == 0)
       return exit_code::Success;
     std::this_thread::sleep_for(WaitPoll);
   }
