--- a/tests/faults/fault_matrix_test.cpp
+++ b/tests/faults/fault_matrix_test.cpp
@@ -98,8 +98,8 @@
   CHECK(File.good());
 }
 
-// In KNOWN-RED.txt: the save queue of apps/scheduler believes a stale read when
-// it finds out what became of a write, and has the reducer forget the job.
+// The save queue believed a read from before the record existed when it found
+// out what became of a write, and had the reducer forget the job.
 TEST_CASE("a stale read after a lost answer loses no job") {
   const auto Named = [](std::string_view Name) {
     return &*std::ranges::find(faults(), Name, &fault::Name);
