--- a/apps/entry/traffic.hpp
+++ b/apps/entry/traffic.hpp
@@ -10,6 +10,7 @@
 #include "apps/entry/dispatch_log.hpp"
 #include "apps/entry/request_gate.hpp"
 #include "apps/entry/request_metrics.hpp"
+#include "apps/runtime/platform_feed.hpp"
 #include "core/request/entry_state.hpp"
 #include "platform/http.hpp"
 #include "platform/store.hpp"
@@ -61,6 +62,7 @@
   store_client Store;
   http_client Upstream;
   entry_snapshot_ptr Snapshot;      // null until the tables are known
+  tables_feed *Tables = nullptr;    // of the process; set before it starts
   std::atomic<bool> IsReady{false}; // whether the balancer may send requests
 };
 
