--- a/apps/entry/traffic.hpp
+++ b/apps/entry/traffic.hpp
@@ -9,6 +9,8 @@
 
 #include "apps/entry/dispatch_log.hpp"
 #include "apps/entry/request_gate.hpp"
+#include "apps/entry/request_metrics.hpp"
+#include "apps/runtime/platform_feed.hpp"
 #include "core/request/entry_state.hpp"
 #include "platform/http.hpp"
 #include "platform/store.hpp"
@@ -18,13 +20,16 @@
 // [1] What threads share
 
 struct entry_config {
-  std::string Instance;      //
-  data_centre_id DataCentre; //
-  endpoint Listen;           // for callers and operators
-  endpoint Store;            // key-value service
-  endpoint Platform;         // instance list
-  int Threads = 2;           // of traffic
-  int SlotsPerExecutor = 8;  // from all entry instances together
+  std::string Instance;            //
+  data_centre_id DataCentre;       //
+  endpoint Listen;                 // for callers and operators
+  endpoint Store;                  // key-value service
+  endpoint Platform;               // instance list
+  int Threads = 2;                 // of traffic
+  int SlotsPerExecutor = 8;        // from all entry instances together
+  int ConnectionsPerExecutor = 64; // likewise, idle ones included
+  int DispatchWrites = 3;          // store calls a second for dispatch records
+  milliseconds ShareWait{30'000};  // see core/request/share.hpp
 };
 
 /// What the traffic threads of one process share.
@@ -32,10 +37,12 @@
   /// Context runs the dispatch log and outlives this.
   request_services(asio::io_context &Context, const entry_config &Config)
       : Gate(Config.DataCentre),
-        Log(Context, Config.Store, Config.Listen.Address) {}
+        Log(Context, Config.Store, Config.Listen.Address,
+            {Config.DispatchWrites}) {}
 
   request_gate Gate;
   dispatch_log Log;
+  request_metrics Metrics;
 };
 
 // [2] The thread
@@ -55,6 +62,7 @@
   store_client Store;
   http_client Upstream;
   entry_snapshot_ptr Snapshot;      // null until the tables are known
+  tables_feed *Tables = nullptr;    // of the process; set before it starts
   std::atomic<bool> IsReady{false}; // whether the balancer may send requests
 };
 
@@ -66,6 +74,9 @@
 /// POST /v1/requests/...: routes a caller's request to an executor.
 task<http_response> handleRequest(traffic_thread &Thread, http_request Request);
 
+/// GET /metrics: Prometheus text.
+http_response showMetrics(traffic_thread &Thread);
+
 /// /v1/jobs: submit, look up, list, cancel.
 task<http_response> handleJobs(traffic_thread &Thread, http_request Request);
 
--- a/core/job/scheduler_internal.hpp
+++ b/core/job/scheduler_internal.hpp
@@ -9,6 +9,25 @@
 /// Names with a blank between them, for log fields.
 std::string joinNames(const std::vector<worker_id> &Names);
 
+/// The workers as one placement pass sees them.
+struct pass_indexes {
+  capacity_index Kept;     // less what is reserved for a large job
+  capacity_index Open;     // with it, for work that ends before
+  instant ReservedStart{}; // of that large job
+  std::set<placement_request> Failed = {};     // shapes that don't fit in Kept
+  std::set<placement_request> FailedOpen = {}; // nor in Open
+
+  void take(std::span<const placed_member> Members,
+            const placement_request &Request) {
+    Kept.take(Members, Request);
+    Open.take(Members, Request);
+  }
+};
+
+/// What the workers reported of each job.
+using reports_by_job =
+    std::map<job_id, std::vector<std::pair<worker_id, task_report>>>;
+
 /// One run of the scheduler's reducer: the state it changes, the moment, and
 /// the effects collected so far.
 class scheduler_run {
@@ -36,16 +55,28 @@
   void placeWaitingJobs();
   void placeByPolicy(const guaranteed_sharing &Policy,
                      std::vector<scheduled_job *> Waiting);
+  [[nodiscard]] double responseOf(const guaranteed_sharing &Policy,
+                                  const scheduled_job &Job) const;
   void placeFirstFit(const std::vector<scheduled_job *> &Waiting);
   void placeBackfill(const std::vector<scheduled_job *> &Waiting);
   bool mayBePlaced(scheduled_job &Job);
   void explainWait(scheduled_job &Job);
   capacity_index indexWorkers() const;
+  capacity_index indexWithout(const scheduled_job *Skipped) const;
+  bool placeNow(const guaranteed_sharing &Policy, pass_indexes &Indexes,
+                scheduled_job &Job);
+  void waitLonger(const guaranteed_sharing &Policy, pass_indexes &Indexes,
+                  scheduled_job &Job, int &Searches);
+  bool reserveAhead(const guaranteed_sharing &Policy, scheduled_job &Job);
+  [[nodiscard]] const scheduled_job *findReservation() const;
   std::map<organisation_id, double> dominantShares() const;
 
   // Claims and reclaim: scheduler_reclaim.cpp
   void serveClaims();
   bool claimByEviction(const guaranteed_sharing &Policy, scheduled_job &Job);
+  [[nodiscard]] bool findRoomFor(std::span<scheduled_job *const> Victims,
+                                 std::span<const placed_member> Claim,
+                                 const job_spec &Spec) const;
   void checkpointForDeparture(const guaranteed_sharing &Policy);
 
   // Bad workers: scheduler_health.cpp
@@ -55,6 +86,7 @@
 
   // Job life cycle: scheduler.cpp
   bool refuseIfImpossible(scheduled_job &Job);
+  bool refuseIfTooLarge(scheduled_job &Job, const pool &Pool);
   bool moveIfNotPermitted(scheduled_job &Job);
   [[nodiscard]] bool isPermittedElsewhere(const scheduled_job &Job) const;
   void moveJob(scheduled_job &Job, const data_centre_id &To);
@@ -87,7 +119,8 @@
                   const task_report *Report, instant SentAt);
   void releaseStray(const worker_id &Worker, const attempt_id &Attempt);
   void settleRebuild();
-  void adoptGang(scheduled_job &Job);
+  [[nodiscard]] reports_by_job collectReports() const;
+  void adoptGang(scheduled_job &Job, const reports_by_job &Reports);
 
   scheduled_job *findJob(const job_id &Id);
   known_worker *findWorker(const worker_id &Id);
--- a/core/job/scheduler_reclaim.cpp
+++ b/core/job/scheduler_reclaim.cpp
@@ -165,8 +165,8 @@
     case claim_ground::Move:
       break;
     }
-    return Other.IsCheckpointable && Other.Class >= Mine.Class && IsBorrowed &&
-           Now - Victim.RunningSince >= Policy.MinRunBeforeMove &&
+    return Other.IsCheckpointable && Other.Class != work_class::Urgent &&
+           IsBorrowed && Now - Victim.RunningSince >= Policy.MinRunBeforeMove &&
            2 * heldBy(Victim) <= Mine.Tasks * Mine.AcceleratorsPerTask;
   }
 
@@ -196,6 +196,15 @@
     if (Job.Claim.empty())
       continue;
     const placement_request Request = placementRequest(Job.Record.Spec);
+    if (Job.IsReservation && !isFinal(Job.Record.Phase) && mayBePlaced(Job)) {
+      // It may fit elsewhere by now.
+      auto Members = indexWithout(&Job).choose(Request);
+      if (!Members.empty()) {
+        Job.Claim.clear();
+        reserveGang(Job, std::move(Members));
+        continue;
+      }
+    }
     bool IsFree = true;
     bool IsLost = isFinal(Job.Record.Phase) || Now >= Job.ClaimEnds ||
                   Job.Step != gang_step::Waiting || !mayBePlaced(Job);
@@ -214,6 +223,25 @@
   }
 }
 
+/// Whether the gangs that a move would stop and that are more pressing than the
+/// job fit elsewhere at once.
+bool scheduler_run::findRoomFor(std::span<scheduled_job *const> Victims,
+                                std::span<const placed_member> Claim,
+                                const job_spec &Spec) const {
+  capacity_index Index = indexWorkers();
+  Index.take(Claim, placementRequest(Spec));
+  for (const scheduled_job *Victim : Victims) {
+    if (Victim->Record.Spec.Class >= Spec.Class)
+      continue;
+    const placement_request Request = placementRequest(Victim->Record.Spec);
+    const auto Members = Index.choose(Request);
+    if (Members.empty())
+      return false;
+    Index.take(Members, Request);
+  }
+  return true;
+}
+
 /// Stops gangs so that this job can start, if it has a ground for that. The
 /// accelerators are kept for it from now on.
 bool scheduler_run::claimByEviction(const guaranteed_sharing &Policy,
@@ -258,12 +286,16 @@
     if (!Best)
       Best = eviction_planner(State, Policy, Job, Ground, Now).plan(All);
     const int Needed = Spec.Tasks * Spec.AcceleratorsPerTask;
-    if (Best && Ground == claim_ground::Move && Best->Cost > 2 * Needed)
+    const bool IsMove = Ground == claim_ground::Move;
+    if (Best && IsMove && Best->Cost > 2 * Needed)
       Best.reset(); // the moves cost more than the wait
+    if (Best && IsMove && !findRoomFor(Best->Victims, Best->Members, Spec))
+      Best.reset();
   }
   if (!Best)
     return false;
   Job.Claim = std::move(Best->Members);
+  Job.IsReservation = false;
   Job.ClaimEnds = Now + State.Settings.Lease + 2 * State.Settings.StepTimeout;
   for (scheduled_job *Victim : Best->Victims) {
     log(events::GangEvicted,
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -64,6 +64,7 @@
   Faults.IsDown = Reader.optional<bool>("down", false);
   Faults.LosesAnswers = Reader.optional<bool>("lose_answers", false);
   Faults.CutsWatches = Reader.optional<bool>("cut_watches", false);
+  Faults.ReadsStale = Reader.optional<bool>("reads_stale", false);
   Faults.DelayMilliseconds = readDelay(Reader, "delay_ms");
   return Faults;
 }
@@ -305,6 +306,8 @@
           {{"name", Executor->name()},
            {"most_at_once", Executor->mostAtOnce()},
            {"refused_over_slots", Executor->refusedOverSlots()},
+           {"most_connections", Executor->mostConnections()},
+           {"refused_connections", Executor->refusedConnections()},
            {"requests", std::move(Requests)}});
     }
     for (const auto &Worker : Workers) {
