--- a/core/job/placement.hpp
+++ b/core/job/placement.hpp
@@ -99,6 +99,9 @@
   /// Puts accelerators aside for another job; they count as not free.
   void setAside(std::span<const placed_member> Members);
 
+  /// Puts back what a member of a gang holds, as if it had ended.
+  void giveBack(const placed_member &Member, const placement_request &Request);
+
   [[nodiscard]] int freeAccelerators() const;
 
 private:
@@ -110,6 +113,7 @@
   worker_capacity *find(const worker_id &Worker);
 
   std::vector<rack> Racks;
+  std::size_t LastRack = 0; // of the worker that was added last
   std::map<rack_id, std::size_t> RackByName;
   std::map<worker_id, std::pair<std::size_t, std::size_t>> Positions;
 };
