--- a/apps/scheduler/save_queue.cpp
+++ b/apps/scheduler/save_queue.cpp
@@ -21,6 +21,7 @@
 void save_queue::save(save_job Wanted) {
   queued_write Write;
   Write.Job = Wanted.Record.Spec.Id;
+  Write.Revision = Wanted.Revision;
   Write.Key = jobKey(Wanted.Record.DataCentre, Write.Job);
   Write.Value = printJobRecord(Wanted.Record);
   Write.Transaction.Conditions.push_back(
@@ -32,6 +33,7 @@
 void save_queue::move(move_job Wanted) {
   queued_write Write;
   Write.Job = Wanted.Record.Spec.Id;
+  Write.Revision = Wanted.Revision;
   Write.Key = jobKey(Wanted.From, Write.Job);
   const data_centre_id &To = Wanted.Record.DataCentre;
   Write.Transaction.Conditions.push_back(
@@ -44,7 +46,12 @@
   enqueue(std::move(Write));
 }
 
+void save_queue::setFence(store_condition Condition) {
+  Fence = std::move(Condition);
+}
+
 void save_queue::enqueue(queued_write Write) {
+  Write.Transaction.Conditions.push_back(Fence);
   Queue.push_back(std::move(Write));
   if (IsDraining)
     return;
@@ -90,7 +97,8 @@
   }
   // Refused, or the answer was lost: what is stored decides.
   const store_read Read = co_await Store.read(Write.Key);
-  if (Read.Error) {
+  // A read from before the record existed says nothing about it.
+  if (Read.Error || Read.Revision < Write.Revision) {
     report(Write.Job, job_saved::outcome::Unreachable, 0);
     co_return;
   }
--- a/core/job/policy/run_times.cpp
+++ b/core/job/policy/run_times.cpp
@@ -30,8 +30,16 @@
 run_time_learner::run_time_learner() = default;
 run_time_learner::~run_time_learner() = default;
 run_time_learner::run_time_learner(run_time_learner &&) noexcept = default;
-run_time_learner &
-run_time_learner::operator=(run_time_learner &&) noexcept = default;
+
+run_time_learner::run_time_learner(const run_time_learner &Other) {
+  for (const auto &[Key, Row] : Other.Histograms)
+    Histograms[Key] = std::make_unique<histogram>(*Row);
+}
+
+run_time_learner &run_time_learner::operator=(run_time_learner Other) noexcept {
+  Histograms.swap(Other.Histograms);
+  return *this;
+}
 
 void run_time_learner::add(const job_spec &Spec, milliseconds RunTime) {
   auto &Row = Histograms[{Spec.Organisation, Spec.Class}];
--- a/core/job/policy/run_times.hpp
+++ b/core/job/policy/run_times.hpp
@@ -17,8 +17,9 @@
 public:
   run_time_learner();
   ~run_time_learner();
+  run_time_learner(const run_time_learner &Other);
   run_time_learner(run_time_learner &&) noexcept;
-  run_time_learner &operator=(run_time_learner &&) noexcept;
+  run_time_learner &operator=(run_time_learner Other) noexcept;
 
   void add(const job_spec &Spec, milliseconds RunTime);
 
--- a/core/job/scheduler.cpp
+++ b/core/job/scheduler.cpp
@@ -1,5 +1,7 @@
 #include "core/job/scheduler_internal.hpp"
 
+#include "core/recovery/evidence.hpp"
+
 #include <algorithm>
 
 namespace galenastage {
@@ -13,9 +15,13 @@
 }
 
 bool mayStartTasks(const scheduler_state &State, instant Now) {
-  if (!State.Tables || Now - State.TablesAsOf > State.Settings.EvidenceLife)
+  if (!State.Tables)
     return false;
-  return isInService(*State.Tables, State.Settings.DataCentre);
+  const start_evidence Evidence{
+      isInService(*State.Tables, State.Settings.DataCentre), State.TablesAsOf,
+      State.OutageAsOf};
+  return mayStart(Evidence, start_rule::StopUnlessTotalOutage,
+                  State.Settings.EvidenceLife, Now);
 }
 
 bool isStoppable(const job_spec &Spec) { return Spec.IsIdempotent; }
@@ -70,6 +76,9 @@
 namespace detail {
 namespace {
 
+/// Placement passes that arrivals may set off between two ticks.
+constexpr int MaxPassesBetweenTicks = 4;
+
 const std::vector<data_centre_id> &permittedDataCentres(const job_spec &Spec,
                                                         const pool &Pool) {
   return Spec.DataCentres.empty() ? Pool.DataCentres : Spec.DataCentres;
@@ -81,8 +90,10 @@
 
 void scheduler_run::apply(const ticked &Event) {
   State.WallNow = Event.WallNow;
+  State.Policy.PassesSinceTick = 0;
   if (!State.IsLeading)
     return;
+  dropOldEnds();
   noticeSilence();
   checkDeadlines();
   if (State.IsRebuilding && State.IsLoaded && Now >= State.RebuildEnds)
@@ -101,6 +112,7 @@
       !State.Tables || State.Tables->Version < Event.Tables->Version;
   State.Tables = Event.Tables;
   State.TablesAsOf = std::max(State.TablesAsOf, Event.AsOf);
+  State.OutageAsOf = Event.OutageAsOf;
   if (!IsNew)
     return;
   State.Policy.IsPlanStale = true;
@@ -135,22 +147,24 @@
   const job_id &Id = Event.Record.Spec.Id;
   scheduled_job *Known = findJob(Id);
   if (!Known) {
-    if (isFinal(Event.Record.Phase))
-      return;
-    scheduled_job &Job = State.Jobs[Id];
-    Job.Record = Event.Record;
-    Job.Revision = Event.Revision;
-    Job.WaitingSince = Now; // placed at the next tick
+    takeNewJob(Event);
     return;
   }
   if (Event.Revision <= Known->Revision)
     return;
   Known->Revision = Event.Revision;
+  Known->MovingTo = {}; // it is still here, and the move was of an older record
   if (isFinal(Event.Record.Phase) && !isFinal(Known->Record.Phase)) {
     apply(job_forgotten{Id});
     return;
   }
+  if (!canAct()) {
+    Known->Record = Event.Record; // nothing was done about it yet
+    return;
+  }
   Known->Record.IsCancelRequested |= Event.Record.IsCancelRequested;
+  if (isForeignStart(*Known, Event.Record))
+    yieldToStart(*Known);
   if (Known->IsSaveWanted)
     saveJob(*Known);
   if (Known->Record.IsCancelRequested && canAct())
@@ -164,7 +178,7 @@
   const attempt_id Attempt = attemptOf(*Job);
   for (const gang_member &Member : Job->Members)
     releaseStray(Member.Place.Worker, Attempt);
-  State.Jobs.erase(Event.Job);
+  forgetJob(*Job);
 }
 
 void scheduler_run::apply(const jobs_loaded &) {
@@ -184,18 +198,90 @@
     return;
   }
   Job->Revision = std::max(Job->Revision, Event.Revision);
+  Job->MovingTo = {};
   if (Job->IsSaveWanted) {
     saveJob(*Job);
     return;
   }
   if (isFinal(Job->Record.Phase)) {
-    State.Jobs.erase(Event.Job);
+    forgetJob(*Job);
     return;
   }
   if (Job->Step == gang_step::Saving)
     armGang(*Job);
 }
 
+// What is seen of jobs
+
+void scheduler_run::takeNewJob(const job_seen &Event) {
+  const job_id &Id = Event.Record.Spec.Id;
+  for (const auto *Generation : {&State.Ended, &State.EndedEarlier}) {
+    const auto Ended = Generation->find(Id);
+    if (Ended != Generation->end() && Event.Revision <= Ended->second)
+      return;
+  }
+  if (isFinal(Event.Record.Phase))
+    return;
+  scheduled_job &Job = State.Jobs[Id];
+  Job.Record = Event.Record;
+  Job.Revision = Event.Revision;
+  Job.WaitingSince = Now;
+  if (!canAct())
+    return;
+  if (Job.Record.Phase != job_phase::Waiting)
+    adoptGang(Job,
+              collectReports(&Id)); // started by a scheduler that led before
+  if (Job.Record.IsCancelRequested)
+    cancelJob(Job);
+  // A burst waits for the next tick: a pass costs as much for one as for many.
+  if (State.Policy.PassesSinceTick++ < MaxPassesBetweenTicks)
+    placeWaitingJobs();
+}
+
+/// Whether the store holds a start that this scheduler didn't send there: a
+/// write of the one that led before, which arrived late.
+bool scheduler_run::isForeignStart(const scheduled_job &Job,
+                                   const job_record &Stored) const {
+  const bool IsStart =
+      Stored.Phase == job_phase::Starting || Stored.Phase == job_phase::Running;
+  const bool MayBeginHere =
+      Job.Step != gang_step::Arming && Job.Step != gang_step::Running;
+  if (!IsStart || !MayBeginHere)
+    return false;
+  const auto Own = Job.SavedStarts.find(Stored.Attempt);
+  return Own == Job.SavedStarts.end() || Own->second != Stored.Placement;
+}
+
+void scheduler_run::yieldToStart(scheduled_job &Job) {
+  Job.Record.Verdict = verdict::Unknown;
+  Job.VerdictBefore = verdict::Unknown;
+  if (Job.Record.Spec.IsIdempotent || isFinal(Job.Record.Phase))
+    return;
+  const std::string Why =
+      "another scheduler saved its start and may have run it";
+  if (Job.Step != gang_step::Releasing) {
+    releaseGang(Job, job_phase::Failed, Why);
+    return;
+  }
+  if (Job.AfterRelease == job_phase::Waiting) {
+    Job.AfterRelease = job_phase::Failed;
+    Job.Record.Reason = Why;
+  }
+}
+
+void scheduler_run::forgetJob(const scheduled_job &Job) {
+  const job_id Id = Job.Record.Spec.Id;
+  State.Ended[Id] = Job.Revision;
+  State.Jobs.erase(Id);
+}
+
+void scheduler_run::dropOldEnds() {
+  if (Now - State.EndedSince < State.Settings.EndedMemory)
+    return;
+  State.EndedEarlier = std::exchange(State.Ended, {});
+  State.EndedSince = Now;
+}
+
 // Job life cycle
 
 /// Ends a job that can never run under these tables. False when it can.
@@ -273,6 +359,7 @@
   if (Job.IsSaveInFlight)
     return; // its revision isn't known; the next tick tries again
   Job.RetryAt = Now + State.Settings.RetryDelay;
+  Job.MovingTo = To;
   job_record Record = Job.Record;
   Record.DataCentre = To;
   Record.Reason = "moved from " + State.Settings.DataCentre.Value;
--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -43,6 +43,7 @@
   milliseconds StepTimeout{1'500};     // a gang step not done by then is undone
   milliseconds RetryDelay{1'000};      // after a gang start that was undone
   milliseconds RebuildWindow{3'000};   // to hear workers after a take-over
+  milliseconds EndedMemory{60'000};    // for late sights of ended jobs
   std::uint32_t MaxTaskFailures = 5;   // then an idempotent job has failed
   milliseconds FleetSettleTime{60'000}; // without new workers: it is known
   placement_strategy Strategy;          // baselines are for measurements
@@ -189,6 +190,11 @@
   instant RetryAt{};        // no placement before this
   bool IsConfirmed = false; // a renewal let it run
   bool HasRun = false;      // a worker has reported it running
+  verdict VerdictBefore = verdict::NotRun; // as it was before this attempt
+  data_centre_id MovingTo; // a move there was sent; its outcome isn't known
+  // Of a non-idempotent job: where each attempt whose start was sent to the
+  // store was to run. Tells one's own record from that of another scheduler.
+  std::map<std::uint32_t, std::vector<worker_id>> SavedStarts;
   std::uint32_t TaskFailures = 0; // runs that ended because a task failed
   bool IsSaveInFlight = false;
   bool IsSaveWanted = false;
@@ -242,6 +248,7 @@
 struct policy_state {
   guarantee_plan Guarantees;
   bool IsPlanStale = true;   // workers or tables changed since it was made
+  int PassesSinceTick = 0;   // placements that an arrival has set off
   instant FleetGrewAt{};     // when a worker was first listed, or grew
   run_time_learner RunTimes; // from the ends seen by this scheduler
 };
@@ -252,7 +259,8 @@
 
   scheduler_settings Settings;
   std::shared_ptr<const tables> Tables; // null until first seen
-  instant TablesAsOf{};                 // when these tables were known to hold
+  instant TablesAsOf{};                 // no newer tables existed then
+  instant OutageAsOf = instant::min();  // nobody could store an edit then
   bool IsLeading = false;
   bool IsLoaded = false;     // the stored jobs are known
   bool IsRebuilding = false; // workers are being asked what runs
@@ -261,6 +269,11 @@
   wall_instant WallNow{};
   std::map<job_id, scheduled_job> Jobs; // those that are not final
   std::map<worker_id, known_worker> Workers;
+  // Revisions of jobs that have ended or left, so that an older sight of them
+  // doesn't bring them back. Two generations, of which the older is dropped.
+  std::map<job_id, std::int64_t> Ended;
+  std::map<job_id, std::int64_t> EndedEarlier;
+  instant EndedSince{}; // of the younger generation
   policy_state Policy;
 };
 
--- a/core/job/scheduler_policy.cpp
+++ b/core/job/scheduler_policy.cpp
@@ -134,6 +134,10 @@
   }
   if (Now < Job.RetryAt || !State.Tables)
     return false;
+  if (!Job.MovingTo.isEmpty()) {
+    moveJob(Job, Job.MovingTo); // it may belong to the other one by now
+    return false;
+  }
   if (refuseIfImpossible(Job) || moveIfNotPermitted(Job))
     return false;
   if (!mayStartTasks(State, Now)) {
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -70,8 +70,10 @@
   }
   for (const task_report &Task : Report.Tasks) {
     const scheduled_job *Job = findJob(Task.Attempt.Job);
+    // A scheduler that led before may have used the same number elsewhere.
     const bool IsOurs = Job && attemptOf(*Job) == Task.Attempt &&
-                        Job->Step != gang_step::Waiting;
+                        Job->Step != gang_step::Waiting &&
+                        Worker->Held.contains(Task.Attempt);
     if (!IsOurs)
       releaseStray(Report.Worker, Task.Attempt);
   }
@@ -170,10 +172,7 @@
 
 void scheduler_run::settleRebuild() {
   State.IsRebuilding = false;
-  reports_by_job Reports;
-  for (const auto &[Name, Worker] : State.Workers)
-    for (const task_report &Task : Worker.Reported)
-      Reports[Task.Attempt.Job].emplace_back(Name, Task);
+  const reports_by_job Reports = collectReports(nullptr);
   for (auto &[Id, Job] : State.Jobs)
     adoptGang(Job, Reports);
   for (auto &[Id, Job] : State.Jobs)
@@ -182,6 +181,16 @@
   placeWaitingJobs();
 }
 
+/// What the workers reported last, of one job or of all.
+reports_by_job scheduler_run::collectReports(const job_id *Only) const {
+  reports_by_job Reports;
+  for (const auto &[Name, Worker] : State.Workers)
+    for (const task_report &Task : Worker.Reported)
+      if (!Only || Task.Attempt.Job == *Only)
+        Reports[Task.Attempt.Job].emplace_back(Name, Task);
+  return Reports;
+}
+
 /// Takes over a gang that the workers report whole. Of one that isn't whole the
 /// rest is released.
 void scheduler_run::adoptGang(scheduled_job &Job,
@@ -191,12 +200,20 @@
   static const reports_by_job::mapped_type Nothing;
   const auto Found = Reports.find(Job.Record.Spec.Id);
   const auto &Mine = Found == Reports.end() ? Nothing : Found->second;
+  // An idempotent start is saved after it has begun: the scheduler that led
+  // before may have run it and never said so.
+  const bool MayHaveBegun =
+      Job.Record.Spec.IsIdempotent && Job.Record.Verdict == verdict::NotRun;
+  if (MayHaveBegun)
+    Job.Record.Verdict = verdict::Unknown;
+  Job.VerdictBefore = Job.Record.Verdict;
   std::uint32_t Attempt = Job.Record.Attempt;
   for (const auto &[Name, Task] : Mine)
     Attempt = std::max(Attempt, Task.Attempt.Attempt);
   Job.Record.Attempt = Attempt;
 
   int RunningTasks = 0;
+  bool IsArmed = false;
   Job.Members.clear();
   Job.Record.Placement.clear();
   for (const auto &[Name, Task] : Mine) {
@@ -204,6 +221,7 @@
       continue;
     const bool IsStarted = Task.State >= task_state::Running;
     RunningTasks += IsStarted ? Task.Tasks : 0;
+    IsArmed |= Task.State >= task_state::Armed;
     Job.HasRun |= IsStarted;
     State.Workers.at(Name).hold(attemptOf(Job), Task.Accelerators,
                                 Job.Record.Spec);
@@ -218,14 +236,22 @@
     Job.IsConfirmed = true;
     Job.RunningSince = Now;
     Job.Record.Phase = job_phase::Running;
+    Job.Record.Verdict = verdict::Unknown;
     saveJob(Job);
     return;
   }
+  // Starts of idempotent jobs are saved after the fact, so that one which waits
+  // by its record may have run before the take-over, where nobody answers now.
+  if (Job.Record.Spec.IsIdempotent && Job.Record.Verdict == verdict::NotRun)
+    Job.Record.Verdict = verdict::Unknown;
   const bool MayHaveRun =
       !Job.Members.empty() || Job.Record.Phase != job_phase::Waiting;
   if (!MayHaveRun)
     return;
-  Job.IsConfirmed = true;
+  // A non-idempotent job that waits by its record was reserved at most.
+  Job.IsConfirmed = Job.Record.Spec.IsIdempotent || IsArmed ||
+                    Job.Record.Phase != job_phase::Waiting;
+  Job.VerdictBefore = Job.Record.Verdict;
   loseGang(Job, "the gang wasn't whole after a take-over");
 }
 
--- a/core/request/entry_state.hpp
+++ b/core/request/entry_state.hpp
@@ -11,12 +11,11 @@
 
 #include "core/config/tables.hpp"
 #include "core/log_event.hpp"
+#include "core/request/share.hpp"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include <atomic>
-#include <map>
 #include <memory>
 #include <variant>
 #include <vector>
@@ -56,19 +55,13 @@
 
 // [2] The snapshot
 
-/// Requests in progress at one executor from this instance. Shared by all
-/// traffic threads and by every snapshot that names the executor.
-struct slot_counter
-    : boost::intrusive_ref_counter<slot_counter, boost::thread_safe_counter> {
-  std::atomic<int> InUse{0};
-};
-using slot_counter_ptr = boost::intrusive_ptr<slot_counter>;
-
 /// An executor that new requests may go to.
 struct executor_choice {
   executor_row Row;
   int Slots = 0; // this instance's share
-  slot_counter_ptr Counter;
+
+  friend bool operator==(const executor_choice &,
+                         const executor_choice &) = default;
 };
 
 /// Everything a traffic thread needs to route a request. Never changes.
@@ -77,15 +70,11 @@
   std::shared_ptr<const tables> Tables; // never null
   data_centre_id DataCentre;            // of this instance
   std::vector<executor_choice> Executors;
+  int IdleConnections = 0;     // to each executor, of each traffic thread
+  bool IsShareSettled = false; // whether this instance may use its share
 };
 using entry_snapshot_ptr = boost::intrusive_ptr<const entry_snapshot>;
 
-/// Takes a slot of an executor that may answer this route: the one with most
-/// free slots in this instance's own data centre. Null when none is free. The
-/// caller gives the slot back.
-const executor_choice *takeSlot(const entry_snapshot &Snapshot,
-                                const route &Route);
-
 // [3] Effects
 
 struct publish_snapshot {
@@ -100,7 +89,10 @@
 struct entry_settings {
   instance_id Self;
   data_centre_id DataCentre;
-  int SlotsPerExecutor = 8; // requests at once, from all entry instances
+  int SlotsPerExecutor = 8;        // requests at once, from all entry instances
+  int ConnectionsPerExecutor = 64; // idle or not, from all entry instances
+  int Threads = 1;                 // of traffic
+  milliseconds ShareWait{30'000};  // see share.hpp
 };
 
 struct entry_state {
@@ -110,8 +102,8 @@
   entry_settings Settings;
   std::shared_ptr<const tables> Tables;
   std::vector<executor_row> Executors;
-  std::vector<instance_id> Members;
-  std::map<executor_id, slot_counter_ptr> Counters;
+  member_history Members;
+  entry_snapshot_ptr Published; // the last one
 };
 
 /// Applies one event in place.
--- a/standin/worker_model.hpp
+++ b/standin/worker_model.hpp
@@ -41,6 +41,9 @@
   /// Stops everything, as a failed instance does.
   void crash();
 
+  /// What this worker is and holds now.
+  [[nodiscard]] worker_report report(instant Now) const;
+
   worker_faults Faults;
 
   [[nodiscard]] const worker_id &id() const { return Worker; }
@@ -51,6 +54,7 @@
 
 private:
   struct held_task {
+    epoch Epoch = 0; // of the scheduler that reserved it
     task_state State = task_state::Reserved;
     int Tasks = 0;
     int Accelerators = 0;
