--- a/core/job/policy/run_times.cpp
+++ b/core/job/policy/run_times.cpp
@@ -29,18 +29,19 @@
 
 run_time_learner::run_time_learner() = default;
 run_time_learner::~run_time_learner() = default;
-run_time_learner::run_time_learner(run_time_learner &&) noexcept = default;
-
 run_time_learner::run_time_learner(const run_time_learner &Other) {
-  for (const auto &[Key, Row] : Other.Histograms)
-    Histograms[Key] = std::make_unique<histogram>(*Row);
+  for (const auto &[Kind, Histogram] : Other.Histograms)
+    Histograms[Kind] = std::make_unique<histogram>(*Histogram);
 }
 
-run_time_learner &run_time_learner::operator=(run_time_learner Other) noexcept {
-  Histograms.swap(Other.Histograms);
-  return *this;
+run_time_learner &run_time_learner::operator=(const run_time_learner &Other) {
+  return *this = run_time_learner(Other);
 }
 
+run_time_learner::run_time_learner(run_time_learner &&) noexcept = default;
+run_time_learner &
+run_time_learner::operator=(run_time_learner &&) noexcept = default;
+
 void run_time_learner::add(const job_spec &Spec, milliseconds RunTime) {
   auto &Row = Histograms[{Spec.Organisation, Spec.Class}];
   if (!Row)
--- a/core/job/policy/run_times.hpp
+++ b/core/job/policy/run_times.hpp
@@ -18,8 +18,9 @@
   run_time_learner();
   ~run_time_learner();
   run_time_learner(const run_time_learner &Other);
+  run_time_learner &operator=(const run_time_learner &Other);
   run_time_learner(run_time_learner &&) noexcept;
-  run_time_learner &operator=(run_time_learner Other) noexcept;
+  run_time_learner &operator=(run_time_learner &&) noexcept;
 
   void add(const job_spec &Spec, milliseconds RunTime);
 
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -197,9 +197,6 @@
                               const reports_by_job &Reports) {
   if (isFinal(Job.Record.Phase))
     return;
-  static const reports_by_job::mapped_type Nothing;
-  const auto Found = Reports.find(Job.Record.Spec.Id);
-  const auto &Mine = Found == Reports.end() ? Nothing : Found->second;
   // An idempotent start is saved after it has begun: the scheduler that led
   // before may have run it and never said so.
   const bool MayHaveBegun =
@@ -207,6 +204,9 @@
   if (MayHaveBegun)
     Job.Record.Verdict = verdict::Unknown;
   Job.VerdictBefore = Job.Record.Verdict;
+  static const reports_by_job::mapped_type Nothing;
+  const auto Found = Reports.find(Job.Record.Spec.Id);
+  const auto &Mine = Found == Reports.end() ? Nothing : Found->second;
   std::uint32_t Attempt = Job.Record.Attempt;
   for (const auto &[Name, Task] : Mine)
     Attempt = std::max(Attempt, Task.Attempt.Attempt);
