--- a/core/job/scheduler.cpp
+++ b/core/job/scheduler.cpp
@@ -76,6 +76,9 @@
 namespace detail {
 namespace {
 
+/// Placement passes that arrivals may set off between two ticks.
+constexpr int MaxPassesBetweenTicks = 4;
+
 const std::vector<data_centre_id> &permittedDataCentres(const job_spec &Spec,
                                                         const pool &Pool) {
   return Spec.DataCentres.empty() ? Pool.DataCentres : Spec.DataCentres;
@@ -87,6 +90,7 @@
 
 void scheduler_run::apply(const ticked &Event) {
   State.WallNow = Event.WallNow;
+  State.Policy.PassesSinceTick = 0;
   if (!State.IsLeading)
     return;
   dropOldEnds();
@@ -221,13 +225,17 @@
   scheduled_job &Job = State.Jobs[Id];
   Job.Record = Event.Record;
   Job.Revision = Event.Revision;
-  Job.WaitingSince = Now; // placed at the next tick
+  Job.WaitingSince = Now;
   if (!canAct())
     return;
   if (Job.Record.Phase != job_phase::Waiting)
-    adoptGang(Job, collectReports()); // started by a scheduler that led before
+    adoptGang(Job,
+              collectReports(&Id)); // started by a scheduler that led before
   if (Job.Record.IsCancelRequested)
     cancelJob(Job);
+  // A burst waits for the next tick: a pass costs as much for one as for many.
+  if (State.Policy.PassesSinceTick++ < MaxPassesBetweenTicks)
+    placeWaitingJobs();
 }
 
 /// Whether the store holds a start that this scheduler didn't send there: a
--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -248,6 +248,7 @@
 struct policy_state {
   guarantee_plan Guarantees;
   bool IsPlanStale = true;   // workers or tables changed since it was made
+  int PassesSinceTick = 0;   // placements that an arrival has set off
   instant FleetGrewAt{};     // when a worker was first listed, or grew
   run_time_learner RunTimes; // from the ends seen by this scheduler
 };
--- a/core/job/scheduler_internal.hpp
+++ b/core/job/scheduler_internal.hpp
@@ -119,7 +119,7 @@
                   const task_report *Report, instant SentAt);
   void releaseStray(const worker_id &Worker, const attempt_id &Attempt);
   void settleRebuild();
-  [[nodiscard]] reports_by_job collectReports() const;
+  [[nodiscard]] reports_by_job collectReports(const job_id *Only) const;
   void adoptGang(scheduled_job &Job, const reports_by_job &Reports);
 
   scheduled_job *findJob(const job_id &Id);
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -170,17 +170,9 @@
 
 // Rebuild after a take-over
 
-reports_by_job scheduler_run::collectReports() const {
-  reports_by_job Reports;
-  for (const auto &[Name, Worker] : State.Workers)
-    for (const task_report &Task : Worker.Reported)
-      Reports[Task.Attempt.Job].emplace_back(Name, Task);
-  return Reports;
-}
-
 void scheduler_run::settleRebuild() {
   State.IsRebuilding = false;
-  const reports_by_job Reports = collectReports();
+  const reports_by_job Reports = collectReports(nullptr);
   for (auto &[Id, Job] : State.Jobs)
     adoptGang(Job, Reports);
   for (auto &[Id, Job] : State.Jobs)
@@ -189,6 +181,16 @@
   placeWaitingJobs();
 }
 
+/// What the workers reported last, of one job or of all.
+reports_by_job scheduler_run::collectReports(const job_id *Only) const {
+  reports_by_job Reports;
+  for (const auto &[Name, Worker] : State.Workers)
+    for (const task_report &Task : Worker.Reported)
+      if (!Only || Task.Attempt.Job == *Only)
+        Reports[Task.Attempt.Job].emplace_back(Name, Task);
+  return Reports;
+}
+
 /// Takes over a gang that the workers report whole. Of one that isn't whole the
 /// rest is released.
 void scheduler_run::adoptGang(scheduled_job &Job,
