--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -26,12 +26,13 @@
   explicit entry_app(entry_config NewConfig)
       : Config(std::move(NewConfig)), Io(Config.Threads + 1),
         State({instance_id(Config.Instance), Config.DataCentre,
-               Config.SlotsPerExecutor}),
+               Config.SlotsPerExecutor, Config.ConnectionsPerExecutor,
+               Config.Threads, Config.ShareWait}),
         Store(Io.context(0), Config.Store, Config.Listen.Address),
         List(Io.context(0), Config.Platform, Config.Listen.Address),
+        Requests(Io.context(0), Config),
         Tables(Io.context(0), Store, List, relaySettings(Config),
-               tablesCallbacks()),
-        Requests(Io.context(0), Config) {
+               tablesCallbacks()) {
     for (int I = 1; I <= Config.Threads; ++I) {
       Traffic.push_back(
           std::make_unique<traffic_thread>(Io.context(I), Config, Requests));
@@ -80,6 +81,13 @@
   }
 
 private:
+  task<void> passTime() {
+    while (true) {
+      Requests.Gate.passTime();
+      co_await sleepFor(Io.context(0), GateInterval);
+    }
+  }
+
   static relay_settings relaySettings(const entry_config &Config) {
     relay_settings Settings;
     Settings.Self = instance_id(Config.Instance);
@@ -99,13 +107,6 @@
     return Callbacks;
   }
 
-  task<void> passTime() {
-    while (true) {
-      Requests.Gate.passTime();
-      co_await sleepFor(Io.context(0), GateInterval);
-    }
-  }
-
   static executors_seen toExecutors(const std::vector<instance> &Instances) {
     executors_seen Seen;
     for (const instance &Row : Instances)
@@ -139,6 +140,7 @@
       asio::post(Thread->Context,
                  [&Thread = *Thread, Snapshot = Effect.Snapshot] {
                    Thread.Snapshot = Snapshot;
+                   Thread.Upstream.limitIdle(Snapshot->IdleConnections);
                  });
   }
 
@@ -156,8 +158,8 @@
   entry_state State; // touched by the control thread only
   store_client Store;
   instance_list_client List;
-  tables_feed Tables;
   request_services Requests;
+  tables_feed Tables;
   std::vector<std::unique_ptr<traffic_thread>> Traffic;
   std::vector<std::unique_ptr<http_server>> Servers;
   control_thread Control;
@@ -172,6 +174,7 @@
   std::string Store;
   std::string Platform;
   std::string Format = "key-value";
+  int ShareWaitMs = static_cast<int>(Config.ShareWait.count());
 
   settings_parser Parser("galenastage-entry",
                          "Entry instance: callers' requests, jobs and the "
@@ -184,6 +187,13 @@
   Parser.number("threads", Config.Threads, 1, 64, "traffic threads");
   Parser.number("executor-slots", Config.SlotsPerExecutor, 1, 1'024,
                 "requests at once at one executor, from all entry instances");
+  Parser.number("executor-connections", Config.ConnectionsPerExecutor, 1, 4'096,
+                "connections to one executor, from all entry instances");
+  Parser.number("dispatch-writes", Config.DispatchWrites, 1, 1'000,
+                "store calls a second for dispatch records");
+  Parser.number("share-wait-ms", ShareWaitMs, 0, 600'000,
+                "lag of the instance list and longest request together: a new "
+                "share of an executor is used only after so long");
   Parser.choice("log-format", Format, {"key-value", "json"},
                 "format of log lines");
   if (const auto ExitCode = Parser.parse(Argc, Argv))
@@ -192,6 +202,7 @@
   startLogging("galenastage-entry",
                Format == "json" ? log_format::Json : log_format::KeyValue);
   Config.DataCentre = data_centre_id(DataCentre);
+  Config.ShareWait = milliseconds(ShareWaitMs);
   Config.Listen = *parseEndpoint(Listen);
   Config.Store = *parseEndpoint(Store);
   Config.Platform = *parseEndpoint(Platform);
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -1,5 +1,7 @@
+#include "measure/capacity.hpp"
 #include "measure/edit_latency.hpp"
 #include "measure/evidence_trial.hpp"
+#include "measure/load.hpp"
 #include "measure/policy.hpp"
 
 #include <CLI/CLI.hpp>
@@ -11,9 +13,12 @@
   App.name("galenastage-measure");
   App.set_version_flag("--version", "galenastage-measure " GALENASTAGE_VERSION);
   App.require_subcommand(1);
+  galenastage::measure::addCapacityCommands(App);
+  int ExitCode = 0;
+  galenastage::measure::addLoadCommand(App, ExitCode);
+  galenastage::measure::addPolicyCommand(App);
   addEditLatency(App);
   addEvidenceTrial(App);
-  measure::addPolicyCommand(App);
   CLI11_PARSE(App, Argc, Argv);
-  return 0;
+  return ExitCode;
 }
