--- a/core/job/policy/run_times.cpp
+++ b/core/job/policy/run_times.cpp
@@ -29,6 +29,15 @@
 
 run_time_learner::run_time_learner() = default;
 run_time_learner::~run_time_learner() = default;
+run_time_learner::run_time_learner(const run_time_learner &Other) {
+  for (const auto &[Kind, Histogram] : Other.Histograms)
+    Histograms[Kind] = std::make_unique<histogram>(*Histogram);
+}
+
+run_time_learner &run_time_learner::operator=(const run_time_learner &Other) {
+  return *this = run_time_learner(Other);
+}
+
 run_time_learner::run_time_learner(run_time_learner &&) noexcept = default;
 run_time_learner &
 run_time_learner::operator=(run_time_learner &&) noexcept = default;
