--- a/apps/entry/tables_api.cpp
+++ b/apps/entry/tables_api.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <ranges>
 
 namespace galenastage {
 namespace {
@@ -292,9 +293,8 @@
   if (Read.Error)
     co_return storeUnavailableResponse(verdict::NotRun);
   json Versions = json::array();
-  for (auto Entry = Read.Entries.rbegin(); Entry != Read.Entries.rend();
-       ++Entry)
-    if (const auto Kept = parseTables(Entry->Value).Tables)
+  for (const store_entry &Entry : std::views::reverse(Read.Entries))
+    if (const auto Kept = parseTables(Entry.Value).Tables)
       Versions.push_back({{"version", Kept->Version},
                           {"author", Kept->Author},
                           {"reason", Kept->Reason}});
