Make the policy clean for the linter

Cause: clang-tidy refused captures of structured bindings, narrowing and a rounding by hand in the policy and its driver.

Change: mayProbe and workerAt; std::lround for the quantile's position.

--- a/core/job/scheduler_health.cpp
+++ b/core/job/scheduler_health.cpp
@@ -43,21 +43,29 @@
   log(events::WorkerReinstated, {{"worker", Name.Value}});
 }
 
+/// Whether the job is small and safe enough to try out a doubtful worker.
+bool scheduler_run::mayProbe(const scheduled_job &Job,
+                             const worker_id &Name) const {
+  const job_spec &Spec = Job.Record.Spec;
+  return Job.Step == gang_step::Waiting && Job.Claim.empty() &&
+         Spec.Tasks == 1 && isStoppable(Spec) &&
+         Spec.Class != work_class::Urgent && !Job.FailedOn.contains(Name) &&
+         Spec.AcceleratorsPerTask <= State.Workers.at(Name).Accelerators;
+}
+
 /// Puts one small idempotent job on each quarantined worker that is due.
 void scheduler_run::placeProbes(std::vector<scheduled_job *> &Waiting) {
-  for (auto &[Name, Worker] : State.Workers) {
+  for (const auto &Row : State.Workers) {
+    const worker_id &Name = Row.first;
+    const known_worker &Worker = Row.second;
     const bool IsDue = Worker.Health.IsQuarantined && Worker.isReachable() &&
                        Worker.Held.empty() && Now >= Worker.Health.ProbeAt;
     if (!IsDue)
       continue;
-    const auto Probe = std::ranges::find_if(Waiting, [&](scheduled_job *Job) {
-      const job_spec &Spec = Job->Record.Spec;
-      return Job->Step == gang_step::Waiting && Job->Claim.empty() &&
-             Spec.Tasks == 1 && isStoppable(Spec) &&
-             Spec.Class != work_class::Urgent &&
-             Spec.AcceleratorsPerTask <= Worker.Accelerators &&
-             !Job->FailedOn.contains(Name);
-    });
+    const auto Probe =
+        std::ranges::find_if(Waiting, [this, &Name](const scheduled_job *Job) {
+          return mayProbe(*Job, Name);
+        });
     if (Probe == Waiting.end())
       continue;
     const int Accelerators = (*Probe)->Record.Spec.AcceleratorsPerTask;
--- a/core/job/scheduler_internal.hpp
+++ b/core/job/scheduler_internal.hpp
@@ -82,6 +82,8 @@
   // Bad workers: scheduler_health.cpp
   void countFailure(scheduled_job &Job, const worker_id &Name);
   void countSuccess(const worker_id &Name);
+  [[nodiscard]] bool mayProbe(const scheduled_job &Job,
+                              const worker_id &Name) const;
   void placeProbes(std::vector<scheduled_job *> &Waiting);
 
   // Job life cycle: scheduler.cpp
--- a/core/job/scheduler_reclaim.cpp
+++ b/core/job/scheduler_reclaim.cpp
@@ -56,6 +56,7 @@
     Gains.clear();
     eviction_plan Plan;
     std::vector<std::pair<int, worker_id>> ByCost;
+    ByCost.reserve(Names.size());
     for (worker_id &Name : Names)
       ByCost.emplace_back(-slots(Name), std::move(Name));
     std::ranges::sort(ByCost);
--- a/measure/policy_driver.cpp
+++ b/measure/policy_driver.cpp
@@ -2,6 +2,7 @@
 #include "standin/worker_model.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 
 namespace galenastage::measure {
@@ -138,15 +139,14 @@
   void injectFaults(seconds At) {
     const double CrashChance = CrashesPerFleetHour / SecondsPerHour;
     if (Random.uniform() < CrashChance)
-      powerOff(*std::next(Workers.begin(), Random.below(Workers.size())),
-               CrashOutage);
+      powerOff(*workerAt(Random.below(Workers.size())), CrashOutage);
     if (At == RackLossAt)
       loseRack();
     if (At == FailingFrom)
       FailingWorker = Random.below(Workers.size());
     if (At == FailingFrom || At == FailingUntil)
-      std::next(Workers.begin(), FailingWorker)
-          ->second.Model.Faults.FailsEverything = At == FailingFrom;
+      workerAt(FailingWorker)->second.Model.Faults.FailsEverything =
+          At == FailingFrom;
     if (At == CancelWaveAt)
       cancelWave();
     if (At == DepartureAt) {
@@ -163,6 +163,10 @@
       WorkAfter = usefulWork();
   }
 
+  std::map<worker_id, fake_worker>::iterator workerAt(std::size_t Number) {
+    return std::next(Workers.begin(), static_cast<std::ptrdiff_t>(Number));
+  }
+
   void powerOff(std::pair<const worker_id, fake_worker> &Entry,
                 seconds Length) {
     Entry.second.Model.advance(Now); // what has ended by now has ended
@@ -171,7 +175,7 @@
   }
 
   void loseRack() {
-    const auto First = std::next(Workers.begin(), Random.below(Workers.size()));
+    const auto First = workerAt(Random.below(Workers.size()));
     const std::string &Name = First->first.Value;
     const std::string Rack = Name.substr(0, Name.rfind("-w"));
     for (auto &Entry : Workers)
@@ -495,7 +499,7 @@
   if (Sorted.empty())
     return 0;
   const double Position = Share * static_cast<double>(Sorted.size() - 1);
-  return Sorted[static_cast<std::size_t>(Position + 0.5)];
+  return Sorted[static_cast<std::size_t>(std::lround(Position))];
 }
 
 double mean(const std::vector<double> &Values) {
