--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -139,8 +139,14 @@
   CLI::App App("Operators' command line of galenastage.");
   App.name("galenastagectl");
   App.set_version_flag("--version", "galenastagectl " GALENASTAGE_VERSION);
-  App.require_subcommand(1);
+  App.require_subcommand(0, 1);
   App.fallthrough();
+  App.set_config("--config", "", "INI file with these options");
+  App.allow_config_extras(CLI::config_extras_mode::error);
+  bool IsCheckOnly = false;
+  App.add_flag("--check-settings", IsCheckOnly,
+               "check the options, print them and exit")
+      ->configurable(false);
   App.add_option("--entry", Options.Entry, "entry instance to call")
       ->envname("GALENASTAGE_ENTRY")
       ->capture_default_str();
@@ -163,6 +169,14 @@
     App.exit(Error);
     return static_cast<int>(exit_code::Usage);
   }
+  if (IsCheckOnly) {
+    std::cout << App.config_to_str(true, false);
+    return static_cast<int>(exit_code::Success);
+  }
+  if (!Chosen) {
+    std::cerr << "galenastagectl: a command is missing; see --help\n";
+    return static_cast<int>(exit_code::Usage);
+  }
 
   const auto Entry = parseEndpoint(Options.Entry);
   if (!Entry) {
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -93,6 +93,7 @@
     Settings.Self = instance_id(Config.Instance);
     Settings.DataCentre = Config.DataCentre;
     Settings.PeerAddress = peerAddressOf(Config.Listen);
+    Settings.PeerListen = Config.PeerListen.value_or(Settings.PeerAddress);
     Settings.Incarnation =
         static_cast<std::uint64_t>(readWallClock().time_since_epoch().count());
     return Settings;
@@ -171,6 +172,7 @@
   entry_config Config;
   std::string DataCentre;
   std::string Listen = "127.0.0.1:8080";
+  std::string PeerListen;
   std::string Store;
   std::string Platform;
   std::string Format = "key-value";
@@ -182,6 +184,9 @@
   Parser.text("instance", Config.Instance, "name of this instance", true);
   Parser.text("data-centre", DataCentre, "data centre of this instance", true);
   Parser.address("listen", Listen, "where callers and operators connect");
+  Parser.address("peer-listen", PeerListen,
+                 "where to listen for peers, when a forwarder stands before "
+                 "the port that they connect to");
   Parser.address("store", Store, "the platform's key-value service", true);
   Parser.address("platform", Platform, "the platform's instance list", true);
   Parser.number("threads", Config.Threads, 1, 64, "traffic threads");
@@ -204,6 +209,7 @@
   Config.DataCentre = data_centre_id(DataCentre);
   Config.ShareWait = milliseconds(ShareWaitMs);
   Config.Listen = *parseEndpoint(Listen);
+  Config.PeerListen = parseEndpoint(PeerListen);
   Config.Store = *parseEndpoint(Store);
   Config.Platform = *parseEndpoint(Platform);
 
--- a/apps/entry/tables_api.cpp
+++ b/apps/entry/tables_api.cpp
@@ -5,8 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
-#include <ranges>
 
 namespace galenastage {
 namespace {
@@ -288,12 +288,12 @@
 
 /// The kept versions, newest first, without their rows.
 task<http_response> showHistory(traffic_thread &Thread) {
-  const store_read Read =
-      co_await Thread.Store.readPrefix("/galenastage/history/");
+  store_read Read = co_await Thread.Store.readPrefix("/galenastage/history/");
   if (Read.Error)
     co_return storeUnavailableResponse(verdict::NotRun);
+  std::ranges::reverse(Read.Entries); // keys sort by version, oldest first
   json Versions = json::array();
-  for (const store_entry &Entry : std::views::reverse(Read.Entries))
+  for (const store_entry &Entry : Read.Entries)
     if (const auto Kept = parseTables(Entry.Value).Tables)
       Versions.push_back({{"version", Kept->Version},
                           {"author", Kept->Author},
--- a/apps/runtime/platform_feed.cpp
+++ b/apps/runtime/platform_feed.cpp
@@ -44,7 +44,7 @@
       : Context(Context), Store(Store), List(List),
         Callbacks(std::move(NewCallbacks)),
         LocalAddress(Settings.PeerAddress.Address), Relay(Settings),
-        Server(Context, Settings.PeerAddress, [this](auto Connection) {
+        Server(Context, Settings.PeerListen, [this](auto Connection) {
           addLink(instance_id(), std::move(Connection));
         }) {}
 
--- a/apps/scheduler/main.cpp
+++ b/apps/scheduler/main.cpp
@@ -27,6 +27,7 @@
   std::string Instance;
   data_centre_id DataCentre;
   endpoint Listen;
+  std::optional<endpoint> PeerListen; // none: where peers connect
   endpoint Store;
   endpoint Platform;
 };
@@ -85,6 +86,7 @@
     Settings.DataCentre = Config.DataCentre;
     Settings.Kind = process_kind::Scheduler;
     Settings.PeerAddress = peerAddressOf(Config.Listen);
+    Settings.PeerListen = Config.PeerListen.value_or(Settings.PeerAddress);
     Settings.Incarnation =
         static_cast<std::uint64_t>(readWallClock().time_since_epoch().count());
     return Settings;
@@ -305,6 +307,7 @@
   scheduler_config Config;
   std::string DataCentre;
   std::string Listen = "127.0.0.1:8090";
+  std::string PeerListen;
   std::string Store;
   std::string Platform;
   std::string Format = "key-value";
@@ -315,6 +318,9 @@
   Parser.text("instance", Config.Instance, "name of this instance", true);
   Parser.text("data-centre", DataCentre, "data centre of this instance", true);
   Parser.address("listen", Listen, "where health checks connect");
+  Parser.address("peer-listen", PeerListen,
+                 "where to listen for peers, when a forwarder stands before "
+                 "the port that they connect to");
   Parser.address("store", Store, "the platform's key-value service", true);
   Parser.address("platform", Platform, "the platform's instance list", true);
   Parser.choice("log-format", Format, {"key-value", "json"},
@@ -326,6 +332,7 @@
                Format == "json" ? log_format::Json : log_format::KeyValue);
   Config.DataCentre = data_centre_id(DataCentre);
   Config.Listen = *parseEndpoint(Listen);
+  Config.PeerListen = parseEndpoint(PeerListen);
   Config.Store = *parseEndpoint(Store);
   Config.Platform = *parseEndpoint(Platform);
 
--- a/core/job/worker_protocol.cpp
+++ b/core/job/worker_protocol.cpp
@@ -80,6 +80,16 @@
   writeAttempt(Json, Request.Attempt);
 }
 
+void to_json(json &Json, const throttle_request &Request) {
+  Json = {{"epoch", Request.Epoch}, {"speed_percent", Request.SpeedPercent}};
+  writeAttempt(Json, Request.Attempt);
+}
+
+void to_json(json &Json, const usage_report &Report) {
+  Json = {{"busy_accelerators", Report.BusyAccelerators},
+          {"age_ms", Report.AgeAtAnswer.count()}};
+}
+
 void to_json(json &Json, const worker_answer &Answer) {
   Json = {{"accepted", Answer.IsAccepted},
           {"highest_epoch", Answer.HighestEpoch},
@@ -132,6 +142,17 @@
   Request.KeepCheckpoint = Json.at("keep_checkpoint").get<bool>();
 }
 
+void from_json(const json &Json, throttle_request &Request) {
+  Request.Epoch = Json.at("epoch").get<epoch>();
+  Request.Attempt = readAttempt(Json);
+  Request.SpeedPercent = Json.at("speed_percent").get<int>();
+}
+
+void from_json(const json &Json, usage_report &Report) {
+  Report.BusyAccelerators = Json.at("busy_accelerators").get<int>();
+  Report.AgeAtAnswer = readMilliseconds(Json, "age_ms");
+}
+
 void from_json(const json &Json, worker_answer &Answer) {
   Answer.IsAccepted = Json.at("accepted").get<bool>();
   Answer.HighestEpoch = Json.at("highest_epoch").get<epoch>();
@@ -168,6 +189,10 @@
     parseWorkerMessage<renew_request>(std::string_view);
 template std::optional<release_request>
     parseWorkerMessage<release_request>(std::string_view);
+template std::optional<throttle_request>
+    parseWorkerMessage<throttle_request>(std::string_view);
+template std::optional<usage_report>
+    parseWorkerMessage<usage_report>(std::string_view);
 template std::optional<worker_answer>
     parseWorkerMessage<worker_answer>(std::string_view);
 template std::optional<worker_report>
--- a/core/job/worker_protocol.hpp
+++ b/core/job/worker_protocol.hpp
@@ -86,6 +86,16 @@
                          const release_request &) = default;
 };
 
+/// Slows the tasks of an attempt, so that they use less than they could.
+struct throttle_request {
+  epoch Epoch = 0;        //
+  attempt_id Attempt;     //
+  int SpeedPercent = 100; // 1 to 100
+
+  friend bool operator==(const throttle_request &,
+                         const throttle_request &) = default;
+};
+
 // [2] Answers
 
 struct worker_answer {
@@ -131,20 +141,33 @@
                          const worker_report &) = default;
 };
 
+/// What the tasks of a worker really use. It lags: AgeAtAnswer says how old
+/// the figures were when the worker answered.
+struct usage_report {
+  int BusyAccelerators = 0;
+  milliseconds AgeAtAnswer{0};
+
+  friend bool operator==(const usage_report &, const usage_report &) = default;
+};
+
 // [3] JSON
 
 void to_json(nlohmann::json &Json, const reserve_request &Request);
 void to_json(nlohmann::json &Json, const start_request &Request);
 void to_json(nlohmann::json &Json, const renew_request &Request);
 void to_json(nlohmann::json &Json, const release_request &Request);
+void to_json(nlohmann::json &Json, const throttle_request &Request);
 void to_json(nlohmann::json &Json, const worker_answer &Answer);
 void to_json(nlohmann::json &Json, const worker_report &Report);
+void to_json(nlohmann::json &Json, const usage_report &Report);
 void from_json(const nlohmann::json &Json, reserve_request &Request);
 void from_json(const nlohmann::json &Json, start_request &Request);
 void from_json(const nlohmann::json &Json, renew_request &Request);
 void from_json(const nlohmann::json &Json, release_request &Request);
+void from_json(const nlohmann::json &Json, throttle_request &Request);
 void from_json(const nlohmann::json &Json, worker_answer &Answer);
 void from_json(const nlohmann::json &Json, worker_report &Report);
+void from_json(const nlohmann::json &Json, usage_report &Report);
 
 /// Reads any of these from JSON text; nullopt when it is malformed.
 template <typename Message>
--- a/core/recovery/relay.hpp
+++ b/core/recovery/relay.hpp
@@ -38,6 +38,8 @@
   data_centre_id DataCentre;               //
   process_kind Kind = process_kind::Entry; //
   endpoint PeerAddress;                    // where peers connect to this one
+  endpoint PeerListen;                     // where it listens for them; differs
+                                           // when a forwarder stands before it
   std::uint64_t Incarnation = 1;           //
   milliseconds ReadInterval{500};          // of the one that reads the store
   milliseconds HandOverStep{600};          // the next in rank reads when the
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -1,8 +1,10 @@
 #include "standin/platform.hpp"
 
+#include "apps/runtime/platform_feed.hpp"
 #include "core/config/json_reader.hpp"
 #include "standin/executor_service.hpp"
 #include "standin/kv_service.hpp"
+#include "standin/peer_forwarder.hpp"
 #include "standin/worker_service.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -81,6 +83,24 @@
   return Faults;
 }
 
+partition_faults readPartitions(detail::object_reader &Reader) {
+  using names = std::vector<std::string>;
+  partition_faults Faults;
+  for (const std::string &Name :
+       Reader.optional<names>("cut_from_platform", {}))
+    Faults.FromPlatform.insert(Name);
+  for (const names &Pair :
+       Reader.optional<std::vector<names>>("cut_from_each_other", {})) {
+    if (Pair.size() != 2) {
+      Reader.addProblem("cut_from_each_other", "must be a list of pairs");
+      continue;
+    }
+    Faults.EachOther.insert({Pair[0], Pair[1]});
+    Faults.EachOther.insert({Pair[1], Pair[0]});
+  }
+  return Faults;
+}
+
 worker_faults readWorkerFaults(detail::object_reader &Reader) {
   worker_faults Faults;
   Faults.FailsEverything = Reader.optional<bool>("fail", false);
@@ -88,6 +108,7 @@
   Faults.RunTimePercent = Reader.integer("run_time_percent", 100);
   if (Faults.RunTimePercent < 1 || Faults.RunTimePercent > 10'000)
     Reader.addProblem("run_time_percent", "must lie in [1, 10000]");
+  Faults.UsageLagMilliseconds = readDelay(Reader, "usage_lag_ms");
   return Faults;
 }
 
@@ -196,32 +217,46 @@
     return jsonResponse(200, json{{"instances", std::move(Rows)}}.dump());
   }
 
+  /// Lists an instance. With "peer_listen" its peers' connections are forwarded
+  /// there, so that data centres can be cut off from each other.
   http_response addInstance(const std::string &Name, const std::string &Body) {
     try {
       json Row = json::parse(Body);
       Row["name"] = Name;
-      Listed[Name] = Row.get<instance>();
+      const instance Instance = Row.get<instance>();
+      const auto PeerListen = parseEndpoint(Row.value("peer_listen", ""));
+      Forwarders.erase(Name);
+      if (PeerListen)
+        forwardPeers(Instance, *PeerListen);
+      Listed[Name] = Instance;
       return jsonResponse(200, R"({"applied":true})");
     } catch (const std::exception &Error) {
       return problemsResponse({{"", Error.what()}});
     }
   }
 
+  void forwardPeers(const instance &Instance, const endpoint &PeerListen) {
+    endpoint Listen = Instance.Address;
+    Listen.Port = static_cast<std::uint16_t>(Listen.Port + PeerPortOffset);
+    const std::string Inside = Instance.DataCentre.Value;
+    Forwarders[Instance.Name] = std::make_unique<peer_forwarder>(
+        Context, Listen, PeerListen, [this, Inside](const std::string &Peer) {
+          return Partitions.EachOther.contains({dataCentreAt(Peer), Inside});
+        });
+  }
+
   // Partitions
 
-  [[nodiscard]] bool isCutOff(const std::string &Peer) const {
+  /// The data centre whose instances have this address; empty when none has.
+  [[nodiscard]] std::string dataCentreAt(const std::string &Address) const {
     for (const data_centre_settings &DataCentre : Settings.DataCentres)
-      if (DataCentre.Address == Peer)
-        return CutOff.contains(DataCentre.Name.Value);
-    return false;
+      if (DataCentre.Address == Address)
+        return DataCentre.Name.Value;
+    return "";
   }
 
-  http_response setPartitions(const std::string &Body) {
-    return applyFaults(Body, CutOff, [](detail::object_reader &Reader) {
-      const auto Names =
-          Reader.optional<std::vector<std::string>>("cut_from_platform", {});
-      return std::set<std::string>(Names.begin(), Names.end());
-    });
+  [[nodiscard]] bool isCutOff(const std::string &Peer) const {
+    return Partitions.FromPlatform.contains(dataCentreAt(Peer));
   }
 
   // Faults and ledgers
@@ -249,7 +284,7 @@
     if (Path == "/faults/store" && IsPut)
       return applyFaults(Request.Body, Store.Faults, readStoreFaults);
     if (Path == "/faults/partitions" && IsPut)
-      return setPartitions(Request.Body);
+      return applyFaults(Request.Body, Partitions, readPartitions);
     if (Path == "/faults/list" && IsPut)
       return applyFaults(Request.Body, ListLag,
                          [](detail::object_reader &Reader) {
@@ -286,7 +321,7 @@
 
   http_response clearFaults() {
     Store.Faults = {};
-    CutOff.clear();
+    Partitions = {};
     ListLag = milliseconds(0);
     for (auto &Worker : Workers)
       Worker->Model.Faults = {};
@@ -334,7 +369,8 @@
   asio::io_context &Context;
   platform_settings Settings;
   bool IsStopping = false;
-  std::set<std::string> CutOff; // data centres that can't reach the platform
+  partition_faults Partitions;
+  std::map<std::string, std::unique_ptr<peer_forwarder>> Forwarders;
   milliseconds ListLag{0};
   std::map<std::string, instance> Listed;
   std::deque<list_snapshot> Snapshots;
--- a/standin/platform.hpp
+++ b/standin/platform.hpp
@@ -65,6 +65,17 @@
                          const executor_faults &) = default;
 };
 
+/// A link between two data centres that carries nothing.
+using data_centre_pair = std::pair<std::string, std::string>;
+
+struct partition_faults {
+  std::set<std::string> FromPlatform;   // can't reach store, list or workers
+  std::set<data_centre_pair> EachOther; // both orders of each pair
+
+  friend bool operator==(const partition_faults &,
+                         const partition_faults &) = default;
+};
+
 // [3] The platform
 
 class stand_in_platform {
--- a/standin/worker_model.cpp
+++ b/standin/worker_model.cpp
@@ -1,6 +1,14 @@
 #include "standin/worker_model.hpp"
 
+#include <iterator>
+
 namespace galenastage::standin {
+namespace {
+
+constexpr int FullSpeed = 100;                 // percent
+constexpr std::size_t MaxUsageChanges = 1'000; // remembered for the lag
+
+} // namespace
 
 worker_model::worker_model(worker_id Worker, data_centre_id DataCentre,
                            rack_id Rack, int Accelerators,
@@ -60,6 +68,7 @@
   if (Request.KeepCheckpoint && Found->second.State == task_state::Running)
     (*Checkpoints)[Request.Attempt.Job] = progressOf(Found->second, Now);
   Tasks.erase(Found);
+  rememberUsage(Now);
   return accept();
 }
 
@@ -79,6 +88,7 @@
         Task.Expires = Now + Request.Lease;
     }
   }
+  rememberUsage(Now);
   return report(Now);
 }
 
@@ -96,7 +106,8 @@
     held_task &Task = It->second;
     const bool IsRunning = Task.State == task_state::Running;
     // A task that ends before its lease does has ended, however late we look.
-    const instant Ends = Task.RunningSince + (Task.RunTime - Task.Progress);
+    const instant Ends = Task.RunningSince + (Task.RunTime - Task.Progress) *
+                                                 FullSpeed / Task.SpeedPercent;
     if (IsRunning && Ends <= std::min(Now, Task.Expires)) {
       Task.State =
           Faults.FailsEverything ? task_state::Failed : task_state::Succeeded;
@@ -108,6 +119,45 @@
     else
       ++It;
   }
+  rememberUsage(Now);
+}
+
+worker_answer worker_model::throttle(const throttle_request &Request,
+                                     instant Now) {
+  advance(Now);
+  if (!admit(Request.Epoch))
+    return refuse("epoch is too low");
+  if (Request.SpeedPercent < 1 || Request.SpeedPercent > FullSpeed)
+    return refuse("speed_percent must lie in [1, 100]");
+  const auto Found = Tasks.find(Request.Attempt);
+  if (Found == Tasks.end())
+    return refuse("no such attempt");
+  held_task &Task = Found->second;
+  Task.Progress = progressOf(Task, Now);
+  Task.RunningSince = Now;
+  Task.SpeedPercent = Request.SpeedPercent;
+  return accept();
+}
+
+usage_report worker_model::usage(instant Now) {
+  advance(Now);
+  const milliseconds Lag(Faults.UsageLagMilliseconds);
+  const auto After = BusyAccelerators.upper_bound(Now - Lag);
+  const int Busy =
+      After == BusyAccelerators.begin() ? 0 : std::prev(After)->second;
+  return {Busy, Lag};
+}
+
+void worker_model::rememberUsage(instant Now) {
+  int Busy = 0;
+  for (const auto &[Attempt, Task] : Tasks)
+    Busy += Task.State == task_state::Running ? Task.Accelerators : 0;
+  const bool IsNew =
+      BusyAccelerators.empty() || BusyAccelerators.rbegin()->second != Busy;
+  if (IsNew)
+    BusyAccelerators[Now] = Busy;
+  while (BusyAccelerators.size() > MaxUsageChanges)
+    BusyAccelerators.erase(BusyAccelerators.begin());
 }
 
 void worker_model::crash() {
@@ -154,7 +204,9 @@
                                       instant Now) const {
   if (Task.State != task_state::Running)
     return Task.Progress;
-  return std::min(Task.RunTime, Task.Progress + (Now - Task.RunningSince));
+  const milliseconds Done =
+      (Now - Task.RunningSince) * Task.SpeedPercent / FullSpeed;
+  return std::min(Task.RunTime, Task.Progress + Done);
 }
 
 } // namespace galenastage::standin
--- a/standin/worker_model.hpp
+++ b/standin/worker_model.hpp
@@ -12,6 +12,7 @@
   bool FailsEverything = false; // each task fails at once
   bool IsPaused = false;        // answers nothing; its clock stands still
   int RunTimePercent = 100;     // real run time against the declared one
+  int UsageLagMilliseconds = 0; // age of the usage that it reports
 
   friend bool operator==(const worker_faults &,
                          const worker_faults &) = default;
@@ -33,6 +34,7 @@
   worker_answer reserve(const reserve_request &Request, instant Now);
   worker_answer start(const start_request &Request, instant Now);
   worker_answer release(const release_request &Request, instant Now);
+  worker_answer throttle(const throttle_request &Request, instant Now);
   worker_report renew(const renew_request &Request, instant Now);
 
   /// Lets tasks end and leases lapse.
@@ -41,6 +43,9 @@
   /// Stops everything, as a failed instance does.
   void crash();
 
+  /// What its tasks use, as old as the lag says.
+  [[nodiscard]] usage_report usage(instant Now);
+
   /// What this worker is and holds now.
   [[nodiscard]] worker_report report(instant Now) const;
 
@@ -60,6 +65,7 @@
     int Accelerators = 0;
     milliseconds RunTime{0};
     milliseconds Progress{0}; // up to RunningSince
+    int SpeedPercent = 100;   // since then
     instant RunningSince{};
     instant Expires{};
   };
@@ -67,6 +73,7 @@
   worker_answer accept() const { return {true, HighestEpoch, ""}; }
   worker_answer refuse(std::string Reason) const;
   bool admit(epoch Epoch); // false when the epoch is too low
+  void rememberUsage(instant Now);
   void beginRun(const attempt_id &Attempt, held_task &Task, instant Now);
   [[nodiscard]] milliseconds progressOf(const held_task &Task,
                                         instant Now) const;
@@ -79,6 +86,7 @@
   std::map<attempt_id, held_task> Tasks;
   std::shared_ptr<checkpoint_map> Checkpoints; // never null
   std::map<job_id, int> Runs;
+  std::map<instant, int> BusyAccelerators; // each change of their number
 };
 
 } // namespace galenastage::standin
--- a/standin/worker_service.cpp
+++ b/standin/worker_service.cpp
@@ -54,6 +54,12 @@
     co_return answer<renew_request>(Request.Body, [&](const auto &Message) {
       return Model.renew(Message, Now);
     });
+  if (Path == "/v1/throttle")
+    co_return answer<throttle_request>(Request.Body, [&](const auto &Message) {
+      return Model.throttle(Message, Now);
+    });
+  if (Path == "/v1/usage")
+    co_return jsonResponse(200, json(Model.usage(Now)).dump());
   co_return jsonResponse(404, R"({"error":"not found"})");
 }
 
--- a/tests/fuzz/worker_message_fuzz.cpp
+++ b/tests/fuzz/worker_message_fuzz.cpp
@@ -28,6 +28,8 @@
   roundTrip<start_request>(Text);
   roundTrip<renew_request>(Text);
   roundTrip<release_request>(Text);
+  roundTrip<throttle_request>(Text);
+  roundTrip<usage_report>(Text);
   roundTrip<worker_answer>(Text);
   roundTrip<worker_report>(Text);
   return 0;
