--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -1,9 +1,9 @@
 #include "apps/entry/traffic.hpp"
 #include "apps/runtime/control.hpp"
+#include "apps/runtime/instance.hpp"
 #include "apps/runtime/logging.hpp"
 #include "apps/runtime/platform_feed.hpp"
 #include "apps/runtime/process.hpp"
-#include "apps/runtime/settings.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -170,25 +170,13 @@
 
 int main(int Argc, char **Argv) {
   entry_config Config;
-  std::string DataCentre;
-  std::string Listen = "127.0.0.1:8080";
-  std::string PeerListen;
-  std::string Store;
-  std::string Platform;
-  std::string Format = "key-value";
   int ShareWaitMs = static_cast<int>(Config.ShareWait.count());
 
   settings_parser Parser("galenastage-entry",
                          "Entry instance: callers' requests, jobs and the "
                          "operators' tables.");
-  Parser.text("instance", Config.Instance, "name of this instance", true);
-  Parser.text("data-centre", DataCentre, "data centre of this instance", true);
-  Parser.address("listen", Listen, "where callers and operators connect");
-  Parser.address("peer-listen", PeerListen,
-                 "where to listen for peers, when a forwarder stands before "
-                 "the port that they connect to");
-  Parser.address("store", Store, "the platform's key-value service", true);
-  Parser.address("platform", Platform, "the platform's instance list", true);
+  const instance_settings Settings(Parser, "127.0.0.1:8080",
+                                   "where callers and operators connect");
   Parser.number("threads", Config.Threads, 1, 64, "traffic threads");
   Parser.number("executor-slots", Config.SlotsPerExecutor, 1, 1'024,
                 "requests at once at one executor, from all entry instances");
@@ -199,34 +187,11 @@
   Parser.number("share-wait-ms", ShareWaitMs, 0, 600'000,
                 "lag of the instance list and longest request together: a new "
                 "share of an executor is used only after so long");
-  Parser.choice("log-format", Format, {"key-value", "json"},
-                "format of log lines");
   if (const auto ExitCode = Parser.parse(Argc, Argv))
     return *ExitCode;
 
-  startLogging("galenastage-entry",
-               Format == "json" ? log_format::Json : log_format::KeyValue);
-  Config.DataCentre = data_centre_id(DataCentre);
+  startLogging("galenastage-entry", Settings.logFormat());
+  static_cast<instance_config &>(Config) = Settings.config();
   Config.ShareWait = milliseconds(ShareWaitMs);
-  Config.Listen = *parseEndpoint(Listen);
-  Config.PeerListen = parseEndpoint(PeerListen);
-  Config.Store = *parseEndpoint(Store);
-  Config.Platform = *parseEndpoint(Platform);
-
-  blockStopSignals();
-  try {
-    entry_app App(Config);
-    App.start();
-    writeLog(events::ProcessStarted,
-             {{"instance", Config.Instance}, {"listen", Listen}});
-    waitForStop();
-    writeLog(events::ProcessStopping, {});
-    App.stopGracefully();
-  } catch (const std::runtime_error &Error) {
-    writeLog(events::ListenFailed,
-             {{"listen", Listen}, {"error", Error.what()}});
-    return 1;
-  }
-  writeLog(events::ProcessStopped, {});
-  return 0;
+  return runInstance<entry_app>(Config);
 }
--- a/apps/entry/traffic.hpp
+++ b/apps/entry/traffic.hpp
@@ -10,6 +10,7 @@
 #include "apps/entry/dispatch_log.hpp"
 #include "apps/entry/request_gate.hpp"
 #include "apps/entry/request_metrics.hpp"
+#include "apps/runtime/instance.hpp"
 #include "apps/runtime/platform_feed.hpp"
 #include "core/request/entry_state.hpp"
 #include "platform/http.hpp"
@@ -19,18 +20,12 @@
 
 // [1] What threads share
 
-struct entry_config {
-  std::string Instance;               //
-  data_centre_id DataCentre;          //
-  std::optional<endpoint> PeerListen; // none: where peers connect
-  endpoint Listen;                    // for callers and operators
-  endpoint Store;                     // key-value service
-  endpoint Platform;                  // instance list
-  int Threads = 2;                    // of traffic
-  int SlotsPerExecutor = 8;           // from all entry instances together
-  int ConnectionsPerExecutor = 64;    // likewise, idle ones included
-  int DispatchWrites = 3;         // store calls a second for dispatch records
-  milliseconds ShareWait{30'000}; // see core/request/share.hpp
+struct entry_config : instance_config {
+  int Threads = 2;                 // of traffic
+  int SlotsPerExecutor = 8;        // from all entry instances together
+  int ConnectionsPerExecutor = 64; // likewise, idle ones included
+  int DispatchWrites = 3;          // store calls a second for dispatch records
+  milliseconds ShareWait{30'000};  // see core/request/share.hpp
 };
 
 /// What the traffic threads of one process share.
--- a/apps/scheduler/main.cpp
+++ b/apps/scheduler/main.cpp
@@ -1,8 +1,8 @@
 #include "apps/runtime/control.hpp"
+#include "apps/runtime/instance.hpp"
 #include "apps/runtime/logging.hpp"
 #include "apps/runtime/platform_feed.hpp"
 #include "apps/runtime/process.hpp"
-#include "apps/runtime/settings.hpp"
 #include "apps/scheduler/election.hpp"
 #include "apps/scheduler/save_queue.hpp"
 
@@ -23,20 +23,11 @@
 constexpr milliseconds ReloadDelay{300};
 constexpr seconds ResignTimeout{2};
 
-struct scheduler_config {
-  std::string Instance;
-  data_centre_id DataCentre;
-  endpoint Listen;
-  std::optional<endpoint> PeerListen; // none: where peers connect
-  endpoint Store;
-  endpoint Platform;
-};
-
 /// The wiring of one scheduler: the reducer on the control thread, everything
 /// else on one I/O thread.
 class scheduler_app {
 public:
-  explicit scheduler_app(scheduler_config NewConfig)
+  explicit scheduler_app(instance_config NewConfig)
       : Config(std::move(NewConfig)), Io(1), Context(Io.context(0)),
         State(settingsOf(Config)),
         Store(Context, Config.Store, Config.Listen.Address),
@@ -74,13 +65,13 @@
   }
 
 private:
-  static scheduler_settings settingsOf(const scheduler_config &Config) {
+  static scheduler_settings settingsOf(const instance_config &Config) {
     scheduler_settings Settings;
     Settings.DataCentre = Config.DataCentre;
     return Settings;
   }
 
-  static relay_settings relaySettings(const scheduler_config &Config) {
+  static relay_settings relaySettings(const instance_config &Config) {
     relay_settings Settings;
     Settings.Self = instance_id(Config.Instance);
     Settings.DataCentre = Config.DataCentre;
@@ -285,7 +276,7 @@
                               verdict::NotRun);
   }
 
-  scheduler_config Config;
+  instance_config Config;
   io_threads Io;
   asio::io_context &Context;
   scheduler_state State; // touched by the control thread only
@@ -304,52 +295,13 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
-  scheduler_config Config;
-  std::string DataCentre;
-  std::string Listen = "127.0.0.1:8090";
-  std::string PeerListen;
-  std::string Store;
-  std::string Platform;
-  std::string Format = "key-value";
-
   settings_parser Parser("galenastage-scheduler",
                          "Scheduler of one data centre: places jobs, renews "
                          "their leases, moves them.");
-  Parser.text("instance", Config.Instance, "name of this instance", true);
-  Parser.text("data-centre", DataCentre, "data centre of this instance", true);
-  Parser.address("listen", Listen, "where health checks connect");
-  Parser.address("peer-listen", PeerListen,
-                 "where to listen for peers, when a forwarder stands before "
-                 "the port that they connect to");
-  Parser.address("store", Store, "the platform's key-value service", true);
-  Parser.address("platform", Platform, "the platform's instance list", true);
-  Parser.choice("log-format", Format, {"key-value", "json"},
-                "format of log lines");
+  const instance_settings Settings(Parser, "127.0.0.1:8090",
+                                   "where health checks connect");
   if (const auto ExitCode = Parser.parse(Argc, Argv))
     return *ExitCode;
-
-  startLogging("galenastage-scheduler",
-               Format == "json" ? log_format::Json : log_format::KeyValue);
-  Config.DataCentre = data_centre_id(DataCentre);
-  Config.Listen = *parseEndpoint(Listen);
-  Config.PeerListen = parseEndpoint(PeerListen);
-  Config.Store = *parseEndpoint(Store);
-  Config.Platform = *parseEndpoint(Platform);
-
-  blockStopSignals();
-  try {
-    scheduler_app App(Config);
-    App.start();
-    writeLog(events::ProcessStarted,
-             {{"instance", Config.Instance}, {"listen", Listen}});
-    waitForStop();
-    writeLog(events::ProcessStopping, {});
-    App.stopGracefully();
-  } catch (const std::runtime_error &Error) {
-    writeLog(events::ListenFailed,
-             {{"listen", Listen}, {"error", Error.what()}});
-    return 1;
-  }
-  writeLog(events::ProcessStopped, {});
-  return 0;
+  startLogging("galenastage-scheduler", Settings.logFormat());
+  return runInstance<scheduler_app>(Settings.config());
 }
