--- a/core/config/tables_json.cpp
+++ b/core/config/tables_json.cpp
@@ -130,6 +130,9 @@
         {"", "is not valid JSON, line " +
                  std::to_string(lineOf(Text, Error.byte))});
     return Result;
+  } catch (const json::out_of_range &) {
+    Result.Problems.push_back({"", "has a number that is out of range"});
+    return Result;
   }
   tables Tables = readDocument(Document, Result.Problems);
   if (Result.Problems.empty())
