Give the request fault table deadlines that a slow machine meets

Cause: the thread sanitizer run failed one row (partial write, store down, always): the repeat got 1 s of real time, and a large body under the sanitizer took longer, so the truthful answer was unknown instead of ran. The program's answer was right; the test timed it. Change: requests that nothing silences get 60 s, which only ends a test that hangs; silent ones get 0.5 and 1.5 s instead of 0.1 and 0.4, so that the record before the silence fits in. What is expected of each row is unchanged.

--- a/tests/faults/request_faults_test.cpp
+++ b/tests/faults/request_faults_test.cpp
@@ -7,6 +7,13 @@
 
 namespace {
 
+// Milliseconds until the caller gives up. Where the far side is silent nothing
+// else ends the request, and the deadline must still leave time for all that
+// comes before the silence; elsewhere it is there to end a test that hangs.
+constexpr int SilentRepeatable = 500;
+constexpr int SilentOnce = 1'500;
+constexpr int Unhurried = 60'000;
+
 /// What the caller must be told when the executor fails at one point, with the
 /// store up. "First" fails the first try only, "always" every try.
 struct fault_row {
@@ -87,8 +94,9 @@
         System.Store.set(Store);
         System.publish();
         const std::string Body = bodyFor(Row.Point, "tile");
-        const auto Told = System.send("/repeatable/1", Body, "",
-                                      isSilent(Row.Point) ? 100 : 10'000);
+        const auto Told =
+            System.send("/repeatable/1", Body, "",
+                        isSilent(Row.Point) ? SilentRepeatable : Unhurried);
         CHECK(Told.Verdict ==
               (FailsAlways ? Row.RepeatableAlways : Row.RepeatableFirst));
         checkPromises(System, Told, Body, true);
@@ -107,8 +115,9 @@
         System.Store.set(Store);
         System.publish();
         const std::string Body = bodyFor(Row.Point, "permit");
-        const auto Told = System.send("/once/1", Body, "key-1",
-                                      isSilent(Row.Point) ? 400 : 10'000);
+        const auto Told =
+            System.send("/once/1", Body, "key-1",
+                        isSilent(Row.Point) ? SilentOnce : Unhurried);
         const std::string WhenUp = FailsAlways ? Row.OnceAlways : Row.OnceFirst;
         CHECK(Told.Verdict == (isStoreUsable(Store) ? WhenUp : "not-run"));
         checkPromises(System, Told, Body, false);
@@ -119,7 +128,7 @@
         System.Executor.FaultsLeft = 0;
         System.Store.set(store_state::Up);
         System.publish();
-        const auto Again = System.send("/once/1", Body, "key-1", 1'000);
+        const auto Again = System.send("/once/1", Body, "key-1", Unhurried);
         checkPromises(System, Again, Body, false);
         if (Told.Verdict == "ran") {
           CHECK(Again.IsReplayed);
