Stop standbys from polling the store without a pause

Cause: a standby watched the leader's key from the revision of the key itself. Once that history was gone the watch was refused at once, and the loop had no delay after a refusal; 22,000 of 23,000 calls were these.

Change: the watch begins at the store's revision of the read, and a refused watch is followed by the usual delay.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -55,7 +55,10 @@
       continue;
     }
     if (Key.Item) {
-      co_await Store.watch(keys::Leader, Key.Item->Revision, StandbyWait);
+      const platform::watch_result Watch =
+          co_await Store.watch(keys::Leader, Key.Revision, StandbyWait);
+      if (Watch.Error)
+        co_await sleepFor(Context, RetryDelay);
       continue;
     }
     const bool HasWon = co_await tryWin();
