Record where tasks are placed before their starts are ordered

Cause: a new leader knew only the runs that executors listed.

Change: the progress record names the executors of each attempt, and the start is ordered once that record is stored. A successor counts those runs as possible until the executor answers under its token or every lease is over. Attempt numbers come from the same record. The process clock counts the time of a suspended machine.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -136,17 +136,17 @@
     const auto Found = Progress.find(keys::progressOf(Job));
     if (Found != Progress.end())
       ProgressRevisions.try_emplace(Job, Found->second->Revision);
-    handOver(Item, Found == Progress.end() ? "" : Found->second->Value, true);
+    handOver(Item, Found == Progress.end() ? "" : Found->second->Value);
   }
   for (const platform::store_item &Item : Asked.Items)
     if (Item.Key.ends_with(keys::CancelSuffix))
-      handOver(Item, "", true);
+      handOver(Item, "");
   co_return true;
 }
 
 /// Tells the reducer of a stored job or cancellation.
 void leadership::handOver(const platform::store_item &Item,
-                          const std::string &Progress, bool IsRecovered) {
+                          const std::string &Progress) {
   std::string Name = Item.Key.substr(std::string_view(keys::Asked).size());
   if (Name.ends_with(keys::CancelSuffix)) {
     Name.resize(Name.size() - keys::CancelSuffix.size());
@@ -158,7 +158,7 @@
     writeLog(events::JobUnreadable, {{"job", Name}, {"reason", Spec.Reason}});
     return;
   }
-  job_found Found{std::move(Spec.Record), {}, IsRecovered};
+  job_found Found{std::move(Spec.Record), {}};
   if (!Progress.empty()) {
     auto Parsed = parseProgress(Progress, Found.Spec);
     if (Parsed.Error) {
@@ -214,7 +214,7 @@
       // Job and progress are written in one transaction.
       if (!Change.Item.Key.ends_with(keys::CancelSuffix))
         ProgressRevisions.try_emplace(Job, Change.Item.Revision);
-      handOver(Change.Item, "", false);
+      handOver(Change.Item, "");
     }
   }
 }
--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -47,8 +47,7 @@
   task<void> followJobs(std::uint64_t Term);
   task<void> listExecutors(std::uint64_t Term);
   task<bool> listExecutorsOnce();
-  void handOver(const platform::store_item &Item, const std::string &Progress,
-                bool IsRecovered);
+  void handOver(const platform::store_item &Item, const std::string &Progress);
   void endTerm(std::string_view Cause);
   [[nodiscard]] bool isCurrent(std::uint64_t Term) const {
     return Term == Token;
--- a/apps/runtime/process.cpp
+++ b/apps/runtime/process.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
+#include <ctime>
 #include <pthread.h>
 #include <random>
 
@@ -22,8 +23,13 @@
 } // namespace
 
 instant readClock() {
+  // Unlike the steady clock, this one counts the time while the machine is
+  // suspended; leases go on meanwhile.
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
   return instant(std::chrono::duration_cast<milliseconds>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(Time.tv_sec) +
+      std::chrono::nanoseconds(Time.tv_nsec)));
 }
 
 wall_instant readWallClock() {
--- a/core/job/batch/progress.hpp
+++ b/core/job/batch/progress.hpp
@@ -22,6 +22,8 @@
   int Failures = 0;       // attempts that ended as failed
   int FailedAttempt = 0;  // the last of those; members of a gang report it once
   std::string Checkpoint; // from which the next run resumes; empty: none
+  std::vector<executor_id> Placed; // where the tasks of that attempt may run;
+                                   // recorded before any of them is started
 
   friend bool operator==(const unit_progress &,
                          const unit_progress &) = default;
--- a/core/job/batch/records.cpp
+++ b/core/job/batch/records.cpp
@@ -106,16 +106,22 @@
   return Result;
 }
 
-/// [done, attempts, failures, failed attempt, checkpoint]
+/// [done, attempts, failures, failed attempt, checkpoint, executors]
 json printUnit(const unit_progress &Unit) {
+  json Placed = json::array();
+  for (const executor_id &Id : Unit.Placed)
+    Placed.push_back(Id.Value);
   return json::array({Unit.IsDone ? 1 : 0, Unit.Attempts, Unit.Failures,
-                      Unit.FailedAttempt, Unit.Checkpoint});
+                      Unit.FailedAttempt, Unit.Checkpoint, std::move(Placed)});
 }
 
 unit_progress readUnit(const json &Record) {
-  return {Record.at(0).get<int>() != 0, Record.at(1).get<int>(),
-          Record.at(2).get<int>(), Record.at(3).get<int>(),
-          Record.at(4).get<std::string>()};
+  unit_progress Unit{Record.at(0).get<int>() != 0,    Record.at(1).get<int>(),
+                     Record.at(2).get<int>(),         Record.at(3).get<int>(),
+                     Record.at(4).get<std::string>(), {}};
+  for (const json &Id : Record.at(5))
+    Unit.Placed.emplace_back(Id.get<std::string>());
+  return Unit;
 }
 
 json printOccurrence(int Number, const occurrence_progress &Occurrence) {
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -81,14 +81,51 @@
   if (Event.Progress)
     Job.Progress = *Event.Progress;
   Job.Progress.Organisation = Event.Spec.Organisation;
-  Job.IsRecovered = Event.IsRecovered;
   beginDueOccurrences(Job);
   State.NeedsPlacement = true;
-  if (!Event.IsRecovered)
-    log(events::BatchJobFound,
-        {{"job", Job.Spec.Id.Value},
-         {"queue", Job.Queue.Name.Value},
-         {"steps", std::to_string(Job.Spec.Steps.size())}});
+  if (Event.Progress) {
+    inheritRuns(Job);
+    return;
+  }
+  log(events::BatchJobFound,
+      {{"job", Job.Spec.Id.Value},
+       {"queue", Job.Queue.Name.Value},
+       {"steps", std::to_string(Job.Spec.Steps.size())}});
+}
+
+/// Counts the runs that an earlier leader recorded as possible where they were
+/// placed, until their executors answer or their leases are over.
+void event_run::inheritRuns(job_state &Job) {
+  if (isFinal(Job.Progress.Phase))
+    return;
+  for (const auto &[Number, Occurrence] : Job.Progress.Occurrences)
+    for (int Step = 0; Step < static_cast<int>(Occurrence.Steps.size()); ++Step)
+      for (int Unit = 0;
+           Unit < static_cast<int>(Occurrence.Steps[Step].Units.size());
+           ++Unit) {
+        const unit_progress &Progress = Occurrence.Steps[Step].Units[Unit];
+        if (Progress.IsDone)
+          continue;
+        for (int I = 0; I < static_cast<int>(Progress.Placed.size()); ++I) {
+          const int Index = Job.Spec.Steps[Step].IsGang ? I : Unit;
+          const run_name Run{{Job.Spec.Id, Number, Step, Index},
+                             Progress.Attempts};
+          inheritRun(Job, Run, Progress.Placed[I]);
+        }
+      }
+}
+
+void event_run::inheritRun(job_state &Job, const run_name &Run,
+                           const executor_id &Id) {
+  const auto [Found, IsNew] = State.Executors.try_emplace(Id);
+  executor_state &Executor = Found->second;
+  if (IsNew) { // the store doesn't list it now; it may live all the same
+    Executor.Report.Id = Id;
+    Executor.IsListed = false;
+  }
+  addRun(Executor, Job, Run, run_phase::Doubtful);
+  Executor.Runs[Run].IsInherited = true;
+  Executor.LeaseUntil = std::max(Executor.LeaseUntil, State.RecoveryUntil);
 }
 
 void event_run::apply(const cancel_requested &Event) {
@@ -102,7 +139,8 @@
   clearLeadership();
   State.Token = Event.Token;
   State.ValidUntil = Event.ValidUntil;
-  State.RecoveryUntil = Now + longest(State.Settings.MaxLease);
+  State.RecoveryUntil =
+      Now + longest(std::min(State.Settings.Lease, State.Settings.MaxLease));
 }
 
 void event_run::apply(const recovery_finished &) {
@@ -149,6 +187,9 @@
     return; // the next tick tries again
   }
   State.SavesFinished += State.Saving.size();
+  for (const job_id &Id : State.Saving)
+    if (const auto Found = State.Jobs.find(Id); Found != State.Jobs.end())
+      startRecorded(Found->second);
   State.Saving.clear();
   for (auto &[Id, Executor] : State.Executors)
     if (Executor.LastSeenHeard > Executor.LastSeenSaved &&
@@ -206,6 +247,8 @@
     if (Found == State.Jobs.end())
       continue;
     Found->second.IsSaveQueued = false;
+    for (const auto &[Run, Executor] : Found->second.Runs)
+      State.Executors.at(Executor).Runs.at(Run).IsInSave = true;
     Save.Jobs.push_back({Id, Found->second.Progress});
   }
   Out.emplace_back(std::move(Save));
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -4,6 +4,8 @@
 // reducer: events in, effects out, no clock and no I/O.
 //
 // What makes it safe:
+// - Where a task is to run is stored before its start is ordered, so that a
+//   successor knows every run that may exist.
 // - Nothing starts before an executor has answered a hold under this leader's
 //   fencing token, so that no order of an earlier leader can follow.
 // - A run counts against its executor's capacity until its end is listed, its
@@ -66,11 +68,10 @@
 struct executors_listed {
   std::vector<executor_report> Executors;
 };
-/// A stored job. IsRecovered: an earlier leader may have started runs of it.
+/// A stored job, with the progress that an earlier leader stored.
 struct job_found {
   job_spec Spec;
   std::optional<job_progress> Progress; // nullopt: none stored yet
-  bool IsRecovered = false;
 };
 struct cancel_requested {
   job_id Job;
@@ -206,10 +207,11 @@
 // [4] State
 
 enum class run_phase {
-  Starting, // ordered, not answered yet
-  Doubtful, // the start wasn't answered: it may run, now or later
-  Active,   //
-  Stopping, // a stop was ordered
+  Recording, // its place is being stored; nothing was ordered yet
+  Starting,  // ordered, not answered yet
+  Doubtful,  // the start wasn't answered: it may run, now or later
+  Active,    //
+  Stopping,  // a stop was ordered
 };
 
 struct run_state {
@@ -219,6 +221,8 @@
   instant Confirmed{};         // the start or the stop was answered
   instant StopSent{};          //
   bool IsStopAccepted = false; // a start that is late can't take effect
+  bool IsInSave = false;       // the store is being told of its place
+  bool IsInherited = false;    // an earlier leader may have started it
   bool IsListed = false;       // the executor has listed it
   std::string Checkpoint;      // last one saved
   int Percent = 0;             //
@@ -259,17 +263,15 @@
 
 /// What the leader knows of a unit beside its progress.
 struct unit_state {
-  int LiveRuns = 0;                // runs that aren't gone
-  instant Ready{};                 // since when it could start
-  instant NotBefore{};             // after a failure
-  std::set<executor_id> Avoided;   // where it failed
-  bool HasSkippedAttempts = false; // past those of an earlier leader
+  int LiveRuns = 0;              // runs that aren't gone
+  instant Ready{};               // since when it could start
+  instant NotBefore{};           // after a failure
+  std::set<executor_id> Avoided; // where it failed
 };
 
 struct job_state {
   job_spec Spec;
   job_progress Progress;
-  bool IsRecovered = false;              // runs of an earlier leader may exist
   bool IsSaveQueued = false;             //
   queue_config Queue;                    // the newest that was in force
   std::map<unit_name, unit_state> Units; // those that may start or run
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -56,6 +56,8 @@
   void saveNext();
   void endJob(job_state &Job, job_phase Phase, std::string_view Cause);
   void noteUnitDone(job_state &Job, int Occurrence);
+  void inheritRuns(job_state &Job);
+  void inheritRun(job_state &Job, const run_name &Run, const executor_id &Id);
   void beginDueOccurrences(job_state &Job);
   void publishQueueLengths();
   void forgetOldJobs();
@@ -65,6 +67,7 @@
   void addRun(executor_state &Executor, job_state &Job, const run_name &Run,
               run_phase Phase);
   void dropRun(executor_state &Executor, const run_name &Run);
+  void startRecorded(job_state &Job);
   void applyEnd(executor_state &Executor, const run_name &Run, run_end End,
                 const std::string &Checkpoint);
   void applyFailure(executor_state &Executor, job_state &Job,
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -7,10 +7,6 @@
 namespace detail {
 namespace {
 
-/// A successor doesn't know of starts that were not stored before its
-/// predecessor was lost; its first attempt number skips over them.
-constexpr int AttemptsSkippedAtTakeOver = 8;
-
 constexpr int WholePercent = 100;
 
 /// Estimated length of the longest chain of steps that isn't done.
@@ -62,14 +58,9 @@
 } // namespace
 
 std::vector<waiting_unit> event_run::listWaiting() {
-  const bool IsBlocked =
-      Now < State.RecoveryUntil &&
-      std::ranges::any_of(State.Executors, [](const auto &Item) {
-        return Item.second.IsListed && !Item.second.IsSettled;
-      });
   std::vector<waiting_unit> Waiting;
   for (auto &[Id, Job] : State.Jobs) {
-    if (isFinal(Job.Progress.Phase) || (Job.IsRecovered && IsBlocked))
+    if (isFinal(Job.Progress.Phase))
       continue;
     const double Work = workOf(Job.Spec);
     for (auto &[Number, Occurrence] : Job.Progress.Occurrences) {
@@ -374,9 +365,6 @@
   const step_spec &Step = Job.Spec.Steps[Unit.Step];
   unit_progress &Progress = *findProgress(Unit);
   unit_state &Known = Job.Units[Unit];
-  if (Job.IsRecovered && !Known.HasSkippedAttempts)
-    Progress.Attempts += AttemptsSkippedAtTakeOver;
-  Known.HasSkippedAttempts = true;
   ++Progress.Attempts;
   const milliseconds Waited = Now - Known.Ready;
   for (std::size_t I = 0; I < Executors.size(); ++I) {
@@ -384,12 +372,12 @@
     const run_name Run{{Unit.Job, Unit.Occurrence, Unit.Step, Index},
                        Progress.Attempts};
     executor_state &Executor = State.Executors.at(Executors[I]);
-    addRun(Executor, Job, Run, run_phase::Starting);
-    Out.emplace_back(start_run{targetOf(Executor), Run, Job.Spec.Payload,
-                               Progress.Checkpoint, leaseEnd(Executor)});
-    Executor.NextHold = std::min(Executor.NextHold, Now);
-    hold(Executor);
+    addRun(Executor, Job, Run, run_phase::Recording);
   }
+  Progress.Placed = Executors;
+  if (Job.Progress.Phase == job_phase::Queued)
+    Job.Progress.Phase = job_phase::Running;
+  queueSave(Job);
   log(events::UnitStarted,
       {{"task", printTask({Unit.Job, Unit.Occurrence, Unit.Step, Unit.Unit})},
        {"attempt", std::to_string(Progress.Attempts)},
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -47,10 +47,13 @@
 
 void event_run::hold(executor_state &Executor) {
   const bool MayHold = isLeading() && State.IsRecovered &&
-                       !Executor.IsHolding && Now >= Executor.NextHold;
+                       !Executor.IsHolding && Now >= Executor.NextHold &&
+                       Executor.Report.Address.Port != 0;
   if (!MayHold)
     return;
-  const bool HasRuns = !Executor.Runs.empty();
+  const bool HasRuns = std::ranges::any_of(Executor.Runs, [](const auto &Item) {
+    return Item.second.Phase != run_phase::Recording;
+  });
   const bool HasUntold = Executor.LastSeenHeard > Executor.LastSeenTold;
   const bool IsWanted =
       HasRuns || HasUntold || (!Executor.IsSettled && Executor.IsListed);
@@ -301,8 +304,9 @@
   for (auto &[Name, Run] : Executor.Runs) {
     if (Listed.contains(Name))
       continue;
-    const bool IsOver =
-        Run.IsListed || (Run.IsStopAccepted && Report.Sent >= Run.Confirmed);
+    // An order of an earlier leader can't take effect any more.
+    const bool IsOver = Run.IsListed || Run.IsInherited ||
+                        (Run.IsStopAccepted && Report.Sent >= Run.Confirmed);
     const bool MayStartLate =
         Run.Phase == run_phase::Doubtful && Report.Sent >= Run.Confirmed;
     if (IsOver)
@@ -335,12 +339,34 @@
 
 // Orders
 
+/// Orders the starts whose places have been stored.
+void event_run::startRecorded(job_state &Job) {
+  for (const auto &[Name, Id] : Job.Runs) {
+    executor_state &Executor = State.Executors.at(Id);
+    run_state &Run = Executor.Runs.at(Name);
+    const bool IsRecorded = Run.Phase == run_phase::Recording && Run.IsInSave;
+    if (!IsRecorded || !isLeading())
+      continue;
+    Run.Phase = run_phase::Starting;
+    Run.Ordered = Now;
+    const unit_progress &Progress = *findProgress(unitNameOf(Job, Name.Task));
+    Out.emplace_back(start_run{targetOf(Executor), Name, Job.Spec.Payload,
+                               Progress.Checkpoint, leaseEnd(Executor)});
+    Executor.NextHold = std::min(Executor.NextHold, Now);
+    hold(Executor);
+  }
+}
+
 void event_run::orderStop(executor_state &Executor, const run_name &Run) {
   const auto Found = Executor.Runs.find(Run);
   if (Found == Executor.Runs.end() || !isLeading())
     return;
   if (Found->second.Phase == run_phase::Stopping)
     return;
+  if (Found->second.Phase == run_phase::Recording) {
+    dropRun(Executor, Run); // it was never ordered
+    return;
+  }
   Found->second.Phase = run_phase::Stopping;
   Found->second.StopSent = Now;
   Out.emplace_back(stop_run{targetOf(Executor), Run});
@@ -383,11 +409,6 @@
     Run->second.Confirmed = Now;
     if (Run->second.Phase == run_phase::Starting)
       Run->second.Phase = run_phase::Active;
-    if (Job != State.Jobs.end() &&
-        Job->second.Progress.Phase == job_phase::Queued) {
-      Job->second.Progress.Phase = job_phase::Running;
-      queueSave(Job->second);
-    }
     return;
   }
   log(events::StartNotAccepted,
