Send stops that were wanted while the leader's own lease was in doubt

Cause: a stop ordered in the moments when the leader's lease could not be shown to be valid was dropped and never sent again; a gang that had lost a member held its executors for good (seed 110 of the world with all faults).

Change: the run is marked as stopping and the stop goes out with the retries.

--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -367,15 +367,16 @@
 
 void event_run::orderStop(executor_state &Executor, const run_name &Run) {
   const auto Found = Executor.Runs.find(Run);
-  if (Found == Executor.Runs.end() || !isLeading())
-    return;
-  if (Found->second.Phase == run_phase::Stopping)
+  if (Found == Executor.Runs.end() ||
+      Found->second.Phase == run_phase::Stopping)
     return;
   if (Found->second.Phase == run_phase::Recording) {
     dropRun(Executor, Run); // it was never ordered
     return;
   }
   Found->second.Phase = run_phase::Stopping;
+  if (!isLeading())
+    return; // it is sent with the retries, if this instance goes on leading
   Found->second.StopSent = Now;
   Out.emplace_back(stop_run{targetOf(Executor), Run});
 }
