Look for room by step, and let larger instances lead first

Cause: each pass of the placement walked a map entry for every waiting task and listed every executor for every step, also when nothing was free; on 350 executors the leader's share of a core was used up by it.

Change: units are held by step; a step that fits on no executor ends before the list; passes are 15 ms apart; the guarantee is checked before the list. An instance with less than half a core lets others campaign first.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -29,9 +29,10 @@
 
 leadership::leadership(asio::io_context &Context,
                        platform::metadata_store &Store, std::string Instance,
-                       milliseconds LeaseLife, post_event Post)
+                       milliseconds LeaseLife, milliseconds HeadStart,
+                       post_event Post)
     : Context(Context), Store(Store), Instance(std::move(Instance)),
-      LeaseLife(LeaseLife), Post(std::move(Post)) {}
+      LeaseLife(LeaseLife), HeadStart(HeadStart), Post(std::move(Post)) {}
 
 platform::key_condition leadership::fence() const {
   return {keys::Leader, static_cast<std::int64_t>(Token)};
@@ -48,12 +49,19 @@
 }
 
 task<void> leadership::run() {
+  bool HasWaited = false;
   while (!IsResigning) {
     const platform::item_read Key = co_await Store.read(keys::Leader);
     if (Key.Error) {
       co_await sleepFor(Context, RetryDelay);
       continue;
     }
+    if (!Key.Item && !HasWaited && HeadStart.count() > 0) {
+      HasWaited = true;
+      co_await sleepFor(Context, HeadStart);
+      continue;
+    }
+    HasWaited = false;
     if (Key.Item) {
       const platform::watch_result Watch =
           co_await Store.watch(keys::Leader, Key.Revision, StandbyWait);
--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -16,8 +16,10 @@
 public:
   using post_event = std::function<void(decltype(batch::event::What))>;
 
+  /// HeadStart: how long this instance lets others campaign first.
   leadership(asio::io_context &Context, platform::metadata_store &Store,
-             std::string Instance, milliseconds LeaseLife, post_event Post);
+             std::string Instance, milliseconds LeaseLife,
+             milliseconds HeadStart, post_event Post);
 
   /// Campaigns until resign was called.
   task<void> run();
@@ -57,6 +59,7 @@
   platform::metadata_store &Store;
   std::string Instance;
   milliseconds LeaseLife;
+  milliseconds HeadStart;
   post_event Post;
   std::int64_t Lease = 0;
   std::uint64_t Token = 0; // 0: standing by
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 
 #include <atomic>
+#include <cmath>
 #include <future>
 
 using namespace galenastage;
@@ -41,7 +42,8 @@
         Feed(Context, Store,
              [this](const deployment_view &View) { noteView(View); }),
         Leadership(Context, Store, Settings.Name.Value,
-                   std::max(LeaderLease, Settings.MinStoreLease), poster()),
+                   std::max(LeaderLease, Settings.MinStoreLease),
+                   headStart(Settings.Cores), poster()),
         Orders(Context, Store, Executors, Leadership, Metrics, poster()),
         Front(Context, Store, Feed, Metrics) {
     if (Settings.Front)
@@ -92,6 +94,17 @@
     return Scheduler;
   }
 
+  /// Larger instances lead when they can: each halving below half a core lets
+  /// others campaign first for this long.
+  static milliseconds headStart(double Cores) {
+    constexpr double FullSize = 0.5;
+    constexpr milliseconds PerHalving{150};
+    if (Cores <= 0 || Cores >= FullSize)
+      return milliseconds(0);
+    return std::chrono::duration_cast<milliseconds>(
+        PerHalving * std::log2(FullSize / Cores));
+  }
+
   /// Events go to the control thread, effects come back to the I/O thread.
   leadership::post_event poster() {
     return [this](decltype(batch::event::What) What) {
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -81,6 +81,8 @@
   if (Event.Progress)
     Job.Progress = *Event.Progress;
   Job.Progress.Organisation = Event.Spec.Organisation;
+  Job.Chain = remainingChain(Job.Spec, nullptr);
+  Job.Work = workOf(Job.Spec);
   beginDueOccurrences(Job);
   State.NeedsPlacement = true;
   if (Event.Progress) {
@@ -341,8 +343,9 @@
 }
 
 void event_run::finish() {
-  if (State.NeedsPlacement) {
+  if (State.NeedsPlacement && Now >= State.NextPlacement) {
     State.NeedsPlacement = false;
+    State.NextPlacement = Now + State.Settings.PlacementInterval;
     placeWaiting();
   }
   saveNext();
@@ -350,6 +353,14 @@
 
 } // namespace detail
 
+unit_state &unitState(job_state &Job, const unit_name &Unit) {
+  auto &Steps = Job.Units[Unit.Occurrence];
+  if (Steps.empty())
+    for (const step_spec &Step : Job.Spec.Steps)
+      Steps.emplace_back(static_cast<std::size_t>(countUnits(Step)));
+  return Steps[Unit.Step][Unit.Unit];
+}
+
 effects reduce(scheduler_state &State, const event &Event) {
   detail::event_run Run(State, Event);
   std::visit([&](const auto &What) { Run.apply(What); }, Event.What);
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -34,20 +34,21 @@
 
 /// Figures of the deployment; the platform's settings give those that differ.
 struct scheduler_settings {
-  milliseconds MaxLease{10'000};     // an executor shortens longer ones
-  milliseconds Lease{6'000};         // of runs; covers a take-over
-  milliseconds HoldWait{2'000};      // the most that an executor waits
-  milliseconds HoldRetry{300};       // after a hold without an answer
-  milliseconds UnsavedHold{500};     // between holds while ends aren't stored
-  milliseconds ConfirmInterval{100}; // between holds that settle a doubt
-  milliseconds StopRetry{500};       // after a stop without an answer
-  milliseconds SpreadDelay{1'500};   // a unit waits so long for its best rack
-  milliseconds PlanLife{3'000};      // room kept for a unit that reclaims it
-  milliseconds RestartDelay{200};    // before a failed unit starts again
-  milliseconds Retention{150'000};   // of a job that has ended
-  milliseconds PendingInterval{500}; // between publications of queue lengths
-  int SpreadBelowPercent = 60;       // of accelerators in use: room to waste
-  int MaxJobsPerSave = 15;           // records in one transaction of 32 entries
+  milliseconds MaxLease{10'000};      // an executor shortens longer ones
+  milliseconds Lease{6'000};          // of runs; covers a take-over
+  milliseconds HoldWait{2'000};       // the most that an executor waits
+  milliseconds HoldRetry{300};        // after a hold without an answer
+  milliseconds UnsavedHold{500};      // between holds while ends aren't stored
+  milliseconds ConfirmInterval{100};  // between holds that settle a doubt
+  milliseconds StopRetry{500};        // after a stop without an answer
+  milliseconds SpreadDelay{1'500};    // a unit waits so long for its best rack
+  milliseconds PlanLife{3'000};       // room kept for a unit that reclaims it
+  milliseconds RestartDelay{200};     // before a failed unit starts again
+  milliseconds Retention{150'000};    // of a job that has ended
+  milliseconds PendingInterval{500};  // between publications of queue lengths
+  milliseconds PlacementInterval{15}; // lets changes of one moment share a pass
+  int SpreadBelowPercent = 60;        // of accelerators in use: room to waste
+  int MaxJobsPerSave = 15; // records in one transaction of 32 entries
   quarantine_settings Quarantine{3, 10, milliseconds(6'000),
                                  milliseconds(60'000)};
 
@@ -272,10 +273,13 @@
 struct job_state {
   job_spec Spec;
   job_progress Progress;
-  bool IsSaveQueued = false;             //
-  queue_config Queue;                    // the newest that was in force
-  std::map<unit_name, unit_state> Units; // those that may start or run
-  std::map<run_name, executor_id> Runs;  // that aren't gone
+  bool IsSaveQueued = false; //
+  queue_config Queue;        // the newest that was in force
+  std::map<int, std::vector<std::vector<unit_state>>> Units; // by occurrence,
+                                                             // step and unit
+  milliseconds Chain{0}; // estimated length of its longest chain of steps
+  double Work = 0;       // estimated, in weighed seconds
+  std::map<run_name, executor_id> Runs; // that aren't gone
 };
 
 /// Room that is being made for a unit by stopping others.
@@ -307,6 +311,7 @@
   std::vector<queue_length> PublishedLengths;
   instant NextPublication{};
   bool NeedsPlacement = false; // something changed that may let a unit start
+  instant NextPlacement{};     // not before
 };
 
 // [5] The reducer
@@ -314,6 +319,9 @@
 /// Applies one event and returns what is to be done, in order.
 effects reduce(scheduler_state &State, const event &Event);
 
+/// The unit's state, made when it wasn't known yet.
+unit_state &unitState(job_state &Job, const unit_name &Unit);
+
 /// Accelerators that the organisation's jobs of priority 0 hold or have been
 /// promised.
 int countGuaranteedUse(const scheduler_state &State,
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -11,11 +11,12 @@
 
 unit_name unitNameOf(const job_state &Job, const task_name &Task);
 
-/// A unit that could start now, with what it is ranked by.
-struct waiting_unit {
-  unit_name Name;
-  int Priority = 0;
-  bool IsMissed = false;      // it can't meet its objective any more
+/// The units of one step that could start now, with what they are ranked by.
+struct waiting_step {
+  unit_name First;            // the one with the lowest number
+  std::vector<int> Units;     // all of them
+  int Priority = 0;           //
+  bool IsMissed = false;      // the job can't meet its objective any more
   wall_instant LatestStart{}; // to meet its objective
   double Work = 0;            // of the job, in weighed seconds
 };
@@ -93,12 +94,20 @@
   void placeWaiting();
   void advancePlans();
   void dropPlan(const unit_name &Unit);
-  [[nodiscard]] std::vector<waiting_unit> listWaiting();
+  [[nodiscard]] std::vector<waiting_step> listWaiting();
+  void listWaitingOf(job_state &Job, std::vector<waiting_step> &Waiting);
+  /// The most that any usable executor of the service has free, of each kind.
+  [[nodiscard]] resources mostFree(const service_id &Service) const;
+  void placeStep(const waiting_step &Waiting);
   /// False: no other unit of the step would find room either.
-  bool place(const waiting_unit &Unit, std::vector<room> &Rooms);
-  bool placeReclaiming(const waiting_unit &Unit, const placement_ask &Ask);
+  bool place(const unit_name &Unit, std::vector<room> &Rooms);
+  [[nodiscard]] bool mayReclaim(const job_state &Job,
+                                const placement_ask &Ask) const;
+  bool placeReclaiming(const unit_name &Unit, const placement_ask &Ask);
   [[nodiscard]] std::vector<room> listRooms(const unit_name &Unit,
                                             bool IsEmpty) const;
+  [[nodiscard]] bool isUsable(const executor_state &Executor,
+                              const service_id &Service) const;
   [[nodiscard]] bool isEligible(const executor_state &Executor,
                                 const job_state &Job,
                                 const step_spec &Step) const;
@@ -120,6 +129,14 @@
   wall_instant WallNow;
 };
 
+/// Estimated length of the longest chain of steps that isn't done; Progress
+/// may be null.
+milliseconds remainingChain(const job_spec &Job,
+                            const occurrence_progress *Progress);
+
+/// Estimated work of the whole job, in weighed seconds.
+double workOf(const job_spec &Job);
+
 /// "ID.K.STEP.INDEX", for log lines.
 std::string printTask(const task_name &Task);
 
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -5,9 +5,6 @@
 
 namespace galenastage::batch {
 namespace detail {
-namespace {
-
-constexpr int WholePercent = 100;
 
 /// Estimated length of the longest chain of steps that isn't done.
 milliseconds remainingChain(const job_spec &Job,
@@ -25,15 +22,6 @@
   return Longest;
 }
 
-wall_instant objective(const job_state &Job, int Occurrence) {
-  const double Stretched =
-      static_cast<double>(remainingChain(Job.Spec, nullptr).count()) *
-      Job.Queue.StretchFactor;
-  return dueTime(Job.Spec, Occurrence) +
-         milliseconds(static_cast<std::int64_t>(Stretched)) +
-         Job.Queue.TargetDuration;
-}
-
 double workOf(const job_spec &Job) {
   double Work = 0;
   for (const step_spec &Step : Job.Steps)
@@ -42,87 +30,136 @@
   return Work;
 }
 
+namespace {
+
+constexpr int WholePercent = 100;
+
+wall_instant objective(const job_state &Job, int Occurrence) {
+  const double Stretched =
+      static_cast<double>(Job.Chain.count()) * Job.Queue.StretchFactor;
+  return dueTime(Job.Spec, Occurrence) +
+         milliseconds(static_cast<std::int64_t>(Stretched)) +
+         Job.Queue.TargetDuration;
+}
+
 /// Urgent first; then what can still meet its objective, the tightest first;
 /// then what is late, the smallest first.
-bool goesBefore(const waiting_unit &Left, const waiting_unit &Right) {
+bool goesBefore(const waiting_step &Left, const waiting_step &Right) {
   if (Left.Priority != Right.Priority)
     return Left.Priority < Right.Priority;
   if (Left.IsMissed != Right.IsMissed)
     return Right.IsMissed;
   if (Left.IsMissed && Left.Work != Right.Work)
     return Left.Work < Right.Work;
-  return std::tie(Left.LatestStart, Left.Name) <
-         std::tie(Right.LatestStart, Right.Name);
+  return std::tie(Left.LatestStart, Left.First) <
+         std::tie(Right.LatestStart, Right.First);
 }
 
 } // namespace
 
-std::vector<waiting_unit> event_run::listWaiting() {
-  std::vector<waiting_unit> Waiting;
-  for (auto &[Id, Job] : State.Jobs) {
-    if (isFinal(Job.Progress.Phase))
+std::vector<waiting_step> event_run::listWaiting() {
+  std::vector<waiting_step> Waiting;
+  for (auto &[Id, Job] : State.Jobs)
+    if (!isFinal(Job.Progress.Phase))
+      listWaitingOf(Job, Waiting);
+  std::ranges::sort(Waiting, goesBefore);
+  return Waiting;
+}
+
+void event_run::listWaitingOf(job_state &Job,
+                              std::vector<waiting_step> &Waiting) {
+  for (const auto &[Number, Occurrence] : Job.Progress.Occurrences) {
+    if (Occurrence.IsDone)
       continue;
-    const double Work = workOf(Job.Spec);
-    for (auto &[Number, Occurrence] : Job.Progress.Occurrences) {
-      if (Occurrence.IsDone)
-        continue;
-      const wall_instant LatestStart =
-          objective(Job, Number) - remainingChain(Job.Spec, &Occurrence);
-      for (int Step = 0; Step < static_cast<int>(Job.Spec.Steps.size());
-           ++Step) {
-        if (!isUnblocked(Job.Spec, Occurrence, Step))
+    for (int Step = 0; Step < static_cast<int>(Job.Spec.Steps.size()); ++Step) {
+      const auto &Units = Occurrence.Steps[Step].Units;
+      std::vector<int> Ready;
+      const bool MayStart = isUnblocked(Job.Spec, Occurrence, Step);
+      for (int Unit = 0; MayStart && Unit < static_cast<int>(Units.size());
+           ++Unit) {
+        if (Units[Unit].IsDone)
+          continue;
+        unit_state &Known = unitState(Job, {Job.Spec.Id, Number, Step, Unit});
+        if (Known.LiveRuns > 0 || Now < Known.NotBefore) {
+          Known.Ready = {};
           continue;
-        const auto &Units = Occurrence.Steps[Step].Units;
-        for (int Unit = 0; Unit < static_cast<int>(Units.size()); ++Unit) {
-          if (Units[Unit].IsDone)
-            continue;
-          const unit_name Name{Id, Number, Step, Unit};
-          unit_state &Known = Job.Units[Name];
-          const bool CanStart = Known.LiveRuns == 0 && Now >= Known.NotBefore;
-          if (!CanStart) {
-            Known.Ready = {};
-            continue;
-          }
-          if (Known.Ready == instant{})
-            Known.Ready = Now;
-          if (!State.Plans.contains(Name))
-            Waiting.push_back({Name, Job.Queue.Priority, WallNow > LatestStart,
-                               LatestStart, Work});
         }
+        if (Known.Ready == instant{})
+          Known.Ready = Now;
+        Ready.push_back(Unit);
       }
+      std::erase_if(Ready, [&, Occurrence = Number](int Unit) {
+        return State.Plans.contains({Job.Spec.Id, Occurrence, Step, Unit});
+      });
+      if (Ready.empty())
+        continue;
+      const wall_instant LatestStart =
+          objective(Job, Number) - remainingChain(Job.Spec, &Occurrence);
+      const unit_name First{Job.Spec.Id, Number, Step, Ready.front()};
+      Waiting.push_back({First, std::move(Ready), Job.Queue.Priority,
+                         WallNow > LatestStart, LatestStart, Job.Work});
     }
   }
-  std::ranges::sort(Waiting, goesBefore);
-  return Waiting;
+}
+
+resources event_run::mostFree(const service_id &Service) const {
+  resources Most;
+  for (const auto &[Id, Executor] : State.Executors) {
+    if (!isUsable(Executor, Service))
+      continue;
+    const resources Free =
+        Executor.Report.Capacity - Executor.Used - Executor.Reserved;
+    Most.MilliCpu = std::max(Most.MilliCpu, Free.MilliCpu);
+    Most.MemoryMb = std::max(Most.MemoryMb, Free.MemoryMb);
+    Most.Accelerators = std::max(Most.Accelerators, Free.Accelerators);
+  }
+  return Most;
 }
 
 void event_run::placeWaiting() {
   if (!isLeading() || !State.IsRecovered)
     return;
   advancePlans();
-  const std::vector<waiting_unit> Waiting = listWaiting();
-  std::size_t I = 0;
-  while (I < Waiting.size()) {
-    // The units of a step are alike: what doesn't fit once won't fit again.
-    const unit_name &First = Waiting[I].Name;
-    std::vector<room> Rooms = listRooms(First, false);
-    bool FindsRoom = true;
-    for (; I < Waiting.size() && Waiting[I].Name.Job == First.Job &&
-           Waiting[I].Name.Occurrence == First.Occurrence &&
-           Waiting[I].Name.Step == First.Step;
-         ++I)
-      if (FindsRoom)
-        FindsRoom = place(Waiting[I], Rooms);
+  std::map<service_id, resources> Free;
+  for (const waiting_step &Waiting : listWaiting()) {
+    const job_state &Job = State.Jobs.at(Waiting.First.Job);
+    const service_id &Service = Job.Queue.Service;
+    const auto [Most, IsNew] = Free.try_emplace(Service);
+    if (IsNew)
+      Most->second = mostFree(Service);
+    const step_spec &Step = Job.Spec.Steps[Waiting.First.Step];
+    // Most steps of a full system end here, without a look at each executor.
+    const bool HasRoom = Most->second.covers(heldBy(Step));
+    if (!HasRoom && Job.Queue.Priority != 0)
+      continue;
+    const std::size_t Started = Out.size();
+    placeStep(Waiting);
+    if (Out.size() != Started)
+      Most->second = mostFree(Service);
   }
 }
 
+/// The units of a step are alike: what doesn't fit once won't fit again.
+void event_run::placeStep(const waiting_step &Waiting) {
+  std::vector<room> Rooms = listRooms(Waiting.First, false);
+  unit_name Unit = Waiting.First;
+  for (int Number : Waiting.Units) {
+    Unit.Unit = Number;
+    if (!place(Unit, Rooms))
+      return;
+  }
+}
+
+bool event_run::isUsable(const executor_state &Executor,
+                         const service_id &Service) const {
+  return Executor.IsListed && Executor.IsSettled && !Executor.IsUnanswered &&
+         !Executor.Report.IsDraining && Executor.Report.Service == Service &&
+         !State.Evacuated.contains(Executor.Report.DataCentre);
+}
+
 bool event_run::isEligible(const executor_state &Executor, const job_state &Job,
                            const step_spec &Step) const {
-  const bool IsUsable = Executor.IsListed && Executor.IsSettled &&
-                        !Executor.IsUnanswered && !Executor.Report.IsDraining;
-  if (!IsUsable || Executor.Report.Service != Job.Queue.Service)
-    return false;
-  if (State.Evacuated.contains(Executor.Report.DataCentre))
+  if (!isUsable(Executor, Job.Queue.Service))
     return false;
   if (!Step.Requirement.empty() && !Executor.Report.hasLabel(Step.Requirement))
     return false;
@@ -151,9 +188,8 @@
                                        bool IsEmpty) const {
   const job_state &Job = State.Jobs.at(Unit.Job);
   const step_spec &Step = Job.Spec.Steps[Unit.Step];
-  const auto Known = Job.Units.find(Unit);
-  const bool HasAvoided =
-      Known != Job.Units.end() && !Known->second.Avoided.empty();
+  const std::set<executor_id> &Avoided =
+      Job.Units.at(Unit.Occurrence)[Unit.Step][Unit.Unit].Avoided;
   std::vector<room> Rooms;
   std::vector<room> AvoidedRooms;
   for (const auto &[Id, Executor] : State.Executors) {
@@ -169,7 +205,7 @@
     if (Step.MaxPerExecutor > 0)
       Room.MoreAllowed =
           Step.MaxPerExecutor - (IsEmpty ? 0 : countRunsOfStep(Executor, Unit));
-    const bool IsAvoided = HasAvoided && Known->second.Avoided.contains(Id);
+    const bool IsAvoided = Avoided.contains(Id);
     (IsAvoided ? AvoidedRooms : Rooms).push_back(std::move(Room));
   }
   // Having failed everywhere, a task may go anywhere again.
@@ -187,15 +223,15 @@
   return Capacity == 0 ? WholePercent : WholePercent * Used / Capacity;
 }
 
-bool event_run::place(const waiting_unit &Unit, std::vector<room> &Rooms) {
-  const job_state &Job = State.Jobs.at(Unit.Name.Job);
-  const step_spec &Step = Job.Spec.Steps[Unit.Name.Step];
+bool event_run::place(const unit_name &Unit, std::vector<room> &Rooms) {
+  job_state &Job = State.Jobs.at(Unit.Job);
+  const step_spec &Step = Job.Spec.Steps[Unit.Step];
   placement_ask Ask{heldBy(Step), countTasks(Step), Step.IsRackLocal,
                     Step.Affinity};
 
   // In the rack of its data, or in one rack, it takes a third of the time.
   const bool IsPicky = Step.IsRackLocal || !Step.Affinity.isEmpty();
-  const unit_state &Known = Job.Units.at(Unit.Name);
+  const unit_state &Known = unitState(Job, Unit);
   const bool HasWaited = Now - Known.Ready >= State.Settings.SpreadDelay;
   bool MayRelax = HasWaited && percentInUse(Job.Queue.Service) <
                                    State.Settings.SpreadBelowPercent;
@@ -217,11 +253,11 @@
   if (IsPicky)
     tryIn(inRack(Rooms));
   if (IsPicky && !Choice && !MayRelax) {
-    const std::vector<room> Empty = inRack(listRooms(Unit.Name, true));
+    const std::vector<room> Empty = inRack(listRooms(Unit, true));
     MayRelax = !placeInFreeRoom(Ask, Empty); // it would never fit there
   }
-  if (!Choice && Job.Queue.Priority == 0 && placeReclaiming(Unit, Ask)) {
-    Rooms = listRooms(Unit.Name, false);
+  if (!Choice && placeReclaiming(Unit, Ask)) {
+    Rooms = listRooms(Unit, false);
     return true;
   }
   if (!Choice && (!IsPicky || MayRelax)) {
@@ -232,7 +268,7 @@
   }
   if (!Choice)
     return false;
-  startUnit(Unit.Name, Choice->Executors);
+  startUnit(Unit, Choice->Executors);
   for (const executor_id &Id : Choice->Executors)
     for (room &Room : Rooms)
       if (Room.Executor == Id) {
@@ -242,22 +278,27 @@
   return true;
 }
 
+/// Whether the unit is within what its organisation is guaranteed.
+bool event_run::mayReclaim(const job_state &Job,
+                           const placement_ask &Ask) const {
+  if (Job.Queue.Priority != 0)
+    return false;
+  const organisation_config *Organisation =
+      State.Config.findOrganisation(Job.Spec.Organisation);
+  return Organisation && countGuaranteedUse(State, Organisation->Name) +
+                                 Ask.Needs.Accelerators * Ask.Count <=
+                             Organisation->GuaranteedAccelerators;
+}
+
 /// Makes room for a guaranteed unit by stopping work of lower priority. True
 /// when a plan was made.
-bool event_run::placeReclaiming(const waiting_unit &Unit,
+bool event_run::placeReclaiming(const unit_name &Unit,
                                 const placement_ask &Ask) {
-  const job_state &Job = State.Jobs.at(Unit.Name.Job);
-  const step_spec &Step = Job.Spec.Steps[Unit.Name.Step];
-  const organisation_config *Organisation =
-      State.Config.findOrganisation(Job.Spec.Organisation);
-  if (!Organisation)
-    return false;
-  const int Wanted = Step.Needs.Accelerators * Ask.Count;
-  if (countGuaranteedUse(State, Organisation->Name) + Wanted >
-      Organisation->GuaranteedAccelerators)
+  const job_state &Job = State.Jobs.at(Unit.Job);
+  const step_spec &Step = Job.Spec.Steps[Unit.Step];
+  if (!mayReclaim(Job, Ask))
     return false;
-
-  std::vector<room> Rooms = listRooms(Unit.Name, false);
+  std::vector<room> Rooms = listRooms(Unit, false);
   std::map<unit_name, int> Groups;
   std::vector<unit_name> GroupNames;
   for (room &Room : Rooms) {
@@ -299,7 +340,7 @@
   if (!Choice)
     return false;
   if (Choice->StoppedGroups.empty()) {
-    startUnit(Unit.Name, Choice->Executors);
+    startUnit(Unit, Choice->Executors);
     return true;
   }
   for (int Group : Choice->StoppedGroups)
@@ -307,11 +348,11 @@
   for (const executor_id &Id : Choice->Executors)
     State.Executors.at(Id).Reserved += Ask.Needs;
   log(events::RoomReclaimed,
-      {{"job", Unit.Name.Job.Value},
-       {"organisation", Organisation->Name.Value},
+      {{"job", Unit.Job.Value},
+       {"organisation", Job.Spec.Organisation.Value},
        {"stopped", std::to_string(Choice->StoppedGroups.size())},
-       {"accelerators", std::to_string(Wanted)}});
-  State.Plans[Unit.Name] = {std::move(Choice->Executors), Now};
+       {"accelerators", std::to_string(Ask.Needs.Accelerators * Ask.Count)}});
+  State.Plans[Unit] = {std::move(Choice->Executors), Now};
   return true;
 }
 
@@ -367,7 +408,7 @@
   job_state &Job = State.Jobs.at(Unit.Job);
   const step_spec &Step = Job.Spec.Steps[Unit.Step];
   unit_progress &Progress = *findProgress(Unit);
-  unit_state &Known = Job.Units[Unit];
+  unit_state &Known = unitState(Job, Unit);
   ++Progress.Attempts;
   const milliseconds Waited = Now - Known.Ready;
   for (std::size_t I = 0; I < Executors.size(); ++I) {
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -153,7 +153,7 @@
   Executor.Used += Added.Needs;
   Executor.Runs[Run] = std::move(Added);
   Job.Runs[Run] = Executor.Report.Id;
-  ++Job.Units[unitNameOf(Job, Run.Task)].LiveRuns;
+  ++unitState(Job, unitNameOf(Job, Run.Task)).LiveRuns;
 }
 
 void event_run::dropRun(executor_state &Executor, const run_name &Run) {
@@ -167,9 +167,8 @@
   if (Job == State.Jobs.end())
     return;
   Job->second.Runs.erase(Run);
-  const auto Unit = Job->second.Units.find(unitNameOf(Job->second, Run.Task));
-  if (Unit != Job->second.Units.end() && Unit->second.LiveRuns > 0)
-    --Unit->second.LiveRuns;
+  unit_state &Unit = unitState(Job->second, unitNameOf(Job->second, Run.Task));
+  Unit.LiveRuns = std::max(0, Unit.LiveRuns - 1);
 }
 
 void event_run::applyEnd(executor_state &Executor, const run_name &Run,
@@ -224,7 +223,7 @@
   Progress.FailedAttempt = Run.Attempt;
   ++Progress.Failures;
   queueSave(Job);
-  unit_state &Unit = Job.Units[unitNameOf(Job, Run.Task)];
+  unit_state &Unit = unitState(Job, unitNameOf(Job, Run.Task));
   Unit.NotBefore = Now + State.Settings.RestartDelay;
   Unit.Avoided.insert(Executor.Report.Id);
   const bool IsQuarantined = noteFailure(
@@ -450,8 +449,9 @@
   if (Job == State.Jobs.end() || isFinal(Job->second.Progress.Phase))
     return;
   const unit_name Unit = unitNameOf(Job->second, Event.Run.Task);
-  Job->second.Units[Unit].NotBefore = Now + State.Settings.RestartDelay;
-  Job->second.Units[Unit].Avoided.insert(Event.Executor);
+  unit_state &Known = unitState(Job->second, Unit);
+  Known.NotBefore = Now + State.Settings.RestartDelay;
+  Known.Avoided.insert(Event.Executor);
   if (Job->second.Spec.Steps[Unit.Step].IsGang)
     stopUnit(Job->second, Unit);
 }
--- a/tests/support/batch_world.cpp
+++ b/tests/support/batch_world.cpp
@@ -37,11 +37,11 @@
 
 struct fake_executor {
   executor_report Report;
-  std::uint64_t Token = 0;      // highest seen
-  time_point LeaseEnd{0};       // of all that runs here
-  time_point LastLapse{-1};     // when a lease was last over
+  std::uint64_t Token = 0;  // highest seen
+  time_point LeaseEnd{0};   // of all that runs here
+  time_point LastLapse{-1}; // when a lease was last over
   std::map<run_name, fake_run> Runs;
-  std::vector<fake_end> Ends;   // not forgotten yet
+  std::vector<fake_end> Ends; // not forgotten yet
   std::int64_t LastNumber = 0;
   std::map<task_name, int> Closed; // highest attempt stopped or ended here
   time_point CutUntil{0};
@@ -212,9 +212,8 @@
         anyExecutor().CutUntil = Now + milliseconds(draw(1'000, 12'000));
       });
     for (int I = 0; I < Faults.StoreOutages; ++I)
-      at(faultTime(), [this] {
-        StoreDownUntil = Now + milliseconds(draw(1'000, 6'000));
-      });
+      at(faultTime(),
+         [this] { StoreDownUntil = Now + milliseconds(draw(1'000, 6'000)); });
   }
 
   fake_executor &anyExecutor() {
@@ -393,8 +392,7 @@
     const hold_executor Order = Hold;
     const instant Sent = now();
     const auto fail = [this, Leader, Order](hold_failure Failure) {
-      post(Leader,
-           hold_failed{Order.To.Id, Order.To.Incarnation, Failure});
+      post(Leader, hold_failed{Order.To.Id, Order.To.Incarnation, Failure});
     };
     after(Latency, [this, Leader, Order, Sent, fail] {
       fake_executor &Executor = Executors[Order.To.Id];
@@ -497,15 +495,14 @@
         post(Leader, leadership_lost{});
         return;
       }
-      after(IsLost ? CallTimeout : StoreLatency, [=, this] {
-        post(Leader, progress_saved{IsApplied && !IsLost});
-      });
+      after(IsLost ? CallTimeout : StoreLatency,
+            [=, this] { post(Leader, progress_saved{IsApplied && !IsLost}); });
     });
   }
 
   void carryOut(const std::shared_ptr<fake_leader> &, forget_job &) {}
-  void carryOut(const std::shared_ptr<fake_leader> &,
-                publish_queue_lengths &) {}
+  void carryOut(const std::shared_ptr<fake_leader> &, publish_queue_lengths &) {
+  }
   void carryOut(const std::shared_ptr<fake_leader> &Leader, write_log &Write) {
     std::string Line = "leader " + std::to_string(Leader->Token) + " " +
                        std::string(Write.Line.Event->Name);
@@ -527,10 +524,11 @@
       return "old";
     if (Order.LeaseEndMs <= Now.count())
       return "late";
-    Executor.LeaseEnd = std::max(Executor.LeaseEnd, time_point(Order.LeaseEndMs));
+    Executor.LeaseEnd =
+        std::max(Executor.LeaseEnd, time_point(Order.LeaseEndMs));
     ++Report.Starts;
-    trace(Executor.Report.Id.Value + " begins " + print(Order.Run) +
-          " under " + std::to_string(Order.To.Token));
+    trace(Executor.Report.Id.Value + " begins " + print(Order.Run) + " under " +
+          std::to_string(Order.To.Token));
     checkStart(Executor, Order);
     const job_spec &Job = Jobs[Order.Run.Task.Job].Spec;
     const step_spec &Step = Job.Steps[Order.Run.Task.Step];
@@ -586,8 +584,8 @@
     after(Work, [this, Id, Life, Name, Fails] {
       fake_executor &Executor = Executors[Id];
       const auto Found = Executor.Runs.find(Name);
-      if (Executor.Report.Incarnation == Life &&
-          Found != Executor.Runs.end() && !Found->second.IsStopping)
+      if (Executor.Report.Incarnation == Life && Found != Executor.Runs.end() &&
+          !Found->second.IsStopping)
         finish(Executor, Name, Fails ? run_end::Failed : run_end::Done);
     });
   }
@@ -601,8 +599,9 @@
     Closed = std::max(Closed, Name.Attempt);
     Executor.Ends.push_back({++Executor.LastNumber, Name, End, Now});
     if (End == run_end::Done)
-      DoneEnds[Name.Task].push_back(
-          {Executor.Report.Id, Executor.Report.Incarnation, Executor.LastNumber});
+      DoneEnds[Name.Task].push_back({Executor.Report.Id,
+                                     Executor.Report.Incarnation,
+                                     Executor.LastNumber});
     const auto Waiting = std::exchange(Executor.Waiting, {});
     for (const auto &Reply : Waiting)
       Reply();
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 // The users' platform in virtual time: a store, executors, and instances that
-// lead one after the other, with the faults of a seed. It drives the scheduler's
-// reducer and checks what executors and clients see.
+// lead one after the other, with the faults of a seed. It drives the
+// scheduler's reducer and checks what executors and clients see.
 
 #include "core/job/batch/scheduler.hpp"
 
@@ -15,14 +15,14 @@
 
 /// What a run of the world may do wrong, in shares of 0 to 1 of the calls.
 struct world_faults {
-  double LostOrders = 0;      // starts and stops without an answer
-  double LateOrders = 0;      // of those: carried out 0 to 8 s later
-  double LostWrites = 0;      // saves that take effect without an answer
-  double FailingRuns = 0;     // runs that end as failed
-  int LeaderLosses = 0;       // leaders killed, frozen or cut from the store
-  int ExecutorRestarts = 0;   // under the same id
-  int ExecutorCuts = 0;       // from the leader, for 1 to 12 s
-  int StoreOutages = 0;       // for 1 to 6 s
+  double LostOrders = 0;         // starts and stops without an answer
+  double LateOrders = 0;         // of those: carried out 0 to 8 s later
+  double LostWrites = 0;         // saves that take effect without an answer
+  double FailingRuns = 0;        // runs that end as failed
+  int LeaderLosses = 0;          // leaders killed, frozen or cut from the store
+  int ExecutorRestarts = 0;      // under the same id
+  int ExecutorCuts = 0;          // from the leader, for 1 to 12 s
+  int StoreOutages = 0;          // for 1 to 6 s
   bool HasFrozenLeaders = false; // a lost leader thaws and goes on
 };
 
@@ -31,9 +31,9 @@
   int PerRack = 4;
   resources Capacity{32'000, 64'000, 8};
   int Jobs = 20;
-  milliseconds Arrivals{20'000};  // jobs arrive in this time
-  milliseconds Faulty{40'000};    // faults happen in this time
-  milliseconds Length{160'000};   // and this is the end
+  milliseconds Arrivals{20'000}; // jobs arrive in this time
+  milliseconds Faulty{40'000};   // faults happen in this time
+  milliseconds Length{160'000};  // and this is the end
   world_faults Faults;
 };
 
