Speak both protocols of the users' platform in the stand-in; contract tests

Change: standin/metadata_service and standin/run_service speak the two protocols with their faults; contract tests hold the clients to lost answers, ended leases, lost history, conditions, refusals, pages, silence, wrong and restarted executors, and each reason of a refusal.

Conclusion: done for the clients.

--- /dev/null
+++ b/standin/metadata_service.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+// The metadata store of the users' platform in small: items with revisions,
+// conditional changes, leases and long-polling watches, with its faults.
+
+#include "net/http.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+
+namespace galenastage::standin {
+
+struct metadata_faults {
+  bool IsBusy = false;         // 503 to every call
+  bool IsOverRate = false;     // 429 to every call
+  bool LosesAnswers = false;   // acts, then closes without an answer
+  bool IsSilent = false;       // accepts and never answers
+  std::size_t PageItems = 500; // items in one page of a range
+
+  friend bool operator==(const metadata_faults &,
+                         const metadata_faults &) = default;
+};
+
+class metadata_service {
+public:
+  metadata_service(asio::io_context &Context, const endpoint &Endpoint);
+
+  metadata_faults Faults;
+
+  [[nodiscard]] endpoint localEndpoint() const {
+    return Server.localEndpoint();
+  }
+  [[nodiscard]] std::uint64_t calls() const { return Calls; }
+
+  /// Writes as the operator or an executor does, without conditions.
+  void put(const std::string &Key, const std::string &Value);
+  void remove(const std::string &Key);
+  /// Value of a key; empty when there is none.
+  [[nodiscard]] std::string value(const std::string &Key) const;
+
+  /// Forgets the history of changes: watches from before are refused.
+  void forgetHistory();
+  /// Ends a lease as if it had run out, and removes its keys.
+  void endLease(std::int64_t Id);
+
+private:
+  struct item {
+    std::string Value;
+    std::int64_t Revision = 0;
+    std::int64_t Created = 0;
+    std::int64_t Lease = 0;
+  };
+  struct change {
+    std::string Key;
+    item Item;
+    bool IsRemoved = false;
+  };
+  struct lease {
+    milliseconds Life{0};
+    instant Expires{};
+  };
+
+  task<http_response> handle(http_request Request);
+  task<http_response> watch(const http_request &Request);
+  http_response act(const http_request &Request);
+  http_response readRange(const http_request &Request) const;
+  http_response commit(const std::string &Body);
+  http_response handleLease(const std::string &Path, const std::string &Body);
+  void expireLeases();
+  void write(const std::string &Key, const std::string &Value,
+             std::int64_t Lease, std::int64_t At);
+  void erase(const std::string &Key, std::int64_t At);
+  [[nodiscard]] nlohmann::json print(const std::string &Key,
+                                     const item &Item) const;
+  [[nodiscard]] nlohmann::json changesAfter(const std::string &Prefix,
+                                            std::int64_t After) const;
+
+  asio::io_context &Context;
+  std::map<std::string, item> Items;
+  std::map<std::int64_t, lease> Leases;
+  std::deque<change> History;
+  std::int64_t Revision = 1;
+  std::int64_t Forgotten = 0; // changes up to here are gone
+  std::int64_t NextLease = 100;
+  std::uint64_t Calls = 0;
+  http_server Server;
+};
+
+} // namespace galenastage::standin
--- /dev/null
+++ b/standin/run_service.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+// One executor of the users' platform in small: it starts, stops and holds runs
+// under fencing tokens and leases, and lists their ends.
+
+#include "net/http.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <map>
+
+namespace galenastage::standin {
+
+struct run_faults {
+  bool LosesAnswers = false; // acts, then closes without an answer
+  bool IsUnhealthy = false;  // 503 before acting
+  bool FailsAll = false;     // what runs ends as failed
+
+  friend bool operator==(const run_faults &, const run_faults &) = default;
+};
+
+struct run_service_settings {
+  std::string Id = "i-1";
+  milliseconds WorkTime{500};    // of every task
+  std::size_t EndsPerPage = 500; //
+
+  friend bool operator==(const run_service_settings &,
+                         const run_service_settings &) = default;
+};
+
+class run_service {
+public:
+  run_service(asio::io_context &Context, const endpoint &Endpoint,
+              run_service_settings Settings);
+
+  run_faults Faults;
+
+  [[nodiscard]] endpoint localEndpoint() const {
+    return Server.localEndpoint();
+  }
+  [[nodiscard]] int starts() const { return Starts; }
+  [[nodiscard]] std::int64_t incarnation() const { return Born; }
+
+  /// Crashes and starts again under the same id: nothing of before is known.
+  void restart();
+
+private:
+  struct run {
+    instant EndsAt{};
+  };
+  struct end {
+    std::int64_t Number = 0;
+    std::string Task;
+    int Attempt = 0;
+    std::string How;
+  };
+  using run_key = std::pair<std::string, int>; // task and attempt
+
+  task<http_response> handle(http_request Request);
+  http_response start(const nlohmann::json &Body);
+  http_response stop(const nlohmann::json &Body);
+  task<http_response> hold(const nlohmann::json &Body);
+  bool isFenced(const nlohmann::json &Body);
+  void extendLease(const nlohmann::json &Body);
+  void advance();
+  void finish(const run_key &Run, const std::string &How);
+  [[nodiscard]] http_response answer(unsigned Status,
+                                     const std::string &Reason) const;
+  [[nodiscard]] std::int64_t clock() const;
+
+  asio::io_context &Context;
+  run_service_settings Settings;
+  std::int64_t Born = 0;
+  instant Started{};
+  std::uint64_t Token = 0;
+  std::int64_t LeaseEndMs = 0;
+  std::int64_t LastNumber = 0;
+  int Starts = 0;
+  std::map<run_key, run> Runs;
+  std::map<std::string, int>
+      Closed; // highest attempt that was stopped or ended
+  std::vector<end> Ends;
+  http_server Server;
+};
+
+} // namespace galenastage::standin
--- /dev/null
+++ b/tests/contract/executor_client_test.cpp
@@ -0,0 +1,124 @@
+// The client of the users' executors against the stand-in that speaks their
+// protocol, on loopback.
+
+#include "platform/executor_client.hpp"
+#include "standin/run_service.hpp"
+#include "tests/support/run_task.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+using namespace galenastage::batch;
+
+namespace {
+
+struct executor_fixture {
+  asio::io_context Context{1};
+  standin::run_service Service{
+      Context, {"127.0.0.1", 0}, {"i-1", milliseconds(0), 2}};
+  platform::executor_client Client{Context, ""};
+
+  [[nodiscard]] executor_target target(std::uint64_t Token,
+                                       const std::string &Id = "i-1") const {
+    return {executor_id(Id), Service.localEndpoint(), Service.incarnation(),
+            Token};
+  }
+  static run_name runOf(int Index, int Attempt = 1) {
+    return {{job_id("0123456789abcdef"), 0, 0, Index}, Attempt};
+  }
+  start_answered start(std::uint64_t Token, const run_name &Run,
+                       std::int64_t LeaseEndMs = 60'000,
+                       const std::string &Id = "i-1") {
+    return test::runTask(Context, Client.start({target(Token, Id), Run, "spec",
+                                                "", LeaseEndMs}));
+  }
+  stop_answered stop(std::uint64_t Token, const run_name &Run) {
+    return test::runTask(Context, Client.stop({target(Token), Run}));
+  }
+  std::variant<runs_reported, hold_failed> hold(std::uint64_t Token,
+                                                std::int64_t LastSeen,
+                                                const std::string &Id = "i-1") {
+    return test::runTask(
+        Context, Client.hold({target(Token, Id), LastSeen, 60'000, {}}));
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(executor_fixture,
+                 "executor: a start that is there is accepted") {
+  CHECK(start(5, runOf(1)).Outcome == order_outcome::Accepted);
+  const auto Answer = hold(5, 0);
+  REQUIRE(std::holds_alternative<runs_reported>(Answer));
+  const auto &Report = std::get<runs_reported>(Answer);
+  REQUIRE(Report.Ended.size() == 1); // its work takes no time
+  CHECK(Report.Ended.front().Run == runOf(1));
+  CHECK(Report.Ended.front().End == run_end::Done);
+  CHECK(Report.Incarnation == Service.incarnation());
+}
+
+TEST_CASE_METHOD(executor_fixture, "executor: each refusal keeps its reason") {
+  CHECK(start(5, runOf(1), 0).Reason == "late");
+  CHECK(stop(5, runOf(2)).IsAccepted);
+  const start_answered Old = start(5, runOf(2));
+  CHECK(Old.Outcome == order_outcome::Refused);
+  CHECK(Old.Reason == "old");
+  CHECK(start(5, runOf(2, 2)).Outcome == order_outcome::Accepted);
+  const start_answered Fenced = start(4, runOf(3));
+  CHECK(Fenced.Outcome == order_outcome::Refused);
+  CHECK(Fenced.Reason == "fence");
+  CHECK_FALSE(stop(4, runOf(3)).IsAccepted);
+  const auto Hold = hold(4, 0);
+  REQUIRE(std::holds_alternative<hold_failed>(Hold));
+  CHECK(std::get<hold_failed>(Hold).Failure == hold_failure::Fenced);
+  Service.Faults.IsUnhealthy = true;
+  CHECK(start(5, runOf(4)).Outcome == order_outcome::Refused);
+}
+
+TEST_CASE_METHOD(executor_fixture,
+                 "executor: another one at the address refuses") {
+  const start_answered Start = start(5, runOf(1), 60'000, "i-2");
+  CHECK(Start.Outcome == order_outcome::Refused);
+  CHECK(Start.Reason == "status 421");
+  const auto Hold = hold(5, 0, "i-2");
+  REQUIRE(std::holds_alternative<hold_failed>(Hold));
+  CHECK(std::get<hold_failed>(Hold).Failure == hold_failure::OtherIncarnation);
+  CHECK(Service.starts() == 0);
+}
+
+TEST_CASE_METHOD(executor_fixture, "executor: a lost answer is unknown") {
+  Service.Faults.LosesAnswers = true;
+  CHECK(start(5, runOf(1)).Outcome == order_outcome::Unknown);
+  CHECK_FALSE(stop(5, runOf(1)).IsAccepted);
+  CHECK(std::holds_alternative<hold_failed>(hold(5, 0)));
+  CHECK(Service.starts() == 1); // it ran all the same
+}
+
+TEST_CASE_METHOD(executor_fixture, "executor: ends come in pages until seen") {
+  for (int I = 0; I < 5; ++I)
+    start(5, runOf(I));
+  std::int64_t LastSeen = 0;
+  std::set<run_name> Seen;
+  for (int Page = 0; Page < 3; ++Page) {
+    const auto Answer = hold(5, LastSeen);
+    const auto &Report = std::get<runs_reported>(Answer);
+    CHECK(Report.Ended.size() == (Page < 2 ? 2 : 1));
+    for (const ended_run &Ended : Report.Ended) {
+      CHECK(Ended.Number == LastSeen + 1);
+      LastSeen = Ended.Number;
+      Seen.insert(Ended.Run);
+    }
+  }
+  CHECK(Seen.size() == 5);
+  CHECK(std::get<runs_reported>(hold(5, LastSeen)).Ended.empty());
+}
+
+TEST_CASE_METHOD(executor_fixture,
+                 "executor: one that restarted under its id shows it") {
+  start(5, runOf(1));
+  const std::int64_t Before = std::get<runs_reported>(hold(5, 0)).Incarnation;
+  Service.restart();
+  const auto After = std::get<runs_reported>(hold(5, 1));
+  CHECK(After.Incarnation > Before);
+  CHECK(After.Ended.empty());
+}
--- /dev/null
+++ b/tests/contract/metadata_store_test.cpp
@@ -0,0 +1,145 @@
+// The client of the users' metadata store against the stand-in that speaks its
+// protocol, on loopback.
+
+#include "core/error.hpp"
+#include "platform/metadata_store.hpp"
+#include "standin/metadata_service.hpp"
+#include "tests/support/run_task.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+using namespace galenastage::platform;
+
+namespace {
+
+struct metadata_fixture {
+  asio::io_context Context{1};
+  standin::metadata_service Service{Context, {"127.0.0.1", 0}};
+  metadata_store Store{Context, Service.localEndpoint(), ""};
+
+  template <typename Result> Result run(task<Result> Task) {
+    return test::runTask(Context, std::move(Task));
+  }
+
+  change_result write(const std::string &Key, const std::string &Value,
+                      std::int64_t Revision, std::int64_t Lease = 0) {
+    store_change Change;
+    Change.Conditions.push_back({Key, Revision});
+    Change.Writes.push_back({Key, Value, Lease});
+    return run(Store.change(std::move(Change)));
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(metadata_fixture,
+                 "metadata: a condition lets one of two win") {
+  const change_result First = write("a", "one", 0);
+  REQUIRE(First.IsApplied);
+  const change_result Second = write("a", "two", 0);
+  CHECK_FALSE(Second.Error);
+  CHECK_FALSE(Second.IsApplied);
+  REQUIRE(Second.Current.size() == 1);
+  CHECK(Second.Current.front().Value == "one");
+  CHECK(Second.Current.front().Revision == First.Revision);
+  const item_read Read = run(Store.read("a"));
+  REQUIRE(Read.Item);
+  CHECK(Read.Item->Value == "one");
+  CHECK(Read.Item->CreatedRevision == First.Revision);
+}
+
+TEST_CASE_METHOD(metadata_fixture,
+                 "metadata: keys and bytes arrive unchanged") {
+  const std::string Key = "a b/%&?=\xc3\xa9";
+  const std::string Value("\0\xff{}", 4);
+  REQUIRE(write(Key, Value, 0).IsApplied);
+  const item_read Read = run(Store.read(Key));
+  REQUIRE(Read.Item);
+  CHECK(Read.Item->Key == Key);
+  CHECK(Read.Item->Value == Value);
+}
+
+TEST_CASE_METHOD(metadata_fixture, "metadata: a lost answer is unknown") {
+  Service.Faults.LosesAnswers = true;
+  const change_result Lost = write("a", "one", 0);
+  CHECK(Lost.Error == errc::StoreAnswerLost);
+  CHECK(Lost.Verdict == verdict::Unknown);
+  Service.Faults.LosesAnswers = false;
+  // The same write again tells what became of the first.
+  const change_result Again = write("a", "one", 0);
+  CHECK_FALSE(Again.IsApplied);
+  REQUIRE(Again.Current.size() == 1);
+  CHECK(Again.Current.front().Value == "one");
+}
+
+TEST_CASE_METHOD(metadata_fixture, "metadata: refusals have not run") {
+  for (const bool IsBusy : {true, false}) {
+    Service.Faults.IsBusy = IsBusy;
+    Service.Faults.IsOverRate = !IsBusy;
+    const change_result Refused = write("a", "one", 0);
+    CHECK(Refused.Error == errc::StoreUnavailable);
+    CHECK(Refused.Verdict == verdict::NotRun);
+    CHECK(run(Store.read("a")).Error == errc::StoreUnavailable);
+    CHECK(run(Store.readPrefix("a")).Error == errc::StoreUnavailable);
+  }
+  Service.Faults = {};
+  CHECK_FALSE(run(Store.read("a")).Item);
+}
+
+TEST_CASE_METHOD(metadata_fixture, "metadata: silence ends in a timeout") {
+  Service.Faults.IsSilent = true;
+  const change_result Silent = write("a", "one", 0);
+  CHECK(Silent.Error == errc::StoreAnswerLost);
+  CHECK(Silent.Verdict == verdict::Unknown);
+  Service.Faults.IsSilent = false;
+  CHECK(write("b", "two", 0).IsApplied); // on a connection of its own
+}
+
+TEST_CASE_METHOD(metadata_fixture, "metadata: ranges are read page by page") {
+  Service.Faults.PageItems = 3;
+  for (int I = 0; I < 8; ++I)
+    Service.put("r/" + std::to_string(I), std::to_string(I));
+  Service.put("s", "other");
+  const range_read Range = run(Store.readPrefix("r/"));
+  REQUIRE_FALSE(Range.Error);
+  REQUIRE(Range.Items.size() == 8);
+  CHECK(Range.Items.back().Key == "r/7");
+  CHECK(run(Store.readPrefix("none/")).Items.empty());
+}
+
+TEST_CASE_METHOD(metadata_fixture, "metadata: a watch tells changes in order") {
+  const std::int64_t Before = run(Store.readPrefix("w/")).Revision;
+  Service.put("w/a", "1");
+  Service.put("x", "not watched");
+  Service.remove("w/a");
+  const watch_result Watch = run(Store.watch("w/", Before, milliseconds(50)));
+  REQUIRE(Watch.Changes.size() == 2);
+  CHECK(Watch.Changes[0].Item.Value == "1");
+  CHECK(Watch.Changes[1].IsRemoved);
+  const watch_result Next =
+      run(Store.watch("w/", Watch.Revision, milliseconds(20)));
+  CHECK_FALSE(Next.Error);
+  CHECK(Next.Changes.empty());
+}
+
+TEST_CASE_METHOD(metadata_fixture, "metadata: a history that is gone says so") {
+  const std::int64_t Before = run(Store.readPrefix("w/")).Revision;
+  Service.put("w/a", "1");
+  Service.forgetHistory();
+  CHECK(run(Store.watch("w/", Before, milliseconds(20))).Error ==
+        errc::NotFound);
+}
+
+TEST_CASE_METHOD(metadata_fixture, "metadata: keys go with their lease") {
+  const lease_result Lease = run(Store.grantLease(milliseconds(60'000)));
+  REQUIRE_FALSE(Lease.Error);
+  REQUIRE(write("leader", "me", 0, Lease.Id).IsApplied);
+  CHECK_FALSE(run(Store.keepLease(Lease.Id)).Error);
+  Service.endLease(Lease.Id);
+  CHECK(run(Store.keepLease(Lease.Id)).Error == errc::NotFound);
+  CHECK_FALSE(run(Store.read("leader")).Item);
+  const change_result Late = write("leader", "me", 0, Lease.Id);
+  CHECK(Late.IsLeaseGone);
+  CHECK_FALSE(Late.IsApplied);
+}
