--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -6,6 +6,7 @@
 #include "apps/runtime/process.hpp"
 #include "core/error.hpp"
 #include "core/job/batch/records.hpp"
+#include "platform/client_request.hpp"
 #include "platform/wire.hpp"
 
 #include <algorithm>
--- a/core/job/batch/placement.cpp
+++ b/core/job/batch/placement.cpp
@@ -76,73 +76,103 @@
   return Best;
 }
 
-/// The room that stopping every stoppable run of a rack would give, cheapest
-/// runs first.
-struct stopping_trial {
-  std::vector<executor_id> Executors;
-  std::vector<int> Groups;
-  double LostWork = 0;
-};
+/// Tries which runs of some executors to stop so that the tasks fit.
+class stopping_trial {
+public:
+  stopping_trial(const placement_ask &Ask,
+                 const std::vector<const room *> &From)
+      : Ask(Ask) {
+    for (const room *Room : From)
+      Rooms.push_back(*Room);
+    for (const room &Room : Rooms)
+      for (const stoppable_run &Run : Room.Stoppable) {
+        group &Group = Groups[Run.Group];
+        Group.LostWork = Run.LostWork;
+        Group.Room += weigh(Run.Needs);
+      }
+  }
 
-/// Stops groups one at a time, cheapest for the room it gives first, until the
-/// tasks fit.
-std::optional<stopping_trial>
-tryStopping(const placement_ask &Ask, const std::vector<const room *> &From) {
-  std::vector<room> Rooms;
-  for (const room *Room : From)
-    Rooms.push_back(*Room);
-  const auto fillNow = [&] {
+  /// Stops groups one at a time, cheapest for the room it gives first, until
+  /// the tasks fit; then spares each group, dearest first, that they can do
+  /// without. False when they don't fit at all.
+  bool run() {
+    std::vector<int> Order;
+    for (const auto &[Number, Group] : Groups)
+      Order.push_back(Number);
+    std::ranges::stable_sort(Order, [&](int Left, int Right) {
+      return Groups[Left].price() < Groups[Right].price();
+    });
+    Executors = fillNow();
+    for (int Number : Order) {
+      if (!Executors.empty())
+        break;
+      addRoom(Number, 1);
+      Stopped.push_back(Number);
+      Executors = fillNow();
+    }
+    if (Executors.empty())
+      return false;
+    spareGroups();
+    for (int Number : Stopped)
+      LostWork += Groups[Number].LostWork;
+    return true;
+  }
+
+  std::vector<executor_id> Executors; // one for each task
+  std::vector<int> Stopped;           // groups
+  double LostWork = 0;                // of the groups that stop
+
+private:
+  struct group {
+    double LostWork = 0;
+    double Room = 0; // what stopping it gives, weighed
+
+    /// Lost work for each unit of room; the constant makes many small groups
+    /// dearer than one that gives the same room.
+    [[nodiscard]] double price() const {
+      constexpr double CostOfAnyStop = 1; // weighed seconds: restart, orders
+      constexpr double LeastRoom = 1e-3;
+      return (LostWork + CostOfAnyStop) / std::max(Room, LeastRoom);
+    }
+  };
+
+  [[nodiscard]] std::vector<executor_id> fillNow() const {
     std::vector<const room *> Pointers;
     for (const room &Room : Rooms)
       Pointers.push_back(&Room);
     sortTightestFirst(Pointers);
     return fill(Ask, Pointers);
-  };
-
-  std::map<int, double> Costs; // per group: lost work for the room it gives
-  std::map<int, double> Lost;
-  for (const room &Room : Rooms)
-    for (const stoppable_run &Run : Room.Stoppable) {
-      Lost[Run.Group] = Run.LostWork;
-      Costs[Run.Group] += weigh(Run.Needs);
-    }
-  std::vector<int> Order;
-  for (auto &[Group, Cost] : Costs) {
-    Cost = (Lost[Group] + 1) / std::max(Cost, 1e-3);
-    Order.push_back(Group);
   }
-  std::ranges::stable_sort(
-      Order, [&](int Left, int Right) { return Costs[Left] < Costs[Right]; });
-
-  stopping_trial Trial;
-  Trial.Executors = fillNow();
-  for (int Group : Order) {
-    if (!Trial.Executors.empty())
-      break;
+
+  /// Adds the room that the group holds, or takes it back.
+  void addRoom(int Number, int Sign) {
     for (room &Room : Rooms)
       for (const stoppable_run &Run : Room.Stoppable)
-        if (Run.Group == Group)
-          Room.Free += Run.Needs;
-    Trial.Groups.push_back(Group);
-    Trial.LostWork += Lost[Group];
-    Trial.Executors = fillNow();
+        if (Run.Group == Number)
+          Room.Free += Run.Needs * Sign;
   }
-  if (Trial.Executors.empty())
-    return std::nullopt;
 
-  // A group that gives no room where the tasks go needn't stop.
-  std::erase_if(Trial.Groups, [&](int Group) {
-    for (const room &Room : Rooms)
-      for (const stoppable_run &Run : Room.Stoppable)
-        if (Run.Group == Group &&
-            std::ranges::find(Trial.Executors, Room.Executor) !=
-                Trial.Executors.end())
-          return false;
-    Trial.LostWork -= Lost[Group];
-    return true;
-  });
-  return Trial;
-}
+  void spareGroups() {
+    std::vector<int> Dearest = Stopped;
+    std::ranges::stable_sort(Dearest, [&](int Left, int Right) {
+      return Groups[Left].LostWork > Groups[Right].LostWork;
+    });
+    for (int Number : Dearest) {
+      addRoom(Number, -1);
+      std::vector<executor_id> Without = fillNow();
+      if (Without.empty()) {
+        addRoom(Number, 1);
+        continue;
+      }
+      Executors = std::move(Without);
+      std::erase(Stopped, Number);
+    }
+  }
+
+  const placement_ask &Ask;
+  std::vector<room> Rooms;
+  std::map<int, group> Groups;
+};
 
 } // namespace
 
@@ -198,11 +228,15 @@
 
 std::optional<placement_choice>
 placeByStopping(const placement_ask &Ask, const std::vector<room> &Rooms) {
-  std::optional<stopping_trial> Best;
+  std::optional<placement_choice> Best;
+  double LeastLost = 0;
   const auto consider = [&](const std::vector<const room *> &From) {
-    auto Trial = tryStopping(Ask, From);
-    if (Trial && (!Best || Trial->LostWork < Best->LostWork))
-      Best = std::move(Trial);
+    stopping_trial Trial(Ask, From);
+    if (!Trial.run() || (Best && Trial.LostWork >= LeastLost))
+      return;
+    LeastLost = Trial.LostWork;
+    Best =
+        placement_choice{std::move(Trial.Executors), std::move(Trial.Stopped)};
   };
   for (const auto &[Rack, Members] : groupByRack(Rooms))
     consider(Members);
@@ -212,9 +246,7 @@
       All.push_back(&Room);
     consider(All);
   }
-  if (!Best)
-    return std::nullopt;
-  return placement_choice{std::move(Best->Executors), std::move(Best->Groups)};
+  return Best;
 }
 
 } // namespace galenastage::batch
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -33,6 +33,7 @@
 namespace {
 
 constexpr int WholePercent = 100;
+constexpr double RestoreSeconds = 0.1; // to resume from a checkpoint
 
 wall_instant objective(const job_state &Job, int Occurrence) {
   const double Stretched =
@@ -320,8 +321,9 @@
         GroupNames.push_back(Victim);
       const double Elapsed =
           std::chrono::duration<double>(Now - Run.Ordered).count();
+      // A stop saves a checkpoint; only the restore is lost.
       const double Unsaved =
-          Other.IsCheckpointing ? std::min(Elapsed, 1.0) : Elapsed;
+          Other.IsCheckpointing ? std::min(Elapsed, RestoreSeconds) : Elapsed;
       Room.Stoppable.push_back(
           {Item->second, Run.Needs,
            Unsaved * weigh(Run.Needs) * countTasks(Other)});
--- /dev/null
+++ b/tests/unit/batch_records_test.cpp
@@ -0,0 +1,81 @@
+#include "core/job/batch/records.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+using namespace galenastage::batch;
+
+namespace {
+
+job_spec makeJob() {
+  job_spec Job;
+  Job.Id = job_id("0123456789abcdef");
+  Job.Queue.Name = route_id("q");
+  Job.Queue.Service = service_id("s");
+  Job.Queue.Priority = 2;
+  Job.Queue.MaxAttempts = 4;
+  Job.Queue.StretchFactor = 1.5;
+  Job.Organisation = organisation_id("o");
+  Job.Payload = "a \"text\" with \n and \xc3\xa9";
+  step_spec Gang;
+  Gang.Count = 3;
+  Gang.IsGang = true;
+  Gang.Needs = {500, 256, 2};
+  step_spec Single;
+  Single.Count = 2;
+  Single.After = {0};
+  Single.MaxPerExecutor = 1;
+  Job.Steps = {Gang, Single};
+  Job.Submitted = wall_instant(milliseconds(1'700'000'000'000));
+  return Job;
+}
+
+} // namespace
+
+TEST_CASE("records: a job survives its record") {
+  const job_spec Job = makeJob();
+  const auto Parsed = parseSpec(printSpec(Job));
+  REQUIRE_FALSE(Parsed.Error);
+  CHECK(Parsed.Record == Job);
+}
+
+TEST_CASE("records: progress survives, with where tasks are placed") {
+  const job_spec Job = makeJob();
+  job_progress Progress;
+  Progress.Organisation = Job.Organisation;
+  Progress.Phase = job_phase::Running;
+  Progress.Occurrences[0] = beginOccurrence(Job);
+  unit_progress &Gang = Progress.Occurrences[0].Steps[0].Units[0];
+  Gang = {
+      false, 3, 1, 2, "checkpoint", {executor_id("i-1"), executor_id("i-2")}};
+  const auto Parsed = parseProgress(printProgress(Progress), Job);
+  REQUIRE_FALSE(Parsed.Error);
+  CHECK(Parsed.Record == Progress);
+  const auto Summary = parseSummary(printProgress(Progress));
+  REQUIRE_FALSE(Summary.Error);
+  CHECK(Summary.Record.Phase == job_phase::Running);
+  CHECK(Summary.Record.Organisation == Job.Organisation);
+}
+
+TEST_CASE("records: what can't be read is an error with a reason") {
+  const job_spec Job = makeJob();
+  for (const std::string &Text :
+       {std::string("no json"), std::string("{}"),
+        std::string(R"({"version":2})"), std::string(R"({"version":"1"})")}) {
+    CAPTURE(Text);
+    CHECK(parseSpec(Text).Error);
+    CHECK_FALSE(parseSpec(Text).Reason.empty());
+    CHECK(parseProgress(Text, Job).Error);
+    CHECK(parseSummary(Text).Error);
+  }
+}
+
+TEST_CASE("records: progress of other steps is refused") {
+  const job_spec Job = makeJob();
+  job_progress Progress;
+  Progress.Occurrences[0] = beginOccurrence(Job);
+  Progress.Occurrences[0].Steps[1].Units.pop_back();
+  CHECK(parseProgress(printProgress(Progress), Job).Error);
+  Progress.Occurrences[0].Steps.pop_back();
+  CHECK(parseProgress(printProgress(Progress), Job).Error);
+}
--- /dev/null
+++ b/tests/unit/platform_wire_test.cpp
@@ -0,0 +1,126 @@
+#include "platform/settings.hpp"
+#include "platform/wire.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+using namespace galenastage::batch;
+using namespace galenastage::platform;
+
+namespace {
+
+const char *const Settings = R"({
+  "node_name": "edge-1", "zone": "a", "ip": "10.1.0.19",
+  "listen_addrs": {"frontend": "10.1.0.19:8521", "ready": "10.1.0.19:8523"},
+  "internal_ports": [7000, 7015], "a_new_field": {"x": 1},
+  "limits": {"cpu_quota": 0.25, "cpu_cores": 2},
+  "bounds": {"grace_s": 6, "hold_max_ms": 9000},
+  "advisor": "10.200.1.9:8524", "heartbeat_ms": 1500,
+  "platform": {"address": "10.200.1.7:8524", "ttl_min_ms": 900}})";
+
+} // namespace
+
+TEST_CASE("settings: what the platform gives is read") {
+  const parsed_settings Parsed = parseSettings(Settings);
+  REQUIRE_FALSE(Parsed.Error);
+  CHECK(Parsed.Settings.Front == endpoint{"10.1.0.19", 8521});
+  CHECK(Parsed.Settings.Store == endpoint{"10.200.1.7", 8524});
+  CHECK(Parsed.Settings.FirstInternalPort == 7000);
+  CHECK(Parsed.Settings.MaxRunLease == milliseconds(9'000));
+  CHECK(Parsed.Settings.StopGrace == milliseconds(6'000));
+  CHECK(Parsed.Settings.Cores == Approx(0.5));
+}
+
+TEST_CASE("settings: each missing or mistyped field is named") {
+  for (const std::string Field : {"node_name", "zone", "ip", "listen_addrs",
+                                  "internal_ports", "platform", "address"}) {
+    std::string Text = Settings;
+    Text.replace(Text.find("\"" + Field + "\""), Field.size() + 2, "\"other\"");
+    const parsed_settings Parsed = parseSettings(Text);
+    CAPTURE(Field, Parsed.Reason);
+    CHECK(Parsed.Error);
+    CHECK(Parsed.Reason.find(Field) != std::string::npos);
+  }
+  std::string Text = Settings;
+  Text.replace(Text.find("10.200.1.7:8524"), 15, "10.200.1.7:none");
+  CHECK(parseSettings(Text).Reason.find("platform.address") !=
+        std::string::npos);
+  CHECK(parseSettings("{").Error);
+}
+
+TEST_CASE("wire: a foreign entry names no executor and says why") {
+  const std::string Good =
+      R"({"service":"s","address":"10.0.0.9:8080","zone":"a","state":"ready",)"
+      R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},)"
+      R"("labels":["k","r1-3"],"born":5})";
+  const auto Parsed = parseExecutor("i-1", Good);
+  REQUIRE(Parsed.Result);
+  CHECK(Parsed.Result->Rack == rack_id("r1-3"));
+  CHECK(Parsed.Result->Kind == "k");
+  CHECK(Parsed.Result->Incarnation == 5);
+  CHECK(Parsed.Result->Capacity == resources{16'000, 32'768, 8});
+  for (const auto &[From, To] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"ready\"", "\"asleep\""},
+           {"\"10.0.0.9:8080\"", "7"},
+           {":8080", ":99999"},
+           {"\"service\"", "\"other\""},
+           {"\"capacity\":{", "\"capacity\":{\"cpu\":\"x\",\"y\":{}},\"z\":{"},
+           {"}", ""}}) {
+    std::string Text = Good;
+    Text.replace(Text.find(From), From.size(), To);
+    CAPTURE(Text);
+    const auto Foreign = parseExecutor("i-1", Text);
+    CHECK_FALSE(Foreign.Result);
+    CHECK_FALSE(Foreign.Reason.empty());
+  }
+}
+
+TEST_CASE("wire: jobs that can never run are refused with the reason") {
+  for (const std::string Text :
+       {R"({"spec":"x","steps":[]})", R"({"spec":"x","steps":[{"count":0}]})",
+        R"({"spec":"x","steps":[{"count":1,"after":[0]}]})",
+        R"({"spec":"x","steps":[{"count":1,"cpu":-1}]})",
+        R"({"spec":7,"steps":[{"count":1}]})", R"({"steps":[{"count":1}]})",
+        "[]", ""}) {
+    CAPTURE(Text);
+    CHECK_FALSE(parseJob(Text).Result);
+    CHECK_FALSE(parseJob(Text).Reason.empty());
+  }
+  const auto Parsed = parseJob(
+      R"({"spec":"x","steps":[{"count":2,"cpu":500,"gang":true},)"
+      R"({"count":1,"after":[0],"fill_ratio":0.5,"max_per_server":3}]})");
+  REQUIRE(Parsed.Result);
+  CHECK(Parsed.Result->Steps[0].IsGang);
+  CHECK(Parsed.Result->Steps[1].FillsIdleCpu);
+  CHECK(Parsed.Result->Steps[1].MaxPerExecutor == 3);
+}
+
+TEST_CASE("wire: names of tasks are read back, and nothing else is") {
+  const task_name Task{job_id("5c0e7a21d94b36f8"), 3, 1, 17};
+  CHECK(printTaskName(Task) == "5c0e7a21d94b36f8.3.1.17");
+  CHECK(parseTaskName(printTaskName(Task)) == Task);
+  for (const std::string Text : {"", "x", "x.1.2", "x.1.2.3.4", "x.1.2.-3",
+                                 "x.1..3", "x.1.2.3 ", "x.1.2.99999999999"})
+    CHECK_FALSE(parseTaskName(Text));
+  CHECK(isJobId("0123456789abcdef"));
+  CHECK_FALSE(isJobId("0123456789abcdeg"));
+  CHECK_FALSE(isJobId("0123456789abcde"));
+}
+
+TEST_CASE("wire: a configuration becomes queues, services, organisations") {
+  const auto Parsed = parseConfig(
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+      R"("service":"s","priority":1,"max_attempts":3,"stretch_factor":1.5},)"
+      R"({"name":"l","host":"h","prefix":"/p/long/","service":"s",)"
+      R"("public":true}],"services":[{"name":"s"}],"tenants":[{"name":"t",)"
+      R"("api_keys":["k"],"guaranteed":{"gpu":72}}]})");
+  REQUIRE(Parsed.Result);
+  const deployment_config &Config = *Parsed.Result;
+  CHECK(Config.match("h", "/p/long/x")->Name == route_id("l"));
+  CHECK(Config.match("h", "/p/x")->Name == route_id("r"));
+  CHECK_FALSE(Config.match("other", "/p/x"));
+  CHECK(Config.findKey("k")->GuaranteedAccelerators == 72);
+  CHECK_FALSE(Config.findKey(""));
+  CHECK_FALSE(parseConfig(R"({"version":"x"})").Result);
+}
