--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -2,7 +2,9 @@
 #include "apps/runtime/process.hpp"
 #include "apps/runtime/settings.hpp"
 #include "standin/platform.hpp"
+#include "standin/users_platform.hpp"
 
+#include <optional>
 #include <sstream>
 
 using namespace galenastage;
@@ -27,6 +29,16 @@
   return DataCentres;
 }
 
+standin::users_platform_settings
+usersSettings(const standin::platform_settings &Settings) {
+  standin::users_platform_settings Users;
+  Users.Store = Settings.Store;
+  Users.ExecutorAddress = Settings.DataCentres.front().Address;
+  Users.Executors = Settings.WorkersPerDataCentre;
+  Users.FirstExecutorPort = Settings.FirstExecutorPort;
+  return Users;
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -35,6 +47,7 @@
   std::string Platform = "127.0.0.1:2380";
   std::string DataCentres = "ma-north-a=127.0.1.1,ma-north-b=127.0.2.1";
   std::string Service = "portal-core";
+  std::string Protocol = "product";
 
   settings_parser Parser("galenastage-standin",
                          "The platform in small, for tests and trials: "
@@ -43,6 +56,10 @@
   Parser.address("store", Store, "where the key-value service listens");
   Parser.address("platform", Platform,
                  "where the instance list and the faults listen");
+  Parser.choice("protocol", Protocol, {"product", "users"},
+                "product: this project's own deployments; users: the metadata "
+                "store and executors of the users' platform, executors at the "
+                "address of the first data centre");
   Parser.text("data-centres", DataCentres,
               "NAME=ADDRESS of each data centre, separated by commas");
   Parser.text("service", Service, "the service that the executors answer");
@@ -76,7 +93,12 @@
   blockStopSignals();
   io_threads Threads(1);
   try {
-    standin::stand_in_platform Instance(Threads.context(0), Settings);
+    std::optional<standin::stand_in_platform> Product;
+    std::optional<standin::users_platform> Users;
+    if (Protocol == "users")
+      Users.emplace(Threads.context(0), usersSettings(Settings));
+    else
+      Product.emplace(Threads.context(0), Settings);
     Threads.start();
     writeLog(events::ProcessStarted,
              {{"store", Store}, {"platform", Platform}});
