--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -40,17 +40,17 @@
       Leadership(Leadership), Metrics(Metrics), Post(std::move(Post)) {}
 
 void orders::carryOut(effect Effect) {
-  const auto spawn = [this](task<void> Work) {
+  const auto Spawn = [this](task<void> Work) {
     asio::co_spawn(Context, std::move(Work), asio::detached);
   };
   std::visit(overloaded{
-                 [&](start_run &Order) { spawn(start(std::move(Order))); },
-                 [&](stop_run &Order) { spawn(stop(std::move(Order))); },
-                 [&](hold_executor &Order) { spawn(hold(std::move(Order))); },
-                 [&](save_progress &Order) { spawn(save(std::move(Order))); },
-                 [&](forget_job &Order) { spawn(forget(std::move(Order))); },
+                 [&](start_run &Order) { Spawn(start(std::move(Order))); },
+                 [&](stop_run &Order) { Spawn(stop(std::move(Order))); },
+                 [&](hold_executor &Order) { Spawn(hold(std::move(Order))); },
+                 [&](save_progress &Order) { Spawn(save(std::move(Order))); },
+                 [&](forget_job &Order) { Spawn(forget(std::move(Order))); },
                  [&](publish_queue_lengths &Order) {
-                   spawn(publish(std::move(Order)));
+                   Spawn(publish(std::move(Order)));
                  },
                  [&](write_log &Order) { writeLog(Order.Line); },
              },
--- a/apps/runtime/logging.cpp
+++ b/apps/runtime/logging.cpp
@@ -144,6 +144,7 @@
   NextSummary = Now + SummaryInterval;
   std::vector<log_field> Fields;
   std::map<int, std::uint64_t> Dropped = Budget.takeDropped();
+  Fields.reserve(Dropped.size());
   for (const auto &[Number, Count] : Dropped)
     Fields.push_back(
         {"event_" + std::to_string(Number), std::to_string(Count)});
--- a/apps/runtime/metric_registry.cpp
+++ b/apps/runtime/metric_registry.cpp
@@ -28,9 +28,12 @@
 
 std::string printLabels(const metric_labels &Labels) {
   std::string Text;
-  for (const metric_label &Label : Labels)
-    Text += (Text.empty() ? "" : ",") + Label.Name + "=\"" +
-            escaped(Label.Value) + "\"";
+  for (const metric_label &Label : Labels) {
+    if (!Text.empty())
+      Text += ',';
+    Text.append(Label.Name).append("=\"");
+    Text.append(escaped(Label.Value)).append("\"");
+  }
   return Text;
 }
 
--- a/core/job/batch/placement.cpp
+++ b/core/job/batch/placement.cpp
@@ -230,7 +230,7 @@
 placeByStopping(const placement_ask &Ask, const std::vector<room> &Rooms) {
   std::optional<placement_choice> Best;
   double LeastLost = 0;
-  const auto consider = [&](const std::vector<const room *> &From) {
+  const auto Consider = [&](const std::vector<const room *> &From) {
     stopping_trial Trial(Ask, From);
     if (!Trial.run() || (Best && Trial.LostWork >= LeastLost))
       return;
@@ -239,12 +239,13 @@
         placement_choice{std::move(Trial.Executors), std::move(Trial.Stopped)};
   };
   for (const auto &[Rack, Members] : groupByRack(Rooms))
-    consider(Members);
+    Consider(Members);
   if (!Best && !Ask.NeedsOneRack) {
     std::vector<const room *> All;
+    All.reserve(Rooms.size());
     for (const room &Room : Rooms)
       All.push_back(&Room);
-    consider(All);
+    Consider(All);
   }
   return Best;
 }
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "core/job/batch/scheduler_internal.hpp"
 
 #include <algorithm>
+#include <ranges>
 
 namespace galenastage::batch {
 namespace detail {
@@ -180,9 +181,9 @@
     return;
   if (!Event.IsSaved) {
     // Back to the front, so that the order of the queue holds.
-    for (auto Job = State.Saving.rbegin(); Job != State.Saving.rend(); ++Job) {
-      State.SaveQueue.push_front(*Job);
-      if (const auto Found = State.Jobs.find(*Job); Found != State.Jobs.end())
+    for (const job_id &Job : std::ranges::reverse_view(State.Saving)) {
+      State.SaveQueue.push_front(Job);
+      if (const auto Found = State.Jobs.find(Job); Found != State.Jobs.end())
         Found->second.IsSaveQueued = true;
     }
     State.Saving.clear();
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -290,7 +290,7 @@
 
 struct scheduler_state {
   explicit scheduler_state(scheduler_settings Settings = {})
-      : Settings(std::move(Settings)) {}
+      : Settings(Settings) {}
 
   scheduler_settings Settings;
   deployment_config Config;
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -171,15 +171,15 @@
 /// Tasks of the unit's step on the executor, those that plans promise included.
 int event_run::countRunsOfStep(const executor_state &Executor,
                                const unit_name &Unit) const {
-  const auto isOfStep = [&](const auto &Name) {
+  const auto IsOfStep = [&](const auto &Name) {
     return Name.Job == Unit.Job && Name.Occurrence == Unit.Occurrence &&
            Name.Step == Unit.Step;
   };
   auto Count = std::ranges::count_if(Executor.Runs, [&](const auto &Item) {
-    return isOfStep(Item.first.Task);
+    return IsOfStep(Item.first.Task);
   });
   for (const auto &[Name, Plan] : State.Plans)
-    if (isOfStep(Name))
+    if (IsOfStep(Name))
       Count += std::ranges::count(Plan.Executors, Executor.Report.Id);
   return static_cast<int>(Count);
 }
@@ -238,23 +238,23 @@
                                    State.Settings.SpreadBelowPercent;
 
   std::optional<placement_choice> Choice;
-  const auto tryIn = [&](const std::vector<room> &Where) {
+  const auto TryIn = [&](const std::vector<room> &Where) {
     if (Ask.Count > 1) {
       Choice = placeInFreeRoom(Ask, Where);
     } else if (const room *Room = findTightest(Ask, Where)) {
       Choice = placement_choice{{Room->Executor}, {}};
     }
   };
-  const auto inRack = [&](std::vector<room> From) {
+  const auto InRack = [&](std::vector<room> From) {
     std::erase_if(From, [&](const room &Room) {
       return !Step.Affinity.isEmpty() && Room.Rack != Step.Affinity;
     });
     return From;
   };
   if (IsPicky)
-    tryIn(inRack(Rooms));
+    TryIn(InRack(Rooms));
   if (IsPicky && !Choice && !MayRelax) {
-    const std::vector<room> Empty = inRack(listRooms(Unit, true));
+    const std::vector<room> Empty = InRack(listRooms(Unit, true));
     MayRelax = !placeInFreeRoom(Ask, Empty); // it would never fit there
   }
   if (!Choice && placeReclaiming(Unit, Ask)) {
@@ -262,10 +262,10 @@
     return true;
   }
   if (!Choice && (!IsPicky || MayRelax)) {
-    tryIn(Rooms);
+    TryIn(Rooms);
     Ask.NeedsOneRack = false;
     if (!Choice)
-      tryIn(Rooms);
+      TryIn(Rooms);
   }
   if (!Choice)
     return false;
--- /dev/null
+++ b/tests/support/batch_world_checks.cpp
@@ -0,0 +1,74 @@
+// What the world checks: everything that executors and clients can see.
+
+#include "tests/support/batch_world_internal.hpp"
+
+namespace galenastage::batch::test::detail {
+
+void world::checkStart(const fake_executor &Executor, const start_run &Order) {
+  const task_name &Task = Order.Run.Task;
+  const std::string Name = Task.Job.Value + "." + std::to_string(Task.Step) +
+                           "." + std::to_string(Task.Index);
+  const stored_job &Job = Jobs[Task.Job];
+  for (const auto &[Id, Other] : Executors)
+    for (const auto &[Run, State] : Other.Runs)
+      if (Run.Task == Task)
+        violate(Name + " runs twice: on " + Id.Value + " and " +
+                Executor.Report.Id.Value);
+  if (Noted.contains(Task))
+    violate(Name + " starts after its end was noted");
+  for (int Earlier : Job.Spec.Steps[Task.Step].After)
+    for (int I = 0; I < Job.Spec.Steps[Earlier].Count; ++I)
+      if (!DoneEnds.contains({Task.Job, Task.Occurrence, Earlier, I}) &&
+          !Job.Spec.Steps[Earlier].IsGang)
+        violate(Name + " starts before step " + std::to_string(Earlier) +
+                " is done");
+  if (Job.IsCancelled && Now > Job.CancelledAt + CancelBound &&
+      Settings.Faults.LateOrders == 0 && Order.To.Token == CurrentToken &&
+      Settings.Faults.StoreOutages == 0 && Settings.Faults.LeaderLosses == 0)
+    violate(Name + " starts after its job was cancelled");
+}
+
+void world::checkCapacity(const fake_executor &Executor) {
+  resources Used;
+  for (const auto &[Name, Run] : Executor.Runs)
+    Used += Run.Needs;
+  if (!Executor.Report.Capacity.covers(Used))
+    violate(Executor.Report.Id.Value + " is over its capacity");
+  std::map<std::pair<job_id, int>, int> OfStep;
+  for (const auto &[Name, Run] : Executor.Runs)
+    ++OfStep[{Name.Task.Job, Name.Task.Step}];
+  for (const auto &[Step, Count] : OfStep) {
+    const int Most = Jobs[Step.first].Spec.Steps[Step.second].MaxPerExecutor;
+    if (Most > 0 && Count > Most)
+      violate(Executor.Report.Id.Value + " runs too many tasks of one step");
+  }
+}
+
+void world::checkShown(const saved_job &Saved) {
+  if (Saved.Progress.Phase != job_phase::Completed)
+    return;
+  const job_spec &Job = Jobs[Saved.Job].Spec;
+  for (int Step = 0; Step < static_cast<int>(Job.Steps.size()); ++Step) {
+    int Done = 0;
+    for (int I = 0; I < Job.Steps[Step].Count; ++I)
+      Done += DoneEnds.contains({Saved.Job, 0, Step, I}) ? 1 : 0;
+    const int Needed = Job.Steps[Step].IsGang ? 1 : Job.Steps[Step].Count;
+    if (Done < Needed)
+      violate(Saved.Job.Value + " is shown as completed too early");
+  }
+}
+
+void world::judge() {
+  for (const auto &[Id, Job] : Jobs) {
+    const job_phase Phase = parseSummary(Job.Progress).Record.Phase;
+    Report.Completed += Phase == job_phase::Completed ? 1 : 0;
+    Report.Failed += Phase == job_phase::Failed ? 1 : 0;
+    Report.Cancelled += Phase == job_phase::Cancelled ? 1 : 0;
+    if (isFinal(Phase))
+      continue;
+    ++Report.Unfinished;
+    violate(Id.Value + " is still " + std::string(name(Phase)) + " at the end");
+  }
+}
+
+} // namespace galenastage::batch::test::detail
--- /dev/null
+++ b/tests/support/batch_world_internal.hpp
@@ -0,0 +1,609 @@
+#pragma once
+
+// The working parts of the world in virtual time; batch_world.hpp is its
+// interface.
+
+#include "tests/support/batch_world.hpp"
+
+#include "core/job/batch/records.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+namespace galenastage::batch::test {
+namespace detail {
+
+constexpr milliseconds Latency{1};
+constexpr milliseconds StoreLatency{4};
+constexpr milliseconds LeaderLease{2'000};
+constexpr milliseconds Tick{100};
+constexpr milliseconds StopTime{300};
+constexpr milliseconds GangTimeout{3'000};
+constexpr milliseconds CallTimeout{1'000};
+constexpr milliseconds CancelBound{3'000};
+
+using time_point = milliseconds; // since the start of the world
+
+struct fake_run {
+  run_name Name;
+  resources Needs;
+  time_point Begun{0};
+  time_point EndsAt{0}; // of its work; Begun of a gang is when all are there
+  bool IsStopping = false;
+};
+
+struct fake_end {
+  std::int64_t Number = 0;
+  run_name Name;
+  run_end End = run_end::Done;
+  time_point At{0};
+};
+
+struct fake_executor {
+  executor_report Report;
+  std::uint64_t Token = 0;  // highest seen
+  time_point LeaseEnd{0};   // of all that runs here
+  time_point LastLapse{-1}; // when a lease was last over
+  std::map<run_name, fake_run> Runs;
+  std::vector<fake_end> Ends; // not forgotten yet
+  std::int64_t LastNumber = 0;
+  std::map<task_name, int> Closed; // highest attempt stopped or ended here
+  time_point CutUntil{0};
+  std::vector<std::function<void()>> Waiting; // holds that wait for an end
+};
+
+struct stored_job {
+  job_spec Spec;
+  std::string Progress;      // as the store holds it
+  std::int64_t Revision = 0; // of Progress
+  bool IsCancelled = false;
+  time_point CancelledAt{0};
+};
+
+struct fake_leader {
+  scheduler_state State;
+  std::uint64_t Token = 0;
+  bool IsAlive = true;
+  bool IsCutOff = false; // from the store
+  time_point FrozenUntil{0};
+  std::map<job_id, std::int64_t> Revisions; // of progress records
+  std::set<job_id> Known;
+  std::set<job_id> CancelsKnown;
+};
+
+class world {
+public:
+  world(const world_settings &Settings, std::uint64_t Seed)
+      : Settings(Settings), Random(Seed) {}
+
+  world_report run() {
+    makeExecutors();
+    makeJobs();
+    makeFaults();
+    at(time_point(0), [this] { elect(); });
+    at(Tick, [this] { tick(); });
+    while (!Queue.empty() && Now < Settings.Length) {
+      const item Next = Queue.top();
+      Queue.pop();
+      Now = Next.At;
+      Next.Work();
+    }
+    judge();
+    return Report;
+  }
+
+private:
+  struct item {
+    time_point At{0};
+    std::uint64_t Order = 0;
+    std::function<void()> Work;
+    friend bool operator<(const item &Left, const item &Right) {
+      return std::tie(Left.At, Left.Order) > std::tie(Right.At, Right.Order);
+    }
+  };
+
+  void at(time_point When, std::function<void()> Work) {
+    Queue.push({std::max(When, Now), ++Order, std::move(Work)});
+  }
+  void after(milliseconds Delay, std::function<void()> Work) {
+    at(Now + Delay, std::move(Work));
+  }
+  bool chance(double Share) {
+    return std::uniform_real_distribution<double>(0, 1)(Random) < Share;
+  }
+  int draw(int From, int To) {
+    return std::uniform_int_distribution<int>(From, To)(Random);
+  }
+  [[nodiscard]] instant now() const { return instant(Now); }
+  [[nodiscard]] wall_instant wall() const { return wall_instant(Now); }
+  void violate(const std::string &What) {
+    Report.Violations.push_back(std::to_string(Now.count()) + " ms: " + What);
+  }
+
+  /// Prints what happens when BATCH_TRACE is set, to follow one seed.
+  void trace(const std::string &Line) const {
+    static const bool IsWanted = std::getenv("BATCH_TRACE") != nullptr;
+    if (IsWanted)
+      std::cerr << Now.count() << " " << Line << "\n";
+  }
+  static std::string print(const run_name &Run) {
+    return Run.Task.Job.Value + "." + std::to_string(Run.Task.Occurrence) +
+           "." + std::to_string(Run.Task.Step) + "." +
+           std::to_string(Run.Task.Index) + " attempt " +
+           std::to_string(Run.Attempt);
+  }
+
+  // Set-up (batch_world_setup.cpp)
+
+  void makeExecutors();
+  void makeJobs();
+  time_point faultTime();
+  void makeFaults();
+
+  fake_executor &anyExecutor() {
+    auto Found = Executors.begin();
+    std::advance(Found, draw(0, Settings.Executors - 1));
+    return Found->second;
+  }
+
+  // Leaders
+
+  void elect() {
+    auto Leader = std::make_shared<fake_leader>();
+    Leader->Token = static_cast<std::uint64_t>(++Revision);
+    CurrentToken = Leader->Token;
+    LeaderValidUntil = Now + LeaderLease;
+    Current = Leader;
+    ++Report.Leaders;
+    Leaders.push_back(Leader);
+    post(Leader, configuration_changed{Config});
+    post(Leader, leadership_gained{Leader->Token, now() + LeaderLease});
+    listExecutors(Leader);
+    for (const auto &[Id, Job] : Jobs) {
+      auto Progress = parseProgress(Job.Progress, Job.Spec);
+      if (Progress.Error)
+        violate("unreadable progress of " + Id.Value + ": " + Progress.Reason);
+      Leader->Revisions[Id] = Job.Revision;
+      Leader->Known.insert(Id);
+      post(Leader, job_found{Job.Spec, Progress.Record});
+    }
+    informLeaders();
+    post(Leader, recovery_finished{});
+  }
+
+  void listExecutors(const std::shared_ptr<fake_leader> &Leader) {
+    executors_listed Listed;
+    for (const auto &[Id, Executor] : Executors)
+      if (Now >= Executor.CutUntil || chance(0.5)) // entries lapse in time
+        Listed.Executors.push_back(Executor.Report);
+    post(Leader, Listed);
+  }
+
+  void loseLeader() {
+    if (!Current)
+      return;
+    Current->IsCutOff = true;
+    if (!Settings.Faults.HasFrozenLeaders || chance(0.3))
+      Current->IsAlive = false;
+    else if (chance(0.5))
+      Current->FrozenUntil = Now + milliseconds(draw(500, 9'000));
+    Current = nullptr;
+    const time_point Gone = LeaderValidUntil;
+    at(std::max(Gone, Now) + milliseconds(draw(10, 400)), [this] { elect(); });
+  }
+
+  void informLeaders() {
+    if (!Current)
+      return;
+    for (const auto &[Id, Job] : Jobs) {
+      if (Current->Known.insert(Id).second) {
+        Current->Revisions[Id] = Job.Revision;
+        post(Current, job_found{Job.Spec, {}});
+      }
+      if (Job.IsCancelled && Current->CancelsKnown.insert(Id).second)
+        post(Current, cancel_requested{Id});
+    }
+  }
+
+  void tick() {
+    after(Tick, [this] { tick(); });
+    if (Current && Now >= StoreDownUntil) {
+      LeaderValidUntil = Now + LeaderLease;
+      post(Current, leadership_extended{now() + LeaderLease});
+      if (Now.count() % 700 < Tick.count())
+        listExecutors(Current);
+    }
+    for (const auto &Leader : Leaders)
+      post(Leader, time_passed{});
+    expireLeases();
+  }
+
+  void post(const std::shared_ptr<fake_leader> &Leader,
+            decltype(event::What) What) {
+    if (!Leader->IsAlive)
+      return;
+    if (Now < Leader->FrozenUntil) {
+      at(Leader->FrozenUntil, [this, Leader, What] { post(Leader, What); });
+      return;
+    }
+    for (effect &Effect :
+         reduce(Leader->State, {now(), wall(), std::move(What)}))
+      std::visit([&](auto &Order) { carryOut(Leader, Order); }, Effect);
+  }
+
+  // Effects
+
+  /// A late order that meant another life of the executor is refused: the call
+  /// names the one it means.
+  template <typename Work>
+  void order(const std::shared_ptr<fake_leader> &Leader,
+             const executor_target &To, Work Carry,
+             std::function<void()> Unanswered) {
+    const bool IsLost = chance(Settings.Faults.LostOrders);
+    const bool IsLate = IsLost && chance(Settings.Faults.LateOrders);
+    const milliseconds Delay =
+        IsLate ? milliseconds(draw(1'000, 8'000)) : Latency;
+    const bool Arrives = !IsLost || IsLate || chance(0.5);
+    if (IsLost)
+      after(CallTimeout, Unanswered);
+    if (!Arrives)
+      return;
+    const std::int64_t Life = Executors[To.Id].Report.Incarnation;
+    after(Delay, [this, Leader, To, Carry, IsLost, IsLate, Life, Unanswered] {
+      fake_executor &Executor = Executors[To.Id];
+      if (IsLate && Executor.Report.Incarnation != Life)
+        return;
+      if (Now < Executor.CutUntil) {
+        if (!IsLost)
+          after(CallTimeout, Unanswered);
+        return;
+      }
+      Carry(Executor, !IsLost);
+    });
+  }
+
+  void carryOut(const std::shared_ptr<fake_leader> &Leader, start_run &Start) {
+    const start_run Order = Start;
+    const auto answer = [this, Leader, Order](order_outcome Outcome,
+                                              const std::string &Reason) {
+      after(Latency, [=, this] {
+        post(Leader, start_answered{Order.To.Id, Order.Run, Outcome, Reason});
+      });
+    };
+    order(
+        Leader, Order.To,
+        [this, Order, answer](fake_executor &Executor, bool IsAnswered) {
+          const std::string Refusal = begin(Executor, Order);
+          if (IsAnswered)
+            answer(Refusal.empty() ? order_outcome::Accepted
+                                   : order_outcome::Refused,
+                   Refusal);
+        },
+        [answer] { answer(order_outcome::Unknown, ""); });
+  }
+
+  void carryOut(const std::shared_ptr<fake_leader> &Leader, stop_run &Stop) {
+    const stop_run Order = Stop;
+    order(
+        Leader, Order.To,
+        [this, Leader, Order](fake_executor &Executor, bool IsAnswered) {
+          if (Order.To.Token < Executor.Token)
+            return;
+          Executor.Token = Order.To.Token;
+          int &Closed = Executor.Closed[Order.Run.Task];
+          Closed = std::max(Closed, Order.Run.Attempt);
+          const auto Found = Executor.Runs.find(Order.Run);
+          if (Found != Executor.Runs.end() && !Found->second.IsStopping) {
+            Found->second.IsStopping = true;
+            after(StopTime, [this, Id = Executor.Report.Id, Run = Order.Run,
+                             Life = Executor.Report.Incarnation] {
+              if (Executors[Id].Report.Incarnation == Life)
+                finish(Executors[Id], Run, run_end::Stopped);
+            });
+          }
+          if (IsAnswered)
+            after(Latency, [this, Leader, Order] {
+              post(Leader, stop_answered{Order.To.Id, Order.Run, true});
+            });
+        },
+        [this, Leader, Order] {
+          post(Leader, stop_answered{Order.To.Id, Order.Run, false});
+        });
+  }
+
+  void carryOut(const std::shared_ptr<fake_leader> &Leader,
+                hold_executor &Hold) {
+    const hold_executor Order = Hold;
+    const instant Sent = now();
+    const auto fail = [this, Leader, Order](hold_failure Failure) {
+      post(Leader, hold_failed{Order.To.Id, Order.To.Incarnation, Failure});
+    };
+    after(Latency, [this, Leader, Order, Sent, fail] {
+      fake_executor &Executor = Executors[Order.To.Id];
+      if (Now < Executor.CutUntil) {
+        after(CallTimeout, [fail] { fail(hold_failure::NoAnswer); });
+        return;
+      }
+      if (Order.To.Token < Executor.Token) {
+        after(Latency, [fail] { fail(hold_failure::Fenced); });
+        return;
+      }
+      Executor.Token = Order.To.Token;
+      const bool IsMeant = Order.To.Incarnation == 0 ||
+                           Order.To.Incarnation == Executor.Report.Incarnation;
+      if (IsMeant) {
+        if (Executor.LeaseEnd < Now)
+          Executor.LastLapse = Executor.LeaseEnd;
+        // An end before a lapse of the executor's lease counts for nothing:
+        // the leader was right to take the run for lost.
+        std::erase_if(Executor.Ends, [&](const fake_end &End) {
+          if (End.Number <= Order.LastSeen && End.End == run_end::Done &&
+              Executor.LastLapse < End.At)
+            Noted.insert(End.Name.Task);
+          return End.Number <= Order.LastSeen;
+        });
+        if (Order.LeaseEndMs)
+          Executor.LeaseEnd =
+              std::max(Executor.LeaseEnd, time_point(*Order.LeaseEndMs));
+      }
+      const auto reply = [this, Leader, Id = Order.To.Id, Sent] {
+        answerHold(Leader, Id, Sent);
+      };
+      if (Order.Wait.count() == 0 || !Executor.Ends.empty()) {
+        reply();
+        return;
+      }
+      const auto IsReplied = std::make_shared<bool>(false);
+      const auto replyOnce = [IsReplied, reply] {
+        if (!std::exchange(*IsReplied, true))
+          reply();
+      };
+      Executor.Waiting.push_back(replyOnce);
+      after(Order.Wait, replyOnce);
+    });
+  }
+
+  void answerHold(const std::shared_ptr<fake_leader> &Leader,
+                  const executor_id &Id, instant Sent) {
+    const fake_executor &Executor = Executors[Id];
+    if (Now < Executor.CutUntil) {
+      after(CallTimeout, [this, Leader, Id] {
+        post(Leader, hold_failed{Id, 0, hold_failure::NoAnswer});
+      });
+      return;
+    }
+    runs_reported Answer;
+    Answer.Executor = Id;
+    Answer.Incarnation = Executor.Report.Incarnation;
+    Answer.ClockMs = Now.count();
+    Answer.Sent = Sent;
+    for (const auto &[Name, Run] : Executor.Runs)
+      Answer.Active.push_back({Name, "", 50});
+    for (const fake_end &End : Executor.Ends)
+      Answer.Ended.push_back({End.Number, End.Name, End.End, ""});
+    after(Latency, [this, Leader, Answer] { post(Leader, Answer); });
+  }
+
+  void carryOut(const std::shared_ptr<fake_leader> &Leader,
+                save_progress &Save) {
+    const save_progress Order = Save;
+    if (Leader->IsCutOff || Now < StoreDownUntil) {
+      after(CallTimeout,
+            [this, Leader] { post(Leader, progress_saved{false}); });
+      return;
+    }
+    after(StoreLatency, [this, Leader, Order] {
+      // On condition that it still leads and that the records are as it knows
+      // them; a write whose answer was lost is found by its value.
+      const bool IsLost = chance(Settings.Faults.LostWrites);
+      const bool Leads = CurrentToken == Leader->Token;
+      bool IsApplied = Leads;
+      for (const saved_job &Job : Order.Jobs) {
+        const bool IsOwn =
+            Jobs[Job.Job].Progress == printProgress(Job.Progress);
+        if (!IsOwn && Jobs[Job.Job].Revision != Leader->Revisions[Job.Job])
+          IsApplied = false;
+        Leader->Revisions[Job.Job] = Jobs[Job.Job].Revision;
+      }
+      if (IsApplied) {
+        ++Revision;
+        for (const saved_job &Job : Order.Jobs) {
+          checkShown(Job);
+          Jobs[Job.Job].Progress = printProgress(Job.Progress);
+          Jobs[Job.Job].Revision = Revision;
+          if (!IsLost)
+            Leader->Revisions[Job.Job] = Revision;
+        }
+      }
+      if (!Leads) {
+        post(Leader, leadership_lost{});
+        return;
+      }
+      after(IsLost ? CallTimeout : StoreLatency,
+            [=, this] { post(Leader, progress_saved{IsApplied && !IsLost}); });
+    });
+  }
+
+  void carryOut(const std::shared_ptr<fake_leader> &, forget_job &) {}
+  void carryOut(const std::shared_ptr<fake_leader> &, publish_queue_lengths &) {
+  }
+  void carryOut(const std::shared_ptr<fake_leader> &Leader, write_log &Write) {
+    std::string Line = "leader " + std::to_string(Leader->Token) + " " +
+                       std::string(Write.Line.Event->Name);
+    for (const log_field &Field : Write.Line.Fields)
+      Line += " " + Field.Key + "=" + Field.Value;
+    trace(Line);
+  }
+
+  // Executors
+
+  /// Why the executor refuses; empty when the run has begun or was there.
+  std::string begin(fake_executor &Executor, const start_run &Order) {
+    if (Order.To.Token < Executor.Token)
+      return "fence";
+    Executor.Token = Order.To.Token;
+    if (Executor.Runs.contains(Order.Run))
+      return "";
+    if (Executor.Closed[Order.Run.Task] >= Order.Run.Attempt)
+      return "old";
+    if (Order.LeaseEndMs <= Now.count())
+      return "late";
+    Executor.LeaseEnd =
+        std::max(Executor.LeaseEnd, time_point(Order.LeaseEndMs));
+    ++Report.Starts;
+    trace(Executor.Report.Id.Value + " begins " + print(Order.Run) + " under " +
+          std::to_string(Order.To.Token));
+    checkStart(Executor, Order);
+    const job_spec &Job = Jobs[Order.Run.Task.Job].Spec;
+    const step_spec &Step = Job.Steps[Order.Run.Task.Step];
+    fake_run Run{Order.Run, Step.Needs, Now, time_point::max(), false};
+    Executor.Runs[Order.Run] = Run;
+    checkCapacity(Executor);
+    const std::int64_t Life = Executor.Report.Incarnation;
+    const executor_id Id = Executor.Report.Id;
+    if (!Step.IsGang) {
+      finishLater(Id, Life, Order.Run, Step.Estimate);
+      return "";
+    }
+    after(GangTimeout, [this, Id, Life, Name = Order.Run] {
+      const auto &Runs = Executors[Id].Runs;
+      const auto Found = Runs.find(Name);
+      if (Executors[Id].Report.Incarnation == Life && Found != Runs.end() &&
+          Found->second.EndsAt == time_point::max())
+        finish(Executors[Id], Name, run_end::Alone);
+    });
+    beginGang(Order.Run, Step);
+    return "";
+  }
+
+  /// Lets a gang work once all its members are there.
+  void beginGang(const run_name &Any, const step_spec &Step) {
+    std::vector<std::pair<executor_id, run_name>> Members;
+    for (const auto &[Id, Executor] : Executors)
+      for (const auto &[Name, Run] : Executor.Runs)
+        if (Name.Attempt == Any.Attempt && Name.Task.Job == Any.Task.Job &&
+            Name.Task.Step == Any.Task.Step &&
+            Name.Task.Occurrence == Any.Task.Occurrence)
+          Members.emplace_back(Id, Name);
+    if (static_cast<int>(Members.size()) != Step.Count)
+      return;
+    for (const auto &[Id, Name] : Members)
+      Executors[Id].Runs[Name].EndsAt = Now + Step.Estimate;
+    const bool Fails = chance(Settings.Faults.FailingRuns);
+    after(Step.Estimate, [this, Members, Fails] {
+      bool IsWhole = true;
+      for (const auto &[Id, Name] : Members)
+        IsWhole = IsWhole && Executors[Id].Runs.contains(Name) &&
+                  !Executors[Id].Runs[Name].IsStopping;
+      if (!IsWhole)
+        return;
+      for (const auto &[Id, Name] : Members)
+        finish(Executors[Id], Name, Fails ? run_end::Failed : run_end::Done);
+    });
+  }
+
+  void finishLater(const executor_id &Id, std::int64_t Life,
+                   const run_name &Name, milliseconds Work) {
+    const bool Fails = chance(Settings.Faults.FailingRuns);
+    after(Work, [this, Id, Life, Name, Fails] {
+      fake_executor &Executor = Executors[Id];
+      const auto Found = Executor.Runs.find(Name);
+      if (Executor.Report.Incarnation == Life && Found != Executor.Runs.end() &&
+          !Found->second.IsStopping)
+        finish(Executor, Name, Fails ? run_end::Failed : run_end::Done);
+    });
+  }
+
+  void finish(fake_executor &Executor, const run_name &Name, run_end End) {
+    if (Executor.Runs.erase(Name) == 0)
+      return;
+    trace(Executor.Report.Id.Value + " ends " + print(Name) + " " +
+          std::string(name(End)));
+    int &Closed = Executor.Closed[Name.Task];
+    Closed = std::max(Closed, Name.Attempt);
+    Executor.Ends.push_back({++Executor.LastNumber, Name, End, Now});
+    if (End == run_end::Done)
+      DoneEnds[Name.Task].push_back({Executor.Report.Id,
+                                     Executor.Report.Incarnation,
+                                     Executor.LastNumber});
+    const auto Waiting = std::exchange(Executor.Waiting, {});
+    for (const auto &Reply : Waiting)
+      Reply();
+    const step_spec &Step = Jobs[Name.Task.Job].Spec.Steps[Name.Task.Step];
+    const bool BreaksGang = Step.IsGang && End != run_end::Done &&
+                            End != run_end::Failed && End != run_end::Broken;
+    if (!BreaksGang)
+      return;
+    for (auto &[Id, Other] : Executors) {
+      std::vector<run_name> Broken;
+      for (const auto &[OtherName, Run] : Other.Runs)
+        if (OtherName.Attempt == Name.Attempt &&
+            OtherName.Task.Job == Name.Task.Job &&
+            OtherName.Task.Step == Name.Task.Step &&
+            Run.EndsAt != time_point::max())
+          Broken.push_back(OtherName);
+      for (const run_name &Member : Broken)
+        finish(Other, Member, run_end::Broken);
+    }
+  }
+
+  void restartExecutor(fake_executor &Executor) {
+    trace(Executor.Report.Id.Value + " restarts");
+    ++Executor.Report.Incarnation;
+    Executor.Token = 0;
+    Executor.LeaseEnd = time_point(0);
+    Executor.Runs.clear();
+    Executor.Ends.clear();
+    Executor.LastNumber = 0;
+    Executor.Closed.clear();
+    Executor.Waiting.clear();
+  }
+
+  void expireLeases() {
+    for (auto &[Id, Executor] : Executors) {
+      if (Executor.Runs.empty() || Now < Executor.LeaseEnd)
+        continue;
+      std::vector<run_name> Names;
+      for (const auto &[Name, Run] : Executor.Runs)
+        Names.push_back(Name);
+      for (const run_name &Name : Names)
+        finish(Executor, Name, run_end::Lapsed);
+    }
+  }
+
+  // Checks (batch_world_checks.cpp)
+
+  void checkStart(const fake_executor &Executor, const start_run &Order);
+  void checkCapacity(const fake_executor &Executor);
+  /// Nothing may be shown as completed before all its tasks are done.
+  void checkShown(const saved_job &Saved);
+  void judge();
+
+  struct done_end {
+    executor_id Executor;
+    std::int64_t Incarnation = 0;
+    std::int64_t Number = 0;
+  };
+
+  const world_settings Settings;
+  std::mt19937_64 Random;
+  time_point Now{0};
+  std::uint64_t Order = 0;
+  std::priority_queue<item> Queue;
+  deployment_config Config;
+  std::map<executor_id, fake_executor> Executors;
+  std::map<job_id, stored_job> Jobs;
+  std::int64_t Revision = 1;
+  std::uint64_t CurrentToken = 0;
+  time_point LeaderValidUntil{0};
+  time_point StoreDownUntil{0};
+  std::shared_ptr<fake_leader> Current;
+  std::vector<std::shared_ptr<fake_leader>> Leaders;
+  std::set<task_name> Noted; // their done end was taken note of
+  std::map<task_name, std::vector<done_end>> DoneEnds;
+  world_report Report;
+};
+
+} // namespace detail
+} // namespace galenastage::batch::test
--- /dev/null
+++ b/tests/support/batch_world_setup.cpp
@@ -0,0 +1,92 @@
+// Executors, jobs and faults of a world, drawn from its seed.
+
+#include "tests/support/batch_world_internal.hpp"
+
+namespace galenastage::batch::test::detail {
+
+void world::makeExecutors() {
+  for (int I = 0; I < Settings.Executors; ++I) {
+    fake_executor Executor;
+    Executor.Report.Id = executor_id("x" + std::to_string(I));
+    Executor.Report.Service = service_id("service");
+    Executor.Report.Address = {"10.0.0.1", static_cast<std::uint16_t>(I + 1)};
+    Executor.Report.DataCentre = data_centre_id(I % 2 == 0 ? "a" : "b");
+    Executor.Report.Kind = "k";
+    Executor.Report.Rack =
+        rack_id("rack-" + std::to_string(I / Settings.PerRack));
+    Executor.Report.Capacity = Settings.Capacity;
+    Executor.Report.Incarnation = 1;
+    Executors[Executor.Report.Id] = Executor;
+  }
+  for (int Priority = 0; Priority < 3; ++Priority) {
+    queue_config Queue;
+    Queue.Name = route_id("q" + std::to_string(Priority));
+    Queue.Service = service_id("service");
+    Queue.Priority = Priority;
+    Queue.MaxAttempts = 3;
+    Queue.StretchFactor = 3;
+    Config.Queues.push_back(Queue);
+  }
+  Config.Version = 1;
+  Config.Organisations.push_back({organisation_id("o"), {"key"}, 32});
+}
+
+void world::makeJobs() {
+  for (int I = 0; I < Settings.Jobs; ++I) {
+    job_spec Job;
+    Job.Id = job_id("job" + std::to_string(I));
+    Job.Queue = Config.Queues[static_cast<std::size_t>(draw(0, 2))];
+    Job.Organisation = organisation_id("o");
+    const int Steps = draw(1, 2);
+    for (int Step = 0; Step < Steps; ++Step) {
+      step_spec Spec;
+      Spec.IsGang = chance(0.5);
+      Spec.IsRackLocal = Spec.IsGang && chance(0.5);
+      Spec.IsCheckpointing = chance(0.3);
+      Spec.Count = draw(1, Spec.IsGang ? 4 : 10);
+      Spec.Needs = {2'000, 3'000, draw(1, 4)};
+      Spec.Estimate = milliseconds(draw(500, 6'000));
+      Spec.MaxPerExecutor = chance(0.2) ? 2 : 0;
+      if (Step > 0)
+        Spec.After = {0};
+      Job.Steps.push_back(Spec);
+    }
+    const time_point When(draw(3'000, int(Settings.Arrivals.count())));
+    at(When, [this, Job]() mutable {
+      Job.Submitted = wall();
+      job_progress Progress;
+      Progress.Organisation = Job.Organisation;
+      Jobs[Job.Id] = {Job, printProgress(Progress), ++Revision, false,
+                      time_point(0)};
+      ++Report.Jobs;
+      after(StoreLatency, [this] { informLeaders(); });
+    });
+    if (chance(0.15))
+      at(When + milliseconds(draw(50, 6'000)), [this, Id = Job.Id] {
+        Jobs[Id].IsCancelled = true;
+        Jobs[Id].CancelledAt = Now;
+        after(StoreLatency, [this] { informLeaders(); });
+      });
+  }
+}
+
+time_point world::faultTime() {
+  return time_point(draw(2'000, int(Settings.Faulty.count())));
+}
+
+void world::makeFaults() {
+  const world_faults &Faults = Settings.Faults;
+  for (int I = 0; I < Faults.LeaderLosses; ++I)
+    at(faultTime(), [this] { loseLeader(); });
+  for (int I = 0; I < Faults.ExecutorRestarts; ++I)
+    at(faultTime(), [this] { restartExecutor(anyExecutor()); });
+  for (int I = 0; I < Faults.ExecutorCuts; ++I)
+    at(faultTime(), [this] {
+      anyExecutor().CutUntil = Now + milliseconds(draw(1'000, 12'000));
+    });
+  for (int I = 0; I < Faults.StoreOutages; ++I)
+    at(faultTime(),
+       [this] { StoreDownUntil = Now + milliseconds(draw(1'000, 6'000)); });
+}
+
+} // namespace galenastage::batch::test::detail
