--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -187,7 +187,7 @@
         Found->second.IsSaveQueued = true;
     }
     State.Saving.clear();
-    return; // the next tick tries again
+    return; // offered again at once; the shell has paced its tries
   }
   State.SavesFinished += State.Saving.size();
   for (const job_id &Id : State.Saving)
--- /dev/null
+++ b/tests/unit/batch_scheduler_test.cpp
@@ -0,0 +1,343 @@
+// The scheduler's reducer step by step: what it orders, and what it must not.
+
+#include "core/job/batch/scheduler.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace galenastage;
+using namespace galenastage::batch;
+
+namespace {
+
+constexpr std::uint64_t Token = 7;
+
+struct scheduler_fixture {
+  scheduler_state State;
+  instant Now{milliseconds(100'000)};
+  wall_instant Wall{milliseconds(1'000'000)};
+  effects Last; // of the last event, log lines left out
+  std::int64_t Ends = 0;
+
+  scheduler_fixture() {
+    deployment_config Config;
+    Config.Version = 1;
+    for (int Priority = 0; Priority < 3; ++Priority) {
+      queue_config Queue;
+      Queue.Name = route_id("q" + std::to_string(Priority));
+      Queue.Service = service_id("s");
+      Queue.Priority = Priority;
+      Queue.MaxAttempts = 2;
+      Queue.StretchFactor = 1.5;
+      Config.Queues.push_back(Queue);
+    }
+    Config.Organisations = {{organisation_id("small"), {"k"}, 4},
+                            {organisation_id("none"), {"l"}, 0}};
+    post(configuration_changed{Config});
+    post(leadership_gained{Token, Now + milliseconds(1'000'000)});
+  }
+
+  void post(decltype(event::What) What) {
+    Last.clear();
+    for (effect &Effect : reduce(State, {Now, Wall, std::move(What)}))
+      if (!std::holds_alternative<write_log>(Effect))
+        Last.push_back(std::move(Effect));
+  }
+  void pass(milliseconds Time) {
+    Now += Time;
+    Wall += Time;
+    post(time_passed{});
+  }
+  template <typename Kind> [[nodiscard]] std::vector<Kind> all() const {
+    std::vector<Kind> Found;
+    for (const effect &Effect : Last)
+      if (const auto *One = std::get_if<Kind>(&Effect))
+        Found.push_back(*One);
+    return Found;
+  }
+
+  static executor_report report(const std::string &Id,
+                                const std::string &Rack = "r1") {
+    executor_report Report;
+    Report.Id = executor_id(Id);
+    Report.Service = service_id("s");
+    Report.Address = {"10.0.0.1", 80};
+    Report.DataCentre = data_centre_id("a");
+    Report.Kind = "k";
+    Report.Rack = rack_id(Rack);
+    Report.Capacity = {32'000, 64'000, 8};
+    Report.Incarnation = 1;
+    return Report;
+  }
+  void list(std::vector<executor_report> Executors) {
+    post(executors_listed{std::move(Executors)});
+  }
+  /// The executor answers a hold with these runs and ends.
+  void answer(const std::string &Id, std::vector<active_run> Active = {},
+              std::vector<ended_run> Ended = {}) {
+    Now += milliseconds(20);
+    runs_reported Report{executor_id(Id),
+                         1,
+                         Now.time_since_epoch().count(),
+                         Now,
+                         std::move(Active),
+                         std::move(Ended)};
+    post(Report);
+  }
+  /// Executors that have answered under this leader's token.
+  void settle(const std::vector<std::string> &Ids) {
+    std::vector<executor_report> Reports;
+    for (const std::string &Id : Ids)
+      Reports.push_back(report(Id));
+    post(recovery_finished{});
+    list(std::move(Reports));
+    for (const std::string &Id : Ids)
+      answer(Id);
+  }
+
+  static job_spec job(const std::string &Id, int Priority, int Count,
+                      int Accelerators,
+                      const std::string &Organisation = "small") {
+    job_spec Job;
+    Job.Id = job_id(Id);
+    Job.Queue.Name = route_id("q" + std::to_string(Priority));
+    Job.Organisation = organisation_id(Organisation);
+    step_spec Step;
+    Step.Count = Count;
+    Step.Needs = {1'000, 1'000, Accelerators};
+    Step.Estimate = milliseconds(4'000);
+    Job.Steps = {Step};
+    return Job;
+  }
+  void submit(job_spec Job) {
+    Job.Submitted = Wall;
+    Now += milliseconds(20);
+    post(job_found{std::move(Job), {}});
+  }
+  /// Saves what is offered and returns the starts that follow.
+  std::vector<start_run> save() {
+    post(progress_saved{true});
+    return all<start_run>();
+  }
+  /// Submits a job and lets all its tasks run.
+  std::vector<start_run> run(job_spec Job) {
+    submit(std::move(Job));
+    const auto Starts = save();
+    for (const start_run &Start : Starts)
+      post(start_answered{Start.To.Id, Start.Run, order_outcome::Accepted, ""});
+    return Starts;
+  }
+  ended_run end(const run_name &Run, run_end How) {
+    return {++Ends, Run, How, ""};
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: nothing starts before the executor answered and the "
+                 "place is stored") {
+  post(recovery_finished{});
+  list({report("x")});
+  submit(job("a", 1, 1, 1));
+  CHECK(all<save_progress>().empty());
+  answer("x");
+  REQUIRE(all<save_progress>().size() == 1);
+  const job_progress Saved = all<save_progress>().front().Jobs.front().Progress;
+  CHECK(Saved.Occurrences.at(0).Steps[0].Units[0].Placed ==
+        std::vector{executor_id("x")});
+  CHECK(all<start_run>().empty());
+  post(progress_saved{false});
+  CHECK(all<start_run>().empty());
+  REQUIRE(all<save_progress>().size() == 1); // it is offered again
+  const auto Starts = save();
+  REQUIRE(Starts.size() == 1);
+  CHECK(Starts[0].To.Token == Token);
+  CHECK(Starts[0].Run.Attempt == 1);
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: an end is told as seen only once it is stored") {
+  settle({"x"});
+  const auto Starts = run(job("a", 1, 2, 1));
+  answer("x", {{Starts[1].Run, "", 10}}, {end(Starts[0].Run, run_end::Done)});
+  for (const hold_executor &Hold : all<hold_executor>())
+    CHECK(Hold.LastSeen == 0);
+  REQUIRE(all<save_progress>().size() == 1);
+  post(progress_saved{true});
+  REQUIRE(all<hold_executor>().size() == 1);
+  CHECK(all<hold_executor>().front().LastSeen == 1);
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: a start without an answer isn't repeated elsewhere "
+                 "until its stop is answered and it isn't listed") {
+  settle({"x", "y"});
+  submit(job("a", 1, 1, 1));
+  const start_run Start = save().at(0);
+  const std::string Id = Start.To.Id.Value;
+  post(start_answered{Start.To.Id, Start.Run, order_outcome::Unknown, ""});
+  answer(Id);
+  REQUIRE(all<stop_run>().size() == 1);
+  CHECK(all<save_progress>().empty());
+  pass(milliseconds(600)); // the stop is sent again while it isn't answered
+  CHECK(all<stop_run>().size() == 1);
+  Now += milliseconds(20);
+  post(stop_answered{Start.To.Id, Start.Run, true});
+  CHECK(all<save_progress>().empty());
+  answer(Id);
+  REQUIRE(all<save_progress>().size() == 1);
+  const save_progress Saved = all<save_progress>().front();
+  const auto &Steps = Saved.Jobs.front().Progress.Occurrences.at(0).Steps;
+  CHECK(Steps[0].Units[0].Attempts == 2);
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: work within a guarantee stops patient work at once") {
+  settle({"x"});
+  const auto Patient = run(job("patient", 2, 8, 1, "none"));
+  REQUIRE(Patient.size() == 8);
+  submit(job("urgent", 0, 1, 4));
+  CHECK(all<stop_run>().size() == 4);
+  CHECK(all<save_progress>().empty()); // its room isn't free yet
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: urgent work over its guarantee stops others only when "
+                 "it would miss its objective") {
+  settle({"x"});
+  run(job("patient", 2, 8, 1, "none"));
+  submit(job("urgent", 0, 1, 8)); // guaranteed are 4; it may start 2 s late
+  CHECK(all<stop_run>().empty());
+  pass(milliseconds(1'000));
+  CHECK(all<stop_run>().empty());
+  pass(milliseconds(500));
+  CHECK(all<stop_run>().size() == 8);
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: long-running work isn't stopped for room") {
+  settle({"x"});
+  job_spec Service = job("service", 2, 8, 1, "none");
+  Service.Steps[0].IsLongRunning = true;
+  run(Service);
+  submit(job("urgent", 0, 1, 4));
+  CHECK(all<stop_run>().empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: draining executors and evacuated data centres get "
+                 "nothing new") {
+  settle({"x", "y"});
+  executor_report Draining = report("x");
+  Draining.IsDraining = true;
+  executor_report Elsewhere = report("y");
+  Elsewhere.DataCentre = data_centre_id("b");
+  list({Draining, Elsewhere});
+  post(evacuations_changed{{data_centre_id("b")}});
+  submit(job("a", 1, 1, 1));
+  CHECK(all<save_progress>().empty());
+  Now += milliseconds(20);
+  post(evacuations_changed{{}});
+  REQUIRE(all<save_progress>().size() == 1);
+  CHECK(save().at(0).To.Id == executor_id("y"));
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: once the leader's lease is over nothing starts, and "
+                 "stops wait for the next one") {
+  settle({"x"});
+  const auto Starts = run(job("a", 1, 1, 1));
+  State.ValidUntil = Now;
+  submit(job("b", 1, 1, 1));
+  CHECK(Last.empty());
+  post(cancel_requested{job_id("a")});
+  CHECK(Last.empty());
+  post(leadership_extended{Now + milliseconds(10'000)});
+  CHECK(all<save_progress>().size() == 1);
+  pass(milliseconds(600));
+  CHECK(all<stop_run>().size() == 1);
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: a job that is cancelled before its place is stored "
+                 "never starts") {
+  settle({"x"});
+  submit(job("a", 1, 1, 1));
+  post(cancel_requested{job_id("a")});
+  CHECK(all<stop_run>().empty()); // there is nothing to stop
+  CHECK(save().empty());
+  CHECK(save().empty()); // of the cancelled phase
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: occurrences start when they are due, not before") {
+  settle({"x"});
+  job_spec Job = job("a", 1, 1, 1);
+  Job.Schedule = {2, Wall + milliseconds(5'000), milliseconds(3'000)};
+  submit(Job);
+  pass(milliseconds(4'900));
+  CHECK(all<save_progress>().empty());
+  pass(milliseconds(100));
+  REQUIRE(all<save_progress>().size() == 1);
+  CHECK(save().at(0).Run.Task.Occurrence == 0);
+  pass(milliseconds(2'900));
+  CHECK(all<save_progress>().empty());
+  pass(milliseconds(100));
+  CHECK(save().at(0).Run.Task.Occurrence == 1);
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: a job fails after its attempts have failed, and only "
+                 "those") {
+  settle({"x", "y"});
+  submit(job("a", 1, 1, 1));
+  for (int Attempt = 1; Attempt <= 3; ++Attempt) {
+    const auto Starts = save();
+    REQUIRE(Starts.size() == 1);
+    CHECK(Starts[0].Run.Attempt == Attempt);
+    post(start_answered{Starts[0].To.Id, Starts[0].Run, order_outcome::Accepted,
+                        ""});
+    // The second lapses, which is no failure of the job.
+    runs_reported Report{Starts[0].To.Id, 1, 1, Now, {}, {}};
+    Report.Ended = {{Attempt, Starts[0].Run,
+                     Attempt == 2 ? run_end::Lapsed : run_end::Failed, ""}};
+    Now += milliseconds(20);
+    post(Report);
+    if (Attempt != 2)
+      post(progress_saved{true});
+    pass(milliseconds(300));
+  }
+  CHECK(State.Jobs.at(job_id("a")).Progress.Phase == job_phase::Failed);
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: a successor goes on with recorded runs and starts the "
+                 "others of the record only when they are surely over") {
+  settle({"x"});
+  job_spec Job = job("a", 1, 2, 1);
+  job_progress Progress;
+  Progress.Phase = job_phase::Running;
+  Progress.Occurrences[0] = beginOccurrence(Job);
+  auto &Units = Progress.Occurrences[0].Steps[0].Units;
+  Units[0].Attempts = 3;
+  Units[0].Placed = {executor_id("x")};
+  Units[1].Attempts = 1;
+  Units[1].Placed = {executor_id("gone")}; // the store doesn't list it
+  Now += milliseconds(20);
+  Job.Submitted = Wall;
+  post(job_found{Job, Progress});
+  const run_name Running{{job_id("a"), 0, 0, 0}, 3};
+  answer("x", {{Running, "", 40}});
+  CHECK(all<save_progress>().empty());
+  CHECK(all<stop_run>().empty());
+  pass(milliseconds(5'000));
+  CHECK(all<save_progress>().empty());
+  pass(milliseconds(2'000));
+  REQUIRE(all<save_progress>().size() == 1);
+  const auto Starts = save();
+  REQUIRE(Starts.size() == 1);
+  CHECK(Starts[0].Run.Task.Index == 1);
+  CHECK(Starts[0].Run.Attempt == 2);
+}
