Take back that urgent work over its guarantee stops patient work

Cause: the change before was meant to serve urgent jobs that would miss their objective.

Change: reverted; the unit test now holds what stays true: such work stops nothing and goes first once there is room.

What urgent work waits for is room in one rack; a reservation for it is the next thing to try.

--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -42,8 +42,6 @@
   milliseconds ConfirmInterval{100};  // between holds that settle a doubt
   milliseconds StopRetry{500};        // after a stop without an answer
   milliseconds SpreadDelay{1'500};    // a unit waits so long for its best rack
-  milliseconds LastCall{800};         // before an urgent unit misses its
-                                      // objective; a stop and a start fit in
   milliseconds PlanLife{3'000};       // room kept for a unit that reclaims it
   milliseconds RestartDelay{200};     // before a failed unit starts again
   milliseconds Retention{150'000};    // of a job that has ended
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -101,7 +101,7 @@
   void placeStep(const waiting_step &Waiting);
   /// False: no other unit of the step would find room either.
   bool place(const unit_name &Unit, std::vector<room> &Rooms);
-  [[nodiscard]] bool mayReclaim(const job_state &Job, const unit_name &Unit,
+  [[nodiscard]] bool mayReclaim(const job_state &Job,
                                 const placement_ask &Ask) const;
   bool placeReclaiming(const unit_name &Unit, const placement_ask &Ask);
   [[nodiscard]] std::vector<room> listRooms(const unit_name &Unit,
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -279,20 +279,11 @@
   return true;
 }
 
-/// Whether the unit may stop work of lower priority: always within what its
-/// organisation is guaranteed, and beyond that when it would miss its objective
-/// otherwise.
-bool event_run::mayReclaim(const job_state &Job, const unit_name &Unit,
+/// Whether the unit is within what its organisation is guaranteed.
+bool event_run::mayReclaim(const job_state &Job,
                            const placement_ask &Ask) const {
   if (Job.Queue.Priority != 0)
     return false;
-  const wall_instant LatestStart =
-      objective(Job, Unit.Occurrence) -
-      remainingChain(Job.Spec, &Job.Progress.Occurrences.at(Unit.Occurrence));
-  const bool IsAboutToMiss =
-      WallNow <= LatestStart && LatestStart - WallNow < State.Settings.LastCall;
-  if (IsAboutToMiss)
-    return true;
   const organisation_config *Organisation =
       State.Config.findOrganisation(Job.Spec.Organisation);
   return Organisation && countGuaranteedUse(State, Organisation->Name) +
@@ -306,7 +297,7 @@
                                 const placement_ask &Ask) {
   const job_state &Job = State.Jobs.at(Unit.Job);
   const step_spec &Step = Job.Spec.Steps[Unit.Step];
-  if (!mayReclaim(Job, Unit, Ask))
+  if (!mayReclaim(Job, Ask))
     return false;
   std::vector<room> Rooms = listRooms(Unit, false);
   std::map<unit_name, int> Groups;
