Leave the balancer while the store turns this instance away

Conclusion: done; open connections still reach such an instance, and forwarding their requests to a peer is not built.

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -93,6 +93,11 @@
     Time = std::min(Time, Admitted.Queue->Timeout);
   Admitted.AnswerBy = Arrived + Time - AnswerMargin;
 
+  // Known to be in vain: the client had better try elsewhere at once.
+  if (!Store.isReachable())
+    co_return refuse(job_id(Admitted.Rest),
+                     "the platform's store doesn't serve this instance");
+
   if (Admitted.Rest.empty() && Request.Method == "GET")
     co_return co_await showQueueLength(Admitted);
   if (!platform::isJobId(Admitted.Rest))
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -138,13 +138,16 @@
   }
 
   task<http_response> answerReadiness() {
-    const bool IsReady = Feed.view() && !IsStopping;
-    if (IsReady)
+    std::string_view Reason;
+    if (IsStopping)
+      Reason = "the instance is stopping";
+    else if (!Feed.view())
+      Reason = "no configuration has been read yet";
+    else if (!Store.isReachable())
+      Reason = "the platform's store doesn't serve this instance";
+    if (Reason.empty())
       co_return jsonResponse(200, "{}");
-    co_return problemResponse(503, "not ready",
-                              IsStopping ? "the instance is stopping"
-                                         : "no configuration has been read yet",
-                              verdict::NotRun);
+    co_return problemResponse(503, "not ready", Reason, verdict::NotRun);
   }
 
   task<http_response> answerMetrics(http_request Request) {
