Forward requests to the leader while the store turns this instance away

Change: the leader's key holds an address for forwarded requests; an instance that the store doesn't serve sends requests on to it, once, unchanged.

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds WriteRetryDelay{60}; // the store refused: over its rate
 constexpr int WriteRetries = 3;             // then the client comes back later
 constexpr milliseconds QueueLengthAge{400}; // of a cached reading
+constexpr milliseconds ForwardTimeout{1'200}; // a leader answers in 10 ms
 constexpr int RetryAfterSeconds = 1; // the store's rates are counted by second
 
 /// Whether the job belongs to another organisation than the client's. Public
@@ -63,11 +64,15 @@
 
 } // namespace
 
-front::front(asio::io_context &Context, platform::metadata_store &Store,
-             const deployment_feed &Feed, instance_metrics &Metrics)
-    : Context(Context), Store(Store), Feed(Feed), Metrics(Metrics) {}
+front::front(asio::io_context &Context, std::string LocalAddress,
+             platform::metadata_store &Store, const deployment_feed &Feed,
+             instance_metrics &Metrics,
+             std::function<std::optional<endpoint>()> FindLeader)
+    : Context(Context), Peers(Context, std::move(LocalAddress)),
+      FindLeader(std::move(FindLeader)), Store(Store), Feed(Feed),
+      Metrics(Metrics) {}
 
-task<http_response> front::handle(http_request Request) {
+task<http_response> front::handle(http_request Request, bool IsForwarded) {
   const instant Arrived = readClock();
   admitted Admitted;
   Admitted.View = Feed.view();
@@ -93,10 +98,16 @@
     Time = std::min(Time, Admitted.Queue->Timeout);
   Admitted.AnswerBy = Arrived + Time - AnswerMargin;
 
-  // Known to be in vain: the client had better try elsewhere at once.
-  if (!Store.isReachable())
+  if (!Store.isReachable()) {
+    const std::optional<endpoint> Leader =
+        IsForwarded ? std::nullopt : FindLeader();
+    if (Leader)
+      co_return co_await forward(std::move(Request), *Leader,
+                                 Admitted.AnswerBy);
+    // Known to be in vain: the client had better try elsewhere at once.
     co_return refuse(job_id(Admitted.Rest),
                      "the platform's store doesn't serve this instance");
+  }
 
   if (Admitted.Rest.empty() && Request.Method == "GET")
     co_return co_await showQueueLength(Admitted);
@@ -117,6 +128,29 @@
   co_return Response;
 }
 
+/// Sends the request on unchanged. The leader checks it against its own
+/// configuration, and its answer is passed back as it is.
+task<http_response> front::forward(http_request Request, endpoint Leader,
+                                   instant AnswerBy) {
+  const std::string Method = Request.Method;
+  const std::string Target = Request.Target;
+  const milliseconds Time = std::max(AnswerBy - readClock(), milliseconds(0));
+  http_result Result = co_await Peers.send(Leader, std::move(Request),
+                                           std::min(Time, ForwardTimeout));
+  if (!Result.Error) {
+    writeLog(events::RequestForwarded,
+             {{"target", Target},
+              {"to", printEndpoint(Leader)},
+              {"status", std::to_string(Result.Response.Status)}});
+    co_return std::move(Result.Response);
+  }
+  if (Method == "POST" && Result.Verdict != verdict::NotRun) {
+    writeLog(events::SubmissionUnsettled, {{"target", Target}});
+    co_return unsettled();
+  }
+  co_return refuse({}, "neither the platform's store nor the leader answers");
+}
+
 http_response front::refuse(const job_id &Job, std::string_view Reason) {
   writeLog(events::SubmissionRefused,
            {{"job", Job.Value}, {"reason", std::string(Reason)}});
--- a/apps/instance/front.hpp
+++ b/apps/instance/front.hpp
@@ -10,10 +10,16 @@
 /// keeps nothing of its own; every answer follows from the store.
 class front {
 public:
-  front(asio::io_context &Context, platform::metadata_store &Store,
-        const deployment_feed &Feed, instance_metrics &Metrics);
+  /// FindLeader: where another instance, which the store serves, takes requests
+  /// that this one can't answer; nullopt when none is known.
+  front(asio::io_context &Context, std::string LocalAddress,
+        platform::metadata_store &Store, const deployment_feed &Feed,
+        instance_metrics &Metrics,
+        std::function<std::optional<endpoint>()> FindLeader);
 
-  task<http_response> handle(http_request Request);
+  /// Answers a request of a client. IsForwarded: another instance has sent it
+  /// on, and it isn't sent on again.
+  task<http_response> handle(http_request Request, bool IsForwarded);
 
 private:
   /// A request whose queue, client and time are known.
@@ -32,9 +38,13 @@
   task<http_response> showState(const admitted &Admitted, job_id Job);
   task<http_response> cancel(const admitted &Admitted, job_id Job);
   task<http_response> showQueueLength(const admitted &Admitted);
+  task<http_response> forward(http_request Request, endpoint Leader,
+                              instant AnswerBy);
   http_response refuse(const job_id &Job, std::string_view Reason);
 
   asio::io_context &Context;
+  http_client Peers;
+  std::function<std::optional<endpoint>()> FindLeader;
   platform::metadata_store &Store;
   const deployment_feed &Feed;
   instance_metrics &Metrics;
--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -29,10 +29,11 @@
 
 leadership::leadership(asio::io_context &Context,
                        platform::metadata_store &Store, std::string Instance,
-                       milliseconds LeaseLife, milliseconds HeadStart,
-                       post_event Post)
+                       endpoint Forward, milliseconds LeaseLife,
+                       milliseconds HeadStart, post_event Post)
     : Context(Context), Store(Store), Instance(std::move(Instance)),
-      LeaseLife(LeaseLife), HeadStart(HeadStart), Post(std::move(Post)) {}
+      Forward(std::move(Forward)), LeaseLife(LeaseLife), HeadStart(HeadStart),
+      Post(std::move(Post)) {}
 
 platform::key_condition leadership::fence() const {
   return {keys::Leader, static_cast<std::int64_t>(Token)};
@@ -62,7 +63,12 @@
       continue;
     }
     HasWaited = false;
+    Leader.reset();
     if (Key.Item) {
+      // "NAME NONCE ADDRESS:PORT"
+      const std::string &Value = Key.Item->Value;
+      Leader =
+          parseEndpoint(std::string_view(Value).substr(Value.rfind(' ') + 1));
       const platform::watch_result Watch =
           co_await Store.watch(keys::Leader, Key.Revision, StandbyWait);
       if (Watch.Error)
@@ -82,7 +88,8 @@
     co_await sleepFor(Context, RetryDelay);
     co_return false;
   }
-  const std::string Value = Instance + " " + randomHex(16);
+  const std::string Value =
+      Instance + " " + randomHex(16) + " " + printEndpoint(Forward);
   platform::store_change Change;
   Change.Conditions.push_back({keys::Leader, 0});
   Change.Writes.push_back({keys::Leader, Value, Granted.Id});
--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -16,9 +16,10 @@
 public:
   using post_event = std::function<void(decltype(batch::event::What))>;
 
-  /// HeadStart: how long this instance lets others campaign first.
+  /// Forward: where this instance takes requests that others forward to the
+  /// leader. HeadStart: how long it lets others campaign first.
   leadership(asio::io_context &Context, platform::metadata_store &Store,
-             std::string Instance, milliseconds LeaseLife,
+             std::string Instance, endpoint Forward, milliseconds LeaseLife,
              milliseconds HeadStart, post_event Post);
 
   /// Campaigns until resign was called.
@@ -33,6 +34,12 @@
   [[nodiscard]] bool isLeading() const { return Token != 0; }
   [[nodiscard]] std::uint64_t token() const { return Token; }
 
+  /// Where the leader takes forwarded requests, as last read from the store;
+  /// nullopt when this instance leads or nobody is known to.
+  [[nodiscard]] std::optional<endpoint> knownLeader() const {
+    return isLeading() ? std::nullopt : Leader;
+  }
+
   /// Holds as long as this instance leads; part of every write of a leader.
   [[nodiscard]] platform::key_condition fence() const;
 
@@ -58,6 +65,8 @@
   asio::io_context &Context;
   platform::metadata_store &Store;
   std::string Instance;
+  endpoint Forward;
+  std::optional<endpoint> Leader; // of another instance, as last read
   milliseconds LeaseLife;
   milliseconds HeadStart;
   post_event Post;
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -41,16 +41,21 @@
         State(schedulerSettings(Settings)),
         Feed(Context, Store,
              [this](const deployment_view &View) { noteView(View); }),
-        Leadership(Context, Store, Settings.Name.Value,
+        Leadership(Context, Store, Settings.Name.Value, forwardEndpoint(),
                    std::max(LeaderLease, Settings.MinStoreLease),
                    headStart(Settings.Cores), poster()),
         Orders(Context, Store, Executors, Leadership, Metrics, poster()),
-        Front(Context, Store, Feed, Metrics) {
+        Front(Context, Settings.Address, Store, Feed, Metrics,
+              [this] { return Leadership.knownLeader(); }) {
     if (Settings.Front)
       Servers.push_back(std::make_unique<http_server>(
           Context, *Settings.Front, [this](http_request Request) {
-            return Front.handle(std::move(Request));
+            return Front.handle(std::move(Request), false);
           }));
+    Servers.push_back(std::make_unique<http_server>(
+        Context, forwardEndpoint(), [this](http_request Request) {
+          return Front.handle(std::move(Request), true);
+        }));
     if (Settings.Ready)
       Probes.push_back(std::make_unique<http_server>(
           Context, *Settings.Ready,
@@ -94,6 +99,12 @@
     return Scheduler;
   }
 
+  /// Where other instances forward requests to: the second internal port.
+  [[nodiscard]] endpoint forwardEndpoint() const {
+    return {Settings.Address,
+            static_cast<std::uint16_t>(Settings.FirstInternalPort + 1)};
+  }
+
   /// Larger instances lead when they can: each halving below half a core lets
   /// others campaign first for this long.
   static milliseconds headStart(double Cores) {
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -214,6 +214,12 @@
     "read in time; the client is told that the outcome is unknown.",
     "Look at the platform's store."};
 
+const log_event RequestForwarded{
+    4004, Info, "request-forwarded",
+    "The platform's store doesn't serve this instance; the leader answered the "
+    "request instead.",
+    "Look at why the store turns this instance away."};
+
 const log_event LeadershipGained{
     5001, Info, "leadership-gained",
     "This process now leads: one data centre, or the whole deployment on the "
@@ -290,6 +296,7 @@
     &events::ExecutorQuarantined,
     &events::SubmissionRefused,
     &events::SubmissionUnsettled,
+    &events::RequestForwarded,
 };
 
 } // namespace
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -115,6 +115,7 @@
 extern const log_event RequestAnswered;
 extern const log_event SubmissionRefused;
 extern const log_event SubmissionUnsettled;
+extern const log_event RequestForwarded;
 // 5000: ownership
 extern const log_event LeadershipGained;
 extern const log_event LeadershipLost;
