--- /dev/null
+++ b/tests/contract/instance_test.cpp
@@ -0,0 +1,222 @@
+// The parts of an instance on the users' platform against the stand-in of its
+// store: what clients are told, which configuration is in force, who leads.
+
+#include "apps/instance/front.hpp"
+#include "apps/instance/keys.hpp"
+#include "apps/instance/leadership.hpp"
+#include "standin/metadata_service.hpp"
+#include "tests/support/run_task.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+using namespace galenastage::batch;
+
+namespace {
+
+const char *const Job = R"({"spec":"x","steps":[{"count":1,"cpu":500}]})";
+
+std::string config(int Version) {
+  return R"({"version":)" + std::to_string(Version) +
+         R"(,"routes":[{"name":"open","host":"h","prefix":"/open/",)"
+         R"("service":"s","public":true},{"name":"keyed","host":"h",)"
+         R"("prefix":"/keyed/","service":"s"}],"services":[{"name":"s"}],)"
+         R"("limits":{"max_body_bytes":200},"tenants":[)"
+         R"({"name":"one","api_keys":["k1"]},{"name":"two","api_keys":["k2"]}]})";
+}
+
+struct instance_fixture {
+  asio::io_context Context{1};
+  standin::metadata_service Service{Context, {"127.0.0.1", 0}};
+  platform::metadata_store Store{Context, Service.localEndpoint(), ""};
+  std::vector<deployment_view> Views;
+  deployment_feed Feed{Context, Store, [this](const deployment_view &View) {
+                         Views.push_back(View);
+                       }};
+  instance_metrics Metrics;
+  std::optional<endpoint> Leader;
+  front Front{Context, "", Store, Feed, Metrics, [this] { return Leader; }};
+
+  /// Runs the context until the condition holds.
+  template <typename Condition> void runUntil(Condition Holds) {
+    while (!Holds())
+      Context.run_one();
+  }
+  void startFeed(int Version = 1) {
+    Service.put("op/config", config(Version));
+    asio::co_spawn(Context, Feed.run(), asio::detached);
+    runUntil([&] { return Feed.view() != nullptr; });
+  }
+  http_response call(const std::string &Method, const std::string &Target,
+                     const std::string &Body = "", const std::string &Key = "",
+                     bool IsForwarded = false) {
+    http_request Request;
+    Request.Method = Method;
+    Request.Target = Target;
+    Request.Body = Body;
+    Request.Headers.set("Host", "h:80");
+    if (!Key.empty())
+      Request.Headers.set("Authorization", "Bearer " + Key);
+    return test::runTask(Context,
+                         Front.handle(std::move(Request), IsForwarded));
+  }
+};
+
+const std::string Id = "00000000000000a1";
+
+} // namespace
+
+TEST_CASE_METHOD(instance_fixture, "front: nothing before a configuration") {
+  const http_response Response = call("POST", "/open/" + Id, Job);
+  CHECK(Response.Status == 503);
+  CHECK_FALSE(Response.Headers.find("Retry-After").empty());
+  CHECK(Service.value(keys::specOf(job_id(Id))).empty());
+}
+
+TEST_CASE_METHOD(instance_fixture, "front: each bad request has its answer") {
+  startFeed();
+  CHECK(call("POST", "/open/" + Id, "{").Status == 400);
+  CHECK(call("POST", "/open/" + Id, std::string(201, ' ')).Status == 413);
+  CHECK(call("PUT", "/open/" + Id, Job).Status == 405);
+  CHECK(call("POST", "/open/short", Job).Status == 404);
+  CHECK(call("POST", "/none/" + Id, Job).Status == 404);
+  CHECK(call("POST", "/keyed/" + Id, Job).Status == 401);
+  CHECK(call("POST", "/keyed/" + Id, Job, "k3").Status == 401);
+  CHECK(call("GET", "/open/" + Id).Status == 410);
+  CHECK(call("DELETE", "/open/" + Id).Status == 410);
+  CHECK(Service.value(keys::specOf(job_id(Id))).empty());
+}
+
+TEST_CASE_METHOD(instance_fixture,
+                 "front: a job is stored once, then accepted") {
+  startFeed();
+  CHECK(call("POST", "/keyed/" + Id, Job, "k1").Status == 200);
+  const std::string Stored = Service.value(keys::specOf(job_id(Id)));
+  CHECK_FALSE(Stored.empty());
+  CHECK(call("POST", "/keyed/" + Id, Job, "k1").Status == 200);
+  CHECK(Service.value(keys::specOf(job_id(Id))) == Stored);
+  CHECK(call("GET", "/keyed/" + Id, "", "k1").Body == R"({"state":"queued"})");
+  SECTION("another organisation neither takes the id nor sees the job") {
+    CHECK(call("POST", "/keyed/" + Id, Job, "k2").Status == 409);
+    CHECK(call("GET", "/keyed/" + Id, "", "k2").Status == 410);
+    CHECK(call("DELETE", "/keyed/" + Id, "", "k2").Status == 410);
+    CHECK(Service.value(keys::cancelOf(job_id(Id))).empty());
+  }
+  SECTION("a cancellation is stored, and may be repeated") {
+    CHECK(call("DELETE", "/keyed/" + Id, "", "k1").Status == 200);
+    CHECK_FALSE(Service.value(keys::cancelOf(job_id(Id))).empty());
+    CHECK(call("DELETE", "/keyed/" + Id, "", "k1").Status == 200);
+  }
+}
+
+TEST_CASE_METHOD(instance_fixture,
+                 "front: while answers of the store are lost nothing is said "
+                 "not to have run") {
+  startFeed();
+  Service.Faults.LosesAnswers = true;
+  const http_response Lost = call("POST", "/open/" + Id, Job);
+  CHECK(Lost.Status == 504);
+  CHECK_FALSE(Service.value(keys::specOf(job_id(Id))).empty());
+  Service.Faults.LosesAnswers = false;
+  runUntil([&] { return Store.isReachable(); });
+  CHECK(call("POST", "/open/" + Id, Job).Status == 200);
+}
+
+TEST_CASE_METHOD(
+    instance_fixture,
+    "front: a store that takes no writes is a refusal, and nothing "
+    "is stored") {
+  startFeed();
+  Service.Faults.IsBusy = true;
+  const http_response Refused = call("POST", "/open/" + Id, Job);
+  CHECK(Refused.Status == 503);
+  CHECK(Refused.Headers.find("Galenastage-Verdict") == "not-run");
+  CHECK_FALSE(Refused.Headers.find("Retry-After").empty());
+  Service.Faults.IsBusy = false;
+  CHECK(Service.value(keys::specOf(job_id(Id))).empty());
+}
+
+TEST_CASE_METHOD(instance_fixture,
+                 "front: an instance that the store turns away forwards to the "
+                 "leader, once") {
+  startFeed();
+  int Forwarded = 0;
+  const http_server Other(Context, {"127.0.0.1", 0},
+                          [&](http_request Request) -> task<http_response> {
+                            ++Forwarded;
+                            CHECK(Request.Target == "/open/" + Id);
+                            CHECK(Request.Headers.find("Host") == "h:80");
+                            CHECK(Request.Body == Job);
+                            co_return jsonResponse(200,
+                                                   R"({"state":"queued"})");
+                          });
+  Service.Faults.IsBusy = true;
+  runUntil([&] { return !Store.isReachable(); });
+  const std::uint64_t Calls = Store.calls();
+  CHECK(call("POST", "/open/" + Id, Job).Status == 503); // no leader is known
+  Leader = Other.localEndpoint();
+  CHECK(call("POST", "/open/" + Id, Job).Status == 200);
+  CHECK(Forwarded == 1);
+  CHECK(call("POST", "/open/" + Id, Job, "", true).Status == 503);
+  CHECK(Forwarded == 1);
+  Leader = endpoint{"127.0.0.1", 1}; // nobody listens
+  CHECK(call("POST", "/open/" + Id, Job).Status == 503);
+  CHECK(Store.calls() - Calls <= 20); // the feed's; none for the requests
+}
+
+TEST_CASE_METHOD(instance_fixture, "feed: versions never go back") {
+  startFeed(5);
+  Service.put("op/config", config(4));
+  Service.put("op/evacuate/a", "{}");
+  runUntil([&] { return !Views.back().Evacuated.empty(); });
+  CHECK(Views.back().Config.Version == 5);
+  Service.put("op/config", "{unreadable");
+  Service.remove("op/evacuate/a");
+  runUntil([&] { return Views.back().Evacuated.empty(); });
+  CHECK(Views.back().Config.Version == 5);
+  Service.put("op/config", config(6));
+  runUntil([&] { return Views.back().Config.Version == 6; });
+}
+
+TEST_CASE_METHOD(instance_fixture,
+                 "feed: a history that is gone is read anew, also removals") {
+  startFeed(1);
+  Service.put("op/evacuate/a", "{}");
+  runUntil([&] { return !Views.back().Evacuated.empty(); });
+  Service.Faults.IsBusy = true;
+  runUntil([&] { return !Store.isReachable(); });
+  Service.remove("op/evacuate/a");
+  Service.put("op/config", config(2));
+  Service.forgetHistory();
+  Service.Faults.IsBusy = false;
+  runUntil([&] { return Views.back().Config.Version == 2; });
+  CHECK(Views.back().Evacuated.empty());
+}
+
+TEST_CASE_METHOD(
+    instance_fixture,
+    "leadership: one leads, and its successor has a higher token") {
+  std::vector<std::uint64_t> Tokens;
+  const auto Post = [&](decltype(event::What) What) {
+    if (const auto *Gained = std::get_if<leadership_gained>(&What))
+      Tokens.push_back(Gained->Token);
+  };
+  leadership First(Context, Store, "first", {"127.0.0.1", 7},
+                   milliseconds(60'000), milliseconds(0), Post);
+  asio::co_spawn(Context, First.run(), asio::detached);
+  runUntil([&] { return First.isLeading(); });
+  leadership Second(Context, Store, "second", {"127.0.0.1", 8},
+                    milliseconds(60'000), milliseconds(0), Post);
+  asio::co_spawn(Context, Second.run(), asio::detached);
+  runUntil([&] { return Second.knownLeader().has_value(); });
+  CHECK(Second.knownLeader() == endpoint{"127.0.0.1", 7});
+  CHECK_FALSE(First.knownLeader());
+  CHECK_FALSE(Second.isLeading());
+  asio::co_spawn(Context, First.resign(), asio::detached);
+  runUntil([&] { return Second.isLeading(); });
+  REQUIRE(Tokens.size() == 2);
+  CHECK(Tokens[1] > Tokens[0]);
+  CHECK(Second.fence().Revision == static_cast<std::int64_t>(Tokens[1]));
+}
