Write two loops so that the linter's compiler reads them

Cause: clang 14 can't parse std::ranges::reverse_view of this library, and the linter asks for appended strings in a loop.

Change: the saved jobs go back to the front of the queue in one insert; the labels of a bucket are appended.

--- a/apps/runtime/metric_registry.cpp
+++ b/apps/runtime/metric_registry.cpp
@@ -100,15 +100,14 @@
 void metric_registry::printLatencies(std::string &Out, const std::string &Name,
                                      const std::string &Labels,
                                      const latencies &Flow) {
-  const std::string Separator = Labels.empty() ? "" : ",";
+  const std::string Prefix = Labels + (Labels.empty() ? "le=\"" : ",le=\"");
   std::uint64_t Sum = 0;
   for (std::size_t I = 0; I <= Bounds.size(); ++I) {
     const bool IsLast = I == Bounds.size(); // beyond the last bound
     Sum += static_cast<std::uint64_t>(Flow.Bins.at(static_cast<int>(I)));
-    const std::string Bound = IsLast ? "+Inf" : printNumber(Bounds[I]);
-    Out +=
-        printLine(Name + "_bucket", Labels + Separator + "le=\"" + Bound + "\"",
-                  std::to_string(Sum));
+    std::string BucketLabels = Prefix;
+    BucketLabels.append(IsLast ? "+Inf" : printNumber(Bounds[I])).append("\"");
+    Out += printLine(Name + "_bucket", BucketLabels, std::to_string(Sum));
   }
   Out += printLine(Name + "_sum", Labels, printNumber(Flow.SumSeconds));
   Out += printLine(Name + "_count", Labels, std::to_string(Sum));
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -1,7 +1,6 @@
 #include "core/job/batch/scheduler_internal.hpp"
 
 #include <algorithm>
-#include <ranges>
 
 namespace galenastage::batch {
 namespace detail {
@@ -181,11 +180,11 @@
     return;
   if (!Event.IsSaved) {
     // Back to the front, so that the order of the queue holds.
-    for (const job_id &Job : std::ranges::reverse_view(State.Saving)) {
-      State.SaveQueue.push_front(Job);
+    State.SaveQueue.insert(State.SaveQueue.begin(), State.Saving.begin(),
+                           State.Saving.end());
+    for (const job_id &Job : State.Saving)
       if (const auto Found = State.Jobs.find(Job); Found != State.Jobs.end())
         Found->second.IsSaveQueued = true;
-    }
     State.Saving.clear();
     return; // offered again at once; the shell has paced its tries
   }
