Check whole numbers from outside for their range

Cause: the fuzz target of the tables printed an undefined conversion (a number of 8.9e50 read as a whole number); the parsers of the wire and of the records read numbers the same way.

--- a/core/config/json_reader.hpp
+++ b/core/config/json_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/config/tables.hpp"
+#include "core/json_number.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -31,7 +32,13 @@
     if (!has(Field))
       return Default;
     try {
+      if constexpr (std::is_integral_v<T> && !std::is_same_v<T, bool>)
+        if (Object.at(Field).is_number())
+          return readWhole<T>(Object.at(Field), Field);
       return Object.at(Field).get<T>();
+    } catch (const std::out_of_range &) {
+      addProblem(Field, "must be a whole number in range");
+      return Default;
     } catch (const nlohmann::json::exception &) {
       addProblem(Field, std::string("has the wrong type; it is ") +
                             Object.at(Field).type_name());
--- a/core/job/batch/records.cpp
+++ b/core/job/batch/records.cpp
@@ -1,5 +1,7 @@
 #include "core/job/batch/records.hpp"
 
+#include "core/json_number.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace galenastage::batch {
@@ -32,25 +34,27 @@
 
 step_spec readStep(const json &Record) {
   step_spec Step;
-  Step.Count = Record.at("count").get<int>();
-  Step.Needs = {Record.at("millicpu").get<int>(),
-                Record.at("memory_mb").get<int>(),
-                Record.at("accelerators").get<int>()};
-  Step.Estimate = milliseconds(Record.at("estimate_ms").get<std::int64_t>());
-  Step.After = Record.at("after").get<std::vector<int>>();
+  Step.Count = readWhole<int>(Record.at("count"), "count");
+  Step.Needs = {readWhole<int>(Record.at("millicpu"), "millicpu"),
+                readWhole<int>(Record.at("memory_mb"), "memory_mb"),
+                readWhole<int>(Record.at("accelerators"), "accelerators")};
+  Step.Estimate = milliseconds(
+      readWhole<std::int64_t>(Record.at("estimate_ms"), "estimate_ms"));
+  Step.After = readWholeList(Record.at("after"), "after");
   Step.IsCheckpointing = Record.at("checkpointing").get<bool>();
   Step.IsGang = Record.at("gang").get<bool>();
   Step.IsRackLocal = Record.at("rack_local").get<bool>();
   Step.Requirement = Record.at("requirement").get<std::string>();
   Step.Affinity = rack_id(Record.at("affinity").get<std::string>());
-  Step.MaxPerExecutor = Record.at("max_per_executor").get<int>();
+  Step.MaxPerExecutor =
+      readWhole<int>(Record.at("max_per_executor"), "max_per_executor");
   Step.IsSpeculative = Record.at("speculative").get<bool>();
   Step.IsLongRunning = Record.at("long_running").get<bool>();
   Step.Image = Record.at("image").get<std::string>();
-  Step.LatencyTarget =
-      milliseconds(Record.at("latency_target_ms").get<std::int64_t>());
+  Step.LatencyTarget = milliseconds(readWhole<std::int64_t>(
+      Record.at("latency_target_ms"), "latency_target_ms"));
   Step.FillsIdleCpu = Record.at("fills_idle_cpu").get<bool>();
-  Step.MaxMissing = Record.at("max_missing").get<int>();
+  Step.MaxMissing = readWhole<int>(Record.at("max_missing"), "max_missing");
   return Step;
 }
 
@@ -68,11 +72,11 @@
   queue_config Queue;
   Queue.Name = route_id(Record.at("name").get<std::string>());
   Queue.Service = service_id(Record.at("service").get<std::string>());
-  Queue.Priority = Record.at("priority").get<int>();
-  Queue.MaxAttempts = Record.at("max_attempts").get<int>();
+  Queue.Priority = readWhole<int>(Record.at("priority"), "priority");
+  Queue.MaxAttempts = readWhole<int>(Record.at("max_attempts"), "max_attempts");
   Queue.StretchFactor = Record.at("stretch_factor").get<double>();
-  Queue.TargetDuration =
-      milliseconds(Record.at("target_ms").get<std::int64_t>());
+  Queue.TargetDuration = milliseconds(
+      readWhole<std::int64_t>(Record.at("target_ms"), "target_ms"));
   return Queue;
 }
 
@@ -81,12 +85,12 @@
 }
 
 wall_instant toWallInstant(const json &Value) {
-  return wall_instant(milliseconds(Value.get<std::int64_t>()));
+  return wall_instant(milliseconds(readWhole<std::int64_t>(Value, "moment")));
 }
 
 json readVersioned(std::string_view Text) {
   json Record = json::parse(Text);
-  if (Record.at("version").get<int>() != RecordVersion)
+  if (readWhole<int>(Record.at("version"), "version") != RecordVersion)
     throw std::out_of_range(
         "the record has version " + Record.at("version").dump() +
         ", this program reads version " + std::to_string(RecordVersion));
@@ -116,9 +120,12 @@
 }
 
 unit_progress readUnit(const json &Record) {
-  unit_progress Unit{Record.at(0).get<int>() != 0,    Record.at(1).get<int>(),
-                     Record.at(2).get<int>(),         Record.at(3).get<int>(),
-                     Record.at(4).get<std::string>(), {}};
+  unit_progress Unit{readWhole<int>(Record.at(0), "unit") != 0,
+                     readWhole<int>(Record.at(1), "unit"),
+                     readWhole<int>(Record.at(2), "unit"),
+                     readWhole<int>(Record.at(3), "unit"),
+                     Record.at(4).get<std::string>(),
+                     {}};
   for (const json &Id : Record.at(5))
     Unit.Placed.emplace_back(Id.get<std::string>());
   return Unit;
@@ -197,9 +204,10 @@
     Job.Payload = Record.at("payload").get<std::string>();
     for (const json &Step : Record.at("steps"))
       Job.Steps.push_back(readStep(Step));
-    Job.Schedule = {Record.at("repetitions").get<int>(),
+    Job.Schedule = {readWhole<int>(Record.at("repetitions"), "repetitions"),
                     toWallInstant(Record.at("start_ms")),
-                    milliseconds(Record.at("interval_ms").get<std::int64_t>())};
+                    milliseconds(readWhole<std::int64_t>(
+                        Record.at("interval_ms"), "interval_ms"))};
     Job.Submitted = toWallInstant(Record.at("submitted_ms"));
     if (std::string Reason = explainInvalid(Job); !Reason.empty())
       throw std::out_of_range(Reason);
@@ -228,7 +236,7 @@
     Progress.Phase = readPhase(Record);
     Progress.Ended = toWallInstant(Record.at("ended_ms"));
     for (const json &Occurrence : Record.at("occurrences"))
-      Progress.Occurrences[Occurrence.at("number").get<int>()] =
+      Progress.Occurrences[readWhole<int>(Occurrence.at("number"), "number")] =
           readOccurrence(Occurrence, Job);
     return Progress;
   });
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -81,6 +81,10 @@
        {R"({"spec":"x","steps":[]})", R"({"spec":"x","steps":[{"count":0}]})",
         R"({"spec":"x","steps":[{"count":1,"after":[0]}]})",
         R"({"spec":"x","steps":[{"count":1,"cpu":-1}]})",
+        R"({"spec":"x","steps":[{"count":1e300}]})",
+        R"({"spec":"x","steps":[{"count":1,"gpu":0.5}]})",
+        R"({"spec":"x","steps":[{"count":1}],"repetitions":4294967297})",
+        R"({"spec":"x","steps":[{"count":1,"estimate_ms":1e50}]})",
         R"({"spec":7,"steps":[{"count":1}]})", R"({"steps":[{"count":1}]})",
         "[]", ""}) {
     CAPTURE(Text);
