Ask a quiet store before writing to it, and wait as long as it takes now

Once the write has left, nobody can say that it won't run.

Change: a submission first asks the store, unless it has answered within 50 ms (a stale read, a tenth of a call); without an answer nothing was written, so the refusal is true and comes at once. Timeouts of calls follow the answer times (smoothed time and deviation, doubled after a timeout), so that a write whose answer was lost is offered again after 0.4 s instead of 1.5 s. The margin before a short deadline is a quarter of it, and a request without time for the way is refused instead of forwarded.

Tests: answer times; a submission to a store that fell silent.

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -17,11 +17,14 @@
 using namespace galenastage::batch;
 
 constexpr milliseconds DefaultAnswerTime{3'000}; // when the client says nothing
-constexpr milliseconds AnswerMargin{150}; // the answer's own way to the client
+// The answer's own way to the client: this, or a quarter of a shorter time.
+constexpr milliseconds AnswerMargin{150};
+constexpr int AnswerMarginShare = 4;
 constexpr milliseconds WriteRetryDelay{60}; // the store refused: over its rate
 constexpr int WriteRetries = 3;             // then the client comes back later
 constexpr milliseconds QueueLengthAge{400}; // of a cached reading
 constexpr milliseconds ForwardTimeout{1'200}; // a leader answers in 10 ms
+constexpr milliseconds MinForwardTime{50};    // less would end as unknown
 constexpr int RetryAfterSeconds = 1; // the store's rates are counted by second
 
 /// Whether the job belongs to another organisation than the client's. Public
@@ -96,11 +99,17 @@
       platform::readClientDeadline(Request).value_or(DefaultAnswerTime);
   if (Admitted.Queue->Timeout.count() > 0)
     Time = std::min(Time, Admitted.Queue->Timeout);
-  Admitted.AnswerBy = Arrived + Time - AnswerMargin;
+  Admitted.AnswerBy =
+      Arrived + Time - std::min(AnswerMargin, Time / AnswerMarginShare);
 
-  if (!Store.isReachable()) {
+  bool IsStoreUsable = Store.isReachable();
+  if (IsStoreUsable && Request.Method == "POST")
+    IsStoreUsable = co_await Store.isAnswering();
+  if (!IsStoreUsable) {
+    const bool MayForward =
+        !IsForwarded && Admitted.AnswerBy - readClock() >= MinForwardTime;
     const std::optional<endpoint> Leader =
-        IsForwarded ? std::nullopt : FindLeader();
+        MayForward ? FindLeader() : std::nullopt;
     if (Leader)
       co_return co_await forward(std::move(Request), *Leader,
                                  Admitted.AnswerBy);
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -4,6 +4,7 @@
 #include "apps/instance/front.hpp"
 #include "apps/instance/keys.hpp"
 #include "apps/instance/leadership.hpp"
+#include "apps/runtime/process.hpp"
 #include "standin/metadata_service.hpp"
 #include "tests/support/run_task.hpp"
 
@@ -220,3 +221,52 @@
   CHECK(Tokens[1] > Tokens[0]);
   CHECK(Second.fence().Revision == static_cast<std::int64_t>(Tokens[1]));
 }
+
+TEST_CASE_METHOD(instance_fixture,
+                 "leadership: a restarted leader takes over from its earlier "
+                 "life without waiting for that lease") {
+  std::vector<std::uint64_t> Tokens;
+  const auto Post = [&](decltype(event::What) What) {
+    if (const auto *Gained = std::get_if<leadership_gained>(&What))
+      Tokens.push_back(Gained->Token);
+  };
+  constexpr milliseconds LongLease{60'000};
+  leadership Killed(Context, Store, "one", {"127.0.0.1", 7}, LongLease,
+                    milliseconds(0), Post);
+  asio::co_spawn(Context, Killed.run(), asio::detached);
+  runUntil([&] { return Killed.isLeading(); });
+  // Another instance, and one of the same name at another address, wait.
+  leadership Other(Context, Store, "on", {"127.0.0.1", 8}, LongLease,
+                   milliseconds(0), Post);
+  asio::co_spawn(Context, Other.run(), asio::detached);
+  leadership Moved(Context, Store, "one", {"127.0.0.1", 9}, LongLease,
+                   milliseconds(0), Post);
+  asio::co_spawn(Context, Moved.run(), asio::detached);
+  runUntil([&] { return Other.knownLeader() && Moved.knownLeader(); });
+  leadership Restarted(Context, Store, "one", {"127.0.0.1", 7}, LongLease,
+                       milliseconds(0), Post);
+  asio::co_spawn(Context, Restarted.run(), asio::detached);
+  runUntil([&] { return Restarted.isLeading(); });
+  REQUIRE(Tokens.size() == 2);
+  CHECK(Tokens[1] > Tokens[0]);
+  CHECK_FALSE(Other.isLeading());
+  CHECK_FALSE(Moved.isLeading());
+}
+
+TEST_CASE_METHOD(instance_fixture,
+                 "front: a store that has fallen silent is a refusal at once, "
+                 "since nothing was sent to it") {
+  startFeed();
+  CHECK(call("POST", "/open/" + Id, Job).Status == 200);
+  Service.Faults.IsSilent = true;
+  // What the store has answered a moment ago doesn't count for long.
+  const instant Silent = readClock();
+  runUntil([&] { return readClock() - Silent > milliseconds(60); });
+  const std::string Next = "00000000000000a2";
+  const http_response Refused = call("POST", "/open/" + Next, Job);
+  CHECK(Refused.Status == 503);
+  CHECK(Refused.Headers.find("Galenastage-Verdict") == "not-run");
+  CHECK_FALSE(Refused.Headers.find("Retry-After").empty());
+  Service.Faults.IsSilent = false;
+  CHECK(Service.value(keys::specOf(job_id(Next))).empty());
+}
--- /dev/null
+++ b/tests/unit/recovery_answer_time_test.cpp
@@ -0,0 +1,41 @@
+#include "core/recovery/answer_time.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+
+namespace {
+constexpr milliseconds Min{400};
+constexpr milliseconds Max{1'500};
+} // namespace
+
+TEST_CASE("answer time: patient before the first answer, then as it takes") {
+  answer_time Time(Min, Max);
+  CHECK(Time.timeout() == Max);
+  Time.noteAnswer(milliseconds(4));
+  CHECK(Time.timeout() == Min);
+}
+
+TEST_CASE("answer time: a store that turned slow is waited for") {
+  answer_time Time(Min, Max);
+  for (int I = 0; I < 50; ++I)
+    Time.noteAnswer(milliseconds(4));
+  for (int I = 0; I < 20; ++I)
+    Time.noteAnswer(milliseconds(500));
+  CHECK(Time.timeout() > milliseconds(500));
+  for (int I = 0; I < 100; ++I)
+    Time.noteAnswer(milliseconds(4));
+  CHECK(Time.timeout() == Min);
+}
+
+TEST_CASE("answer time: each timeout doubles the patience until an answer") {
+  answer_time Time(Min, Max);
+  Time.noteAnswer(milliseconds(4));
+  Time.noteTimeout();
+  CHECK(Time.timeout() == 2 * Min);
+  for (int I = 0; I < 100; ++I)
+    Time.noteTimeout();
+  CHECK(Time.timeout() == Max);
+  Time.noteAnswer(milliseconds(4));
+  CHECK(Time.timeout() == Min);
+}
