Give nothing new to an executor on which no run advances

Cause: where tasks stand still the executor still answers and its tasks hold room, so it kept getting work; nothing looked at the progress it reports.

Change: core/job/batch/pace tells a run that stands still from a slow one, by the share of its work over at least two reports. Executors with urgent runs answer a hold after 0.7 s.

--- /dev/null
+++ b/core/job/batch/pace.cpp
@@ -0,0 +1,26 @@
+#include "core/job/batch/pace.hpp"
+
+#include <algorithm>
+
+namespace galenastage::batch {
+
+bool notePercent(run_pace &Pace, int Percent, instant Now) {
+  const bool IsFirst = Pace.AdvancedAt == instant{};
+  const bool HasAdvanced = IsFirst || Percent > Pace.Percent;
+  Pace.Percent = Percent;
+  Pace.SeenAt = Now;
+  if (HasAdvanced)
+    Pace.AdvancedAt = Now;
+  return HasAdvanced;
+}
+
+bool isStandingStill(const run_pace &Pace, const pace_settings &Settings) {
+  return Pace.SeenAt - Pace.AdvancedAt >= Settings.StallAfter;
+}
+
+bool isWorthMoving(const run_pace &Pace, const pace_settings &Settings,
+                   milliseconds Unsaved) {
+  return Pace.SeenAt - Pace.AdvancedAt >= std::max(Settings.MoveAfter, Unsaved);
+}
+
+} // namespace galenastage::batch
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -213,6 +213,7 @@
                         Now >= Executor.LeaseUntil;
     if (IsOver)
       dropAllRuns(Executor, "its leases are over", false);
+    moveStalled(Executor);
     hold(Executor);
   }
   for (auto &[Id, Job] : State.Jobs)
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -20,6 +20,7 @@
 // [4] State
 // [5] The reducer
 
+#include "core/job/batch/pace.hpp"
 #include "core/job/batch/progress.hpp"
 #include "core/job/policy/quarantine.hpp"
 #include "core/log_event.hpp"
@@ -37,6 +38,7 @@
   milliseconds MaxLease{10'000};      // an executor shortens longer ones
   milliseconds Lease{6'000};          // of runs; covers a take-over
   milliseconds HoldWait{2'000};       // the most that an executor waits
+  milliseconds UrgentHoldWait{700};   // where work of priority 0 runs
   milliseconds HoldRetry{300};        // after a hold without an answer
   milliseconds UnsavedHold{500};      // between holds while ends aren't stored
   milliseconds ConfirmInterval{100};  // between holds that settle a doubt
@@ -51,6 +53,7 @@
   int MaxJobsPerSave = 15; // records in one transaction of 32 entries
   quarantine_settings Quarantine{3, 10, milliseconds(6'000),
                                  milliseconds(60'000)};
+  pace_settings Pace;
 
   friend bool operator==(const scheduler_settings &,
                          const scheduler_settings &) = default;
@@ -225,8 +228,11 @@
   bool IsInSave = false;       // the store is being told of its place
   bool IsInherited = false;    // an earlier leader may have started it
   bool IsListed = false;       // the executor has listed it
+  bool IsUrgent = false;       // of priority 0
+  bool IsOfGang = false;       //
+  bool IsLongRunning = false;  // its progress isn't a share of its work
   std::string Checkpoint;      // last one saved
-  int Percent = 0;             //
+  run_pace Pace;               // as listed
 };
 
 struct executor_state {
@@ -245,6 +251,8 @@
   bool IsUnanswered = false;      // the last hold had no answer
   std::int64_t HoldLastSeen = 0;  // of the hold on its way
   instant NextHold{};             //
+  bool IsStalled = false;         // nothing that runs there advances
+  instant StalledSeen{};          // when that was last seen
   resources Used;                 // by Runs
   resources Reserved;             // by plans
   std::map<run_name, run_state> Runs;
@@ -267,7 +275,8 @@
   int LiveRuns = 0;              // runs that aren't gone
   instant Ready{};               // since when it could start
   instant NotBefore{};           // after a failure
-  std::set<executor_id> Avoided; // where it failed
+  std::set<executor_id> Avoided; // where it failed or stood still
+  int Moves = 0;                 // to another executor, having stood still
 };
 
 struct job_state {
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -90,6 +90,11 @@
   [[nodiscard]] std::int64_t leaseEnd(executor_state &Executor);
   unit_progress *findProgress(const unit_name &Unit);
 
+  // Progress of runs (scheduler_pace.cpp)
+  void judgePace(executor_state &Executor);
+  void noteStalled(executor_state &Executor, bool IsStalled);
+  void moveStalled(executor_state &Executor);
+
   // Placement (scheduler_placement.cpp)
   void placeWaiting();
   void advancePlans();
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -160,7 +160,7 @@
 
 bool event_run::isEligible(const executor_state &Executor, const job_state &Job,
                            const step_spec &Step) const {
-  if (!isUsable(Executor, Job.Queue.Service))
+  if (!isUsable(Executor, Job.Queue.Service) || Executor.IsStalled)
     return false;
   if (!Step.Requirement.empty() && !Executor.Report.hasLabel(Step.Requirement))
     return false;
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -65,8 +65,11 @@
       std::ranges::any_of(Executor.Runs, [](const auto &Item) {
         return needsConfirmation(Item.second);
       });
+  const bool HasUrgent = std::ranges::any_of(
+      Executor.Runs, [](const auto &Item) { return Item.second.IsUrgent; });
   if (HasRuns && Executor.IsSettled && !IsUnsaved && !IsInDoubt)
-    Hold.Wait = State.Settings.HoldWait;
+    Hold.Wait =
+        HasUrgent ? State.Settings.UrgentHoldWait : State.Settings.HoldWait;
   // An executor that doesn't answer may have taken the lease all the same; its
   // runs are over sooner when it isn't offered another.
   if (Executor.IsSettled && !Executor.IsUnanswered)
@@ -106,6 +109,7 @@
   for (const active_run &Active : Event.Active)
     adopt(Executor, Active);
   noteUnlisted(Executor, Event);
+  judgePace(Executor);
 
   if (State.SavesFinished >= Executor.SaveNeeded)
     Executor.LastSeenSaved = Executor.LastSeenHeard;
@@ -148,7 +152,11 @@
                        const run_name &Run, run_phase Phase) {
   run_state Added;
   Added.Phase = Phase;
-  Added.Needs = heldBy(Job.Spec.Steps[Run.Task.Step]);
+  const step_spec &Step = Job.Spec.Steps[Run.Task.Step];
+  Added.Needs = heldBy(Step);
+  Added.IsUrgent = Job.Queue.Priority == 0;
+  Added.IsOfGang = Step.IsGang;
+  Added.IsLongRunning = Step.IsLongRunning;
   Added.Ordered = Now;
   Executor.Used += Added.Needs;
   Executor.Runs[Run] = std::move(Added);
@@ -279,7 +287,7 @@
   run_state &Run = Known->second;
   Run.IsListed = true;
   Run.Checkpoint = Active.Checkpoint;
-  Run.Percent = Active.Percent;
+  notePercent(Run.Pace, Active.Percent, Now);
   if (Run.Phase == run_phase::Starting || Run.Phase == run_phase::Doubtful)
     Run.Phase = run_phase::Active;
   const unit_progress *Progress =
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -199,6 +199,20 @@
     "Several different jobs in a row failed on an executor; it gets no work "
     "but a probe now and then.",
     "Look at the executor. It returns by itself once a probe ends well."};
+const log_event ExecutorStalled{
+    3306, Warning, "executor-stalled",
+    "No run on an executor advances; nothing new is started there, and what "
+    "stands still moves once waiting costs more than starting again.",
+    "Look at the executor. It takes work again once a run advances there."};
+const log_event ExecutorAdvances{
+    3307, Info, "executor-advances",
+    "Runs on a stalled executor advance again, or it had none for a while; it "
+    "takes work again.",
+    "None."};
+const log_event UnitMoved{
+    3308, Info, "unit-moved",
+    "A task, or a gang, stood still on an executor and starts again elsewhere.",
+    "If one job moves again and again, its tasks stand still by themselves."};
 
 const log_event RequestAnswered{
     4001, Info, "request-answered",
@@ -294,6 +308,9 @@
     &events::ExecutorUnlisted,
     &events::ExecutorDraining,
     &events::ExecutorQuarantined,
+    &events::ExecutorStalled,
+    &events::ExecutorAdvances,
+    &events::UnitMoved,
     &events::SubmissionRefused,
     &events::SubmissionUnsettled,
     &events::RequestForwarded,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -111,6 +111,9 @@
 extern const log_event ExecutorUnlisted;
 extern const log_event ExecutorDraining;
 extern const log_event ExecutorQuarantined;
+extern const log_event ExecutorStalled;
+extern const log_event ExecutorAdvances;
+extern const log_event UnitMoved;
 // 4000: requests
 extern const log_event RequestAnswered;
 extern const log_event SubmissionRefused;
--- a/tests/unit/batch_scheduler_test.cpp
+++ b/tests/unit/batch_scheduler_test.cpp
@@ -348,3 +348,61 @@
   CHECK(Starts[0].Run.Task.Index == 1);
   CHECK(Starts[0].Run.Attempt == 2);
 }
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: an executor on which nothing advances gets nothing "
+                 "new until something does") {
+  settle({"x", "y"});
+  const auto Starts = run(job("a", 1, 2, 1)); // packed on one executor
+  REQUIRE(Starts[0].To.Id == Starts[1].To.Id);
+  const std::string Still = Starts[0].To.Id.Value;
+  const auto Report = [&](int First, int Second) {
+    answer(Still, {{Starts[0].Run, "", First}, {Starts[1].Run, "", Second}});
+  };
+  Report(10, 10);
+  pass(milliseconds(1'200));
+  Report(10, 30); // one advances: the executor is sound
+  CHECK(run(job("b", 1, 1, 1)).at(0).To.Id.Value == Still);
+  pass(milliseconds(1'200));
+  Report(10, 30);
+  CHECK(run(job("c", 1, 1, 1)).at(0).To.Id.Value != Still);
+  CHECK(all<stop_run>().empty());
+  Report(11, 30);
+  CHECK_FALSE(State.Executors.at(executor_id(Still)).IsStalled);
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: what stands still for long starts again elsewhere, a "
+                 "few times at most") {
+  settle({"x", "y"});
+  auto Starts = run(job("a", 1, 1, 1));
+  const int MaxMoves = State.Settings.Pace.MaxMoves;
+  for (int Move = 0; Move <= MaxMoves; ++Move) {
+    REQUIRE(Starts.size() == 1);
+    const std::string Id = Starts[0].To.Id.Value;
+    answer(Id, {{Starts[0].Run, "", 10}});
+    pass(State.Settings.Pace.MoveAfter);
+    answer(Id, {{Starts[0].Run, "", 10}});
+    pass(milliseconds(100));
+    if (Move == MaxMoves) {
+      CHECK(all<stop_run>().empty()); // the job's own fault
+      return;
+    }
+    REQUIRE(all<stop_run>().size() == 1);
+    Now += milliseconds(20);
+    post(stop_answered{Starts[0].To.Id, Starts[0].Run, true});
+    answer(Id, {}, {end(Starts[0].Run, run_end::Stopped)});
+    const std::string Other = Id == "x" ? "y" : "x";
+    post(progress_saved{true}); // of the end
+    if (all<start_run>().empty())
+      post(progress_saved{true});
+    Starts = all<start_run>();
+    REQUIRE(Starts.size() == 1);
+    if (Move == 0)
+      CHECK(Starts[0].To.Id.Value == Other);
+    post(start_answered{Starts[0].To.Id, Starts[0].Run, order_outcome::Accepted,
+                        ""});
+    Ends = 0;
+    State.Executors.at(executor_id(Other)).LastSeenHeard = 0;
+  }
+}
