Start a broken gang again without waiting for the lease of its lost member

Cause: when an executor is lost its gang breaks at once, but the unit waited until every lease there was over (6.4 s), though a member ends as broken only because another one has ended. And an end of an earlier attempt, listed late, stopped the attempt that runs now.

Change: the first end of an attempt is remembered; when it was broken before any stop and the others explain nothing, the one member left on an executor that can't be asked has ended. Not where its start was never answered. Ends stop only runs of their own attempt and earlier ones.

--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -228,6 +228,7 @@
   bool IsInSave = false;       // the store is being told of its place
   bool IsInherited = false;    // an earlier leader may have started it
   bool IsListed = false;       // the executor has listed it
+  bool IsAccepted = false;     // the executor has answered the start
   bool IsUrgent = false;       // of priority 0
   bool IsOfGang = false;       //
   bool IsLongRunning = false;  // its progress isn't a share of its work
@@ -270,6 +271,16 @@
   friend bool operator==(const unit_name &, const unit_name &) = default;
 };
 
+/// Whether the end that broke a gang is known. A member ends as broken because
+/// another one ended; when all but one have been heard of, and none of those
+/// explains it, the last one has ended as well.
+struct gang_break {
+  int Attempt = 0;            // 0: no end of a member was heard
+  bool IsUnexplained = false; // broke before a stop, and nobody said why
+
+  friend bool operator==(const gang_break &, const gang_break &) = default;
+};
+
 /// What the leader knows of a unit beside its progress.
 struct unit_state {
   int LiveRuns = 0;              // runs that aren't gone
@@ -277,6 +288,7 @@
   instant NotBefore{};           // after a failure
   std::set<executor_id> Avoided; // where it failed or stood still
   int Moves = 0;                 // to another executor, having stood still
+  gang_break Break;              //
 };
 
 struct job_state {
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -71,6 +71,9 @@
   void startRecorded(job_state &Job);
   void applyEnd(executor_state &Executor, const run_name &Run, run_end End,
                 const std::string &Checkpoint);
+  void noteGangEnd(job_state &Job, const run_name &Run, run_end End);
+  /// Ends the last member of a broken gang, if its executor can't be asked.
+  void settleBrokenGang(job_state &Job, const unit_name &Unit);
   void applyFailure(executor_state &Executor, job_state &Job,
                     const run_name &Run, unit_progress &Progress);
   void adopt(executor_state &Executor, const active_run &Active);
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -144,6 +144,11 @@
           Event.Failure == hold_failure::Fenced ? "fenced" : "no answer"},
          {"runs", std::to_string(Executor.Runs.size())}});
   Executor.IsUnanswered = true;
+  const std::map<run_name, run_state> Runs = Executor.Runs;
+  for (const auto &[Name, Run] : Runs)
+    if (const auto Job = State.Jobs.find(Name.Task.Job);
+        Job != State.Jobs.end() && Run.IsOfGang)
+      settleBrokenGang(Job->second, unitNameOf(Job->second, Name.Task));
 }
 
 // Runs
@@ -181,8 +186,10 @@
 
 void event_run::applyEnd(executor_state &Executor, const run_name &Run,
                          run_end End, const std::string &Checkpoint) {
-  dropRun(Executor, Run);
   const auto Found = State.Jobs.find(Run.Task.Job);
+  if (Found != State.Jobs.end())
+    noteGangEnd(Found->second, Run, End);
+  dropRun(Executor, Run);
   if (Found == State.Jobs.end() || isFinal(Found->second.Progress.Phase))
     return;
   job_state &Job = Found->second;
@@ -219,8 +226,52 @@
   }
   if (End == run_end::Failed)
     applyFailure(Executor, Job, Run, *Progress);
-  if (!isFinal(Job.Progress.Phase) && Job.Spec.Steps[Unit.Step].IsGang)
-    stopUnit(Job, Unit);
+  if (isFinal(Job.Progress.Phase) || !Job.Spec.Steps[Unit.Step].IsGang)
+    return;
+  stopUnit(Job, Unit, Run.Attempt + 1); // a later attempt isn't concerned
+  settleBrokenGang(Job, Unit);
+}
+
+void event_run::noteGangEnd(job_state &Job, const run_name &Run, run_end End) {
+  const bool IsOfGang =
+      Run.Task.Step < static_cast<int>(Job.Spec.Steps.size()) &&
+      Job.Spec.Steps[Run.Task.Step].IsGang;
+  if (!IsOfGang)
+    return;
+  const unit_name Unit = unitNameOf(Job, Run.Task);
+  gang_break &Break = unitState(Job, Unit).Break;
+  if (Break.Attempt == Run.Attempt) {
+    const bool IsConsequence =
+        End == run_end::Broken || End == run_end::Stopped;
+    Break.IsUnexplained = Break.IsUnexplained && IsConsequence;
+    return;
+  }
+  const bool IsStopping = std::ranges::any_of(Job.Runs, [&](const auto &Item) {
+    const auto &Runs = State.Executors.at(Item.second).Runs;
+    const auto Found = Runs.find(Item.first);
+    return unitNameOf(Job, Item.first.Task) == Unit && Found != Runs.end() &&
+           Found->second.Phase == run_phase::Stopping;
+  });
+  Break = {Run.Attempt, End == run_end::Broken && !IsStopping};
+}
+
+void event_run::settleBrokenGang(job_state &Job, const unit_name &Unit) {
+  const gang_break Break = unitState(Job, Unit).Break;
+  if (!Break.IsUnexplained)
+    return;
+  std::vector<std::pair<run_name, executor_id>> Left;
+  for (const auto &[Run, Id] : Job.Runs)
+    if (unitNameOf(Job, Run.Task) == Unit)
+      Left.emplace_back(Run, Id);
+  if (Left.size() != 1 || Left.front().first.Attempt != Break.Attempt)
+    return;
+  executor_state &Executor = State.Executors.at(Left.front().second);
+  const run_state &Last = Executor.Runs.at(Left.front().first);
+  const bool CanAsk = Executor.IsListed && !Executor.IsUnanswered;
+  // A start without an answer may still be carried out.
+  const bool WasThere = Last.IsListed || Last.IsAccepted;
+  if (!CanAsk && WasThere)
+    applyEnd(Executor, Left.front().first, run_end::Vanished, {});
 }
 
 void event_run::applyFailure(executor_state &Executor, job_state &Job,
@@ -435,6 +486,7 @@
   const auto Job = State.Jobs.find(Event.Run.Task.Job);
   if (Event.Outcome == order_outcome::Accepted) {
     Run->second.Confirmed = Now;
+    Run->second.IsAccepted = true;
     if (Run->second.Phase == run_phase::Starting)
       Run->second.Phase = run_phase::Active;
     return;
--- a/tests/unit/batch_scheduler_test.cpp
+++ b/tests/unit/batch_scheduler_test.cpp
@@ -406,3 +406,83 @@
     State.Executors.at(executor_id(Other)).LastSeenHeard = 0;
   }
 }
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: a gang that broke for no other reason has lost the "
+                 "member that can't be asked, and starts again at once") {
+  settle({"x", "y", "z"});
+  job_spec Gang = job("gang", 1, 2, 8);
+  Gang.Steps[0].IsGang = true;
+  const auto Starts = run(Gang);
+  REQUIRE(Starts.size() == 2);
+  const auto Lose = [&](const start_run &Start) {
+    post(hold_failed{Start.To.Id, 1, hold_failure::NoAnswer});
+  };
+  const auto Restarts = [&] { return !all<save_progress>().empty(); };
+  SECTION("broken, and then the other falls silent") {
+    answer(Starts[0].To.Id.Value, {}, {end(Starts[0].Run, run_end::Broken)});
+    post(progress_saved{true});
+    Lose(Starts[1]);
+    Now += milliseconds(20);
+    post(time_passed{});
+    CHECK(State.Executors.at(Starts[1].To.Id).Runs.empty());
+  }
+  SECTION("the other is silent, and then broken") {
+    Lose(Starts[1]);
+    answer(Starts[0].To.Id.Value, {}, {end(Starts[0].Run, run_end::Broken)});
+    CHECK(State.Executors.at(Starts[1].To.Id).Runs.empty());
+    CHECK(Restarts());
+  }
+  SECTION("a failure explains it: the other may run on") {
+    answer(Starts[0].To.Id.Value, {}, {end(Starts[0].Run, run_end::Failed)});
+    Lose(Starts[1]);
+    CHECK_FALSE(State.Executors.at(Starts[1].To.Id).Runs.empty());
+  }
+  SECTION("its lease was over: the other may run on") {
+    Lose(Starts[1]);
+    answer(Starts[0].To.Id.Value, {}, {end(Starts[0].Run, run_end::Lapsed)});
+    CHECK_FALSE(State.Executors.at(Starts[1].To.Id).Runs.empty());
+  }
+}
+
+TEST_CASE_METHOD(
+    scheduler_fixture,
+    "batch: a gang's member that was started without an answer may "
+    "still come, whatever broke the others") {
+  settle({"x", "y", "z"});
+  job_spec Gang = job("gang", 1, 2, 8);
+  Gang.Steps[0].IsGang = true;
+  submit(Gang);
+  const auto Starts = save();
+  REQUIRE(Starts.size() == 2);
+  post(start_answered{Starts[0].To.Id, Starts[0].Run, order_outcome::Accepted,
+                      ""});
+  post(start_answered{Starts[1].To.Id, Starts[1].Run, order_outcome::Unknown,
+                      ""});
+  post(hold_failed{Starts[1].To.Id, 1, hold_failure::NoAnswer});
+  answer(Starts[0].To.Id.Value, {}, {end(Starts[0].Run, run_end::Broken)});
+  CHECK_FALSE(State.Executors.at(Starts[1].To.Id).Runs.empty());
+}
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: an end of an earlier attempt leaves the gang alone "
+                 "that runs now") {
+  settle({"x", "y", "z"});
+  job_spec Gang = job("gang", 1, 2, 8);
+  Gang.Steps[0].IsGang = true;
+  const auto First = run(Gang);
+  REQUIRE(First.size() == 2);
+  // One executor is lost; its lease passes, and the gang starts again.
+  post(hold_failed{First[1].To.Id, 1, hold_failure::NoAnswer});
+  answer(First[0].To.Id.Value, {}, {end(First[0].Run, run_end::Lapsed)});
+  post(progress_saved{true});
+  pass(milliseconds(7'000));
+  const auto Second = save();
+  REQUIRE(Second.size() == 2);
+  for (const start_run &Start : Second)
+    post(start_answered{Start.To.Id, Start.Run, order_outcome::Accepted, ""});
+  // The lost one is back and lists what became of the first attempt.
+  Ends = 0;
+  answer(First[1].To.Id.Value, {}, {end(First[1].Run, run_end::Lapsed)});
+  CHECK(all<stop_run>().empty());
+}
