Gather single tasks in the rack with the least room

Change: a single task goes to the rack with the least room left, there to the executor with the least.

--- a/core/job/batch/placement.cpp
+++ b/core/job/batch/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace galenastage::batch {
 namespace {
@@ -206,22 +207,20 @@
 
 const room *findTightest(const placement_ask &Ask,
                          const std::vector<room> &Rooms) {
+  std::map<rack_id, double> FreeInRack;
+  for (const room &Room : Rooms)
+    FreeInRack[Room.Rack] += weigh(Room.Free);
+  const auto Rank = [&](const room &Room) {
+    const bool IsElsewhere =
+        Ask.PreferredRack.isEmpty() || Room.Rack != Ask.PreferredRack;
+    return std::tuple(IsElsewhere, FreeInRack[Room.Rack], weigh(Room.Free));
+  };
   const room *Best = nullptr;
-  bool IsBestPreferred = false;
-  double BestFree = 0;
   for (const room &Room : Rooms) {
     if (countFits(Room.Free, Ask.Needs, Room.MoreAllowed) == 0)
       continue;
-    const bool IsPreferred =
-        !Ask.PreferredRack.isEmpty() && Room.Rack == Ask.PreferredRack;
-    const double Free = weigh(Room.Free);
-    const bool IsBetter = !Best || IsPreferred > IsBestPreferred ||
-                          (IsPreferred == IsBestPreferred && Free < BestFree);
-    if (!IsBetter)
-      continue;
-    Best = &Room;
-    IsBestPreferred = IsPreferred;
-    BestFree = Free;
+    if (!Best || Rank(Room) < Rank(*Best))
+      Best = &Room;
   }
   return Best;
 }
--- a/core/job/batch/placement.hpp
+++ b/core/job/batch/placement.hpp
@@ -44,8 +44,9 @@
 std::optional<placement_choice> placeInFreeRoom(const placement_ask &Ask,
                                                 const std::vector<room> &Rooms);
 
-/// Finds the executor with the least room left that one task fits into; null
-/// when there is none.
+/// Finds the executor for one task, null when there is none: in the rack with
+/// the least room left, there the executor with the least. Small work gathers
+/// in few racks, so that others stay free for gangs that need one rack.
 const room *findTightest(const placement_ask &Ask,
                          const std::vector<room> &Rooms);
 
--- a/tests/unit/batch_placement_test.cpp
+++ b/tests/unit/batch_placement_test.cpp
@@ -98,3 +98,12 @@
   Rooms[0].Stoppable = {{1, {1'000, 1'000, 4}, 1}};
   CHECK_FALSE(placeByStopping(makeAsk(8, 1), Rooms));
 }
+
+TEST_CASE("placement: small work gathers in the rack with the least room") {
+  const std::vector<room> Rooms = {
+      makeRoom("a1", "a", 2), makeRoom("a2", "a", 8), makeRoom("a3", "a", 8),
+      makeRoom("b1", "b", 3), makeRoom("b2", "b", 3)};
+  const room *Chosen = findTightest(makeAsk(1, 1), Rooms);
+  REQUIRE(Chosen);
+  CHECK(Chosen->Rack == rack_id("b")); // rack a stays for a wide gang
+}
