Let runs live for 8 s without a renewal of their lease

Cause: an outage of the store of 4 s and the take-over after it outlast leases of 6 s that were renewed up to 2 s before, and all that ran was lost.

Change: the lease is 8 s, or what the platform allows at most.

--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -36,7 +36,7 @@
 /// Figures of the deployment; the platform's settings give those that differ.
 struct scheduler_settings {
   milliseconds MaxLease{10'000};      // an executor shortens longer ones
-  milliseconds Lease{6'000};          // of runs; covers a take-over
+  milliseconds Lease{8'000};          // of runs; covers an outage of 5 s
   milliseconds HoldWait{2'000};       // the most that an executor waits
   milliseconds UrgentHoldWait{700};   // where work of priority 0 runs
   milliseconds HoldRetry{300};        // after a hold without an answer
--- a/tests/unit/batch_scheduler_test.cpp
+++ b/tests/unit/batch_scheduler_test.cpp
@@ -339,7 +339,7 @@
   answer("x", {{Running, "", 40}});
   CHECK(all<save_progress>().empty());
   CHECK(all<stop_run>().empty());
-  pass(milliseconds(5'000));
+  pass(State.Settings.Lease - milliseconds(1'000));
   CHECK(all<save_progress>().empty());
   pass(milliseconds(2'000));
   REQUIRE(all<save_progress>().size() == 1);
@@ -476,7 +476,7 @@
   post(hold_failed{First[1].To.Id, 1, hold_failure::NoAnswer});
   answer(First[0].To.Id.Value, {}, {end(First[0].Run, run_end::Lapsed)});
   post(progress_saved{true});
-  pass(milliseconds(7'000));
+  pass(State.Settings.Lease + milliseconds(1'000));
   const auto Second = save();
   REQUIRE(Second.size() == 2);
   for (const start_run &Start : Second)
