--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <cmath>
+
 namespace galenastage {
 namespace {
 
@@ -21,7 +23,7 @@
 constexpr milliseconds RetryDelay{200};     // after a call that failed
 // A standby learns of the key's end by its watch; this bounds how long a watch
 // that has gone silent hides it.
-constexpr milliseconds StandbyWait{4'000};
+constexpr milliseconds StandbyWait{2'000};
 constexpr milliseconds JobsWait{2'000};
 // Below the 2 s within which nothing more may start on a draining executor.
 constexpr milliseconds ListInterval{700};
@@ -33,6 +35,19 @@
 
 } // namespace
 
+milliseconds headStart(double Cores, double LinkMbps) {
+  constexpr double FullCores = 0.5;
+  constexpr double FullMbps = 100;
+  constexpr milliseconds PerHalvingOfCores{150};
+  constexpr milliseconds PerHalvingOfLink{300};
+  const auto Halvings = [](double Full, double Has) {
+    return Has <= 0 || Has >= Full ? 0.0 : std::log2(Full / Has);
+  };
+  return std::chrono::duration_cast<milliseconds>(
+      PerHalvingOfCores * Halvings(FullCores, Cores) +
+      PerHalvingOfLink * Halvings(FullMbps, LinkMbps));
+}
+
 leadership::leadership(asio::io_context &Context,
                        platform::metadata_store &Store, std::string Instance,
                        endpoint Forward, milliseconds LeaseLife,
--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -7,12 +7,17 @@
 
 namespace galenastage {
 
+/// How long an instance lets others campaign first, so that larger ones lead
+/// when they can. A leader reads every stored job at its take-over: 1 MB takes
+/// 1 s at 10 Mbit/s.
+milliseconds headStart(double Cores, double LinkMbps);
+
 /// Campaigns for the leadership of the deployment and feeds the leader's
 /// reducer: a key held with a lease in the store, whose revision is the fencing
-/// token, so it rises with each leader. An instance whose earlier life led takes
-/// the key over at once, without waiting for the lease of that life. While
-/// leading, it hands over the stored jobs, follows new ones and cancellations,
-/// and lists the executors.
+/// token, so it rises with each leader. An instance whose earlier life led
+/// takes the key over at once, without waiting for the lease of that life.
+/// While leading, it hands over the stored jobs, follows new ones and
+/// cancellations, and lists the executors.
 class leadership {
 public:
   using post_event = std::function<void(decltype(batch::event::What))>;
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -13,7 +13,6 @@
 #include <boost/asio/post.hpp>
 
 #include <atomic>
-#include <cmath>
 #include <future>
 
 using namespace galenastage;
@@ -43,7 +42,7 @@
              [this](const deployment_view &View) { noteView(View); }),
         Leadership(Context, Store, Settings.Name.Value, forwardEndpoint(),
                    std::max(LeaderLease, Settings.MinStoreLease),
-                   headStart(Settings.Cores), poster()),
+                   headStart(Settings.Cores, Settings.LinkMbps), poster()),
         Orders(Context, Store, Executors, Leadership, Metrics, poster()),
         Front(Context, Settings.Address, Store, Feed, Metrics,
               [this] { return Leadership.knownLeader(); }) {
@@ -105,17 +104,6 @@
             static_cast<std::uint16_t>(Settings.FirstInternalPort + 1)};
   }
 
-  /// Larger instances lead when they can: each halving below half a core lets
-  /// others campaign first for this long.
-  static milliseconds headStart(double Cores) {
-    constexpr double FullSize = 0.5;
-    constexpr milliseconds PerHalving{150};
-    if (Cores <= 0 || Cores >= FullSize)
-      return milliseconds(0);
-    return std::chrono::duration_cast<milliseconds>(
-        PerHalving * std::log2(FullSize / Cores));
-  }
-
   /// Events go to the control thread, effects come back to the I/O thread.
   leadership::post_event poster() {
     return [this](decltype(batch::event::What) What) {
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -270,3 +270,14 @@
   Service.Faults.IsSilent = false;
   CHECK(Service.value(keys::specOf(job_id(Next))).empty());
 }
+
+TEST_CASE(
+    "leadership: larger instances campaign first, by processor and link") {
+  CHECK(headStart(0.5, 200) == milliseconds(0));
+  CHECK(headStart(4, 1'000) == milliseconds(0));
+  CHECK(headStart(0.25, 1'000) > headStart(0.5, 1'000));
+  CHECK(headStart(0.25, 10) > headStart(0.12, 200) + milliseconds(500));
+  CHECK(headStart(0, 0) == milliseconds(0)); // not told
+  // Even the smallest takes over within the life of the runs' leases.
+  CHECK(headStart(0.12, 2) < milliseconds(3'000));
+}
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -13,7 +13,7 @@
   "node_name": "edge-1", "zone": "a", "ip": "10.1.0.19",
   "listen_addrs": {"frontend": "10.1.0.19:8521", "ready": "10.1.0.19:8523"},
   "internal_ports": [7000, 7015], "a_new_field": {"x": 1},
-  "limits": {"cpu_quota": 0.25, "cpu_cores": 2},
+  "limits": {"cpu_quota": 0.25, "cpu_cores": 2, "link_mbps": 20},
   "bounds": {"grace_s": 6, "hold_max_ms": 9000},
   "advisor": "10.200.1.9:8524", "heartbeat_ms": 1500,
   "platform": {"address": "10.200.1.7:8524", "ttl_min_ms": 900}})";
@@ -29,6 +29,7 @@
   CHECK(Parsed.Settings.MaxRunLease == milliseconds(9'000));
   CHECK(Parsed.Settings.StopGrace == milliseconds(6'000));
   CHECK(Parsed.Settings.Cores == Approx(0.5));
+  CHECK(Parsed.Settings.LinkMbps == Approx(20));
 }
 
 TEST_CASE("settings: each missing or mistyped field is named") {
