Take an executor out after two different jobs failed there in a row

Cause: executors that fail all they start end three jobs each before they are left alone, and these are mostly gangs, which lose all members' work.

Change: two different jobs without a success between, instead of three.

--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -51,7 +51,7 @@
   milliseconds PlacementInterval{15}; // lets changes of one moment share a pass
   int SpreadBelowPercent = 60;        // of accelerators in use: room to waste
   int MaxJobsPerSave = 15; // records in one transaction of 32 entries
-  quarantine_settings Quarantine{3, 10, milliseconds(6'000),
+  quarantine_settings Quarantine{2, 10, milliseconds(6'000),
                                  milliseconds(60'000)};
   pace_settings Pace;
 
