Name an unknown key or section of a settings file

Cause: for a section that no setting has, the message printed the parser's own marker, nonsense.++, and not the key.

Change: the file is read once more for the message, which names each unknown key, and each unknown section with its key.

Test: settings files with an unknown key, an unknown section, and a section that holds a known name.

--- a/apps/runtime/settings.cpp
+++ b/apps/runtime/settings.cpp
@@ -28,6 +28,36 @@
   });
 }
 
+/// Names each key and section of the file that no setting has, as in "unknown
+/// key bogus"; empty when all are known. CLI11 itself names a section by its
+/// own marker for where one begins.
+std::string explainUnknown(const std::string &Path,
+                           const std::vector<std::string> &Keys) {
+  std::string Explanation;
+  std::vector<std::string> Sections;
+  for (const CLI::ConfigItem &Item : CLI::ConfigINI().from_file(Path)) {
+    const bool IsMarker = Item.name == "++" || Item.name == "--";
+    const bool IsKnown = Item.parents.empty() &&
+                         std::ranges::find(Keys, Item.name) != Keys.end();
+    if (IsMarker || IsKnown)
+      continue;
+    const std::string Section =
+        Item.parents.empty() ? "" : Item.parents.front();
+    const bool IsNewSection =
+        !Section.empty() &&
+        std::ranges::find(Sections, Section) == Sections.end();
+    if (IsNewSection)
+      Sections.push_back(Section);
+    const std::string Separator = Explanation.empty() ? "" : ", ";
+    if (Section.empty())
+      Explanation += Separator + "unknown key " + Item.name;
+    else if (IsNewSection)
+      Explanation +=
+          Separator + "unknown section [" + Section + "] with key " + Item.name;
+  }
+  return Explanation;
+}
+
 constexpr const char *PageFlag = "--print-settings-page";
 
 /// One row of the page of settings.
@@ -151,7 +181,13 @@
     return State->App.exit(Request);
   } catch (const CLI::ParseError &Error) {
     const auto *File = State->App.get_config_ptr();
-    std::cerr << State->Program << ": settings: " << Error.what();
+    std::string Reason = Error.what();
+    if (dynamic_cast<const CLI::ConfigError *>(&Error) && File->count() > 0)
+      if (std::string Unknown =
+              explainUnknown(File->as<std::string>(), State->Keys);
+          !Unknown.empty())
+        Reason = std::move(Unknown);
+    std::cerr << State->Program << ": settings: " << Reason;
     if (File->count() > 0)
       std::cerr << " (file " << File->as<std::string>() << ")";
     std::cerr << "\n";
--- a/tests/contract/settings_test.cpp
+++ b/tests/contract/settings_test.cpp
@@ -73,7 +73,10 @@
     std::vector<const char *> Named;
   };
   const std::vector<bad_case> Cases = {
-      {"name = a\nbogus = 1\n", {"bogus"}},
+      {"name = a\nbogus = 1\n", {"unknown key bogus"}},
+      {"name = a\n[nonsense]\nodd = 1\n",
+       {"unknown section [nonsense]", "odd"}},
+      {"name = a\n[nonsense]\nname = b\n", {"[nonsense]", "name"}},
       {"name = a\nthreads = 300\n", {"threads", "1 to 64"}},
       {"name = a\nthreads = many\n", {"threads", "many"}},
       {"threads = 3\n", {"name"}},
