--- a/apps/runtime/settings.cpp
+++ b/apps/runtime/settings.cpp
@@ -34,26 +34,23 @@
 std::string explainUnknown(const std::string &Path,
                            const std::vector<std::string> &Keys) {
   std::string Explanation;
-  std::vector<std::string> Sections;
+  std::string LastSection;
+  const auto Add = [&](std::initializer_list<std::string_view> Words) {
+    Explanation += Explanation.empty() ? "" : ", ";
+    for (const std::string_view Word : Words)
+      Explanation += Word;
+  };
   for (const CLI::ConfigItem &Item : CLI::ConfigINI().from_file(Path)) {
     const bool IsMarker = Item.name == "++" || Item.name == "--";
-    const bool IsKnown = Item.parents.empty() &&
-                         std::ranges::find(Keys, Item.name) != Keys.end();
-    if (IsMarker || IsKnown)
+    if (IsMarker)
       continue;
-    const std::string Section =
-        Item.parents.empty() ? "" : Item.parents.front();
-    const bool IsNewSection =
-        !Section.empty() &&
-        std::ranges::find(Sections, Section) == Sections.end();
-    if (IsNewSection)
-      Sections.push_back(Section);
-    const std::string Separator = Explanation.empty() ? "" : ", ";
-    if (Section.empty())
-      Explanation += Separator + "unknown key " + Item.name;
-    else if (IsNewSection)
-      Explanation +=
-          Separator + "unknown section [" + Section + "] with key " + Item.name;
+    const bool IsInSection = !Item.parents.empty();
+    if (!IsInSection && std::ranges::find(Keys, Item.name) == Keys.end())
+      Add({"unknown key ", Item.name});
+    if (IsInSection && Item.parents.front() != LastSection) {
+      LastSection = Item.parents.front();
+      Add({"unknown section [", LastSection, "] with key ", Item.name});
+    }
   }
   return Explanation;
 }
