--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -60,6 +60,7 @@
   task<void> lead();
   task<bool> load();
   task<void> renew(std::uint64_t Term);
+  task<void> renewOnce(std::uint64_t Term);
   task<void> followJobs(std::uint64_t Term);
   task<void> listExecutors(std::uint64_t Term);
   task<bool> listExecutorsOnce();
--- a/core/recovery/answer_time.cpp
+++ b/core/recovery/answer_time.cpp
@@ -10,7 +10,8 @@
 constexpr double MeanGain = 1.0 / 8;
 constexpr double DeviationGain = 1.0 / 4;
 constexpr double Deviations = 4;
-constexpr int MaxBackoff = 64;
+constexpr int MaxBackoff =
+    2; // a call made during an outage outlives it by less
 
 } // namespace
 
--- a/core/recovery/answer_time.hpp
+++ b/core/recovery/answer_time.hpp
@@ -6,8 +6,8 @@
 
 /// How long to wait for a service's answer before another try is worth more
 /// than patience: the smoothed answer time plus four times its deviation, and
-/// twice as long after each timeout until an answer comes (the retransmission
-/// timer of TCP, RFC 6298).
+/// twice as long after a timeout until an answer comes (the retransmission
+/// timer of TCP, RFC 6298, but for its further doubling).
 class answer_time {
 public:
   /// Timeouts are never below Min nor above Max; Max applies until the first
