Give the last try of a task to an executor where nothing has failed since a success

A job that could be done must not fail for that.

Change: when one more failure would fail the job, executors on which a task has failed since one last ended well are avoided, as those are where the task itself failed; they are taken when nothing else is left.

Test: the last try passes over a fuller executor on which another job failed; it failed before.

--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -191,6 +191,12 @@
   const step_spec &Step = Job.Spec.Steps[Unit.Step];
   const std::set<executor_id> &Avoided =
       Job.Units.at(Unit.Occurrence)[Unit.Step][Unit.Unit].Avoided;
+  // Another failure would fail the job, also if the executor is at fault.
+  const int Failures = Job.Progress.Occurrences.at(Unit.Occurrence)
+                           .Steps[Unit.Step]
+                           .Units[Unit.Unit]
+                           .Failures;
+  const bool IsLastTry = Failures > 0 && Failures + 1 >= Job.Queue.MaxAttempts;
   std::vector<room> Rooms;
   std::vector<room> AvoidedRooms;
   for (const auto &[Id, Executor] : State.Executors) {
@@ -206,10 +212,11 @@
     if (Step.MaxPerExecutor > 0)
       Room.MoreAllowed =
           Step.MaxPerExecutor - (IsEmpty ? 0 : countRunsOfStep(Executor, Unit));
-    const bool IsAvoided = Avoided.contains(Id);
+    const bool IsSuspect = !Executor.Health.FailedJobs.empty();
+    const bool IsAvoided = Avoided.contains(Id) || (IsLastTry && IsSuspect);
     (IsAvoided ? AvoidedRooms : Rooms).push_back(std::move(Room));
   }
-  // Having failed everywhere, a task may go anywhere again.
+  // When nothing better is left, a task may go anywhere again.
   return Rooms.empty() ? AvoidedRooms : Rooms;
 }
 
--- a/tests/unit/batch_scheduler_test.cpp
+++ b/tests/unit/batch_scheduler_test.cpp
@@ -486,3 +486,29 @@
   answer(First[1].To.Id.Value, {}, {end(First[1].Run, run_end::Lapsed)});
   CHECK(all<stop_run>().empty());
 }
+
+TEST_CASE_METHOD(scheduler_fixture,
+                 "batch: the last try of a task goes where nothing has failed "
+                 "since a task ended well") {
+  settle({"x", "y", "z"});
+  const executor_id Fullest = run(job("f", 1, 6, 1)).at(0).To.Id;
+  const auto First = run(job("a", 1, 1, 1));
+  REQUIRE(First.at(0).To.Id == Fullest);
+  // The next fullest would be taken, but a task of another job failed there.
+  const executor_id Suspect("y");
+  REQUIRE(Fullest != Suspect);
+  executor_state &Next = State.Executors.at(Suspect);
+  Next.Used.Accelerators = 4;
+  Next.Health.FailedJobs = {job_id("other")};
+  CHECK(run(job("b", 1, 1, 3)).at(0).To.Id == Suspect); // a first try may
+  runs_reported Report{Fullest, 1, 1, Now, {}, {}};
+  Report.Ended = {{1, First[0].Run, run_end::Failed, ""}};
+  Now += milliseconds(20);
+  post(Report);
+  post(progress_saved{true});
+  pass(milliseconds(300));
+  const auto Last = save();
+  REQUIRE(Last.size() == 1);
+  CHECK(Last[0].Run.Attempt == 2); // of two
+  CHECK(Last[0].To.Id == executor_id("z"));
+}
