Tell the age of the configuration, and which version refused a request

No behaviour changes.

2207 watch-failed names the call, its error, its duration and the revision that it went on from, for the configuration and for the jobs. 4005 request-denied names the request that was answered 404 or 401, the version that decided and the time since the store last answered. /metrics has that age and the failed calls.

--- a/apps/instance/deployment_feed.cpp
+++ b/apps/instance/deployment_feed.cpp
@@ -17,8 +17,12 @@
 
 deployment_feed::deployment_feed(
     asio::io_context &Context, platform::metadata_store &Store,
+    instance_metrics &Metrics,
     std::function<void(const deployment_view &)> OnChange)
-    : Context(Context), Store(Store), OnChange(std::move(OnChange)) {}
+    : Context(Context), Store(Store), Metrics(Metrics),
+      OnChange(std::move(OnChange)) {}
+
+milliseconds deployment_feed::age() const { return readClock() - ConfirmedAt; }
 
 task<void> deployment_feed::run() {
   bool IsCurrent = false;
@@ -29,15 +33,18 @@
         co_await sleepFor(Context, RetryDelay);
       continue;
     }
+    const instant Sent = readClock();
     const platform::watch_result Watch =
         co_await Store.watch(platform::OperatorPrefix, Revision, WatchTimeout);
     if (Watch.Error) {
+      noteFailure("watch", Watch.Error, Sent);
       IsCurrent = Watch.Error != errc::NotFound;
       if (IsCurrent)
         co_await sleepFor(Context, RetryDelay);
       continue;
     }
     Revision = Watch.Revision;
+    ConfirmedAt = readClock();
     deployment_view Next = View ? *View : deployment_view{};
     bool HasChanged = false;
     for (const platform::item_change &Change : Watch.Changes)
@@ -48,20 +55,35 @@
 }
 
 task<bool> deployment_feed::readAll() {
+  const instant Sent = readClock();
   const platform::range_read Range =
       co_await Store.readPrefix(platform::OperatorPrefix);
-  if (Range.Error)
+  if (Range.Error) {
+    noteFailure("read", Range.Error, Sent);
     co_return false;
+  }
   deployment_view Next = View ? *View : deployment_view{};
   Next.Evacuated.clear();
   for (const platform::store_item &Item : Range.Items)
     applyItem(Next, {Item, false});
   Revision = Range.Revision;
+  ConfirmedAt = readClock();
   if (Next.Config.Version != 0)
     publish(std::move(Next));
   co_return true;
 }
 
+void deployment_feed::noteFailure(std::string_view Call,
+                                  const std::error_code &Error, instant Sent) {
+  Metrics.noteFailedConfigurationCall(Call);
+  writeLog(events::WatchFailed,
+           {{"watch", "configuration"},
+            {"call", std::string(Call)},
+            {"error", Error.message()},
+            {"took_ms", std::to_string((readClock() - Sent).count())},
+            {"revision", std::to_string(Revision)}});
+}
+
 /// Applies one stored item; returns whether the view has changed.
 bool deployment_feed::applyItem(deployment_view &Next,
                                 const platform::item_change &Change) {
--- a/apps/instance/deployment_feed.hpp
+++ b/apps/instance/deployment_feed.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "apps/instance/metrics.hpp"
 #include "core/job/batch/model.hpp"
 #include "platform/metadata_store.hpp"
 
@@ -20,6 +21,7 @@
 public:
   /// OnChange is called on the I/O thread with each new view.
   deployment_feed(asio::io_context &Context, platform::metadata_store &Store,
+                  instance_metrics &Metrics,
                   std::function<void(const deployment_view &)> OnChange);
 
   /// Watches until the io_context stops.
@@ -30,16 +32,24 @@
     return View;
   }
 
+  /// Time since the store last answered a read or a watch of these keys, which
+  /// confirmed that nothing newer was stored then. Call once there is a view.
+  [[nodiscard]] milliseconds age() const;
+
 private:
   task<bool> readAll();
   bool applyItem(deployment_view &Next, const platform::item_change &Change);
   void publish(deployment_view Next);
+  void noteFailure(std::string_view Call, const std::error_code &Error,
+                   instant Sent);
 
   asio::io_context &Context;
   platform::metadata_store &Store;
+  instance_metrics &Metrics;
   std::function<void(const deployment_view &)> OnChange;
   std::shared_ptr<const deployment_view> View;
   std::int64_t Revision = 0; // of the last change applied
+  instant ConfirmedAt{};
 };
 
 } // namespace galenastage
--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -90,11 +90,12 @@
   Host = Host.substr(0, Host.find(':'));
   Admitted.Queue = Config.match(Host, Path);
   if (!Admitted.Queue)
-    co_return notFound("no queue has this host and path");
+    co_return deny(Request, Config.Version,
+                   notFound("no queue has this host and path"));
   const organisation_config *Organisation =
       Config.findKey(platform::readClientKey(Request));
   if (!Organisation && !Admitted.Queue->IsPublic)
-    co_return unauthorized();
+    co_return deny(Request, Config.Version, unauthorized());
   if (Organisation)
     Admitted.Organisation = Organisation->Name;
   Admitted.Suffix = Path.substr(Admitted.Queue->Prefix.size());
@@ -165,6 +166,18 @@
   co_return refuse({}, "neither the platform's store nor the leader answers");
 }
 
+/// Logs a final refusal with the configuration that it follows from.
+http_response front::deny(const http_request &Request, std::int64_t Version,
+                          http_response Response) {
+  writeLog(events::RequestDenied,
+           {{"method", Request.Method},
+            {"target", Request.Target},
+            {"status", std::to_string(Response.Status)},
+            {"version", std::to_string(Version)},
+            {"age_ms", std::to_string(Feed.age().count())}});
+  return Response;
+}
+
 http_response front::refuse(const job_id &Job, std::string_view Reason) {
   writeLog(events::SubmissionRefused,
            {{"job", Job.Value}, {"reason", std::string(Reason)}});
--- a/apps/instance/front.hpp
+++ b/apps/instance/front.hpp
@@ -41,6 +41,8 @@
   task<http_response> showQueueLength(const admitted &Admitted);
   task<http_response> forward(http_request Request, endpoint Leader,
                               instant Deadline);
+  http_response deny(const http_request &Request, std::int64_t Version,
+                     http_response Response);
   http_response refuse(const job_id &Job, std::string_view Reason);
 
   asio::io_context &Context;
--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -250,6 +250,7 @@
 
 task<void> leadership::watchJobs(std::uint64_t Term) {
   while (isCurrent(Term)) {
+    const instant Sent = readClock();
     const platform::watch_result Watch =
         co_await Store.watch(keys::Requests, JobsRevision, JobsWatchTimeout);
     if (!isCurrent(Term))
@@ -259,6 +260,12 @@
       continue;
     }
     if (Watch.Error) {
+      writeLog(events::WatchFailed,
+               {{"watch", "jobs"},
+                {"call", "watch"},
+                {"error", Watch.Error.message()},
+                {"took_ms", std::to_string((readClock() - Sent).count())},
+                {"revision", std::to_string(JobsRevision)}});
       co_await sleepFor(Context, RetryDelay);
       continue;
     }
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -39,7 +39,7 @@
         Store(Context, Settings.Store, Settings.Address),
         Executors(Context, Settings.Address),
         State(schedulerSettings(Settings)),
-        Feed(Context, Store,
+        Feed(Context, Store, Metrics,
              [this](const deployment_view &View) { applyView(View); }),
         Leadership(Context, Store, Settings.Name.Value, forwardEndpoint(),
                    std::max(LeaderLease, Settings.MinStoreLease),
@@ -159,6 +159,8 @@
     Metrics.noteCalls(Store.calls(), Executors.calls());
     Metrics.noteDroppedLines(droppedLogLines());
     Metrics.noteLeadership(Leadership.token());
+    if (Feed.view())
+      Metrics.noteConfigurationAge(Feed.age());
     http_response Response;
     Response.Headers.set("Content-Type", "text/plain; version=0.0.4");
     Response.Body = Metrics.print();
--- a/apps/instance/metrics.cpp
+++ b/apps/instance/metrics.cpp
@@ -14,6 +14,9 @@
 constexpr const char *DroppedLines = "galenastage_log_lines_dropped";
 constexpr const char *LeaderToken = "galenastage_leader_token";
 constexpr const char *ConfigVersion = "galenastage_configuration_version";
+constexpr const char *ConfigAge = "galenastage_configuration_age_seconds";
+constexpr const char *ConfigFailures =
+    "galenastage_configuration_call_failures_total";
 
 } // namespace
 
@@ -38,6 +41,10 @@
                     "Fencing token while this instance leads, else 0.");
   Registry.describe(ConfigVersion, "gauge",
                     "Version of the configuration in force.");
+  Registry.describe(ConfigAge, "gauge",
+                    "Time since the store last confirmed the configuration.");
+  Registry.describe(ConfigFailures, "counter",
+                    "Watches and reads of the configuration that failed.");
 }
 
 void instance_metrics::noteRequest(const std::string &Method, unsigned Status,
@@ -80,4 +87,12 @@
   Registry.set(ConfigVersion, {}, static_cast<double>(Version));
 }
 
+void instance_metrics::noteConfigurationAge(milliseconds Age) {
+  Registry.set(ConfigAge, {}, std::chrono::duration<double>(Age).count());
+}
+
+void instance_metrics::noteFailedConfigurationCall(std::string_view Call) {
+  Registry.count(ConfigFailures, {{"call", std::string(Call)}});
+}
+
 } // namespace galenastage
--- a/apps/instance/metrics.hpp
+++ b/apps/instance/metrics.hpp
@@ -21,6 +21,10 @@
   void noteDroppedLines(std::uint64_t Dropped);
   void noteLeadership(std::uint64_t Token);
   void noteConfiguration(std::int64_t Version);
+  /// Age: since the store last confirmed the configuration.
+  void noteConfigurationAge(milliseconds Age);
+  /// Call: "watch" or "read".
+  void noteFailedConfigurationCall(std::string_view Call);
 
   [[nodiscard]] std::string print() const { return Registry.print(); }
 
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -80,6 +80,11 @@
     "Log lines were dropped, because their kind exceeded its rate limit or the "
     "reader of standard output fell behind.",
     "None, unless the reader keeps falling behind."};
+const log_event WatchFailed{
+    2207, Warning, "watch-failed",
+    "A watch of the platform's store ended with an error; changes after the "
+    "named revision aren't known here until it has been repeated.",
+    "If it repeats, check the link to the platform's store."};
 
 const log_event JobAccepted{3001, Info, "job-accepted",
                             "The job is stored durably.", "None."};
@@ -237,6 +242,13 @@
     "request instead.",
     "Check why the store doesn't serve this instance."};
 
+const log_event RequestDenied{
+    4005, Info, "request-denied",
+    "A request named no queue, or carried no key of an organisation. The line "
+    "names the configuration that decided and the time since the store last "
+    "answered its watch.",
+    "If the route or key exists, look for 2202 and 2207 on this instance."};
+
 const log_event LeadershipGained{
     5001, Info, "leadership-gained",
     "This process now leads: one data centre, or the whole deployment on the "
@@ -297,6 +309,7 @@
     &events::EntryIgnored,
     &events::SettingsReloaded,
     &events::LinesDropped,
+    &events::WatchFailed,
     &events::BatchJobStored,
     &events::BatchJobFound,
     &events::BatchJobEnded,
@@ -317,6 +330,7 @@
     &events::SubmissionRefused,
     &events::SubmissionUnsettled,
     &events::RequestForwarded,
+    &events::RequestDenied,
 };
 
 } // namespace
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -78,6 +78,8 @@
 extern const log_event EntryIgnored;
 extern const log_event SettingsReloaded;
 extern const log_event LinesDropped;
+extern const log_event WatchFailed;
+extern const log_event WatchFailed;
 // 3000: jobs
 extern const log_event JobAccepted;
 extern const log_event JobPlaced;
@@ -119,6 +121,8 @@
 extern const log_event SubmissionRefused;
 extern const log_event SubmissionUnsettled;
 extern const log_event RequestForwarded;
+extern const log_event RequestDenied;
+extern const log_event RequestDenied;
 // 5000: ownership
 extern const log_event LeadershipGained;
 extern const log_event LeadershipLost;
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -35,10 +35,10 @@
   standin::metadata_service Service{Context, {"127.0.0.1", 0}};
   platform::metadata_store Store{Context, Service.localEndpoint(), ""};
   std::vector<deployment_view> Views;
-  deployment_feed Feed{Context, Store, [this](const deployment_view &View) {
-                         Views.push_back(View);
-                       }};
   instance_metrics Metrics;
+  deployment_feed Feed{
+      Context, Store, Metrics,
+      [this](const deployment_view &View) { Views.push_back(View); }};
   std::optional<endpoint> Leader;
   front Front{Context, "", Store, Feed, Metrics, [this] { return Leader; }};
 
