Let the test of lost history wait until the leader has gone on

The test stored a job at once after the history was lost and expected it from the watch. A job stored before the leader reads the revision to go on from belongs to the gap, which the test keeps unreadable: whether it hung depended on which of two calls reached the store first.

The stand-in tells where a watch began, and the test stores the job after the leader's watch goes on. What it demands is the same.

--- a/standin/metadata_service.cpp
+++ b/standin/metadata_service.cpp
@@ -62,6 +62,11 @@
   Forgotten = ++Revision;
 }
 
+std::int64_t metadata_service::watchedAfter(const std::string &Prefix) const {
+  const auto Found = Watched.find(Prefix);
+  return Found == Watched.end() ? -1 : Found->second;
+}
+
 void metadata_service::endLease(std::int64_t Id) {
   if (Leases.erase(Id) == 0)
     return;
@@ -150,6 +155,7 @@
 task<http_response> metadata_service::watch(const http_request &Request) {
   const std::string Prefix = decodeQuery(Request.query("prefix"));
   const std::int64_t After = number(Request.query("after"));
+  Watched[Prefix] = After;
   const instant Until =
       readClock() + milliseconds(number(Request.query("wait_ms")));
   for (;;) {
--- a/standin/metadata_service.hpp
+++ b/standin/metadata_service.hpp
@@ -44,6 +44,10 @@
 
   /// Discards the change history: watches from an older revision are refused.
   void forgetHistory();
+  /// Revision after which the latest watch of the prefix began; -1: none has.
+  [[nodiscard]] std::int64_t watchedAfter(const std::string &Prefix) const;
+  /// Revision of the latest change.
+  [[nodiscard]] std::int64_t revision() const { return Revision; }
   /// Ends a lease as if it had expired, and removes its keys.
   void endLease(std::int64_t Id);
 
@@ -83,6 +87,7 @@
   std::map<std::string, item> Items;
   std::map<std::int64_t, lease> Leases;
   std::deque<change> History;
+  std::map<std::string, std::int64_t> Watched; // by prefix, see watchedAfter
   std::int64_t Revision = 1;
   std::int64_t Forgotten = 0; // changes up to this revision are discarded
   std::int64_t NextLease = 100;
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -286,6 +286,10 @@
   Service.Faults.RejectsRanges = true;
   Service.put(keys::specKey(job_id(InGap)), Record);
   Service.forgetHistory();
+  // What is stored before the leader goes on belongs to the gap.
+  runUntil([&] {
+    return Service.watchedAfter(keys::Requests) >= Service.revision();
+  });
   CHECK(call("POST", "/open/" + Later, Job).Status == 200);
   runUntil([&] { return HasFound(Later); });
   CHECK_FALSE(HasFound(InGap));
