Close the idle connections to an endpoint after a timeout

What callers saw: a route that had been added was answered 404, and a changed key or timeout wasn't in force, for 2.7 s for each idle connection of an instance. The same held for withdrawn keys, cancellations (the watch of jobs) and draining executors (the list of executors, 5 s a page).

Cause: open connections may fall silent without a reset while new ones work. A call on one ended by its timeout, and the next call took another idle connection of the same time from the pool.

Evidence: a relay on loopback that silences connections.

Change: a timeout closes all idle connections to that endpoint.

Why it works: the next call makes a connection, and those work.

--- a/apps/instance/deployment_feed.cpp
+++ b/apps/instance/deployment_feed.cpp
@@ -8,8 +8,8 @@
 namespace galenastage {
 namespace {
 
-// A connection can stall without a reset. Starting a new watch this often keeps
-// the delay until an edit takes effect within its limit of 2 s.
+// A connection can stall without a reset. After that the next watch has to find
+// an edit within the 3 s in which an instance may be out of touch.
 constexpr milliseconds WatchTimeout{2'000};
 constexpr milliseconds RetryDelay{200}; // after a failed read or watch
 
@@ -39,7 +39,8 @@
     if (Watch.Error) {
       noteFailure("watch", Watch.Error, Sent);
       IsCurrent = Watch.Error != errc::NotFound;
-      if (IsCurrent)
+      const bool HasWaited = Watch.Error == errc::DeadlineExceeded;
+      if (IsCurrent && !HasWaited)
         co_await sleepFor(Context, RetryDelay);
       continue;
     }
--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -266,7 +266,9 @@
                 {"error", Watch.Error.message()},
                 {"took_ms", std::to_string((readClock() - Sent).count())},
                 {"revision", std::to_string(JobsRevision)}});
-      co_await sleepFor(Context, RetryDelay);
+      const bool HasWaited = Watch.Error == errc::DeadlineExceeded;
+      if (!HasWaited)
+        co_await sleepFor(Context, RetryDelay);
       continue;
     }
     JobsRevision = Watch.Revision;
--- a/net/http.hpp
+++ b/net/http.hpp
@@ -140,7 +140,21 @@
 /// that must not run twice uses a new connection.
 enum class connection_use { Reuse, Fresh };
 
+/// How long a request may take.
+struct http_timeout {
+  /// Stall: longest wait for the connection, and then for further bytes of the
+  /// answer; Total when left out.
+  http_timeout(milliseconds Total, milliseconds Stall = milliseconds::max())
+      : Total(Total), Stall(std::min(Total, Stall)) {}
+
+  milliseconds Total; // from the connection to the whole answer
+  milliseconds Stall;
+};
+
 /// Sends requests from one I/O thread and keeps idle connections for reuse.
+/// Connections can fall silent without being closed. After a timeout, all idle
+/// connections to that endpoint are closed, so that the next request doesn't
+/// wait for another silent one.
 class http_client {
 public:
   /// Connects from LocalAddress, or from any address when it is empty.
@@ -152,7 +166,7 @@
 
   /// Sends one request and waits for the complete response. Never retries.
   task<http_result> send(endpoint To, http_request Request,
-                         milliseconds Timeout,
+                         http_timeout Timeout,
                          connection_use Use = connection_use::Reuse);
 
   /// Sends one request and calls OnLine for each line of the response body,
@@ -169,6 +183,9 @@
   void limitIdle(std::size_t PerEndpoint);
 
 private:
+  task<http_result> sendOnce(endpoint To, http_request Request,
+                             http_timeout Timeout, connection_use Use);
+
   struct state;
   std::shared_ptr<state> State;
 };
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -63,6 +63,24 @@
   return Error;
 }
 
+/// Bounds the wait for each piece of an answer and for all of it.
+class time_limit {
+public:
+  explicit time_limit(const http_timeout &Timeout)
+      : Until(std::chrono::steady_clock::now() + Timeout.Total),
+        Stall(Timeout.Stall) {}
+
+  /// Gives the next operation on the stream the time that is left for it.
+  void restart(beast::tcp_stream &Stream) const {
+    Stream.expires_at(
+        std::min(Until, std::chrono::steady_clock::now() + Stall));
+  }
+
+private:
+  std::chrono::steady_clock::time_point Until;
+  milliseconds Stall;
+};
+
 void setStage(http_result &Result, exchange_stage Stage) {
   Result.Stage = Stage;
   Result.Verdict = verdictAt(Stage);
@@ -71,13 +89,20 @@
 /// Reads one message, interim (1xx) or final, into the result. Returns whether
 /// the connection can be reused.
 task<bool> readMessage(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
-                       bool IsHead, http_result &Result) {
+                       bool IsHead, time_limit Limit, http_result &Result) {
   http::response_parser<http::string_body> Parser;
   Parser.body_limit(MaxAnswerBytes);
   if (IsHead)
     Parser.skip(true);
-  auto [Error, Bytes] =
-      co_await http::async_read(Stream, Buffer, Parser, AsTuple);
+  boost::system::error_code Error;
+  std::size_t Bytes = 0;
+  while (!Error && !Parser.is_done()) {
+    Limit.restart(Stream);
+    auto [PieceError, PieceBytes] =
+        co_await http::async_read_some(Stream, Buffer, Parser, AsTuple);
+    Error = PieceError;
+    Bytes += PieceBytes;
+  }
   if (Error) {
     const bool HasBegun = Bytes > 0 || Buffer.size() > 0;
     setStage(Result,
@@ -104,12 +129,12 @@
 
 /// Reads the final response, skipping interim ones. Returns whether the
 /// connection can be reused.
-task<bool> readAnswer(beast::tcp_stream &Stream, bool IsHead,
+task<bool> readAnswer(beast::tcp_stream &Stream, bool IsHead, time_limit Limit,
                       http_result &Result) {
   beast::flat_buffer Buffer;
   bool KeepAlive = false;
   for (int I = 0; I < MaxInterimAnswers; ++I) {
-    KeepAlive = co_await readMessage(Stream, Buffer, IsHead, Result);
+    KeepAlive = co_await readMessage(Stream, Buffer, IsHead, Limit, Result);
     const bool IsInterim =
         !Result.Error && Result.Response.Status < FirstFinalStatus;
     if (!IsInterim)
@@ -200,7 +225,17 @@
 }
 
 task<http_result> http_client::send(endpoint To, http_request Request,
-                                    milliseconds Timeout, connection_use Use) {
+                                    http_timeout Timeout, connection_use Use) {
+  auto Self = State;
+  http_result Result = co_await sendOnce(To, std::move(Request), Timeout, Use);
+  if (Result.Error == errc::DeadlineExceeded)
+    Self->Idle.erase(To);
+  co_return Result;
+}
+
+task<http_result> http_client::sendOnce(endpoint To, http_request Request,
+                                        http_timeout Timeout,
+                                        connection_use Use) {
   auto Self = State;
   http_result Result;
   std::unique_ptr<beast::tcp_stream> Stream;
@@ -210,12 +245,13 @@
     Self->dropIdle(To); // the new connection takes its place
   if (!Stream) {
     Stream = std::make_unique<beast::tcp_stream>(Self->Context);
-    Stream->expires_after(Timeout);
+    Stream->expires_after(Timeout.Stall);
     Result.Error = co_await Self->connect(*Stream, To);
     if (Result.Error)
       co_return Result;
   }
-  Stream->expires_after(Timeout);
+  const time_limit Limit(Timeout);
+  Limit.restart(*Stream);
   const auto Message = toBeast(To, std::move(Request));
   auto [WriteError, Written] =
       co_await http::async_write(*Stream, Message, AsTuple);
@@ -227,7 +263,7 @@
   }
   setStage(Result, exchange_stage::Sent);
   const bool IsHead = Message.method() == http::verb::head;
-  const bool KeepAlive = co_await readAnswer(*Stream, IsHead, Result);
+  const bool KeepAlive = co_await readAnswer(*Stream, IsHead, Limit, Result);
   if (KeepAlive)
     Self->keepIdle(To, std::move(Stream));
   co_return Result;
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -7,6 +7,7 @@
 #include "apps/runtime/process.hpp"
 #include "standin/metadata_service.hpp"
 #include "tests/support/run_task.hpp"
+#include "tests/support/tcp_relay.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -202,6 +203,44 @@
   CHECK(Views.back().Evacuated.empty());
 }
 
+// Guards against a change that stays unknown for one timeout after the other:
+// requests for a route added in it were answered 404 meanwhile.
+TEST_CASE("feed: a change is found by the first call after its connections "
+          "have fallen silent") {
+  asio::io_context Context{1};
+  standin::metadata_service Service(Context, {"127.0.0.1", 0});
+  test::tcp_relay Relay(Context, Service.localEndpoint());
+  platform::metadata_store Store(Context, Relay.localEndpoint(), "");
+  instance_metrics Metrics;
+  std::int64_t Version = 0;
+  deployment_feed Feed(
+      Context, Store, Metrics,
+      [&](const deployment_view &View) { Version = View.Config.Version; });
+  const auto RunUntil = [&](auto Holds) {
+    while (!Holds())
+      Context.run_one();
+  };
+  Service.put("op/config", config(1));
+  // Idle connections, as parallel requests of clients leave them.
+  constexpr int Parallel = 3;
+  int Read = 0;
+  for (int I = 0; I < Parallel; ++I)
+    asio::co_spawn(
+        Context, Store.read("op/config"),
+        [&](std::exception_ptr, const platform::item_read &) { ++Read; });
+  RunUntil([&] { return Read == Parallel; });
+  asio::co_spawn(Context, Feed.run(), asio::detached);
+  const std::uint64_t Watched = Service.calls() + 2; // a read, then a watch
+  RunUntil([&] { return Service.calls() == Watched; });
+
+  Relay.silenceConnections();
+  Service.put("op/config", config(2));
+  RunUntil([&] { return Version == 2; });
+  CHECK_THAT(Metrics.print(),
+             Catch::Contains("galenastage_configuration_call_failures_total{"
+                             "call=\"watch\"} 1\n"));
+}
+
 TEST_CASE_METHOD(
     instance_fixture,
     "leadership: only one instance leads, and its successor has a higher "
