Deny a request only by a configuration that the store confirms

What callers saw: while the store turned an instance away, or didn't answer its watch, the instance went on answering 404 and 401 from a configuration of any age. A route or key that had been added since was refused for good, though what the instance couldn't store it forwarded to the leader or refused as not run.

Cause: the front looked at its view before it asked whether the store serves it, and the view had no age.

Evidence: "front: a request isn't denied by a configuration that the store doesn't confirm" failed before with 404 and 401 in place of 503, and nothing was forwarded; both with a store that rejects the instance and with one that answers everything but the watch.

Change: a view is confirmed while the store serves this instance and has answered its watch within 2.5 s. Without that a request is forwarded to the leader, or refused as not run, whatever the view says of it; the instance isn't ready. Denials, forwards and refusals are counted as requests now; they were missing in the metrics.

Why it works: the leader denies only by a view that the store confirmed to it, and otherwise refuses as not run, so that the client asks again.

--- a/apps/instance/deployment_feed.cpp
+++ b/apps/instance/deployment_feed.cpp
@@ -12,6 +12,8 @@
 // an edit within the 3 s in which an instance may be out of touch.
 constexpr milliseconds WatchTimeout{2'000};
 constexpr milliseconds RetryDelay{200}; // after a failed read or watch
+// A watch without changes confirms the view once in WatchTimeout.
+constexpr milliseconds MaxConfirmedAge = WatchTimeout + milliseconds(500);
 
 } // namespace
 
@@ -24,6 +26,10 @@
 
 milliseconds deployment_feed::age() const { return readClock() - ConfirmedAt; }
 
+bool deployment_feed::isConfirmed() const {
+  return View && Store.isReachable() && age() <= MaxConfirmedAge;
+}
+
 task<void> deployment_feed::run() {
   bool IsCurrent = false;
   for (;;) {
--- a/apps/instance/deployment_feed.hpp
+++ b/apps/instance/deployment_feed.hpp
@@ -36,6 +36,11 @@
   /// confirmed that nothing newer was stored then. Call once there is a view.
   [[nodiscard]] milliseconds age() const;
 
+  /// Whether requests may be answered from the view: the store serves this
+  /// instance and has confirmed the view lately. While it doesn't, a route or a
+  /// key that isn't in the view may have been added since.
+  [[nodiscard]] bool isConfirmed() const;
+
 private:
   task<bool> readAll();
   bool applyItem(deployment_view &Next, const platform::item_change &Change);
--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -80,36 +80,21 @@
 
 task<http_response> front::handle(http_request Request, bool IsForwarded) {
   const instant Arrived = readClock();
-  admitted Admitted;
-  Admitted.View = Feed.view();
-  if (!Admitted.View)
+  const std::string Method = Request.Method;
+  http_response Response = co_await answer(std::move(Request), IsForwarded);
+  Metrics.noteRequest(Method, Response.Status, readClock() - Arrived);
+  co_return Response;
+}
+
+task<http_response> front::answer(http_request Request, bool IsForwarded) {
+  if (!Feed.view())
     co_return refuse({}, "no configuration has been read yet");
-  const deployment_config &Config = Admitted.View->Config;
-  const std::string Path(Request.path());
-  std::string Host(Request.Headers.find("Host"));
-  Host = Host.substr(0, Host.find(':'));
-  Admitted.Queue = Config.match(Host, Path);
-  if (!Admitted.Queue)
-    co_return deny(Request, Config.Version,
-                   notFound("no queue has this host and path"));
-  const organisation_config *Organisation =
-      Config.findKey(platform::readClientKey(Request));
-  if (!Organisation && !Admitted.Queue->IsPublic)
-    co_return deny(Request, Config.Version, unauthorized());
-  if (Organisation)
-    Admitted.Organisation = Organisation->Name;
-  Admitted.Suffix = Path.substr(Admitted.Queue->Prefix.size());
-  milliseconds AnswerTimeout =
-      platform::readClientDeadline(Request).value_or(DefaultTimeout);
-  if (Admitted.Queue->Timeout.count() > 0)
-    AnswerTimeout = std::min(AnswerTimeout, Admitted.Queue->Timeout);
-  Admitted.Deadline = Arrived + AnswerTimeout -
-                      std::min(AnswerMargin, AnswerTimeout / AnswerMarginShare);
+  const admitted Admitted = admit(Request);
 
-  bool IsStoreUsable = Store.isReachable();
-  if (IsStoreUsable && Request.Method == "POST")
-    IsStoreUsable = co_await Store.isAnswering();
-  if (!IsStoreUsable) {
+  bool IsServed = Feed.isConfirmed();
+  if (IsServed && Admitted.isAllowed() && Request.Method == "POST")
+    IsServed = co_await Store.isAnswering();
+  if (!IsServed) {
     const bool MayForward =
         !IsForwarded && Admitted.Deadline - readClock() >= MinForwardTime;
     const std::optional<endpoint> Leader =
@@ -123,23 +108,49 @@
                      "the platform's store doesn't serve this instance");
   }
 
+  const std::int64_t Version = Admitted.View->Config.Version;
+  if (!Admitted.Queue)
+    co_return deny(Request, Version,
+                   notFound("no queue has this host and path"));
+  if (!Admitted.isAllowed())
+    co_return deny(Request, Version, unauthorized());
   if (Admitted.Suffix.empty() && Request.Method == "GET")
     co_return co_await showQueueLength(Admitted);
   if (!platform::isJobId(Admitted.Suffix))
     co_return notFound("the path doesn't end with the id of a job");
   const job_id Job(Admitted.Suffix);
-  http_response Response;
   if (Request.Method == "POST")
-    Response = co_await submit(Admitted, Job, Request.Body);
-  else if (Request.Method == "GET")
-    Response = co_await showState(Admitted, Job);
-  else if (Request.Method == "DELETE")
-    Response = co_await cancel(Admitted, Job);
-  else
-    Response = problemResponse(405, "method not allowed",
-                               "use POST, GET or DELETE", verdict::NotRun);
-  Metrics.noteRequest(Request.Method, Response.Status, readClock() - Arrived);
-  co_return Response;
+    co_return co_await submit(Admitted, Job, Request.Body);
+  if (Request.Method == "GET")
+    co_return co_await showState(Admitted, Job);
+  if (Request.Method == "DELETE")
+    co_return co_await cancel(Admitted, Job);
+  co_return problemResponse(405, "method not allowed",
+                            "use POST, GET or DELETE", verdict::NotRun);
+}
+
+front::admitted front::admit(const http_request &Request) const {
+  admitted Admitted;
+  Admitted.View = Feed.view();
+  const deployment_config &Config = Admitted.View->Config;
+  const std::string Path(Request.path());
+  std::string Host(Request.Headers.find("Host"));
+  Host = Host.substr(0, Host.find(':'));
+  Admitted.Queue = Config.match(Host, Path);
+  const organisation_config *Organisation =
+      Config.findKey(platform::readClientKey(Request));
+  if (Organisation)
+    Admitted.Organisation = Organisation->Name;
+  milliseconds AnswerTimeout =
+      platform::readClientDeadline(Request).value_or(DefaultTimeout);
+  if (Admitted.Queue) {
+    Admitted.Suffix = Path.substr(Admitted.Queue->Prefix.size());
+    if (Admitted.Queue->Timeout.count() > 0)
+      AnswerTimeout = std::min(AnswerTimeout, Admitted.Queue->Timeout);
+  }
+  Admitted.Deadline = readClock() + AnswerTimeout -
+                      std::min(AnswerMargin, AnswerTimeout / AnswerMarginShare);
+  return Admitted;
 }
 
 /// Forwards the request unchanged. The leader checks it against its own
--- a/apps/instance/front.hpp
+++ b/apps/instance/front.hpp
@@ -26,12 +26,20 @@
   /// Result of routing and authenticating a request.
   struct admitted {
     std::shared_ptr<const deployment_view> View;
-    const batch::queue_config *Queue = nullptr; // in View
-    organisation_id Organisation;               // empty: no key, public queue
+    const batch::queue_config *Queue = nullptr; // in View; null: none matches
+    organisation_id Organisation;               // empty: no valid key
     std::string Suffix; // of the path, after the queue's prefix
     instant Deadline{}; // for sending the answer
+
+    [[nodiscard]] bool isAllowed() const {
+      return Queue && (Queue->IsPublic || !Organisation.isEmpty());
+    }
   };
 
+  task<http_response> answer(http_request Request, bool IsForwarded);
+  /// Routes and authenticates a request by the current view, which must exist.
+  [[nodiscard]] admitted admit(const http_request &Request) const;
+
   task<http_response> submit(const admitted &Admitted, job_id Job,
                              const std::string &Body);
   task<http_response> storeJob(job_id Job, batch::job_spec Spec,
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -145,7 +145,7 @@
       Reason = "the instance is stopping";
     else if (!Feed.view())
       Reason = "no configuration has been read yet";
-    else if (!Store.isReachable())
+    else if (!Feed.isConfirmed())
       Reason = "the platform's store doesn't serve this instance";
     if (Reason.empty())
       co_return jsonResponse(200, "{}");
--- a/standin/metadata_service.cpp
+++ b/standin/metadata_service.cpp
@@ -130,7 +130,8 @@
 task<http_response> metadata_service::handle(http_request Request) {
   ++Calls;
   expireLeases();
-  if (Faults.IsSilent)
+  const bool IsWatch = Request.path() == "/v1/kv-watch";
+  if (Faults.IsSilent || (Faults.IgnoresWatches && IsWatch))
     co_await sleepFor(Context, Silence);
   const bool IsRange = Request.path() == "/v1/kv-range";
   if (Faults.IsBusy || (Faults.RejectsRanges && IsRange))
@@ -138,7 +139,7 @@
   if (Faults.IsOverRate)
     co_return status(429);
   http_response Response;
-  if (Request.path() == "/v1/kv-watch") {
+  if (IsWatch) {
     Response = co_await watch(Request);
   } else {
     try {
--- a/standin/metadata_service.hpp
+++ b/standin/metadata_service.hpp
@@ -19,6 +19,7 @@
   bool IsOverRate = false;     // 429 to every call
   bool LosesAnswers = false;   // acts, then closes without a response
   bool IsSilent = false;       // accepts requests and never responds
+  bool IgnoresWatches = false; // never responds to watches
   std::size_t PageItems = 500; // items in one page of a range
 
   friend bool operator==(const metadata_faults &,
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -172,6 +172,40 @@
   CHECK(Store.calls() - Calls <= 20); // all by the feed, none for the requests
 }
 
+// Guards against 404 and 401 for routes and keys that were added while the
+// store didn't serve the instance.
+TEST_CASE_METHOD(instance_fixture,
+                 "front: a request isn't denied by a configuration that the "
+                 "store doesn't confirm") {
+  startFeed();
+  const std::string Denied = GENERATE("/none/", "/keyed/");
+  const bool IsRejected = GENERATE(true, false);
+  CAPTURE(IsRejected);
+  if (IsRejected) {
+    Service.Faults.IsBusy = true;
+    runUntil([&] { return !Store.isReachable(); });
+  } else { // the watch isn't answered, other calls are
+    Service.Faults.IgnoresWatches = true;
+    runUntil([&] { return !Feed.isConfirmed(); });
+    REQUIRE_FALSE(test::runTask(Context, Store.read("op/config")).Error);
+    REQUIRE(Store.isReachable());
+  }
+  CHECK(call("POST", Denied + Id, Job).Status == 503);
+  int Forwarded = 0;
+  const http_server Other(
+      Context, {"127.0.0.1", 0}, [&](http_request) -> task<http_response> {
+        ++Forwarded;
+        co_return jsonResponse(200, R"({"state":"queued"})");
+      });
+  Leader = Other.localEndpoint();
+  CHECK(call("POST", Denied + Id, Job).Status == 200);
+  CHECK(Forwarded == 1);
+  Service.Faults = {};
+  runUntil([&] { return Feed.isConfirmed(); });
+  CHECK(call("POST", Denied + Id, Job).Status ==
+        (Denied == "/none/" ? 404 : 401));
+}
+
 TEST_CASE_METHOD(instance_fixture,
                  "feed: the configuration version never decreases") {
   startFeed(5);
