Ignore answers to orders of an earlier term of leadership

What callers saw: after an outage of the store of about one second, tasks whose end as done had been acknowledged ran again, or two runs of a task at once, over the executor's capacity.

Cause: the leader loses its lease and the same instance takes its key again within half a second. Holds of the earlier term still wait at the executors. Their answers came while the stored jobs were being loaded, or later, and were taken for answers to this term: an end found no job, nothing was saved, yet it counted as saved and the next hold acknowledged it; the job, loaded a moment later, found its run unlisted. A failed hold of the earlier term let a second hold go out beside the present one, so that an older report could decide over a newer run.

The class: an answer, or something read, of an earlier term. The same held for the answers to starts, stops and saves, for the executors' list, jobs and cancellations, and for effects: a save decided in one term was carried out under the fence of the next, with its revisions.

Change: every event of a term and every effect carries the fencing token. The reducer ignores events of another term, in one place, and a kind of event that forgets its term is ignored as well. Effects of an earlier term aren't carried out; conditions of writes name the term that decided them. A start whose lease ran out while it waited to be sent isn't sent, and is reported as refused. 3210 answer-outdated tells what was ignored.

The worlds had missed it because each election made a new instance, a store outage never ended a term, and a leader had all jobs at once; all three have changed, and outages last 0.1 to 3 lease lives.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <cmath>
+#include <utility>
 
 namespace galenastage {
 namespace {
@@ -55,8 +56,12 @@
       Forward(std::move(Forward)), LeaseLife(LeaseLife),
       CampaignDelay(CampaignDelay), Post(std::move(Post)) {}
 
-platform::key_condition leadership::fence() const {
-  return {keys::Leader, static_cast<std::int64_t>(Token)};
+platform::key_condition leadership::fence(std::uint64_t Term) {
+  return {keys::Leader, static_cast<std::int64_t>(Term)};
+}
+
+bool leadership::mayOrder(std::uint64_t Term) const {
+  return isCurrent(Term) && readClock() < ValidUntil;
 }
 
 std::int64_t leadership::progressRevision(const job_id &Job) const {
@@ -144,25 +149,25 @@
   ProgressRevisions.clear();
   IsHistoryMissing = false;
   IsCatchingUp = false;
-  Post(leadership_gained{Term, ValidUntil});
+  Post(Term, leadership_gained{Term, ValidUntil});
   asio::co_spawn(Context, renew(Term), asio::detached);
   bool IsLoaded = false;
   while (isCurrent(Term) && !IsLoaded) {
-    IsLoaded = co_await loadJobs();
+    IsLoaded = co_await loadJobs(Term);
     if (!IsLoaded)
       co_await sleepFor(Context, RetryDelay);
   }
   if (!isCurrent(Term))
     co_return;
-  Post(recovery_finished{});
+  Post(Term, recovery_finished{});
   asio::co_spawn(Context, listExecutors(Term), asio::detached);
   co_await watchJobs(Term);
 }
 
 /// Posts every stored job and cancellation; false when the store couldn't be
 /// read.
-task<bool> leadership::loadJobs() {
-  const bool IsListed = co_await listExecutorsOnce();
+task<bool> leadership::loadJobs(std::uint64_t Term) {
+  const bool IsListed = co_await listExecutorsOnce(Term);
   if (!IsListed)
     co_return false;
   const platform::range_read Requests =
@@ -183,21 +188,23 @@
     const auto Found = Progress.find(keys::progressKey(Job));
     if (Found != Progress.end())
       ProgressRevisions.try_emplace(Job, Found->second->Revision);
-    postStoredItem(Item, Found == Progress.end() ? "" : Found->second->Value);
+    postStoredItem(Term, Item,
+                   Found == Progress.end() ? "" : Found->second->Value);
   }
   for (const platform::store_item &Item : Requests.Items)
     if (Item.Key.ends_with(keys::CancelSuffix))
-      postStoredItem(Item, "");
+      postStoredItem(Term, Item, "");
   co_return true;
 }
 
 /// Posts a stored job or cancellation to the reducer.
-void leadership::postStoredItem(const platform::store_item &Item,
+void leadership::postStoredItem(std::uint64_t Term,
+                                const platform::store_item &Item,
                                 const std::string &Progress) {
   std::string Name = Item.Key.substr(std::string_view(keys::Requests).size());
   if (Name.ends_with(keys::CancelSuffix)) {
     Name.resize(Name.size() - keys::CancelSuffix.size());
-    Post(cancel_requested{job_id(Name)});
+    Post(Term, cancel_requested{job_id(Name)});
     return;
   }
   auto Spec = parseSpec(Item.Value);
@@ -215,7 +222,7 @@
     }
     Found.Progress = std::move(Parsed.Record);
   }
-  Post(std::move(Found));
+  Post(Term, std::move(Found));
 }
 
 /// Sends renewals at a fixed interval without waiting for the answers, because
@@ -245,7 +252,7 @@
   if (Kept.Error)
     co_return; // later renewals may succeed; renew() checks ValidUntil
   ValidUntil = std::max(ValidUntil, SentAt + Kept.Life - ValidityMargin);
-  Post(leadership_extended{ValidUntil});
+  Post(Term, leadership_extended{ValidUntil});
 }
 
 task<void> leadership::watchJobs(std::uint64_t Term) {
@@ -274,7 +281,7 @@
     JobsRevision = Watch.Revision;
     for (const platform::item_change &Change : Watch.Changes)
       if (!Change.IsRemoved)
-        postNewItem(Change.Item);
+        postNewItem(Term, Change.Item);
   }
 }
 
@@ -307,7 +314,7 @@
     // since this range was read, and must not look like a new job.
     for (const platform::store_item &Item : Range.Items)
       if (Item.Revision > GapFrom)
-        postNewItem(Item);
+        postNewItem(Term, Item);
     if (!Range.Error)
       continue;
     IsHistoryMissing = true;
@@ -318,9 +325,10 @@
 }
 
 /// Posts a job that was stored since this term began, or a cancellation.
-void leadership::postNewItem(const platform::store_item &Item) {
+void leadership::postNewItem(std::uint64_t Term,
+                             const platform::store_item &Item) {
   if (Item.Key.ends_with(keys::CancelSuffix)) {
-    postStoredItem(Item, "");
+    postStoredItem(Term, Item, "");
     return;
   }
   const job_id Job(Item.Key.substr(std::string_view(keys::Requests).size()));
@@ -328,10 +336,10 @@
   // in one transaction.
   const bool IsNew = ProgressRevisions.try_emplace(Job, Item.Revision).second;
   if (IsNew)
-    postStoredItem(Item, "");
+    postStoredItem(Term, Item, "");
 }
 
-task<bool> leadership::listExecutorsOnce() {
+task<bool> leadership::listExecutorsOnce(std::uint64_t Term) {
   const platform::range_read Range =
       co_await Store.readPrefix(platform::ExecutorPrefix);
   if (Range.Error)
@@ -349,7 +357,7 @@
       writeLog(events::EntryIgnored,
                {{"entry", "executor " + Id}, {"reason", Parsed.Reason}});
   }
-  Post(std::move(Listed));
+  Post(Term, std::move(Listed));
   co_return true;
 }
 
@@ -357,7 +365,7 @@
   while (isCurrent(Term)) {
     co_await sleepFor(Context, ListInterval);
     if (isCurrent(Term))
-      co_await listExecutorsOnce();
+      co_await listExecutorsOnce(Term);
   }
 }
 
@@ -366,8 +374,8 @@
     return;
   writeLog(events::LeadershipLost,
            {{"token", std::to_string(Token)}, {"cause", std::string(Cause)}});
-  Token = 0;
-  Post(leadership_lost{});
+  const std::uint64_t Term = std::exchange(Token, 0);
+  Post(Term, leadership_lost{});
 }
 
 void leadership::endTermOf(std::uint64_t OldToken) {
--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -20,7 +20,9 @@
 /// and cancellations, and polls the list of executors.
 class leadership {
 public:
-  using post_event = std::function<void(decltype(batch::event::What))>;
+  /// Posts an event of a term, or of none (0).
+  using post_event =
+      std::function<void(std::uint64_t Term, decltype(batch::event::What))>;
 
   /// Forward: where this instance accepts requests that others forward to the
   /// leader. CampaignDelay: wait before it campaigns for a free leadership.
@@ -48,9 +50,11 @@
     return isLeading() ? std::nullopt : Leader;
   }
 
-  /// Condition of every write of the leader: fails once another instance leads.
-  /// Call only while this instance leads.
-  [[nodiscard]] platform::key_condition fence() const;
+  /// Whether an order of that term may be sent now.
+  [[nodiscard]] bool mayOrder(std::uint64_t Term) const;
+
+  /// Condition of every write of a term: fails once another term has begun.
+  [[nodiscard]] static platform::key_condition fence(std::uint64_t Term);
 
   /// Revision of the progress record that this leader last read or wrote; 0 if
   /// there is none.
@@ -62,16 +66,16 @@
   [[nodiscard]] bool isOwnKey(const std::string &Value) const;
   task<bool> tryAcquireKey(std::int64_t KeyRevision);
   task<void> lead();
-  task<bool> loadJobs();
+  task<bool> loadJobs(std::uint64_t Term);
   task<void> renew(std::uint64_t Term);
   task<void> renewOnce(std::uint64_t Term);
   task<void> watchJobs(std::uint64_t Term);
   task<void> skipLostHistory(std::uint64_t Term);
   task<void> catchUp(std::uint64_t Term);
-  void postNewItem(const platform::store_item &Item);
+  void postNewItem(std::uint64_t Term, const platform::store_item &Item);
   task<void> listExecutors(std::uint64_t Term);
-  task<bool> listExecutorsOnce();
-  void postStoredItem(const platform::store_item &Item,
+  task<bool> listExecutorsOnce(std::uint64_t Term);
+  void postStoredItem(std::uint64_t Term, const platform::store_item &Item,
                       const std::string &Progress);
   void endTerm(std::string_view Cause);
   [[nodiscard]] bool isCurrent(std::uint64_t Term) const {
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -109,10 +109,10 @@
 
   /// Posts events to the control thread; their effects run on the I/O thread.
   leadership::post_event eventPoster() {
-    return [this](decltype(batch::event::What) What) {
-      Control.post([this, What = std::move(What)]() mutable {
+    return [this](std::uint64_t Term, decltype(batch::event::What) What) {
+      Control.post([this, Term, What = std::move(What)]() mutable {
         batch::effects Effects = batch::reduce(
-            State, {readClock(), readWallClock(), std::move(What)});
+            State, {readClock(), readWallClock(), Term, std::move(What)});
         if (Effects.empty())
           return;
         asio::post(Context, [this, Effects = std::move(Effects)]() mutable {
@@ -125,8 +125,8 @@
 
   void applyView(const deployment_view &View) {
     const auto Post = eventPoster();
-    Post(batch::configuration_changed{View.Config});
-    Post(batch::evacuations_changed{View.Evacuated});
+    Post(batch::NoTerm, batch::configuration_changed{View.Config});
+    Post(batch::NoTerm, batch::evacuations_changed{View.Evacuated});
     Metrics.noteConfiguration(View.Config.Version);
   }
 
@@ -135,7 +135,7 @@
     for (;;) {
       co_await sleepFor(Context, TickInterval);
       if (Leadership.isLeading())
-        Post(batch::time_passed{});
+        Post(batch::NoTerm, batch::time_passed{});
     }
   }
 
--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -40,6 +40,9 @@
       Leadership(Leadership), Metrics(Metrics), Post(std::move(Post)) {}
 
 void orders::execute(effect Effect) {
+  const std::optional<std::uint64_t> Term = termOf(Effect);
+  if (Term && *Term != Leadership.token())
+    return; // the reducer has discarded the state of that term
   const auto Spawn = [this](task<void> Work) {
     asio::co_spawn(Context, std::move(Work), asio::detached);
   };
@@ -58,22 +61,30 @@
 }
 
 task<void> orders::start(start_run Start) {
+  const std::uint64_t Term = Start.To.Token;
+  if (!Leadership.mayOrder(Term)) { // paused since it was decided
+    Post(Term, start_answered{Start.To.Id, Start.Run, order_outcome::Refused,
+                              "the leader's lease has run out"});
+    co_return;
+  }
   const instant Sent = readClock();
   start_answered Answer = co_await Executors.start(std::move(Start));
   Metrics.noteOrder("start", name(Answer.Outcome), readClock() - Sent);
-  Post(std::move(Answer));
+  Post(Term, std::move(Answer));
 }
 
 task<void> orders::stop(stop_run Stop) {
+  const std::uint64_t Term = Stop.To.Token;
   const instant Sent = readClock();
   stop_answered Answer = co_await Executors.stop(std::move(Stop));
   Metrics.noteOrder("stop", Answer.IsAccepted ? "accepted" : "unknown",
                     readClock() - Sent);
-  Post(std::move(Answer));
+  Post(Term, std::move(Answer));
 }
 
 task<void> orders::hold(hold_executor Hold) {
   const instant Sent = readClock();
+  const std::uint64_t Term = Hold.To.Token;
   const milliseconds Wait = Hold.Wait;
   auto Answer = co_await Executors.hold(std::move(Hold));
   const bool IsAnswered = std::holds_alternative<runs_reported>(Answer);
@@ -81,9 +92,9 @@
     Metrics.noteOrder("hold", IsAnswered ? "accepted" : "unknown",
                       readClock() - Sent);
   if (auto *Report = std::get_if<runs_reported>(&Answer))
-    Post(std::move(*Report));
+    Post(Term, std::move(*Report));
   else
-    Post(std::get<hold_failed>(Answer));
+    Post(Term, std::get<hold_failed>(Answer));
 }
 
 /// Stores the records on condition that this instance still leads and that
@@ -91,16 +102,16 @@
 /// newer one.
 task<void> orders::save(save_progress Save) {
   const instant Begun = readClock();
-  const std::uint64_t Term = Leadership.token();
+  const std::uint64_t Term = Save.Token;
   std::vector<std::string> Values;
   for (const saved_job &Job : Save.Jobs)
     Values.push_back(printProgress(Job.Progress));
   bool IsSaved = Save.Jobs.empty();
   for (int Try = 0; Try < SaveTries && !IsSaved; ++Try) {
-    if (Term == 0 || Term != Leadership.token())
+    if (Term != Leadership.token())
       break;
     platform::store_change Change;
-    Change.Conditions.push_back(Leadership.fence());
+    Change.Conditions.push_back(leadership::fence(Term));
     for (std::size_t I = 0; I < Save.Jobs.size(); ++I) {
       const job_id &Job = Save.Jobs[I].Job;
       Change.Conditions.push_back(
@@ -119,7 +130,7 @@
       const bool StillLeads = std::ranges::any_of(
           Write.Current, [&](const platform::store_item &Item) {
             return Item.Key == keys::Leader &&
-                   Item.Revision == Leadership.fence().Revision;
+                   Item.Revision == leadership::fence(Term).Revision;
           });
       if (!StillLeads) {
         Leadership.endTermOf(Term);
@@ -134,7 +145,7 @@
     writeLog(events::SaveFailed, {{"jobs", std::to_string(Save.Jobs.size())}});
   Metrics.noteSave(IsSaved, readClock() - Begun);
   if (Term == Leadership.token())
-    Post(progress_saved{IsSaved});
+    Post(Term, progress_saved{IsSaved});
 }
 
 /// Takes over the current revisions after a failed condition. True when all
@@ -158,7 +169,7 @@
 
 task<void> orders::forget(forget_job Forget) {
   platform::store_change Change;
-  Change.Conditions.push_back(Leadership.fence());
+  Change.Conditions.push_back(leadership::fence(Forget.Token));
   Change.Removals = {keys::specKey(Forget.Job), keys::cancelKey(Forget.Job),
                      keys::progressKey(Forget.Job)};
   const platform::change_result Write =
@@ -171,7 +182,7 @@
 
 task<void> orders::publish(publish_queue_lengths Publish) {
   platform::store_change Change;
-  Change.Conditions.push_back(Leadership.fence());
+  Change.Conditions.push_back(leadership::fence(Publish.Token));
   Change.Writes.push_back(
       {keys::QueueLengths, printQueueLengths(Publish.Queues), 0});
   const platform::change_result Write =
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -17,6 +17,26 @@
          RecoveryMargin;
 }
 
+/// The order that the event answers, or "store" for what was read in a term of
+/// leadership; empty for events that belong to no term.
+std::string_view originInTerm(const event &Event) {
+  using text = std::string_view;
+  return std::visit(
+      overloaded{
+          [](const configuration_changed &) -> text { return {}; },
+          [](const evacuations_changed &) -> text { return {}; },
+          [](const leadership_gained &) -> text { return {}; },
+          [](const time_passed &) -> text { return {}; },
+          [](const runs_reported &) -> text { return "hold"; },
+          [](const hold_failed &) -> text { return "hold"; },
+          [](const start_answered &) -> text { return "start"; },
+          [](const stop_answered &) -> text { return "stop"; },
+          [](const progress_saved &) -> text { return "save"; },
+          [](const auto &) -> text { return "store"; },
+      },
+      Event.What);
+}
+
 } // namespace
 
 unit_name unitNameOf(const job_state &Job, const task_name &Task) {
@@ -29,6 +49,17 @@
          std::to_string(Task.Step) + "." + std::to_string(Task.Index);
 }
 
+bool event_handler::isOutdated(const event &Event) {
+  const std::string_view Origin = originInTerm(Event);
+  const bool IsPresent = Event.Term != 0 && Event.Term == State.Token;
+  if (Origin.empty() || IsPresent)
+    return false;
+  log(events::AnswerOutdated, {{"term", std::to_string(Event.Term)},
+                               {"present", std::to_string(State.Token)},
+                               {"origin", std::string(Origin)}});
+  return true;
+}
+
 void event_handler::apply(const configuration_changed &Event) {
   State.Config = Event.Config;
   for (auto &[Id, Job] : State.Jobs)
@@ -81,7 +112,7 @@
 }
 
 void event_handler::apply(const job_found &Event) {
-  if (State.Token == 0 || State.Jobs.contains(Event.Spec.Id))
+  if (State.Jobs.contains(Event.Spec.Id))
     return;
   job_state &Job = State.Jobs[Event.Spec.Id];
   Job.Spec = Event.Spec;
@@ -256,7 +287,7 @@
 void event_handler::saveNext() {
   if (!State.Saving.empty() || State.SaveQueue.empty() || !isLeading())
     return;
-  save_progress Save;
+  save_progress Save{State.Token, {}};
   while (!State.SaveQueue.empty() &&
          static_cast<int>(Save.Jobs.size()) < State.Settings.MaxJobsPerSave) {
     const job_id Id = State.SaveQueue.front();
@@ -340,7 +371,7 @@
   if (Lengths == State.PublishedLengths)
     return;
   State.PublishedLengths = Lengths;
-  Out.emplace_back(publish_queue_lengths{std::move(Lengths)});
+  Out.emplace_back(publish_queue_lengths{State.Token, std::move(Lengths)});
 }
 
 void event_handler::forgetOldJobs() {
@@ -352,7 +383,7 @@
                        Job.Runs.empty() &&
                        WallNow - Job.Progress.Ended > State.Settings.Retention;
     if (IsOld)
-      Out.emplace_back(forget_job{Item.first});
+      Out.emplace_back(forget_job{State.Token, Item.first});
     return IsOld;
   });
 }
@@ -376,10 +407,25 @@
   return Steps[Unit.Step][Unit.Unit];
 }
 
+std::optional<std::uint64_t> termOf(const effect &Effect) {
+  using term = std::optional<std::uint64_t>;
+  return std::visit(
+      overloaded{
+          [](const start_run &Order) -> term { return Order.To.Token; },
+          [](const stop_run &Order) -> term { return Order.To.Token; },
+          [](const hold_executor &Order) -> term { return Order.To.Token; },
+          [](const write_log &) -> term { return std::nullopt; },
+          [](const auto &Write) -> term { return Write.Token; },
+      },
+      Effect);
+}
+
 effects reduce(scheduler_state &State, const event &Event) {
   detail::event_handler Run(State, Event);
-  std::visit([&](const auto &What) { Run.apply(What); }, Event.What);
-  Run.finish();
+  if (!Run.isOutdated(Event)) {
+    std::visit([&](const auto &What) { Run.apply(What); }, Event.What);
+    Run.finish();
+  }
   return std::move(Run.Out);
 }
 
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -13,6 +13,9 @@
 // - An end is stored before it is acknowledged to the executor.
 // - After the leader's own lease has expired, it starts no run and extends no
 //   lease.
+// - What was read or ordered for one term of leadership has no effect on
+// another
+//   one, also of the same instance. Both carry their term, the fencing token.
 //
 // Index of this file
 // [1] Settings
@@ -150,9 +153,13 @@
 };
 struct time_passed {};
 
+/// Events that belong to no term of leadership.
+inline constexpr std::uint64_t NoTerm = 0;
+
 struct event {
   instant Now{};
   wall_instant WallNow{};
+  std::uint64_t Term = NoTerm; // that What was read or ordered for
   std::variant<configuration_changed, evacuations_changed, executors_listed,
                job_found, cancel_requested, leadership_gained,
                recovery_finished, leadership_extended, leadership_lost,
@@ -194,10 +201,12 @@
 };
 /// Stores all records in one transaction, if this instance still leads.
 struct save_progress {
+  std::uint64_t Token = 0;
   std::vector<saved_job> Jobs;
 };
 /// Removes all records of a job that ended long ago.
 struct forget_job {
+  std::uint64_t Token = 0;
   job_id Job;
 };
 struct queue_length {
@@ -207,6 +216,7 @@
   friend bool operator==(const queue_length &, const queue_length &) = default;
 };
 struct publish_queue_lengths {
+  std::uint64_t Token = 0;
   std::vector<queue_length> Queues;
 };
 
@@ -214,6 +224,9 @@
                             forget_job, publish_queue_lengths, write_log>;
 using effects = std::vector<effect>;
 
+/// The term that an effect was decided in. Nullopt: it belongs to none.
+std::optional<std::uint64_t> termOf(const effect &Effect);
+
 // [4] State
 
 enum class run_phase {
@@ -369,7 +382,8 @@
 
 // [5] The reducer
 
-/// Applies one event and returns the effects to carry out, in order.
+/// Applies one event and returns the effects to carry out, in order. Ignores an
+/// event of another term than the present one.
 effects reduce(scheduler_state &State, const event &Event);
 
 /// Returns the unit's state and creates it if necessary.
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -441,7 +441,7 @@
 
 std::string explainStaleIndex(const scheduler_state &State, instant Now) {
   scheduler_state Copy = State;
-  detail::event_handler Handler(Copy, {Now, {}, time_passed{}});
+  detail::event_handler Handler(Copy, {Now, {}, NoTerm, time_passed{}});
   return Handler.explainStaleIndex();
 }
 
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -84,7 +84,7 @@
 
 void event_handler::apply(const runs_reported &Event) {
   const auto Found = State.Executors.find(Event.Executor);
-  if (Found == State.Executors.end() || State.Token == 0)
+  if (Found == State.Executors.end())
     return;
   executor_state &Executor = Found->second;
   Executor.IsHolding = false;
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -183,6 +183,11 @@
     3209, Warning, "save-failed",
     "Progress of jobs could not be stored; the write is retried.",
     "Check the platform's store."};
+const log_event AnswerOutdated{
+    3210, Info, "answer-outdated",
+    "An answer to an order of an earlier term, or something read for it, came "
+    "after that term had ended and was ignored.",
+    "None."};
 
 const log_event ExecutorSilent{
     3301, Warning, "executor-silent",
@@ -319,6 +324,7 @@
     &events::RunAdopted,
     &events::RoomReclaimed,
     &events::SaveFailed,
+    &events::AnswerOutdated,
     &events::ExecutorSilent,
     &events::ExecutorLost,
     &events::ExecutorUnlisted,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -107,6 +107,7 @@
 extern const log_event RunAdopted;
 extern const log_event RoomReclaimed;
 extern const log_event SaveFailed;
+extern const log_event AnswerOutdated;
 // 3300: executors
 extern const log_event ExecutorSilent;
 extern const log_event ExecutorLost;
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -280,7 +280,7 @@
     "leadership: only one instance leads, and its successor has a higher "
     "token") {
   std::vector<std::uint64_t> Tokens;
-  const auto Post = [&](decltype(event::What) What) {
+  const auto Post = [&](std::uint64_t, decltype(event::What) What) {
     if (const auto *Gained = std::get_if<leadership_gained>(&What))
       Tokens.push_back(Gained->Token);
   };
@@ -299,14 +299,15 @@
   runUntil([&] { return Second.isLeading(); });
   REQUIRE(Tokens.size() == 2);
   CHECK(Tokens[1] > Tokens[0]);
-  CHECK(Second.fence().Revision == static_cast<std::int64_t>(Tokens[1]));
+  CHECK(leadership::fence(Second.token()).Revision ==
+        static_cast<std::int64_t>(Tokens[1]));
 }
 
 TEST_CASE_METHOD(instance_fixture,
                  "leadership: a restarted leader takes its own key over "
                  "without waiting for the lease to expire") {
   std::vector<std::uint64_t> Tokens;
-  const auto Post = [&](decltype(event::What) What) {
+  const auto Post = [&](std::uint64_t, decltype(event::What) What) {
     if (const auto *Gained = std::get_if<leadership_gained>(&What))
       Tokens.push_back(Gained->Token);
   };
@@ -339,7 +340,7 @@
                  "a read of all jobs") {
   startFeed();
   std::vector<job_id> Found;
-  const auto Post = [&](decltype(event::What) What) {
+  const auto Post = [&](std::uint64_t, decltype(event::What) What) {
     if (const auto *Job = std::get_if<job_found>(&What))
       Found.push_back(Job->Spec.Id);
   };
--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -64,6 +64,15 @@
   checkWorlds(Settings);
 }
 
+// Guards against second starts of tasks whose end was reported to a hold of the
+// term before.
+TEST_CASE("batch: terms end in short outages of the store, and the same "
+          "instance leads again") {
+  world_settings Settings;
+  Settings.Faults.StoreOutages = 10;
+  checkWorlds(Settings);
+}
+
 TEST_CASE("batch: all faults at once") {
   world_settings Settings;
   Settings.Faults = {0.1, 0.5, 0.1, 0.1, 3, 4, 4, 2, true};
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -25,7 +25,7 @@
   int LeaderLosses = 0;     // leader killed, frozen or cut off from the store
   int ExecutorRestarts = 0; // restart under the same id
   int ExecutorCuts = 0;     // cut off from the leader for 1 to 12 s
-  int StoreOutages = 0;     // for 1 to 6 s
+  int StoreOutages = 0;     // for 0.1 to 3 lives of the leader's lease
   bool HasFrozenLeaders = false; // a lost leader may freeze and resume
   double FailingExecutors = 0;   // fraction that fails all runs that end while
   milliseconds FailingFrom{0};   // between these times
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -22,6 +22,8 @@
 constexpr milliseconds GangTimeout{3'000};
 constexpr milliseconds CallTimeout{1'000};
 constexpr milliseconds CancelBound{3'000};
+constexpr milliseconds MaxLoadTime{300}; // until a new leader has all jobs
+constexpr double ReturningLeaders = 0.7; // of those whose lease ran out
 
 using time_point = milliseconds; // since the start of the simulation
 
@@ -64,9 +66,11 @@
   std::optional<time_point> StartedAt; // its first run
 };
 
+/// An instance that leads or has led, in one term or several.
 struct fake_leader {
   scheduler_state State;
-  std::uint64_t Token = 0;
+  std::uint64_t Token = 0; // 0: not leading
+  bool IsLoaded = false;   // has read all jobs in this term
   bool IsAlive = true;
   bool IsCutOff = false; // cut off from the store
   time_point FrozenUntil{0};
@@ -155,16 +159,32 @@
 
   // Leaders
 
+  /// Begins a term, of the instance that led last or of a new one.
   void elect() {
-    auto Leader = std::make_shared<fake_leader>();
+    const bool Returns = Previous && Previous->IsAlive && !Previous->IsCutOff &&
+                         chance(ReturningLeaders);
+    auto Leader = Returns ? Previous : std::make_shared<fake_leader>();
     Leader->Token = static_cast<std::uint64_t>(++Revision);
+    Leader->IsLoaded = false;
+    Leader->Revisions.clear();
+    Leader->Known.clear();
+    Leader->CancelsKnown.clear();
     CurrentToken = Leader->Token;
     LeaderValidUntil = Now + LeaderLease;
     Current = Leader;
     ++Report.Leaders;
-    Leaders.push_back(Leader);
-    post(Leader, configuration_changed{Config});
-    post(Leader, leadership_gained{Leader->Token, now() + LeaderLease});
+    if (!Returns)
+      Leaders.push_back(Leader);
+    post(Leader, NoTerm, configuration_changed{Config});
+    post(Leader, Leader->Token,
+         leadership_gained{Leader->Token, now() + LeaderLease});
+    after(milliseconds(draw(0, int(MaxLoadTime.count()))),
+          [this, Leader, Term = Leader->Token] { load(Leader, Term); });
+  }
+
+  void load(const std::shared_ptr<fake_leader> &Leader, std::uint64_t Term) {
+    if (Leader->Token != Term)
+      return;
     listExecutors(Leader);
     for (const auto &[Id, Job] : Jobs) {
       auto Progress = parseProgress(Job.Progress, Job.Spec);
@@ -172,10 +192,11 @@
         violate("unreadable progress of " + Id.Value + ": " + Progress.Reason);
       Leader->Revisions[Id] = Job.Revision;
       Leader->Known.insert(Id);
-      post(Leader, job_found{Job.Spec, Progress.Record});
+      post(Leader, Term, job_found{Job.Spec, Progress.Record});
     }
+    Leader->IsLoaded = true;
     informLeaders();
-    post(Leader, recovery_finished{});
+    post(Leader, Term, recovery_finished{});
   }
 
   void listExecutors(const std::shared_ptr<fake_leader> &Leader) {
@@ -184,7 +205,7 @@
       if (Now >= Executor.CutUntil ||
           chance(0.5)) // the entry may not have expired yet
         Listed.Executors.push_back(Executor.Report);
-    post(Leader, Listed);
+    post(Leader, Leader->Token, Listed);
   }
 
   void loseLeader() {
@@ -200,16 +221,25 @@
     at(std::max(Gone, Now) + milliseconds(draw(10, 400)), [this] { elect(); });
   }
 
+  /// Ends the term of a leader whose lease ran out while the store was away.
+  void endTerm() {
+    const auto Leader = std::exchange(Current, nullptr);
+    post(Leader, std::exchange(Leader->Token, 0), leadership_lost{});
+    Previous = Leader;
+    at(std::max(StoreDownUntil, Now) + milliseconds(draw(10, 400)),
+       [this] { elect(); });
+  }
+
   void informLeaders() {
-    if (!Current)
+    if (!Current || !Current->IsLoaded)
       return;
     for (const auto &[Id, Job] : Jobs) {
       if (Current->Known.insert(Id).second) {
         Current->Revisions[Id] = Job.Revision;
-        post(Current, job_found{Job.Spec, {}});
+        post(Current, Current->Token, job_found{Job.Spec, {}});
       }
       if (Job.IsCancelled && Current->CancelsKnown.insert(Id).second)
-        post(Current, cancel_requested{Id});
+        post(Current, Current->Token, cancel_requested{Id});
     }
   }
 
@@ -217,25 +247,27 @@
     after(Tick, [this] { tick(); });
     if (Current && Now >= StoreDownUntil) {
       LeaderValidUntil = Now + LeaderLease;
-      post(Current, leadership_extended{now() + LeaderLease});
-      if (Now.count() % 700 < Tick.count())
+      post(Current, Current->Token, leadership_extended{now() + LeaderLease});
+      if (Current->IsLoaded && Now.count() % 700 < Tick.count())
         listExecutors(Current);
+    } else if (Current && Now >= LeaderValidUntil) {
+      endTerm();
     }
     for (const auto &Leader : Leaders)
-      post(Leader, time_passed{});
+      post(Leader, NoTerm, time_passed{});
     expireLeases();
   }
 
-  void post(const std::shared_ptr<fake_leader> &Leader,
+  void post(const std::shared_ptr<fake_leader> &Leader, std::uint64_t Term,
             decltype(event::What) What) {
     if (!Leader->IsAlive)
       return;
     if (Now < Leader->FrozenUntil) {
-      at(Leader->FrozenUntil, [this, Leader, What] { post(Leader, What); });
+      at(Leader->FrozenUntil, [=, this] { post(Leader, Term, What); });
       return;
     }
     for (effect &Effect :
-         reduce(Leader->State, {now(), wall(), std::move(What)}))
+         reduce(Leader->State, {now(), wall(), Term, std::move(What)}))
       std::visit([&](auto &Order) { carryOut(Leader, Order); }, Effect);
     checkIndex(Leader->State);
   }
@@ -278,7 +310,8 @@
     const auto answer = [this, Leader, Order](order_outcome Outcome,
                                               const std::string &Reason) {
       after(Latency, [=, this] {
-        post(Leader, start_answered{Order.To.Id, Order.Run, Outcome, Reason});
+        post(Leader, Order.To.Token,
+             start_answered{Order.To.Id, Order.Run, Outcome, Reason});
       });
     };
     order(
@@ -315,11 +348,13 @@
           }
           if (IsAnswered)
             after(Latency, [this, Leader, Order] {
-              post(Leader, stop_answered{Order.To.Id, Order.Run, true});
+              post(Leader, Order.To.Token,
+                   stop_answered{Order.To.Id, Order.Run, true});
             });
         },
         [this, Leader, Order] {
-          post(Leader, stop_answered{Order.To.Id, Order.Run, false});
+          post(Leader, Order.To.Token,
+               stop_answered{Order.To.Id, Order.Run, false});
         });
   }
 
@@ -328,7 +363,8 @@
     const hold_executor Order = Hold;
     const instant Sent = now();
     const auto fail = [this, Leader, Order](hold_failure Failure) {
-      post(Leader, hold_failed{Order.To.Id, Order.To.Incarnation, Failure});
+      post(Leader, Order.To.Token,
+           hold_failed{Order.To.Id, Order.To.Incarnation, Failure});
     };
     after(Latency, [this, Leader, Order, Sent, fail] {
       fake_executor &Executor = Executors[Order.To.Id];
@@ -358,8 +394,8 @@
           Executor.LeaseEnd =
               std::max(Executor.LeaseEnd, time_point(*Order.LeaseEndMs));
       }
-      const auto reply = [this, Leader, Id = Order.To.Id, Sent] {
-        answerHold(Leader, Id, Sent);
+      const auto reply = [this, Leader, To = Order.To, Sent] {
+        answerHold(Leader, To, Sent);
       };
       if (Order.Wait.count() == 0 || !Executor.Ends.empty()) {
         reply();
@@ -376,16 +412,16 @@
   }
 
   void answerHold(const std::shared_ptr<fake_leader> &Leader,
-                  const executor_id &Id, instant Sent) {
-    const fake_executor &Executor = Executors[Id];
+                  const executor_target &To, instant Sent) {
+    const fake_executor &Executor = Executors[To.Id];
     if (Now < Executor.CutUntil) {
-      after(CallTimeout, [this, Leader, Id] {
-        post(Leader, hold_failed{Id, 0, hold_failure::NoAnswer});
+      after(CallTimeout, [this, Leader, To] {
+        post(Leader, To.Token, hold_failed{To.Id, 0, hold_failure::NoAnswer});
       });
       return;
     }
     runs_reported Answer;
-    Answer.Executor = Id;
+    Answer.Executor = To.Id;
     Answer.Incarnation = Executor.Report.Incarnation;
     Answer.ClockMs = Now.count();
     Answer.Sent = Sent;
@@ -393,23 +429,26 @@
       Answer.Active.push_back({Name, "", 50});
     for (const fake_end &End : Executor.Ends)
       Answer.Ended.push_back({End.Number, End.Name, End.End, ""});
-    after(Latency, [this, Leader, Answer] { post(Leader, Answer); });
+    after(Latency, [=, this] { post(Leader, To.Token, Answer); });
   }
 
   void carryOut(const std::shared_ptr<fake_leader> &Leader,
                 save_progress &Save) {
     const save_progress Order = Save;
     if (Leader->IsCutOff || Now < StoreDownUntil) {
-      after(CallTimeout,
-            [this, Leader] { post(Leader, progress_saved{false}); });
+      after(CallTimeout, [this, Leader, Order] {
+        post(Leader, Order.Token, progress_saved{false});
+      });
       return;
     }
     after(StoreLatency, [this, Leader, Order] {
+      if (Leader->Token != Order.Token)
+        return; // its revisions are of another term
       // Applied only if the leader still leads and the records are at the
       // revisions that it knows. A write whose response was lost is
       // recognised by its value.
       const bool IsLost = chance(Settings.Faults.LostWrites);
-      const bool Leads = CurrentToken == Leader->Token;
+      const bool Leads = CurrentToken == Order.Token;
       bool IsApplied = Leads;
       for (const saved_job &Job : Order.Jobs) {
         const bool IsOwn =
@@ -430,11 +469,12 @@
         }
       }
       if (!Leads) {
-        post(Leader, leadership_lost{});
+        post(Leader, Order.Token, leadership_lost{});
         return;
       }
-      after(IsLost ? CallTimeout : StoreLatency,
-            [=, this] { post(Leader, progress_saved{IsApplied && !IsLost}); });
+      after(IsLost ? CallTimeout : StoreLatency, [=, this] {
+        post(Leader, Order.Token, progress_saved{IsApplied && !IsLost});
+      });
     });
   }
 
@@ -504,6 +544,7 @@
   time_point LeaderValidUntil{0};
   time_point StoreDownUntil{0};
   std::shared_ptr<fake_leader> Current;
+  std::shared_ptr<fake_leader> Previous; // led until the store was away
   std::vector<std::shared_ptr<fake_leader>> Leaders;
   std::set<task_name> Acknowledged; // tasks whose end as done was acknowledged
   std::map<task_name, std::vector<done_end>> DoneEnds;
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -135,8 +135,10 @@
       anyExecutor().CutUntil = Now + milliseconds(draw(1'000, 12'000));
     });
   for (int I = 0; I < Faults.StoreOutages; ++I)
-    at(faultTime(),
-       [this] { StoreDownUntil = Now + milliseconds(draw(1'000, 6'000)); });
+    at(faultTime(), [this] {
+      const auto Longest = static_cast<int>(3 * LeaderLease.count());
+      StoreDownUntil = Now + milliseconds(draw(Longest / 30, Longest));
+    });
 }
 
 } // namespace galenastage::batch::test::detail
--- /dev/null
+++ b/tests/support/scheduler_fixture.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+// Drives the batch scheduler's reducer, with executors whose answers the test
+// posts.
+
+#include "core/job/batch/scheduler.hpp"
+
+namespace galenastage::batch::test {
+
+struct scheduler_fixture {
+  static constexpr std::uint64_t Token = 7; // of the first term
+
+  scheduler_state State;
+  instant Now{milliseconds(100'000)};
+  wall_instant Wall{milliseconds(1'000'000)};
+  effects Last; // of the last event, without log lines
+  std::int64_t Ends = 0;
+
+  scheduler_fixture() {
+    deployment_config Config;
+    Config.Version = 1;
+    for (int Priority = 0; Priority < 3; ++Priority) {
+      queue_config Queue;
+      Queue.Name = route_id("q" + std::to_string(Priority));
+      Queue.Service = service_id("s");
+      Queue.Priority = Priority;
+      Queue.MaxAttempts = 2;
+      Queue.StretchFactor = 1.5;
+      Config.Queues.push_back(Queue);
+    }
+    Config.Organisations = {{organisation_id("small"), {"k"}, 4},
+                            {organisation_id("none"), {"l"}, 0}};
+    post(configuration_changed{Config});
+    post(leadership_gained{Token, Now + milliseconds(1'000'000)});
+  }
+
+  /// Posts an event of the present term.
+  void post(decltype(event::What) What) {
+    const auto *Gained = std::get_if<leadership_gained>(&What);
+    postOf(Gained ? Gained->Token : State.Token, std::move(What));
+  }
+  void postOf(std::uint64_t Term, decltype(event::What) What) {
+    Last.clear();
+    for (effect &Effect : reduce(State, {Now, Wall, Term, std::move(What)}))
+      if (!std::holds_alternative<write_log>(Effect))
+        Last.push_back(std::move(Effect));
+  }
+  void pass(milliseconds Time) {
+    Now += Time;
+    Wall += Time;
+    post(time_passed{});
+  }
+  template <typename Kind> [[nodiscard]] std::vector<Kind> all() const {
+    std::vector<Kind> Found;
+    for (const effect &Effect : Last)
+      if (const auto *One = std::get_if<Kind>(&Effect))
+        Found.push_back(*One);
+    return Found;
+  }
+
+  static executor_report report(const std::string &Id,
+                                const std::string &Rack = "r1") {
+    executor_report Report;
+    Report.Id = executor_id(Id);
+    Report.Service = service_id("s");
+    Report.Address = {"10.0.0.1", 80};
+    Report.DataCentre = data_centre_id("a");
+    Report.Kind = "k";
+    Report.Rack = rack_id(Rack);
+    Report.Capacity = {32'000, 64'000, 8};
+    Report.Incarnation = 1;
+    return Report;
+  }
+  void list(std::vector<executor_report> Executors) {
+    post(executors_listed{std::move(Executors)});
+  }
+  /// Posts the answer of an executor to a hold.
+  void answer(const std::string &Id, std::vector<active_run> Active = {},
+              std::vector<ended_run> Ended = {}) {
+    Now += milliseconds(20);
+    runs_reported Report{executor_id(Id),
+                         1,
+                         Now.time_since_epoch().count(),
+                         Now,
+                         std::move(Active),
+                         std::move(Ended)};
+    post(Report);
+  }
+  /// Lists executors that have answered a hold with this leader's token.
+  void settle(const std::vector<std::string> &Ids) {
+    std::vector<executor_report> Reports;
+    for (const std::string &Id : Ids)
+      Reports.push_back(report(Id));
+    post(recovery_finished{});
+    list(std::move(Reports));
+    for (const std::string &Id : Ids)
+      answer(Id);
+  }
+
+  static job_spec job(const std::string &Id, int Priority, int Count,
+                      int Accelerators,
+                      const std::string &Organisation = "small") {
+    job_spec Job;
+    Job.Id = job_id(Id);
+    Job.Queue.Name = route_id("q" + std::to_string(Priority));
+    Job.Organisation = organisation_id(Organisation);
+    step_spec Step;
+    Step.Count = Count;
+    Step.Needs = {1'000, 1'000, Accelerators};
+    Step.Estimate = milliseconds(4'000);
+    Job.Steps = {Step};
+    return Job;
+  }
+  void submit(job_spec Job) {
+    Job.Submitted = Wall;
+    Now += milliseconds(20);
+    post(job_found{std::move(Job), {}});
+  }
+  /// Confirms the save in flight and returns the starts that follow.
+  std::vector<start_run> save() {
+    post(progress_saved{true});
+    return all<start_run>();
+  }
+  /// Submits a job and starts all its tasks.
+  std::vector<start_run> run(job_spec Job) {
+    submit(std::move(Job));
+    const auto Starts = save();
+    for (const start_run &Start : Starts)
+      post(start_answered{Start.To.Id, Start.Run, order_outcome::Accepted, ""});
+    return Starts;
+  }
+  ended_run end(const run_name &Run, run_end How) {
+    return {++Ends, Run, How, ""};
+  }
+};
+
+} // namespace galenastage::batch::test
--- /dev/null
+++ b/tests/unit/batch_term_test.cpp
@@ -0,0 +1,195 @@
+// Answers to orders of an earlier term of leadership that arrive while the same
+// instance leads again: none may change the state of the present term.
+
+#include "tests/support/scheduler_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+using namespace galenastage::batch;
+
+namespace {
+
+constexpr std::uint64_t Next = 9; // token of the second term
+
+struct term_fixture : test::scheduler_fixture {
+  run_name Run;          // started in the first term, on executor x
+  job_spec Job;          // with one task
+  job_progress Progress; // as stored by the first term
+
+  term_fixture() {
+    settle({"x"});
+    Job = job("a", 1, 1, 1);
+    submit(Job);
+    Progress = all<save_progress>().front().Jobs.front().Progress;
+    Run = save().front().Run;
+    post(start_answered{executor_id("x"), Run, order_outcome::Accepted, ""});
+  }
+
+  /// Ends the first term; the same instance leads again.
+  void changeTerm() {
+    post(leadership_lost{});
+    post(leadership_gained{Next, Now + milliseconds(1'000'000)});
+  }
+  void load() {
+    post(executors_listed{{report("x")}});
+    post(job_found{Job, Progress});
+    post(recovery_finished{});
+  }
+  /// A second term in which the run is known to be active.
+  void continueRun() {
+    changeTerm();
+    load();
+    answer("x", {{Run, "", 10}});
+    pass(milliseconds(100)); // the next hold has been sent
+  }
+  runs_reported reportOf(std::vector<active_run> Active,
+                         std::vector<ended_run> Ended) const {
+    return {executor_id("x"),
+            1,
+            Now.time_since_epoch().count(),
+            Now,
+            std::move(Active),
+            std::move(Ended)};
+  }
+  executor_state &x() { return State.Executors.at(executor_id("x")); }
+  bool isStarted() const { return !all<start_run>().empty(); }
+};
+
+} // namespace
+
+// Guards against a second start after an end that was acknowledged to the
+// executor, but never stored.
+TEST_CASE_METHOD(term_fixture,
+                 "batch: an end that was reported to a hold of an earlier term "
+                 "is neither acknowledged nor lost") {
+  changeTerm();
+  const ended_run End = end(Run, run_end::Done);
+  SECTION("before the jobs are loaded") {
+    postOf(Token, reportOf({}, {End}));
+    CHECK(Last.empty());
+    load();
+  }
+  SECTION("after the jobs are loaded") {
+    load();
+    REQUIRE(all<hold_executor>().size() == 1);
+    postOf(Token, reportOf({}, {End}));
+    CHECK(Last.empty());
+  }
+  CHECK(x().LastSeenSaved == 0);
+  answer("x", {}, {End});
+  CHECK_FALSE(isStarted());
+  REQUIRE(all<save_progress>().size() == 1);
+  CHECK(all<save_progress>().front().Jobs.front().Progress.Phase ==
+        job_phase::Completed);
+  CHECK(x().LastSeenSaved == 0);
+  post(progress_saved{true});
+  CHECK(x().LastSeenSaved == End.Number);
+}
+
+// Guards against a run that counted as vanished because a report from before
+// its start was delivered after one that listed it.
+TEST_CASE_METHOD(term_fixture,
+                 "batch: a report to a hold of an earlier term doesn't end a "
+                 "run") {
+  continueRun();
+  postOf(Token, reportOf({}, {}));
+  pass(milliseconds(1'000));
+  CHECK_FALSE(isStarted());
+  CHECK(x().Runs.contains(Run));
+  CHECK(x().Runs.size() == 1);
+}
+
+TEST_CASE_METHOD(term_fixture,
+                 "batch: a failed hold of an earlier term leaves the present "
+                 "one in flight") {
+  continueRun();
+  REQUIRE(x().IsHolding);
+  for (const hold_failure Failure :
+       {hold_failure::NoAnswer, hold_failure::Fenced,
+        hold_failure::OtherIncarnation}) {
+    postOf(Token, hold_failed{executor_id("x"), 1, Failure});
+    CHECK(x().IsHolding);
+    CHECK_FALSE(x().IsUnresponsive);
+    CHECK(x().Runs.contains(Run));
+  }
+}
+
+TEST_CASE_METHOD(term_fixture,
+                 "batch: the answer to a start of an earlier term changes "
+                 "nothing") {
+  continueRun();
+  for (const order_outcome Outcome :
+       {order_outcome::Accepted, order_outcome::Refused,
+        order_outcome::Unknown}) {
+    postOf(Token, start_answered{executor_id("x"), Run, Outcome, "fence"});
+    CHECK(Last.empty());
+    REQUIRE(x().Runs.contains(Run));
+    CHECK(x().Runs.at(Run).Phase == run_phase::Active);
+    CHECK_FALSE(x().Runs.at(Run).IsAccepted);
+  }
+}
+
+TEST_CASE_METHOD(term_fixture,
+                 "batch: the answer to a stop of an earlier term doesn't "
+                 "confirm one of the present") {
+  continueRun();
+  post(cancel_requested{Job.Id});
+  REQUIRE(all<stop_run>().size() == 1);
+  postOf(Token, stop_answered{executor_id("x"), Run, true});
+  CHECK_FALSE(x().Runs.at(Run).IsStopAccepted);
+}
+
+// Guards against starts whose executors are not stored.
+TEST_CASE_METHOD(term_fixture,
+                 "batch: a save of an earlier term doesn't confirm one of the "
+                 "present") {
+  changeTerm();
+  Progress = {}; // the first term stored nothing
+  load();
+  answer("x");
+  REQUIRE(all<save_progress>().size() == 1);
+  CHECK(all<save_progress>().front().Token == Next);
+  postOf(Token, progress_saved{true});
+  CHECK_FALSE(isStarted());
+  post(progress_saved{true});
+  CHECK(isStarted());
+}
+
+TEST_CASE_METHOD(term_fixture,
+                 "batch: what was read from the store in an earlier term isn't "
+                 "taken for the present") {
+  changeTerm();
+  postOf(Token, job_found{Job, Progress});
+  postOf(Token, recovery_finished{});
+  CHECK(State.Jobs.empty());
+  CHECK_FALSE(State.IsRecovered);
+  load();
+  postOf(Token, executors_listed{{}});
+  CHECK(x().IsListed);
+  postOf(Token, cancel_requested{Job.Id});
+  CHECK(State.Jobs.at(Job.Id).Progress.Phase != job_phase::Cancelled);
+  const instant ValidUntil = State.ValidUntil;
+  postOf(Token, leadership_extended{ValidUntil + milliseconds(1)});
+  CHECK(State.ValidUntil == ValidUntil);
+  postOf(Token, leadership_lost{});
+  CHECK(State.Token == Next);
+}
+
+TEST_CASE_METHOD(term_fixture,
+                 "batch: an answer without a term changes nothing") {
+  changeTerm();
+  postOf(NoTerm, job_found{Job, Progress});
+  CHECK(State.Jobs.empty());
+  post(leadership_lost{});
+  postOf(NoTerm, job_found{Job, Progress});
+  CHECK(State.Jobs.empty());
+}
+
+TEST_CASE_METHOD(term_fixture, "batch: each order tells the term it is of") {
+  submit(job("b", 1, 1, 1));
+  REQUIRE_FALSE(Last.empty());
+  for (const effect &Effect : Last)
+    CHECK(termOf(Effect) == Token);
+  CHECK_FALSE(termOf(write_log{}).has_value());
+}
