Ignore answers to an earlier epoch in the gang scheduler too

What callers would see: a job that must run at most once is started from a placement that isn't stored, or on a worker that holds no reservation for it.

Attempt numbers are those of the job's record, so a scheduler that leads again may use the one of its earlier epoch. An accepted reservation of that epoch counted for this one, and a save of that epoch armed the gang while the save of this one was still in flight. A save decided in one epoch could be queued under the fence of the next.

Change: events that answer an order carry its epoch, and the reducer ignores others in one place; saves and moves carry the epoch that decided them, and a program drops those of an earlier one.

Evidence: "answers to orders of an earlier epoch don't advance a gang" fails without the check: a record is saved after the old reservation, and a start is sent after the old save.

core/request, the configuration feed and the peers have no terms: their answers are matched by request, by revision and by version.

--- a/apps/scheduler/main.cpp
+++ b/apps/scheduler/main.cpp
@@ -35,7 +35,9 @@
         Workers(Context, Config.Listen.Address),
         Tables(Context, Store, List, relaySettings(Config), tablesCallbacks()),
         Saves(Context, Store,
-              [this](scheduler_event_body Body) { post(std::move(Body)); }),
+              [this](epoch Epoch, scheduler_event_body Body) {
+                postAnswer(Epoch, std::move(Body));
+              }),
         Election(Context, Store, Config.DataCentre, Config.Instance,
                  [this](bool IsLeading, epoch Epoch) {
                    changeLeadership(IsLeading, Epoch);
@@ -85,7 +87,9 @@
 
   tables_callbacks tablesCallbacks() {
     tables_callbacks Callbacks;
-    Callbacks.OnTables = [this](tables_seen Seen) { apply(std::move(Seen)); };
+    Callbacks.OnTables = [this](tables_seen Seen) {
+      apply(0, std::move(Seen));
+    };
     Callbacks.OnLeader = [this](publish_leader Leader) {
       Election.noteLeader(Leader);
     };
@@ -101,14 +105,18 @@
 
   // Events
 
-  void post(scheduler_event_body Body) {
-    Control.post(
-        [this, Body = std::move(Body)]() mutable { apply(std::move(Body)); });
+  void post(scheduler_event_body Body) { postAnswer(0, std::move(Body)); }
+
+  /// Posts the answer to an order of that epoch.
+  void postAnswer(epoch Epoch, scheduler_event_body Body) {
+    Control.post([this, Epoch, Body = std::move(Body)]() mutable {
+      apply(Epoch, std::move(Body));
+    });
   }
 
   /// Runs on the control thread.
-  void apply(scheduler_event_body Body) {
-    const scheduler_event Event{readClock(), std::move(Body)};
+  void apply(epoch Epoch, scheduler_event_body Body) {
+    const scheduler_event Event{readClock(), std::move(Body), Epoch};
     scheduler_effects Effects = reduce(State, Event);
     if (Effects.empty())
       return;
@@ -141,6 +149,7 @@
   }
 
   void changeLeadership(bool IsLeading, epoch Epoch) {
+    PresentEpoch = Epoch;
     Saves.setFence(Election.fence());
     Tables.post(leading_changed{IsLeading ? Epoch : 0});
     post(leadership_changed{IsLeading, Epoch});
@@ -194,29 +203,37 @@
   // Effects
 
   void perform(send_reserve Effect) {
-    spawn(sendStep(step_answered::step_kind::Reserve, "/v1/reserve",
-                   Effect.Worker, Effect.Request.Attempt,
+    spawn(sendStep(Effect.Request.Epoch, step_answered::step_kind::Reserve,
+                   "/v1/reserve", Effect.Worker, Effect.Request.Attempt,
                    nlohmann::json(Effect.Request).dump()));
   }
 
   void perform(send_start Effect) {
-    spawn(sendStep(step_answered::step_kind::Start, "/v1/start", Effect.Worker,
-                   Effect.Request.Attempt,
+    spawn(sendStep(Effect.Request.Epoch, step_answered::step_kind::Start,
+                   "/v1/start", Effect.Worker, Effect.Request.Attempt,
                    nlohmann::json(Effect.Request).dump()));
   }
 
   void perform(send_release Effect) {
-    spawn(sendStep(step_answered::step_kind::Release, "/v1/release",
-                   Effect.Worker, Effect.Request.Attempt,
+    spawn(sendStep(Effect.Request.Epoch, step_answered::step_kind::Release,
+                   "/v1/release", Effect.Worker, Effect.Request.Attempt,
                    nlohmann::json(Effect.Request).dump()));
   }
 
   void perform(send_renew Effect) {
-    spawn(sendRenew(Effect.Worker, nlohmann::json(Effect.Request).dump()));
+    spawn(sendRenew(Effect.Request.Epoch, Effect.Worker,
+                    nlohmann::json(Effect.Request).dump()));
   }
 
-  void perform(save_job Effect) { Saves.save(std::move(Effect)); }
-  void perform(move_job Effect) { Saves.move(std::move(Effect)); }
+  // The queue's fence is that of the present epoch.
+  void perform(save_job Effect) {
+    if (Effect.Epoch == PresentEpoch)
+      Saves.save(std::move(Effect));
+  }
+  void perform(move_job Effect) {
+    if (Effect.Epoch == PresentEpoch)
+      Saves.move(std::move(Effect));
+  }
   void perform(step_down Effect) { Election.noteEpoch(Effect.HighestEpoch); }
   void perform(write_log Effect) { writeLog(Effect.Line); }
 
@@ -237,8 +254,9 @@
                                     WorkerCallTimeout);
   }
 
-  task<void> sendStep(step_answered::step_kind Kind, std::string Path,
-                      worker_id Worker, attempt_id Attempt, std::string Body) {
+  task<void> sendStep(epoch Epoch, step_answered::step_kind Kind,
+                      std::string Path, worker_id Worker, attempt_id Attempt,
+                      std::string Body) {
     const http_result Result =
         co_await callWorker(Worker, std::move(Path), std::move(Body));
     step_answered Answer;
@@ -254,17 +272,17 @@
       Answer.HighestEpoch = Parsed ? Parsed->HighestEpoch : 0;
       Answer.Reason = Parsed ? Parsed->Reason : "unreadable answer";
     }
-    post(std::move(Answer));
+    postAnswer(Epoch, std::move(Answer));
   }
 
-  task<void> sendRenew(worker_id Worker, std::string Body) {
+  task<void> sendRenew(epoch Epoch, worker_id Worker, std::string Body) {
     const instant SentAt = readClock();
     const http_result Result =
         co_await callWorker(std::move(Worker), "/v1/renew", std::move(Body));
     if (Result.Error)
       co_return;
     if (auto Report = parseWorkerMessage<worker_report>(Result.Response.Body))
-      post(worker_reported{std::move(*Report), SentAt});
+      postAnswer(Epoch, worker_reported{std::move(*Report), SentAt});
   }
 
   // Health
@@ -285,7 +303,8 @@
   http_client Workers;
   tables_feed Tables;
   std::map<worker_id, endpoint> Addresses;
-  int Term = 0; // incremented on each change of leadership
+  epoch PresentEpoch = 0; // or the last one, on a standby
+  int Term = 0;           // incremented on each change of leadership
   save_queue Saves;
   election Election;
   http_server Server;
--- a/apps/scheduler/save_queue.cpp
+++ b/apps/scheduler/save_queue.cpp
@@ -15,11 +15,12 @@
 } // namespace
 
 save_queue::save_queue(asio::io_context &Context, store_client &Store,
-                       std::function<void(scheduler_event_body)> OnEvent)
+                       std::function<void(epoch, scheduler_event_body)> OnEvent)
     : Context(Context), Store(Store), OnEvent(std::move(OnEvent)) {}
 
 void save_queue::save(save_job Effect) {
   queued_write Write;
+  Write.Epoch = Effect.Epoch;
   Write.Job = Effect.Record.Spec.Id;
   Write.Revision = Effect.Revision;
   Write.Key = jobKey(Effect.Record.DataCentre, Write.Job);
@@ -32,6 +33,7 @@
 
 void save_queue::move(move_job Effect) {
   queued_write Write;
+  Write.Epoch = Effect.Epoch;
   Write.Job = Effect.Record.Spec.Id;
   Write.Revision = Effect.Revision;
   Write.Key = jobKey(Effect.From, Write.Job);
@@ -88,37 +90,37 @@
 task<void> save_queue::resolveOutcome(queued_write Write, store_write Result) {
   if (!Result.Error && Result.IsApplied) {
     if (!Write.Value.empty())
-      report(Write.Job, job_saved::outcome::Saved, Result.Revision);
+      report(Write, job_saved::outcome::Saved, Result.Revision);
     co_return; // the watch reports a move
   }
   if (Result.Error && Result.Verdict == verdict::NotRun) {
-    report(Write.Job, job_saved::outcome::Unreachable, 0);
+    report(Write, job_saved::outcome::Unreachable, 0);
     co_return;
   }
   // Refused, or the answer was lost: the stored record decides.
   const store_read Read = co_await Store.read(Write.Key);
   // A read that is older than the record says nothing about it.
   if (Read.Error || Read.Revision < Write.Revision) {
-    report(Write.Job, job_saved::outcome::Unreachable, 0);
+    report(Write, job_saved::outcome::Unreachable, 0);
     co_return;
   }
   if (Read.Entries.empty()) {
-    OnEvent(job_forgotten{Write.Job});
+    OnEvent(Write.Epoch, job_forgotten{Write.Job});
     co_return;
   }
   const store_entry &Entry = Read.Entries.front();
   if (Entry.Value == Write.Value) {
-    report(Write.Job, job_saved::outcome::Saved, Entry.ModRevision);
+    report(Write, job_saved::outcome::Saved, Entry.ModRevision);
     co_return;
   }
-  report(Write.Job, job_saved::outcome::Conflict, 0);
+  report(Write, job_saved::outcome::Conflict, 0);
   if (auto Record = parseJobRecord(Entry.Value).Job)
-    OnEvent(job_seen{std::move(*Record), Entry.ModRevision});
+    OnEvent(Write.Epoch, job_seen{std::move(*Record), Entry.ModRevision});
 }
 
-void save_queue::report(const job_id &Job, job_saved::outcome Outcome,
+void save_queue::report(const queued_write &Write, job_saved::outcome Outcome,
                         std::int64_t Revision) {
-  OnEvent(job_saved{Job, Outcome, Revision});
+  OnEvent(Write.Epoch, job_saved{Write.Job, Outcome, Revision});
 }
 
 } // namespace galenastage
--- a/apps/scheduler/save_queue.hpp
+++ b/apps/scheduler/save_queue.hpp
@@ -13,11 +13,11 @@
 /// thread only.
 class save_queue {
 public:
-  /// OnEvent gets a job_saved for each save. If the store holds a different
-  /// record, a job_seen follows; if it holds none, OnEvent gets a job_forgotten
-  /// instead.
+  /// OnEvent gets a job_saved, with the epoch of the effect, for each save. If
+  /// the store holds a different record, a job_seen follows; if it holds none,
+  /// OnEvent gets a job_forgotten instead.
   save_queue(asio::io_context &Context, store_client &Store,
-             std::function<void(scheduler_event_body)> OnEvent);
+             std::function<void(epoch, scheduler_event_body)> OnEvent);
 
   /// Adds this condition to every write queued from now on.
   void setFence(store_condition Condition);
@@ -29,6 +29,7 @@
   /// A queued transaction, and the data for checking its outcome.
   struct queued_write {
     store_transaction Transaction;
+    epoch Epoch = 0;
     job_id Job;
     std::int64_t Revision = 0; // that the record is expected to have
     std::string Key;           // of the record
@@ -38,12 +39,12 @@
   void enqueue(queued_write Write);
   task<void> drain();
   task<void> resolveOutcome(queued_write Write, store_write Result);
-  void report(const job_id &Job, job_saved::outcome Outcome,
+  void report(const queued_write &Write, job_saved::outcome Outcome,
               std::int64_t Revision);
 
   asio::io_context &Context;
   store_client &Store;
-  std::function<void(scheduler_event_body)> OnEvent;
+  std::function<void(epoch, scheduler_event_body)> OnEvent;
   store_condition Fence = value_is{}; // never holds
   std::deque<queued_write> Queue;
   bool IsDraining = false;
--- a/core/job/scheduler.cpp
+++ b/core/job/scheduler.cpp
@@ -6,8 +6,28 @@
 
 namespace galenastage {
 
+namespace {
+
+/// Whether the event answers an order of another epoch than the present one.
+/// Attempt numbers don't tell: a later leader may use the same one again.
+bool isOutdated(const scheduler_state &State, const scheduler_event &Event) {
+  const bool IsAnswer = std::holds_alternative<worker_reported>(Event.Body) ||
+                        std::holds_alternative<step_answered>(Event.Body) ||
+                        std::holds_alternative<job_saved>(Event.Body);
+  return IsAnswer && Event.Epoch != State.Epoch;
+}
+
+} // namespace
+
 scheduler_effects reduce(scheduler_state &State, const scheduler_event &Event) {
   scheduler_effects Effects;
+  if (isOutdated(State, Event)) {
+    Effects.emplace_back(
+        write_log{{&events::AnswerOutdated,
+                   {{"term", std::to_string(Event.Epoch)},
+                    {"present", std::to_string(State.Epoch)}}}});
+    return Effects;
+  }
   detail::scheduler_run Run(State, Event.Now, Effects);
   std::visit([&](const auto &Body) { Run.apply(Body); }, Event.Body);
   Run.refreshGuarantees();
@@ -367,7 +387,8 @@
   Record.DataCentre = To;
   Record.Reason = "moved from " + State.Settings.DataCentre.Value;
   log(events::JobMoved, {{"job", Record.Spec.Id.Value}, {"to", To.Value}});
-  emit(move_job{std::move(Record), Job.Revision, State.Settings.DataCentre});
+  emit(move_job{State.Epoch, std::move(Record), Job.Revision,
+                State.Settings.DataCentre});
 }
 
 void scheduler_run::cancelJob(scheduled_job &Job) {
@@ -402,7 +423,7 @@
   }
   Job.IsSaveInFlight = true;
   Job.IsSaveWanted = false;
-  emit(save_job{Job.Record, Job.Revision});
+  emit(save_job{State.Epoch, Job.Record, Job.Revision});
 }
 
 void scheduler_run::setReason(scheduled_job &Job, std::string Reason) {
--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -125,6 +125,7 @@
 struct scheduler_event {
   instant Now;
   scheduler_event_body Body;
+  epoch Epoch = 0; // of the order that Body answers; 0: it answers none
 };
 
 // [3] Effects
@@ -148,6 +149,7 @@
 
 /// Store the record if the stored one is still at this revision.
 struct save_job {
+  epoch Epoch = 0; // in which it was decided
   job_record Record;
   std::int64_t Revision = 0;
 };
@@ -155,6 +157,7 @@
 /// Move the job to the data centre given in the record and remove it here, in
 /// one transaction.
 struct move_job {
+  epoch Epoch = 0; // in which it was decided
   job_record Record;
   std::int64_t Revision = 0;
   data_centre_id From;
@@ -282,7 +285,8 @@
 
 // [5] The reducer
 
-/// Applies one event. Deterministic: equal states and events give equal states
+/// Applies one event, unless it answers an order of another epoch than the
+/// present one. Deterministic: equal states and events give equal states
 /// and effects. The state is changed in place because it is large.
 scheduler_effects reduce(scheduler_state &State, const scheduler_event &Event);
 
--- a/measure/benchmark/policy_benchmark.cpp
+++ b/measure/benchmark/policy_benchmark.cpp
@@ -55,7 +55,7 @@
   }
 
   scheduler_effects send(scheduler_event_body Body) {
-    return reduce(State, {Now, std::move(Body)});
+    return reduce(State, {Now, std::move(Body), State.Epoch});
   }
 
   scheduler_effects tick() {
--- a/measure/capacity_fleet.cpp
+++ b/measure/capacity_fleet.cpp
@@ -160,7 +160,7 @@
 
 void fleet::apply(scheduler_event_body Body) {
   const char *Kind = std::visit(event_namer{}, Body);
-  const scheduler_event Event{Now, std::move(Body)};
+  const scheduler_event Event{Now, std::move(Body), State.Epoch};
   const std::int64_t Began = readNanoseconds();
   const scheduler_effects Effects = reduce(State, Event);
   event_cost &Cost = Counts.Events[Kind];
--- a/measure/policy_driver.cpp
+++ b/measure/policy_driver.cpp
@@ -210,8 +210,8 @@
     while (!Queue.empty()) {
       auto [Site, Body] = std::move(Queue.front());
       Queue.pop_front();
-      scheduler_effects Effects =
-          reduce(Sites[Site].State, {Now, std::move(Body)});
+      scheduler_effects Effects = reduce(
+          Sites[Site].State, {Now, std::move(Body), Sites[Site].State.Epoch});
       for (scheduler_effect &Effect : Effects)
         std::visit([&, At = Site](auto &Value) { perform(At, Value); }, Effect);
     }
--- a/tests/faults/gang_start_test.cpp
+++ b/tests/faults/gang_start_test.cpp
@@ -33,7 +33,12 @@
   }
 
   void apply(scheduler_event_body Body) {
-    for (scheduler_effect &Effect : reduce(State, {Now, std::move(Body)}))
+    applyOf(State.Epoch, std::move(Body));
+  }
+  /// Applies the answer to an order of that epoch.
+  void applyOf(epoch Epoch, scheduler_event_body Body) {
+    for (scheduler_effect &Effect :
+         reduce(State, {Now, std::move(Body), Epoch}))
       Effects.push_back(std::move(Effect));
   }
 
@@ -45,8 +50,8 @@
 
   /// Becomes leader with these job records and these tasks on worker 1.
   void takeOver(const std::vector<job_record> &Records,
-                std::vector<task_report> Tasks = {}) {
-    apply(leadership_changed{true, 7});
+                std::vector<task_report> Tasks = {}, epoch Epoch = 7) {
+    apply(leadership_changed{true, Epoch});
     for (const job_record &Record : Records)
       apply(job_seen{Record, 10});
     apply(jobs_loaded{});
@@ -105,6 +110,37 @@
 
 } // namespace
 
+// Guards against a gang that is armed without the reservations and the record
+// of the present epoch: a later leader may use the same attempt number again.
+TEST_CASE("answers to orders of an earlier epoch don't advance a gang") {
+  driven_scheduler Scheduler;
+  const job_record Waiting = recordOf(job_phase::Waiting, false);
+  Scheduler.takeOver({Waiting});
+  const auto Reserved = Scheduler.sent<send_reserve>();
+  REQUIRE(Reserved.size() == 1);
+  Scheduler.apply(leadership_changed{false, 7});
+  Scheduler.takeOver({Waiting}, {}, 9);
+  REQUIRE(Scheduler.sent<send_reserve>().size() == 2);
+  const send_reserve Present = Scheduler.sent<send_reserve>().back();
+  REQUIRE(Present.Request.Attempt == Reserved.front().Request.Attempt);
+
+  step_answered Answer;
+  Answer.Attempt = Present.Request.Attempt;
+  Answer.Worker = Present.Worker;
+  Answer.IsAccepted = true;
+  Scheduler.applyOf(7, Answer);
+  CHECK(Scheduler.sent<save_job>().empty());
+  Scheduler.applyOf(9, Answer);
+  REQUIRE(Scheduler.sent<save_job>().size() == 1);
+  CHECK(Scheduler.sent<save_job>().front().Epoch == 9);
+
+  const job_saved Saved{Job, job_saved::outcome::Saved, 11};
+  Scheduler.applyOf(7, Saved);
+  CHECK(Scheduler.sent<send_start>().empty());
+  Scheduler.applyOf(9, Saved);
+  CHECK(Scheduler.sent<send_start>().size() == 1);
+}
+
 TEST_CASE("a start that another scheduler saved isn't started again") {
   driven_scheduler Scheduler;
   Scheduler.takeOver({recordOf(job_phase::Waiting, false)});
--- a/tests/property/policy_property_test.cpp
+++ b/tests/property/policy_property_test.cpp
@@ -138,7 +138,7 @@
 
   void drain() {
     while (!Queue.empty()) {
-      const scheduler_event Event{Now, std::move(Queue.front())};
+      const scheduler_event Event{Now, std::move(Queue.front()), State.Epoch};
       Queue.pop_front();
       for (scheduler_effect &Effect : reduce(State, Event))
         std::visit([this](auto &Value) { perform(Value); }, Effect);
--- a/tests/support/virtual_scheduler.cpp
+++ b/tests/support/virtual_scheduler.cpp
@@ -60,9 +60,10 @@
   Around.Network.after(Name, Delay, std::move(Work));
 }
 
-void virtual_scheduler::post(scheduler_event_body Body) {
+void virtual_scheduler::post(scheduler_event_body Body, epoch OfOrder) {
   Around.OnEvent(Name, Body);
-  const auto Effects = reduce(State, {Around.Network.now(), std::move(Body)});
+  const auto Effects =
+      reduce(State, {Around.Network.now(), std::move(Body), OfOrder});
   if (Effects.empty())
     return;
   after(milliseconds(0), [this, Effects] {
@@ -288,7 +289,7 @@
           Answer.HighestEpoch = Result.Value->HighestEpoch;
           Answer.Reason = Result.Value->Reason;
         }
-        post(std::move(Answer));
+        post(std::move(Answer), Body.Epoch);
       });
 }
 
@@ -304,9 +305,10 @@
           Around.OnRenewed(Worker, Request);
         return Report;
       },
-      [this, SentAt](const call_result<worker_report> &Result) {
+      [this, SentAt, OfOrder = Effect.Request.Epoch](
+          const call_result<worker_report> &Result) {
         if (Result.Value)
-          post(worker_reported{*Result.Value, SentAt});
+          post(worker_reported{*Result.Value, SentAt}, OfOrder);
       });
 }
 
@@ -315,7 +317,10 @@
 }
 
 void virtual_scheduler::perform(const save_job &Effect) {
+  if (Effect.Epoch != Epoch)
+    return; // the leader key's value is that of the present epoch
   queued_write Write;
+  Write.Epoch = Effect.Epoch;
   Write.Job = Effect.Record.Spec.Id;
   Write.Revision = Effect.Revision;
   Write.Key = jobKey(Effect.Record.DataCentre, Write.Job);
@@ -327,7 +332,10 @@
 }
 
 void virtual_scheduler::perform(const move_job &Effect) {
+  if (Effect.Epoch != Epoch)
+    return;
   queued_write Write;
+  Write.Epoch = Effect.Epoch;
   Write.Job = Effect.Record.Spec.Id;
   Write.Revision = Effect.Revision;
   Write.Key = jobKey(Effect.From, Write.Job);
@@ -377,17 +385,17 @@
                                const store_write &Result) {
   if (!Result.Error && Result.IsApplied) {
     if (!Write.Value.empty())
-      report(Write.Job, job_saved::outcome::Saved, Result.Revision);
+      report(Write, job_saved::outcome::Saved, Result.Revision);
     return;
   }
   if (Result.Error && Result.Verdict == verdict::NotRun) {
-    report(Write.Job, job_saved::outcome::Unreachable, 0);
+    report(Write, job_saved::outcome::Unreachable, 0);
     return;
   }
   Around.Store.read(Name, Write.Key, [this, Write](const store_read &Read) {
     // A read older than the record is no evidence about it.
     if (Read.Error || Read.Revision < Write.Revision) {
-      report(Write.Job, job_saved::outcome::Unreachable, 0);
+      report(Write, job_saved::outcome::Unreachable, 0);
       return;
     }
     if (Read.Entries.empty()) {
@@ -396,17 +404,18 @@
     }
     const store_entry &Entry = Read.Entries.front();
     if (Entry.Value == Write.Value) {
-      report(Write.Job, job_saved::outcome::Saved, Entry.ModRevision);
+      report(Write, job_saved::outcome::Saved, Entry.ModRevision);
       return;
     }
-    report(Write.Job, job_saved::outcome::Conflict, 0);
+    report(Write, job_saved::outcome::Conflict, 0);
     takeJob(Entry);
   });
 }
 
-void virtual_scheduler::report(const job_id &Job, job_saved::outcome Outcome,
+void virtual_scheduler::report(const queued_write &Write,
+                               job_saved::outcome Outcome,
                                std::int64_t Revision) {
-  post(job_saved{Job, Outcome, Revision});
+  post(job_saved{Write.Job, Outcome, Revision}, Write.Epoch);
 }
 
 } // namespace galenastage::test
--- a/tests/support/virtual_scheduler.hpp
+++ b/tests/support/virtual_scheduler.hpp
@@ -48,6 +48,7 @@
 private:
   struct queued_write {
     store_transaction Transaction;
+    epoch Epoch = 0;
     job_id Job;
     std::int64_t Revision = 0;
     std::string Key;
@@ -55,7 +56,7 @@
   };
 
   void after(milliseconds Delay, std::function<void()> Work);
-  void post(scheduler_event_body Body);
+  void post(scheduler_event_body Body, epoch OfOrder = 0);
   void tick();
   void confirmTables();
   void watchTables();
@@ -89,7 +90,7 @@
   void enqueue(queued_write Write);
   void drain();
   void settle(const queued_write &Write, const store_write &Result);
-  void report(const job_id &Job, job_saved::outcome Outcome,
+  void report(const queued_write &Write, job_saved::outcome Outcome,
               std::int64_t Revision);
 
   scheduler_surroundings &Around;
--- a/tests/unit/policy_scheduler_test.cpp
+++ b/tests/unit/policy_scheduler_test.cpp
@@ -103,7 +103,7 @@
 
   void drain() {
     while (!Queue.empty()) {
-      const scheduler_event Event{Now, std::move(Queue.front())};
+      const scheduler_event Event{Now, std::move(Queue.front()), State.Epoch};
       Queue.pop_front();
       for (const scheduler_effect &Effect : reduce(State, Event))
         std::visit([this](const auto &Value) { perform(Value); }, Effect);
