--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -49,7 +49,7 @@
          std::to_string(Task.Step) + "." + std::to_string(Task.Index);
 }
 
-bool event_handler::isOutdated(const event &Event) {
+bool event_handler::rejectOutdated(const event &Event) {
   const std::string_view Origin = originInTerm(Event);
   const bool IsPresent = Event.Term != 0 && Event.Term == State.Token;
   if (Origin.empty() || IsPresent)
@@ -422,7 +422,7 @@
 
 effects reduce(scheduler_state &State, const event &Event) {
   detail::event_handler Run(State, Event);
-  if (!Run.isOutdated(Event)) {
+  if (!Run.rejectOutdated(Event)) {
     std::visit([&](const auto &What) { Run.apply(What); }, Event.What);
     Run.finish();
   }
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -55,8 +55,9 @@
 
   effects Out;
 
-  /// Whether the event is about another term than the present one; logs it.
-  bool isOutdated(const event &Event);
+  /// True, after a log line, if the event is about another term than the
+  /// present one.
+  bool rejectOutdated(const event &Event);
 
   // Events (scheduler.cpp)
   void apply(const configuration_changed &Event);
