Repeat a failed watch of the configuration without a wait

What callers saw: refusals for up to 2 s after each outage of the store. Since a view has to be confirmed, an instance is served again only once its watch is answered, and a watch without changes is answered after its wait.

Change: after a failed call the next watch asks for no wait, so that its answer confirms the view at once. "feed: after a failed watch the next one doesn't wait".

--- a/apps/instance/deployment_feed.cpp
+++ b/apps/instance/deployment_feed.cpp
@@ -32,6 +32,7 @@
 
 task<void> deployment_feed::run() {
   bool IsCurrent = false;
+  milliseconds Wait = WatchTimeout;
   for (;;) {
     if (!IsCurrent) {
       IsCurrent = co_await readAll();
@@ -41,15 +42,17 @@
     }
     const instant Sent = readClock();
     const platform::watch_result Watch =
-        co_await Store.watch(platform::OperatorPrefix, Revision, WatchTimeout);
+        co_await Store.watch(platform::OperatorPrefix, Revision, Wait);
     if (Watch.Error) {
       noteFailure("watch", Watch.Error, Sent);
+      Wait = milliseconds(0); // confirms the view at once
       IsCurrent = Watch.Error != errc::NotFound;
       const bool HasWaited = Watch.Error == errc::DeadlineExceeded;
       if (IsCurrent && !HasWaited)
         co_await sleepFor(Context, RetryDelay);
       continue;
     }
+    Wait = WatchTimeout;
     Revision = Watch.Revision;
     ConfirmedAt = readClock();
     deployment_view Next = View ? *View : deployment_view{};
--- a/standin/metadata_service.cpp
+++ b/standin/metadata_service.cpp
@@ -157,8 +157,8 @@
   const std::string Prefix = decodeQuery(Request.query("prefix"));
   const std::int64_t After = number(Request.query("after"));
   Watched[Prefix] = After;
-  const instant Until =
-      readClock() + milliseconds(number(Request.query("wait_ms")));
+  WatchWait = milliseconds(number(Request.query("wait_ms")));
+  const instant Until = readClock() + WatchWait;
   for (;;) {
     expireLeases();
     if (After < Forgotten)
--- a/standin/metadata_service.hpp
+++ b/standin/metadata_service.hpp
@@ -47,6 +47,8 @@
   void forgetHistory();
   /// Revision after which the latest watch of the prefix began; -1: none has.
   [[nodiscard]] std::int64_t watchedAfter(const std::string &Prefix) const;
+  /// How long the latest watch wants to wait for a change.
+  [[nodiscard]] milliseconds watchWait() const { return WatchWait; }
   /// Revision of the latest change.
   [[nodiscard]] std::int64_t revision() const { return Revision; }
   /// Ends a lease as if it had expired, and removes its keys.
@@ -89,6 +91,7 @@
   std::map<std::int64_t, lease> Leases;
   std::deque<change> History;
   std::map<std::string, std::int64_t> Watched; // by prefix, see watchedAfter
+  milliseconds WatchWait{0};
   std::int64_t Revision = 1;
   std::int64_t Forgotten = 0; // changes up to this revision are discarded
   std::int64_t NextLease = 100;
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -206,6 +206,18 @@
         (Denied == "/none/" ? 404 : 401));
 }
 
+// Guards against refusals for the whole wait of a watch after an outage.
+TEST_CASE_METHOD(instance_fixture,
+                 "feed: after a failed watch the next one doesn't wait") {
+  startFeed();
+  Service.Faults.IsBusy = true;
+  runUntil([&] { return !Feed.isConfirmed(); });
+  Service.Faults.IsBusy = false;
+  runUntil([&] { return Feed.isConfirmed(); });
+  CHECK(Service.watchWait() == milliseconds(0));
+  runUntil([&] { return Service.watchWait() == milliseconds(2'000); });
+}
+
 TEST_CASE_METHOD(instance_fixture,
                  "feed: the configuration version never decreases") {
   startFeed(5);
