Test that a run reported across terms takes its capacity once

A report to a hold of an earlier term that came while the jobs were being loaded had its run adopted with the whole capacity of its executor, for want of the job, and added again with the job. The first amount was never given back: the executor counted as full. With the check of terms taken out the new test fails; addRun asserts that a run is added once.

A further world has short outages while orders and writes lose their answers.

--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -1,6 +1,7 @@
 #include "core/job/batch/scheduler_internal.hpp"
 
 #include <algorithm>
+#include <cassert>
 
 namespace galenastage::batch::detail {
 namespace {
@@ -161,6 +162,7 @@
 
 void event_handler::addRun(executor_state &Executor, job_state &Job,
                            const run_name &Run, run_phase Phase) {
+  assert(!Executor.Runs.contains(Run) && "its capacity would count twice");
   run_state Added;
   Added.Phase = Phase;
   const step_spec &Step = Job.Spec.Steps[Run.Task.Step];
--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -73,6 +73,18 @@
   checkWorlds(Settings);
 }
 
+TEST_CASE("batch: terms end in short outages while orders and writes lose "
+          "their answers") {
+  world_settings Settings;
+  Settings.Faults.StoreOutages = 8;
+  Settings.Faults.LostOrders = 0.1;
+  Settings.Faults.LateOrders = 0.5;
+  Settings.Faults.LostWrites = 0.2;
+  Settings.Faults.FailingRuns = 0.1;
+  Settings.Faults.ExecutorCuts = 2;
+  checkWorlds(Settings);
+}
+
 TEST_CASE("batch: all faults at once") {
   world_settings Settings;
   Settings.Faults = {0.1, 0.5, 0.1, 0.1, 3, 4, 4, 2, true};
--- a/tests/unit/batch_term_test.cpp
+++ b/tests/unit/batch_term_test.cpp
@@ -100,6 +100,20 @@
   CHECK(x().Runs.size() == 1);
 }
 
+// Guards against an executor that counts as full for good: its run was adopted
+// with its whole capacity, for want of the job, and added again with the job.
+TEST_CASE_METHOD(term_fixture,
+                 "batch: a run reported to an earlier term while the jobs are "
+                 "loaded takes its capacity once") {
+  changeTerm();
+  postOf(Token, reportOf({{Run, "", 10}}, {}));
+  load();
+  answer("x", {{Run, "", 20}});
+  CHECK(x().Used == reservedResources(Job.Steps[0]));
+  answer("x", {}, {end(Run, run_end::Done)});
+  CHECK(x().Used == resources{});
+}
+
 TEST_CASE_METHOD(term_fixture,
                  "batch: a failed hold of an earlier term leaves the present "
                  "one in flight") {
