Log why a run counts as vanished, and count the scheduler's events

run-ended says of a vanished run why (not listed, restarted, another executor answers, leases expired, gang broken), whether its executor ever listed it, and how long ago its start was ordered. That tells a crash from a cut and a start that never began, which the hypotheses of the crashing tasks need. galenastage_scheduler_events_total counts the scheduler's events by name.

--- a/apps/instance/metrics.cpp
+++ b/apps/instance/metrics.cpp
@@ -7,6 +7,7 @@
 constexpr const char *RequestSeconds = "galenastage_client_request_seconds";
 constexpr const char *Orders = "galenastage_executor_orders_total";
 constexpr const char *OrderSeconds = "galenastage_executor_order_seconds";
+constexpr const char *SchedulerEvents = "galenastage_scheduler_events_total";
 constexpr const char *Saves = "galenastage_progress_saves_total";
 constexpr const char *SaveSeconds = "galenastage_progress_save_seconds";
 constexpr const char *StoreCallsMade = "galenastage_store_calls";
@@ -28,6 +29,8 @@
   Registry.describe(Orders, "counter", "Orders to executors, by outcome.");
   Registry.describe(OrderSeconds, "histogram",
                     "Time until an executor answered an order.");
+  Registry.describe(SchedulerEvents, "counter",
+                    "Log events of the scheduler, by name.");
   Registry.describe(Saves, "counter", "Writes of jobs' progress, by outcome.");
   Registry.describe(SaveSeconds, "histogram",
                     "Time until progress was stored.");
@@ -64,6 +67,10 @@
   Registry.observe(OrderSeconds, {{"order", std::string(Kind)}}, Took);
 }
 
+void instance_metrics::noteSchedulerEvent(std::string_view Event) {
+  Registry.count(SchedulerEvents, {{"event", std::string(Event)}});
+}
+
 void instance_metrics::noteSave(bool IsSaved, milliseconds Took) {
   Registry.count(Saves, {{"outcome", IsSaved ? "saved" : "failed"}});
   Registry.observe(SaveSeconds, {}, Took);
--- a/apps/instance/metrics.hpp
+++ b/apps/instance/metrics.hpp
@@ -16,6 +16,8 @@
                    milliseconds Took);
   void noteOrder(std::string_view Kind, std::string_view Outcome,
                  milliseconds Took);
+  /// Event: what the scheduler decided or found, as in its log line.
+  void noteSchedulerEvent(std::string_view Event);
   void noteSave(bool IsSaved, milliseconds Took);
   void noteCalls(std::uint64_t StoreCalls, std::uint64_t ExecutorCalls);
   void noteDroppedLines(std::uint64_t Dropped);
--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -55,7 +55,10 @@
                  [&](publish_queue_lengths &Order) {
                    Spawn(publish(std::move(Order)));
                  },
-                 [&](write_log &Order) { writeLog(Order.Line); },
+                 [&](write_log &Order) {
+                   Metrics.noteSchedulerEvent(Order.Line.Event->Name);
+                   writeLog(Order.Line);
+                 },
              },
              Effect);
 }
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -86,7 +86,7 @@
                              Executor.Incarnation != 0 &&
                              Report.Incarnation > Executor.Incarnation;
     if (IsRestarted)
-      dropAllRuns(Executor, "restarted", true);
+      dropAllRuns(Executor, run_loss::Restarted, true);
     if (Report.IsDraining && !Executor.Report.IsDraining)
       log(events::ExecutorDraining, {{"executor", Report.Id.Value}});
     const bool IsChanged =
@@ -257,7 +257,7 @@
                         (Executor.IsUnresponsive || !Executor.IsListed) &&
                         Now >= Executor.LeaseUntil;
     if (IsOver)
-      dropAllRuns(Executor, "its leases have expired", false);
+      dropAllRuns(Executor, run_loss::LeaseExpired, false);
     if (Executor.Health.IsQuarantined)
       touch(Executor); // a probe may have become due
     moveStalled(Executor);
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -11,6 +11,17 @@
 
 unit_name unitNameOf(const job_state &Job, const task_name &Task);
 
+/// Why a run is known to have ended although its executor didn't report it.
+enum class run_loss {
+  NotListed,    // a later report of the executor doesn't list it
+  Restarted,    // the executor has a new incarnation
+  Replaced,     // another executor answers at its address
+  LeaseExpired, // the executor is silent, and the run's lease is over
+  GangBroken,   // the other members have ended, and this one was the cause
+};
+
+std::string_view name(run_loss Cause);
+
 /// Executors that a placement leaves out because tasks may fail there.
 enum class caution {
   None,
@@ -104,6 +115,10 @@
   void startRecorded(job_state &Job);
   void applyEnd(executor_state &Executor, const run_name &Run, run_end End,
                 const std::string &Checkpoint);
+  /// Applies the end of a run that its executor didn't report.
+  void applyLoss(executor_state &Executor, const run_name &Run, run_loss Cause);
+  void logEnd(const executor_state &Executor, const run_name &Run,
+              std::vector<log_field> Outcome);
   void noteGangEnd(job_state &Job, const run_name &Run, run_end End);
   /// Treats the last member of a broken gang as lost, if its executor is
   /// unreachable.
@@ -113,7 +128,7 @@
   void adopt(executor_state &Executor, const active_run &Active);
   void handleUnlisted(executor_state &Executor, const runs_reported &Report);
   /// HasNewIncarnation: the restarted executor may still accept late orders.
-  void dropAllRuns(executor_state &Executor, std::string_view Cause,
+  void dropAllRuns(executor_state &Executor, run_loss Cause,
                    bool HasNewIncarnation);
   void orderStop(executor_state &Executor, const run_name &Run);
   /// Stops the runs of a unit whose attempt is below BelowAttempt.
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -18,6 +18,22 @@
 
 } // namespace
 
+std::string_view name(run_loss Cause) {
+  switch (Cause) {
+  case run_loss::NotListed:
+    return "not listed";
+  case run_loss::Restarted:
+    return "restarted";
+  case run_loss::Replaced:
+    return "another executor answers";
+  case run_loss::LeaseExpired:
+    return "its leases have expired";
+  case run_loss::GangBroken:
+    break;
+  }
+  return "gang broken";
+}
+
 executor_target event_handler::targetOf(const executor_state &Executor) const {
   return {Executor.Report.Id, Executor.Report.Address, Executor.Incarnation,
           State.Token};
@@ -95,7 +111,7 @@
   const bool IsRestarted =
       Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation;
   if (IsRestarted)
-    dropAllRuns(Executor, "restarted", true);
+    dropAllRuns(Executor, run_loss::Restarted, true);
   Executor.Incarnation = Event.Incarnation;
   Executor.ClockMs = Event.ClockMs;
   Executor.ClockReadAt = Now;
@@ -140,7 +156,7 @@
   Executor.IsHolding = false;
   Executor.NextHold = Now + State.Settings.HoldRetry;
   if (Event.Failure == hold_failure::OtherIncarnation) {
-    dropAllRuns(Executor, "another incarnation answered", true);
+    dropAllRuns(Executor, run_loss::Replaced, true);
     return;
   }
   if (!Executor.IsUnresponsive)
@@ -232,11 +248,9 @@
     Job.Progress.Phase = job_phase::Running; // started by an earlier leader
     queueSave(Job);
   }
-  log(events::RunEnded, {{"task", printTask(Run.Task)},
-                         {"attempt", std::to_string(Run.Attempt)},
-                         {"executor", Executor.Report.Id.Value},
-                         {"end", std::string(name(End))},
-                         {"checkpoint", Checkpoint}});
+  if (End != run_end::Lost) // applyLoss has logged it
+    logEnd(Executor, Run,
+           {{"end", std::string(name(End))}, {"checkpoint", Checkpoint}});
   if (End == run_end::Done) {
     touch(Executor);
     noteSuccess(Executor.Health);
@@ -255,6 +269,27 @@
   resolveBrokenGang(Job, Unit);
 }
 
+void event_handler::applyLoss(executor_state &Executor, const run_name &Run,
+                              run_loss Cause) {
+  const run_state &Known = Executor.Runs.at(Run);
+  const std::string ForMs = std::to_string((Now - Known.Ordered).count());
+  logEnd(Executor, Run,
+         {{"end", std::string(name(run_end::Lost))},
+          {"cause", std::string(name(Cause))},
+          {"listed", Known.IsListed ? "yes" : "no"},
+          {"since_ms", ForMs}});
+  applyEnd(Executor, Run, run_end::Lost, {});
+}
+
+void event_handler::logEnd(const executor_state &Executor, const run_name &Run,
+                           std::vector<log_field> Outcome) {
+  std::vector<log_field> Fields{{"task", printTask(Run.Task)},
+                                {"attempt", std::to_string(Run.Attempt)},
+                                {"executor", Executor.Report.Id.Value}};
+  Fields.insert(Fields.end(), Outcome.begin(), Outcome.end());
+  log(events::RunEnded, std::move(Fields));
+}
+
 void event_handler::noteGangEnd(job_state &Job, const run_name &Run,
                                 run_end End) {
   const bool IsOfGang =
@@ -295,7 +330,7 @@
   // An unanswered start may still take effect.
   const bool HasStarted = Last.IsListed || Last.IsAccepted;
   if (!CanAsk && HasStarted)
-    applyEnd(Executor, Remaining.front().first, run_end::Lost, {});
+    applyLoss(Executor, Remaining.front().first, run_loss::GangBroken);
 }
 
 void event_handler::applyFailure(executor_state &Executor, job_state &Job,
@@ -399,16 +434,15 @@
       MayStartLater.push_back(Name);
   }
   for (const run_name &Name : Gone)
-    applyEnd(Executor, Name, run_end::Lost, {});
+    applyLoss(Executor, Name, run_loss::NotListed);
   for (const run_name &Name : MayStartLater)
     orderStop(Executor, Name);
 }
 
-void event_handler::dropAllRuns(executor_state &Executor,
-                                std::string_view Cause,
+void event_handler::dropAllRuns(executor_state &Executor, run_loss Cause,
                                 bool HasNewIncarnation) {
   log(events::ExecutorLost, {{"executor", Executor.Report.Id.Value},
-                             {"cause", std::string(Cause)},
+                             {"cause", std::string(name(Cause))},
                              {"runs", std::to_string(Executor.Runs.size())}});
   const std::map<run_name, run_state> Runs = Executor.Runs;
   for (const auto &[Name, Run] : Runs) {
@@ -420,7 +454,7 @@
     if (MayRunInNewIncarnation)
       Executor.Runs.at(Name).Phase = run_phase::Unconfirmed;
     else
-      applyEnd(Executor, Name, run_end::Lost, {});
+      applyLoss(Executor, Name, Cause);
   }
   Executor.HasAnsweredHold = false;
   Executor.ProvenAt = {};
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -167,7 +167,9 @@
     "If the same executor is named repeatedly, check that executor."};
 const log_event RunEnded{
     3206, Info, "run-ended",
-    "An executor reported the end of a run, or the run is known to have ended.",
+    "An executor reported the end of a run, or the run is known to have ended; "
+    "then the end is vanished, cause says why, listed whether the executor "
+    "ever listed it, and since_ms how long ago its start was ordered.",
     "None."};
 const log_event RunAdopted{
     3207, Info, "run-adopted",
@@ -196,7 +198,8 @@
     "Check the executor and the network path to it."};
 const log_event ExecutorLost{3302, Warning, "executor-lost",
                              "All runs of an executor have ended: it "
-                             "restarted, or their leases expired.",
+                             "restarted, another one answers at its address, "
+                             "or their leases expired.",
                              "None."};
 const log_event ExecutorUnlisted{
     3303, Info, "executor-unlisted",
