Count the crashes under a task, run suspects alone, give them up

Callers saw: one job crashed executor after executor, and each time all that ran beside it.

Cause: a run that is known to have ended without a report counted for nothing; only reported failures do. A new leader couldn't tell a crash from a start that never took effect, because a stored choice didn't name the life of the executor. An executor at whose address another one answers was treated as restarted under its id, so that its unlisted starts were kept for 3 s more and it was called and logged every 0.1 s.

Now each crash under a task is stored before its next start. A task whose executor crashed within 0.5 s of its start is blamed, unless several executors fell silent together; it starts again on an executor of its own, which takes nothing else until the run has lived that long, two tasks of a job and a tenth of the executors at a time. Blamed for two of three crashes, or under five of any kind, it is given up and its job fails. Stored choices carry the executor's incarnation. Lost by an expired lease counts as a crash, but blames nobody; an executor that drained first counts for nothing. A run that has lived for a minute clears the counts. Records stay readable both ways.

The runs of a replaced executor end at once: each order names its executor.

--- a/core/job/batch/progress.cpp
+++ b/core/job/batch/progress.cpp
@@ -39,6 +39,15 @@
   return Phase != job_phase::Queued && Phase != job_phase::Running;
 }
 
+crash_record unit_progress::crashesOf(int Task) const {
+  return Task < static_cast<int>(Crashes.size()) ? Crashes[Task]
+                                                 : crash_record{};
+}
+
+bool unit_progress::hasSuspect() const {
+  return std::ranges::any_of(Crashes, isSuspect);
+}
+
 bool step_progress::isDone() const {
   return std::ranges::all_of(Units, &unit_progress::IsDone);
 }
--- a/core/job/batch/progress.hpp
+++ b/core/job/batch/progress.hpp
@@ -3,6 +3,7 @@
 // Stored progress of a job. The leader stores it before it acknowledges an end
 // to an executor, so that the next leader continues from there.
 
+#include "core/job/batch/crashes.hpp"
 #include "core/job/batch/model.hpp"
 
 namespace galenastage::batch {
@@ -15,6 +16,15 @@
 /// Whether the job has ended: none of its tasks will start again.
 bool isFinal(job_phase Phase);
 
+/// The executor chosen for one task.
+struct task_placement {
+  executor_id Executor;
+  std::int64_t Incarnation = 0; // when it was chosen; 0: unknown
+
+  friend bool operator==(const task_placement &,
+                         const task_placement &) = default;
+};
+
 /// Progress of a unit: the tasks that start and end together, which is one task
 /// or all tasks of a gang.
 struct unit_progress {
@@ -23,8 +33,13 @@
   int Failures = 0;       // failed attempts
   int FailedAttempt = 0;  // last counted; gang members report the same one
   std::string Checkpoint; // for the next run; empty: none
-  std::vector<executor_id> Placed; // executors of that attempt, stored
-                                   // before any of its runs is started
+  std::vector<task_placement> Placed; // of that attempt, one for each task;
+                                      // stored before any of its runs starts
+  std::vector<crash_record> Crashes;  // of each task; empty: none
+
+  /// The crashes under one task, by its number in the unit.
+  [[nodiscard]] crash_record crashesOf(int Task) const;
+  [[nodiscard]] bool hasSuspect() const;
 
   friend bool operator==(const unit_progress &,
                          const unit_progress &) = default;
--- a/core/job/batch/records.cpp
+++ b/core/job/batch/records.cpp
@@ -111,13 +111,21 @@
   return Result;
 }
 
-/// [done, attempts, failures, failed attempt, checkpoint, executors]
+/// [done, attempts, failures, failed attempt, checkpoint, executors,
+/// incarnations, crashes]. Earlier programs wrote and read the first six.
 json printUnit(const unit_progress &Unit) {
-  json Placed = json::array();
-  for (const executor_id &Id : Unit.Placed)
-    Placed.push_back(Id.Value);
+  json Executors = json::array();
+  json Incarnations = json::array();
+  for (const task_placement &Placed : Unit.Placed) {
+    Executors.push_back(Placed.Executor.Value);
+    Incarnations.push_back(Placed.Incarnation);
+  }
+  json Crashes = json::array();
+  for (const crash_record &Record : Unit.Crashes)
+    Crashes.push_back({Record.Crashes, Record.Blamed});
   return json::array({Unit.IsDone ? 1 : 0, Unit.Attempts, Unit.Failures,
-                      Unit.FailedAttempt, Unit.Checkpoint, std::move(Placed)});
+                      Unit.FailedAttempt, Unit.Checkpoint, std::move(Executors),
+                      std::move(Incarnations), std::move(Crashes)});
 }
 
 unit_progress readUnit(const json &Record) {
@@ -126,9 +134,22 @@
                      readWhole<int>(Record.at(2), "unit"),
                      readWhole<int>(Record.at(3), "unit"),
                      Record.at(4).get<std::string>(),
+                     {},
                      {}};
   for (const json &Id : Record.at(5))
-    Unit.Placed.emplace_back(Id.get<std::string>());
+    Unit.Placed.push_back({executor_id(Id.get<std::string>()), 0});
+  const bool HasCrashes = Record.size() > 6;
+  if (!HasCrashes)
+    return Unit;
+  const json &Incarnations = Record.at(6);
+  if (Incarnations.size() != Unit.Placed.size())
+    throw std::out_of_range("executors and incarnations differ in number");
+  for (std::size_t I = 0; I < Unit.Placed.size(); ++I)
+    Unit.Placed[I].Incarnation =
+        readWhole<std::int64_t>(Incarnations[I], "incarnation");
+  for (const json &Crash : Record.at(7))
+    Unit.Crashes.push_back({readWhole<int>(Crash.at(0), "crashes"),
+                            readWhole<int>(Crash.at(1), "crashes")});
   return Unit;
 }
 
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -89,6 +89,8 @@
       dropAllRuns(Executor, run_loss::Restarted, true);
     if (Report.IsDraining && !Executor.Report.IsDraining)
       log(events::ExecutorDraining, {{"executor", Report.Id.Value}});
+    if (Executor.Report != Report)
+      Executor.IsReplaced = false; // it has come back elsewhere
     const bool IsChanged =
         IsNew || !Executor.IsListed || Executor.Report != Report;
     Executor.Report = Report;
@@ -159,15 +161,16 @@
 }
 
 void event_handler::inheritRun(job_state &Job, const run_name &Run,
-                               const executor_id &Id) {
-  const auto [Found, IsNew] = State.Executors.try_emplace(Id);
+                               const task_placement &Placed) {
+  const auto [Found, IsNew] = State.Executors.try_emplace(Placed.Executor);
   executor_state &Executor = Found->second;
   if (IsNew) { // not listed in the store, but it may still be running
-    Executor.Report.Id = Id;
+    Executor.Report.Id = Placed.Executor;
     Executor.IsListed = false;
   }
   addRun(Executor, Job, Run, run_phase::Unconfirmed);
   Executor.Runs[Run].IsInherited = true;
+  Executor.Runs[Run].OrderedTo = Placed.Incarnation;
   Executor.LeaseUntil = std::max(Executor.LeaseUntil, State.RecoveryUntil);
 }
 
@@ -204,6 +207,7 @@
   State.IsRecovered = false;
   State.Jobs.clear();
   State.Plans.clear();
+  State.Suspects.clear();
   State.SaveQueue.clear();
   State.Saving.clear();
   State.SavesQueued = 0;
@@ -265,7 +269,6 @@
   }
   for (auto &[Id, Job] : State.Jobs)
     beginDueOccurrences(Job);
-  saveNext();
   forgetOldJobs();
   publishQueueLengths();
   State.NeedsPlacement = true;
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -25,6 +25,7 @@
 // [5] The reducer
 
 #include "core/job/batch/capacity_index.hpp"
+#include "core/job/batch/crashes.hpp"
 #include "core/job/batch/pace.hpp"
 #include "core/job/batch/progress.hpp"
 #include "core/job/policy/quarantine.hpp"
@@ -63,6 +64,7 @@
   quarantine_settings Quarantine{2, 10, milliseconds(6'000),
                                  milliseconds(60'000)};
   pace_settings Pace;
+  crash_settings Crashes;
 
   friend bool operator==(const scheduler_settings &,
                          const scheduler_settings &) = default;
@@ -122,8 +124,9 @@
   std::vector<ended_run> Ended;
 };
 enum class hold_failure {
-  NoAnswer,         // the executor may still be running
-  OtherIncarnation, // the executor has restarted since
+  NoAnswer,         // in time; the executor may still be running
+  ConnectionLost,   // before an answer; the executor was up until then
+  OtherIncarnation, // another executor answers at its address
   Fenced,           // the executor has seen a higher token
 };
 struct hold_failed {
@@ -250,6 +253,8 @@
   bool IsAccepted = false;     // the executor accepted the start
   bool IsUrgent = false;       // of priority 0
   bool IsOfGang = false;
+  bool IsOnProbation = false;   // suspected of crashing its executor
+  std::int64_t OrderedTo = 0;   // incarnation chosen by an earlier leader
   bool IsLongRunning = false;   // its Percent isn't a share of its work
   bool IsCheckpointing = false; // a stop saves its work
   int GangSize = 1;             // tasks that a stop of this run ends
@@ -271,6 +276,9 @@
   std::uint64_t SaveNeeded = 0;  // SavesFinished that covers LastSeenProcessed
   bool IsHolding = false;        // a hold is in flight
   bool IsUnresponsive = false;   // the last hold failed
+  bool IsReplaced = false;       // another executor answers at its address
+  instant LastAlive{};           // last sign of life
+  std::set<job_id> CrashedJobs;  // that it ran when it crashed
   std::int64_t HoldLastSeen = 0; // LastSeen of the hold in flight
   instant NextHold{};
   bool IsStalled = false; // none of its runs advances
@@ -368,6 +376,7 @@
   bool IsRecovered = false; // all stored jobs have been reported
   std::map<job_id, job_state> Jobs;
   std::map<unit_name, reclaim_plan> Plans;
+  std::set<unit_name> Suspects; // units with runs on probation
   // Accelerators of runs and plans of priority 0, by organisation.
   std::map<organisation_id, int> GuaranteedUse;
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
--- /dev/null
+++ b/core/job/batch/scheduler_crashes.cpp
@@ -0,0 +1,141 @@
+// Tasks that crash the executors that start them.
+
+#include "core/job/batch/scheduler_internal.hpp"
+
+#include <algorithm>
+
+namespace galenastage::batch::detail {
+
+bool event_handler::hasOutlived(const executor_state &Executor,
+                                const run_state &Run, milliseconds Life) const {
+  const bool HasBegun = Run.IsListed || Run.IsAccepted;
+  return HasBegun && Executor.LastAlive - Run.Ordered >= Life;
+}
+
+bool event_handler::isOutage(const executor_state &Executor,
+                             const job_id &Job) const {
+  const auto IsTogether = [&](const auto &Item) {
+    const executor_state &Other = Item.second;
+    const auto Apart = Other.LastAlive - Executor.LastAlive;
+    return Other.IsUnresponsive && &Other != &Executor &&
+           std::chrono::abs(Apart) <= State.Settings.Crashes.OutageWindow &&
+           !Other.CrashedJobs.contains(Job) &&
+           std::ranges::none_of(Other.Runs, [&](const auto &Run) {
+             return Run.first.Task.Job == Job;
+           });
+  };
+  return std::ranges::count_if(State.Executors, IsTogether) >=
+         State.Settings.Crashes.OutageExecutors;
+}
+
+std::vector<task_name> event_handler::noteCrash(executor_state &Executor,
+                                                run_loss Cause) {
+  std::vector<task_name> GivenUp;
+  if (Executor.Report.IsDraining)
+    return GivenUp; // it has left as announced
+  for (const auto &[Name, Run] : Executor.Runs) {
+    if (Run.Phase == run_phase::Recording)
+      continue; // its start was never ordered
+    Executor.CrashedJobs.insert(Name.Task.Job);
+    const bool IsBlamed =
+        Cause != run_loss::LeaseExpired && !Run.IsInherited &&
+        !hasOutlived(Executor, Run, State.Settings.Crashes.Probation) &&
+        !isOutage(Executor, Name.Task.Job);
+    if (countCrash(Executor, Name, Cause, IsBlamed))
+      GivenUp.push_back(Name.Task);
+  }
+  return GivenUp;
+}
+
+bool event_handler::countCrash(const executor_state &Executor,
+                               const run_name &Run, run_loss Cause,
+                               bool IsBlamed) {
+  const auto Found = State.Jobs.find(Run.Task.Job);
+  if (Found == State.Jobs.end() || isFinal(Found->second.Progress.Phase))
+    return false;
+  job_state &Job = Found->second;
+  const unit_name Unit = unitNameOf(Job, Run.Task);
+  unit_progress *Progress = findProgress(Unit);
+  if (!Progress || Progress->IsDone)
+    return false;
+  const step_spec &Step = Job.Spec.Steps[Unit.Step];
+  Progress->Crashes.resize(static_cast<std::size_t>(countTasks(Step)));
+  crash_record &Record =
+      Progress
+          ->Crashes[Step.IsGang ? static_cast<std::size_t>(Run.Task.Index) : 0];
+  ++Record.Crashes;
+  Record.Blamed += IsBlamed ? 1 : 0;
+  queueSave(Job);
+  log(events::CrashCounted, {{"task", printTask(Run.Task)},
+                             {"attempt", std::to_string(Run.Attempt)},
+                             {"executor", Executor.Report.Id.Value},
+                             {"cause", std::string(name(Cause))},
+                             {"blamed", IsBlamed ? "yes" : "no"},
+                             {"crashes", std::to_string(Record.Crashes)},
+                             {"blamed_for", std::to_string(Record.Blamed)}});
+  return isGivenUp(Record, State.Settings.Crashes);
+}
+
+void event_handler::giveUp(const std::vector<task_name> &Tasks) {
+  for (const task_name &Task : Tasks) {
+    const auto Job = State.Jobs.find(Task.Job);
+    if (Job == State.Jobs.end() || isFinal(Job->second.Progress.Phase))
+      continue;
+    const unit_progress &Progress =
+        *findProgress(unitNameOf(Job->second, Task));
+    const bool IsGang = Job->second.Spec.Steps[Task.Step].IsGang;
+    const crash_record Record = Progress.crashesOf(IsGang ? Task.Index : 0);
+    endJob(Job->second, job_phase::Failed,
+           "executors crashed " + std::to_string(Record.Crashes) +
+               " times under " + printTask(Task));
+  }
+}
+
+/// Ends the probation of a listed run that has lived long enough.
+void event_handler::updateProbation(executor_state &Executor,
+                                    const run_name &Name) {
+  const run_state &Run = Executor.Runs.at(Name);
+  const crash_settings &Settings = State.Settings.Crashes;
+  const auto Found = State.Jobs.find(Name.Task.Job);
+  if (Found == State.Jobs.end())
+    return;
+  job_state &Job = Found->second;
+  if (Run.IsOnProbation && hasOutlived(Executor, Run, Settings.Probation))
+    endProbation(Executor, Job, Name);
+  unit_progress *Progress = findProgress(unitNameOf(Job, Name.Task));
+  const bool IsOver = Progress && !Progress->Crashes.empty() &&
+                      hasOutlived(Executor, Run, Settings.ForgetAfter);
+  if (!IsOver)
+    return;
+  Progress->Crashes.clear();
+  queueSave(Job);
+}
+
+void event_handler::endProbation(executor_state &Executor, job_state &Job,
+                                 const run_name &Name) {
+  Executor.Runs.at(Name).IsOnProbation = false;
+  touch(Executor);
+  State.NeedsPlacement = true;
+  const unit_name Unit = unitNameOf(Job, Name.Task);
+  const bool HasOthers = std::ranges::any_of(Job.Runs, [&](const auto &Item) {
+    return unitNameOf(Job, Item.first.Task) == Unit &&
+           State.Executors.at(Item.second).Runs.at(Item.first).IsOnProbation;
+  });
+  if (!HasOthers)
+    State.Suspects.erase(Unit);
+}
+
+/// Limits how many executors suspects may crash at the same time.
+bool event_handler::mayStartSuspect(const unit_name &Unit) const {
+  constexpr int WholePercent = 100;
+  const crash_settings &Settings = State.Settings.Crashes;
+  const auto Listed = std::ranges::count_if(
+      State.Executors, [](const auto &Item) { return Item.second.IsListed; });
+  const auto Most = std::max<std::int64_t>(1, Settings.MaxSuspectShare *
+                                                  Listed / WholePercent);
+  const auto OfJob =
+      std::ranges::count(State.Suspects, Unit.Job, &unit_name::Job);
+  return std::ssize(State.Suspects) < Most && OfJob < Settings.MaxSuspectsOfJob;
+}
+
+} // namespace galenastage::batch::detail
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -21,6 +21,7 @@
 };
 
 std::string_view name(run_loss Cause);
+std::string_view name(hold_failure Failure);
 
 /// Executors that a placement leaves out because tasks may fail there.
 enum class caution {
@@ -102,7 +103,8 @@
   void endJob(job_state &Job, job_phase Phase, std::string_view Cause);
   void noteUnitDone(job_state &Job, int Occurrence);
   void inheritRuns(job_state &Job);
-  void inheritRun(job_state &Job, const run_name &Run, const executor_id &Id);
+  void inheritRun(job_state &Job, const run_name &Run,
+                  const task_placement &Placed);
   void beginDueOccurrences(job_state &Job);
   void publishQueueLengths();
   void forgetOldJobs();
@@ -142,6 +144,26 @@
   [[nodiscard]] std::int64_t leaseEnd(executor_state &Executor);
   unit_progress *findProgress(const unit_name &Unit);
 
+  // Crashes of executors (scheduler_crashes.cpp)
+  /// Counts the crash against the tasks that the executor ran. Returns those
+  /// that are given up for it.
+  std::vector<task_name> noteCrash(executor_state &Executor, run_loss Cause);
+  /// Counts one crash of the task's executor. True when it is given up.
+  bool countCrash(const executor_state &Executor, const run_name &Run,
+                  run_loss Cause, bool IsBlamed);
+  void giveUp(const std::vector<task_name> &Tasks);
+  /// Whether the run was there long enough before the executor's last sign of
+  /// life.
+  [[nodiscard]] bool hasOutlived(const executor_state &Executor,
+                                 const run_state &Run, milliseconds Life) const;
+  /// Whether so many executors fell silent together that no task is the cause.
+  [[nodiscard]] bool isOutage(const executor_state &Executor,
+                              const job_id &Job) const;
+  void updateProbation(executor_state &Executor, const run_name &Run);
+  void endProbation(executor_state &Executor, job_state &Job,
+                    const run_name &Run);
+  [[nodiscard]] bool mayStartSuspect(const unit_name &Unit) const;
+
   // Progress of runs (scheduler_pace.cpp)
   void updateStalled(executor_state &Executor);
   void setStalled(executor_state &Executor, bool IsStalled);
@@ -189,6 +211,9 @@
   [[nodiscard]] std::optional<placement_choice>
   placeAcrossRacks(const placement_query &Query,
                    const placement_request &Request);
+  /// On executors that run nothing else.
+  [[nodiscard]] std::optional<placement_choice>
+  placeAlone(const placement_query &Query, const placement_request &Request);
   /// Whether one rack could hold the unit if nothing else ran.
   [[nodiscard]] bool couldFitOneRack(const placement_query &Query,
                                      const placement_request &Request);
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -115,8 +115,12 @@
 
 bool event_handler::isOpen(const executor_state &Executor) const {
   const bool IsProbe = Now >= Executor.Health.ProbeAt && Executor.Runs.empty();
+  const bool IsReserved =
+      std::ranges::any_of(Executor.Runs, [](const auto &Item) {
+        return Item.second.IsOnProbation;
+      });
   return isUsable(Executor, Executor.Report.Service) && !Executor.IsStalled &&
-         (!Executor.Health.IsQuarantined || IsProbe);
+         (!Executor.Health.IsQuarantined || IsProbe) && !IsReserved;
 }
 
 bool event_handler::isEligible(const executor_state &Executor,
@@ -244,13 +248,14 @@
     placeStep(*Waiting);
 }
 
-/// The units of a step are identical: when one doesn't fit, none of the others
-/// does.
+/// The units of a step are identical but for suspects: when one doesn't fit,
+/// none of the others does.
 void event_handler::placeStep(const waiting_step &Waiting) {
   unit_name Unit = Waiting.First;
   for (int Number : Waiting.Units) {
     Unit.Unit = Number;
-    if (!place(Unit))
+    const bool IsSuspect = findProgress(Unit)->hasSuspect();
+    if (!place(Unit) && !IsSuspect)
       return;
   }
 }
@@ -328,6 +333,21 @@
   return placeInFreeCapacity(Request, Candidates);
 }
 
+std::optional<placement_choice>
+event_handler::placeAlone(const placement_query &Query,
+                          const placement_request &Request) {
+  std::vector<candidate> Candidates;
+  Query.Service->fromLargest([&](const indexed_rack &Rack) {
+    for (candidate &Candidate : listCandidates(Query, Rack))
+      if (Candidate.Free == Rack.Open.at(Candidate.Executor).Capacity)
+        Candidates.push_back(std::move(Candidate));
+    return true;
+  });
+  placement_request Anywhere = Request;
+  Anywhere.NeedsOneRack = false; // one rack is preferred
+  return placeInFreeCapacity(Anywhere, Candidates);
+}
+
 bool event_handler::couldFitOneRack(const placement_query &Query,
                                     const placement_request &Request) {
   placement_request InRack = Request;
@@ -383,6 +403,19 @@
   // whole gang is in one rack.
   const bool HasRackPreference = Step.IsRackLocal || !Step.Affinity.isEmpty();
   const unit_state &Known = unitState(State.Jobs.at(Unit.Job), Unit);
+
+  // A task that may crash its executor runs alone there, unless there has been
+  // no such executor for long.
+  if (findProgress(Unit)->hasSuspect()) {
+    if (!mayStartSuspect(Unit))
+      return false;
+    if (const auto Alone = placeAlone(Query, Request)) {
+      startUnit(Unit, Alone->Executors);
+      return true;
+    }
+    if (Now - Known.Ready < State.Settings.Crashes.AloneWait)
+      return false;
+  }
   const bool HasWaited = Now - Known.Ready >= State.Settings.SpreadDelay;
   bool MayRelax = HasWaited && Query.Service->percentInUse() <
                                    State.Settings.SpreadBelowPercent;
@@ -417,14 +450,19 @@
   unit_state &Known = unitState(Job, Unit);
   ++Progress.Attempts;
   const milliseconds Waited = Now - Known.Ready;
+  const bool IsSuspect = Progress.hasSuspect();
+  Progress.Placed.clear();
   for (std::size_t I = 0; I < Executors.size(); ++I) {
     const int Index = Step.IsGang ? static_cast<int>(I) : Unit.Unit;
     const run_name Run{{Unit.Job, Unit.Occurrence, Unit.Step, Index},
                        Progress.Attempts};
     executor_state &Executor = State.Executors.at(Executors[I]);
     addRun(Executor, Job, Run, run_phase::Recording);
+    Executor.Runs[Run].IsOnProbation = IsSuspect;
+    Progress.Placed.push_back({Executors[I], Executor.Incarnation});
   }
-  Progress.Placed = Executors;
+  if (IsSuspect)
+    State.Suspects.insert(Unit);
   if (Job.Progress.Phase == job_phase::Queued)
     Job.Progress.Phase = job_phase::Running;
   queueSave(Job);
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -18,6 +18,20 @@
 
 } // namespace
 
+std::string_view name(hold_failure Failure) {
+  switch (Failure) {
+  case hold_failure::NoAnswer:
+    return "no answer";
+  case hold_failure::ConnectionLost:
+    return "connection lost";
+  case hold_failure::OtherIncarnation:
+    return "another executor answers";
+  case hold_failure::Fenced:
+    break;
+  }
+  return "fenced";
+}
+
 std::string_view name(run_loss Cause) {
   switch (Cause) {
   case run_loss::NotListed:
@@ -108,6 +122,8 @@
   if (Executor.IsUnresponsive || !Executor.HasAnsweredHold)
     touch(Executor);
   Executor.IsUnresponsive = false;
+  Executor.IsReplaced = false;
+  Executor.CrashedJobs.clear();
   const bool IsRestarted =
       Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation;
   if (IsRestarted)
@@ -115,6 +131,7 @@
   Executor.Incarnation = Event.Incarnation;
   Executor.ClockMs = Event.ClockMs;
   Executor.ClockReadAt = Now;
+  Executor.LastAlive = Now;
   if (!Executor.HasAnsweredHold)
     State.NeedsPlacement = true;
   Executor.HasAnsweredHold = true;
@@ -156,14 +173,18 @@
   Executor.IsHolding = false;
   Executor.NextHold = Now + State.Settings.HoldRetry;
   if (Event.Failure == hold_failure::OtherIncarnation) {
-    dropAllRuns(Executor, run_loss::Replaced, true);
+    // No order reaches the executor any more: each call names it.
+    if (!std::exchange(Executor.IsReplaced, true))
+      dropAllRuns(Executor, run_loss::Replaced, false);
+    Executor.NextHold = Now + State.Settings.HoldRetry;
     return;
   }
+  if (Event.Failure == hold_failure::ConnectionLost && !Executor.IsUnresponsive)
+    Executor.LastAlive = Now;
   if (!Executor.IsUnresponsive)
     log(events::ExecutorSilent,
         {{"executor", Event.Executor.Value},
-         {"cause",
-          Event.Failure == hold_failure::Fenced ? "fenced" : "no answer"},
+         {"cause", std::string(name(Event.Failure))},
          {"runs", std::to_string(Executor.Runs.size())}});
   Executor.IsUnresponsive = true;
   touch(Executor);
@@ -216,8 +237,11 @@
         Job->second.Spec.Steps[Run.Task.Step].Needs.Accelerators;
   touch(Job->second);
   Job->second.Runs.erase(Run);
-  unit_state &Unit = unitState(Job->second, unitNameOf(Job->second, Run.Task));
+  const unit_name Name = unitNameOf(Job->second, Run.Task);
+  unit_state &Unit = unitState(Job->second, Name);
   Unit.LiveRuns = std::max(0, Unit.LiveRuns - 1);
+  if (Unit.LiveRuns == 0)
+    State.Suspects.erase(Name);
 }
 
 void event_handler::applyEnd(executor_state &Executor, const run_name &Run,
@@ -401,6 +425,7 @@
   Run.IsListed = true;
   Run.Checkpoint = Active.Checkpoint;
   recordProgress(Run.Pace, Active.Percent, Now);
+  updateProbation(Executor, Active.Run);
   if (Run.Phase == run_phase::Starting || Run.Phase == run_phase::Unconfirmed)
     Run.Phase = run_phase::Active;
   const unit_progress *Progress =
@@ -433,8 +458,20 @@
     else if (MayStartLate)
       MayStartLater.push_back(Name);
   }
-  for (const run_name &Name : Gone)
-    applyLoss(Executor, Name, run_loss::NotListed);
+  std::vector<task_name> GivenUp;
+  for (const run_name &Name : Gone) {
+    // The leader that ordered it knew an earlier incarnation of the executor.
+    const run_state &Run = Executor.Runs.at(Name);
+    const bool HasCrashed = Run.IsInherited && !Run.IsListed &&
+                            Run.OrderedTo != 0 &&
+                            Run.OrderedTo != Report.Incarnation;
+    const run_loss Cause =
+        HasCrashed ? run_loss::Restarted : run_loss::NotListed;
+    if (HasCrashed && countCrash(Executor, Name, Cause, false))
+      GivenUp.push_back(Name.Task);
+    applyLoss(Executor, Name, Cause);
+  }
+  giveUp(GivenUp);
   for (const run_name &Name : MayStartLater)
     orderStop(Executor, Name);
 }
@@ -444,6 +481,7 @@
   log(events::ExecutorLost, {{"executor", Executor.Report.Id.Value},
                              {"cause", std::string(name(Cause))},
                              {"runs", std::to_string(Executor.Runs.size())}});
+  const std::vector<task_name> GivenUp = noteCrash(Executor, Cause);
   const std::map<run_name, run_state> Runs = Executor.Runs;
   for (const auto &[Name, Run] : Runs) {
     // A start that wasn't listed may take effect in the new incarnation; its
@@ -466,6 +504,7 @@
   Executor.NextHold = Now;
   touch(Executor);
   State.NeedsPlacement = true;
+  giveUp(GivenUp);
 }
 
 // Orders
@@ -550,6 +589,8 @@
   if (Run == Executor.Runs.end())
     return; // already ended
   const auto Job = State.Jobs.find(Event.Run.Task.Job);
+  if (Event.Outcome != order_outcome::Unknown)
+    Executor.LastAlive = Now;
   if (Event.Outcome == order_outcome::Accepted) {
     Run->second.Confirmed = Now;
     Run->second.IsAccepted = true;
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -191,6 +191,13 @@
     "after that term had ended and was ignored.",
     "None."};
 
+const log_event CrashCounted{
+    3212, Warning, "crash-counted",
+    "An executor crashed, or is presumed to have, while it ran the task. "
+    "A task is blamed if it had just started; it then runs alone. crashes and "
+    "blamed_for are its counts so far.",
+    "If 3203 says that the job failed for it, check the job's payload."};
+
 const log_event ExecutorSilent{
     3301, Warning, "executor-silent",
     "An executor didn't answer; nothing new is started there, and its runs may "
@@ -328,6 +335,7 @@
     &events::RoomReclaimed,
     &events::SaveFailed,
     &events::AnswerOutdated,
+    &events::CrashCounted,
     &events::ExecutorSilent,
     &events::ExecutorLost,
     &events::ExecutorUnlisted,
--- /dev/null
+++ b/tests/unit/batch_crash_test.cpp
@@ -0,0 +1,308 @@
+// Tasks that crash the executors that start them, and the tasks beside them.
+
+#include "tests/support/scheduler_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+using namespace galenastage::batch;
+
+namespace {
+
+constexpr int MaxCrashes = 3; // of a task that crashes as soon as it starts
+const std::vector<std::string> Ids{"x1", "x2", "x3", "x4", "x5", "x6"};
+
+struct crash_fixture : test::scheduler_fixture {
+  int LostLines = 0; // 3302 of the last event
+
+  /// The executor crashes now and is replaced by another one after 3 s.
+  void crash(const executor_id &Id) {
+    Now += milliseconds(20);
+    post(hold_failed{Id, 1, hold_failure::ConnectionLost});
+    replace(Id);
+  }
+  void replace(const executor_id &Id) {
+    Now += milliseconds(3'000);
+    Wall += milliseconds(3'000);
+    post(hold_failed{Id, 1, hold_failure::OtherIncarnation});
+  }
+  /// Confirms saves until starts follow. Empty when nothing is left to save.
+  std::vector<start_run> nextStarts() {
+    for (int Tries = 0; Tries < 5; ++Tries) {
+      pass(milliseconds(300));
+      if (auto Starts = save(); !Starts.empty())
+        return Starts;
+    }
+    return {};
+  }
+  const job_progress &progress(const std::string &Id) {
+    return State.Jobs.at(job_id(Id)).Progress;
+  }
+  const unit_progress &unit(const std::string &Id, int Unit = 0) {
+    return progress(Id).Occurrences.at(0).Steps[0].Units[Unit];
+  }
+  void keepAlive(const start_run &Start, milliseconds Time) {
+    post(start_answered{Start.To.Id, Start.Run, order_outcome::Accepted, ""});
+    Now += Time;
+    answer(Start.To.Id.Value, {{Start.Run, "", 10}});
+  }
+};
+
+} // namespace
+
+// Guards against one task that crashes executor after executor without end.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a task that crashes each executor that starts it is "
+                 "given up") {
+  settle(Ids);
+  submit(job("a", 1, 1, 1));
+  std::vector<start_run> Starts = save();
+  int Crashes = 0;
+  while (!Starts.empty() && Crashes < 6) {
+    REQUIRE(Starts.size() == 1);
+    ++Crashes;
+    crash(Starts.front().To.Id);
+    Starts = nextStarts();
+  }
+  CHECK(Crashes == MaxCrashes);
+  CHECK(progress("a").Phase == job_phase::Failed);
+}
+
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a gang with a member that crashes its executors is "
+                 "given up") {
+  settle(Ids);
+  job_spec Job = job("a", 1, 2, 8);
+  Job.Steps[0].IsGang = true;
+  submit(Job);
+  std::vector<start_run> Starts = save();
+  int Crashes = 0;
+  while (!Starts.empty() && Crashes < 6) {
+    REQUIRE(Starts.size() == 2);
+    ++Crashes;
+    const start_run Culprit = Starts[1];
+    const start_run Other = Starts[0];
+    post(start_answered{Other.To.Id, Other.Run, order_outcome::Accepted, ""});
+    crash(Culprit.To.Id);
+    Ends = 0;
+    answer(Other.To.Id.Value, {},
+           {{Crashes, Other.Run, run_end::GangIncomplete, ""}});
+    list({report("x1"), report("x2"), report("x3"), report("x4"), report("x5"),
+          report("x6")});
+    Starts = nextStarts();
+  }
+  CHECK(Crashes == MaxCrashes);
+  CHECK(progress("a").Phase == job_phase::Failed);
+  CHECK(unit("a").crashesOf(0) == crash_record{});
+}
+
+// Guards against a new leader that counts from zero.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: the crashes under a task are stored with its next "
+                 "start and outlive the leader") {
+  settle(Ids);
+  const job_spec Job = job("a", 1, 1, 1);
+  submit(Job);
+  crash(save().front().To.Id);
+  REQUIRE(all<save_progress>().size() == 1);
+  const job_progress Stored =
+      all<save_progress>().front().Jobs.front().Progress;
+  const unit_progress &Unit = Stored.Occurrences.at(0).Steps[0].Units[0];
+  CHECK(Unit.crashesOf(0) == crash_record{1, 1});
+  REQUIRE(Unit.Placed.size() == 1);
+  const executor_id Next = Unit.Placed.front().Executor;
+
+  // Killed between the start and the crash; the executor restarts meanwhile.
+  post(leadership_lost{});
+  post(leadership_gained{9, Now + milliseconds(1'000'000)});
+  std::vector<executor_report> Reports;
+  for (const std::string &Id : Ids)
+    Reports.push_back(report(Id));
+  post(executors_listed{Reports});
+  post(job_found{Job, Stored});
+  post(recovery_finished{});
+  Now += milliseconds(20);
+  post(runs_reported{Next, 2, 1, Now, {}, {}});
+  CHECK(unit("a").crashesOf(0) == crash_record{2, 1});
+}
+
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a run that an earlier leader ordered to this life of "
+                 "an executor, and that it doesn't list, is no crash") {
+  job_spec Job = job("a", 1, 1, 1);
+  job_progress Progress;
+  Progress.Occurrences[0] = beginOccurrence(Job);
+  unit_progress &Unit = Progress.Occurrences[0].Steps[0].Units[0];
+  Unit.Attempts = 1;
+  Unit.Placed = {{executor_id("x"), 1}};
+  post(job_found{Job, Progress});
+  settle({"x"});
+  CHECK(unit("a").Crashes.empty());
+  CHECK(unit("a").Attempts == 2);
+}
+
+// Guards against tasks that start again together with the one that has crashed
+// their executor.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a suspect starts on an executor of its own, and "
+                 "nothing joins it before it has outlived its probation") {
+  settle({"x1"});
+  const start_run Bystander = run(job("b", 1, 1, 1)).at(0);
+  keepAlive(Bystander, milliseconds(2'000));
+  const start_run Culprit = run(job("a", 1, 1, 1)).at(0);
+  REQUIRE(Culprit.To.Id == Bystander.To.Id);
+  list({report("x1"), report("x2"), report("x3")});
+  answer("x2");
+  answer("x3");
+  crash(Culprit.To.Id);
+  list({report("x2"), report("x3")});
+  CHECK(unit("a").crashesOf(0) == crash_record{1, 1});
+  CHECK(unit("b").crashesOf(0) == crash_record{1, 0});
+  std::map<job_id, start_run> Starts;
+  for (int I = 0; I < 5 && Starts.size() < 2; ++I)
+    for (const start_run &Start : nextStarts())
+      Starts.emplace(Start.Run.Task.Job, Start);
+  REQUIRE(Starts.size() == 2);
+  const start_run Suspect = Starts.at(job_id("a"));
+  CHECK(Suspect.To.Id != Starts.at(job_id("b")).To.Id);
+
+  submit(job("c", 1, 7, 1)); // best fit: they would fill either executor
+  for (const start_run &Start : save())
+    CHECK(Start.To.Id != Suspect.To.Id);
+  keepAlive(Suspect, milliseconds(600));
+  submit(job("d", 1, 7, 1));
+  CHECK(save().size() == 7);
+  CHECK(State.Suspects.empty());
+}
+
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a suspect without a free executor waits, then starts "
+                 "beside others") {
+  settle({"x1", "x2"});
+  const start_run Culprit = run(job("a", 1, 1, 1)).at(0);
+  const std::string Other = Culprit.To.Id.Value == "x1" ? "x2" : "x1";
+  job_spec Wide = job("wide", 1, 1, 4);
+  Wide.Steps[0].Requirement = "r2";
+  list({report(Culprit.To.Id.Value), report(Other, "r2")});
+  const start_run Beside = run(Wide).at(0);
+  REQUIRE(Beside.To.Id.Value == Other);
+  crash(Culprit.To.Id);
+  list({report(Other, "r2")});
+  CHECK(nextStarts().empty());
+  pass(milliseconds(5'000));
+  REQUIRE(save().size() == 1);
+  CHECK(all<start_run>().at(0).To.Id.Value == Other);
+}
+
+// Guards against innocent jobs that fail on days of plain crashes.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: executors that crash together make no task a "
+                 "suspect") {
+  settle({"x1", "x2", "x3"});
+  std::vector<start_run> Starts;
+  for (const char *Id : {"a", "b", "c"}) {
+    const auto One = run(job(Id, 1, 1, 8));
+    Starts.insert(Starts.end(), One.begin(), One.end());
+  }
+  REQUIRE(Starts.size() == 3);
+  Now += milliseconds(20);
+  for (const start_run &Start : Starts)
+    post(hold_failed{Start.To.Id, 1, hold_failure::ConnectionLost});
+  for (const start_run &Start : Starts) {
+    post(hold_failed{Start.To.Id, 1, hold_failure::OtherIncarnation});
+    CHECK(unit(Start.Run.Task.Job.Value).crashesOf(0) == crash_record{1, 0});
+  }
+}
+
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a task that has run for long isn't blamed for a "
+                 "crash, however often, before the fifth") {
+  settle(Ids);
+  submit(job("a", 1, 1, 1));
+  std::vector<start_run> Starts = save();
+  int Crashes = 0;
+  while (!Starts.empty() && Crashes < 6) {
+    ++Crashes;
+    keepAlive(Starts.front(), milliseconds(2'000));
+    crash(Starts.front().To.Id);
+    CHECK(unit("a").crashesOf(0) == crash_record{Crashes, 0});
+    if (Crashes == 5)
+      break;
+    Starts = nextStarts();
+  }
+  CHECK(Crashes == 5);
+  CHECK(progress("a").Phase == job_phase::Failed);
+}
+
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a run that has lived for a minute clears the crashes "
+                 "of its task") {
+  settle(Ids);
+  submit(job("a", 1, 1, 1));
+  crash(save().front().To.Id);
+  const auto Starts = nextStarts();
+  REQUIRE(Starts.size() == 1);
+  keepAlive(Starts.front(), milliseconds(59'000));
+  CHECK(unit("a").crashesOf(0).Crashes == 1);
+  keepAlive(Starts.front(), milliseconds(1'000));
+  CHECK(unit("a").Crashes.empty());
+}
+
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: an executor that leaves as announced counts against "
+                 "no task") {
+  settle({"x1", "x2"});
+  const start_run Start = run(job("a", 1, 1, 1)).at(0);
+  executor_report Draining = report(Start.To.Id.Value);
+  Draining.IsDraining = true;
+  list({Draining});
+  crash(Start.To.Id);
+  CHECK(unit("a").Crashes.empty());
+}
+
+// Guards against a call and a log line every 0.1 s, and runs that wait for
+// their leases although no order can reach their executor any more.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: the runs of a replaced executor end at once, and it "
+                 "is asked again at the interval of failed holds") {
+  settle({"x1", "x2"});
+  const start_run Start = run(job("a", 1, 1, 1)).at(0);
+  post(start_answered{Start.To.Id, Start.Run, order_outcome::Unknown, ""});
+  crash(Start.To.Id);
+  CHECK(State.Executors.at(Start.To.Id).Runs.empty());
+  int Holds = 0;
+  for (int Tenth = 0; Tenth < 10; ++Tenth) {
+    pass(milliseconds(100));
+    for (const hold_executor &Hold : all<hold_executor>())
+      if (Hold.To.Id == Start.To.Id) {
+        ++Holds;
+        post(hold_failed{Start.To.Id, 0, hold_failure::OtherIncarnation});
+      }
+  }
+  CHECK(Holds == 3);
+}
+
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: suspects of one job start two at a time, and few of "
+                 "all jobs") {
+  std::vector<std::string> Many;
+  for (int I = 0; I < 40; ++I)
+    Many.push_back("y" + std::to_string(I));
+  settle(Many);
+  const auto Starts = run(job("a", 1, 6, 8, "none"));
+  REQUIRE(Starts.size() == 6);
+  for (const start_run &Start : Starts) {
+    Now += milliseconds(1);
+    post(hold_failed{Start.To.Id, 1, hold_failure::ConnectionLost});
+  }
+  std::vector<executor_report> Left;
+  for (const std::string &Id : Many)
+    Left.push_back(report(Id));
+  for (const start_run &Start : Starts) {
+    post(hold_failed{Start.To.Id, 1, hold_failure::OtherIncarnation});
+    std::erase_if(Left, [&](const auto &One) { return One.Id == Start.To.Id; });
+  }
+  list(Left);
+  CHECK(nextStarts().size() == 2);
+  CHECK(nextStarts().empty());
+}
--- a/tests/unit/batch_records_test.cpp
+++ b/tests/unit/batch_records_test.cpp
@@ -46,8 +46,13 @@
   Progress.Phase = job_phase::Running;
   Progress.Occurrences[0] = beginOccurrence(Job);
   unit_progress &Gang = Progress.Occurrences[0].Steps[0].Units[0];
-  Gang = {
-      false, 3, 1, 2, "checkpoint", {executor_id("i-1"), executor_id("i-2")}};
+  Gang = {false,
+          3,
+          1,
+          2,
+          "checkpoint",
+          {{executor_id("i-1"), 5}, {executor_id("i-2"), 6}},
+          {{}, {2, 1}, {}}};
   const auto Parsed = parseProgress(printProgress(Progress), Job);
   REQUIRE_FALSE(Parsed.Error);
   CHECK(Parsed.Record == Progress);
--- a/tests/unit/batch_scheduler_test.cpp
+++ b/tests/unit/batch_scheduler_test.cpp
@@ -23,7 +23,7 @@
   REQUIRE(all<save_progress>().size() == 1);
   const job_progress Saved = all<save_progress>().front().Jobs.front().Progress;
   CHECK(Saved.Occurrences.at(0).Steps[0].Units[0].Placed ==
-        std::vector{executor_id("x")});
+        std::vector{task_placement{executor_id("x"), 1}});
   CHECK(all<start_run>().empty());
   post(progress_saved{false});
   CHECK(all<start_run>().empty());
@@ -211,9 +211,9 @@
   Progress.Occurrences[0] = beginOccurrence(Job);
   auto &Units = Progress.Occurrences[0].Steps[0].Units;
   Units[0].Attempts = 3;
-  Units[0].Placed = {executor_id("x")};
+  Units[0].Placed = {{executor_id("x"), 1}};
   Units[1].Attempts = 1;
-  Units[1].Placed = {executor_id("gone")}; // not listed in the store
+  Units[1].Placed = {{executor_id("gone"), 1}}; // not listed in the store
   Now += milliseconds(20);
   Job.Submitted = Wall;
   post(job_found{Job, Progress});
