Look at the executor again before a stored start is ordered

Callers would see: a start on an executor whose capacity has shrunk brings it over it (LIMIT), or goes to one that drains or is evacuated.

Cause: a choice is stored before it is carried out, which takes as long as the store takes, and was carried out without another look. Now the start is withdrawn (3211) and its unit placed again, a gang as a whole. Nothing starts on an executor that is over its capacity in any resource, and no reclaim plans there: below zero, free capacity counted as none, so that runs were stopped in vain. A run of an unknown job blocks its executor altogether, not just as much as the capacity was when it was found.

--- a/core/job/batch/scheduler_crashes.cpp
+++ b/core/job/batch/scheduler_crashes.cpp
@@ -97,7 +97,7 @@
   const run_state &Run = Executor.Runs.at(Name);
   const crash_settings &Settings = State.Settings.Crashes;
   const auto Found = State.Jobs.find(Name.Task.Job);
-  if (Found == State.Jobs.end())
+  if (Found == State.Jobs.end() || Run.IsOrphan)
     return;
   job_state &Job = Found->second;
   if (Run.IsOnProbation && hasOutlived(Executor, Run, Settings.Probation))
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -225,6 +225,9 @@
                                 const step_spec &Step) const;
   [[nodiscard]] int countRunsOfStep(const executor_state &Executor,
                                     const unit_name &Unit) const;
+  /// Whether a recorded start may still be ordered.
+  [[nodiscard]] bool mayStart(const executor_state &Executor,
+                              const job_state &Job) const;
   void startUnit(const unit_name &Unit,
                  const std::vector<executor_id> &Executors);
 
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -117,10 +117,11 @@
   const bool IsProbe = Now >= Executor.Health.ProbeAt && Executor.Runs.empty();
   const bool IsReserved =
       std::ranges::any_of(Executor.Runs, [](const auto &Item) {
-        return Item.second.IsOnProbation;
+        return Item.second.IsOnProbation || Item.second.IsOrphan;
       });
   return isUsable(Executor, Executor.Report.Service) && !Executor.IsStalled &&
-         (!Executor.Health.IsQuarantined || IsProbe) && !IsReserved;
+         (!Executor.Health.IsQuarantined || IsProbe) && !IsReserved &&
+         Executor.Report.Capacity.covers(Executor.Used);
 }
 
 bool event_handler::isEligible(const executor_state &Executor,
@@ -131,6 +132,12 @@
           Executor.Report.hasLabel(Step.Requirement));
 }
 
+bool event_handler::mayStart(const executor_state &Executor,
+                             const job_state &Job) const {
+  return isUsable(Executor, Job.Queue.Service) &&
+         Executor.Report.Capacity.covers(Executor.Used);
+}
+
 /// Tasks of the unit's step on the executor, including reclaim plans.
 int event_handler::countRunsOfStep(const executor_state &Executor,
                                    const unit_name &Unit) const {
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -397,6 +397,7 @@
       Orphan.Phase = run_phase::Active;
       Orphan.Needs = Executor.Report.Capacity;
       Orphan.GangSize = 0; // no job to take it from
+      Orphan.IsOrphan = true;
       touch(Executor);
       Executor.Used += Orphan.Needs;
       Executor.Runs[Active.Run] = Orphan;
@@ -509,14 +510,34 @@
 
 // Orders
 
-/// Orders the starts of runs whose executors have been stored.
+/// Orders the starts of runs whose executors have been stored. Units with an
+/// executor that can't take its task any more are placed again.
 void event_handler::startRecorded(job_state &Job) {
-  for (const auto &[Name, Id] : Job.Runs) {
-    executor_state &Executor = State.Executors.at(Id);
-    run_state &Run = Executor.Runs.at(Name);
-    const bool IsRecorded = Run.Phase == run_phase::Recording && Run.IsInSave;
-    if (!IsRecorded || !isLeading())
+  if (!isLeading())
+    return;
+  const std::map<run_name, executor_id> Runs = Job.Runs;
+  std::vector<run_name> Recorded;
+  std::set<unit_name> Withdrawn;
+  for (const auto &[Name, Id] : Runs) {
+    const executor_state &Executor = State.Executors.at(Id);
+    const run_state &Run = Executor.Runs.at(Name);
+    if (Run.Phase != run_phase::Recording || !Run.IsInSave)
       continue;
+    Recorded.push_back(Name);
+    if (mayStart(Executor, Job))
+      continue;
+    Withdrawn.insert(unitNameOf(Job, Name.Task));
+    log(events::StartWithdrawn, {{"task", printTask(Name.Task)},
+                                 {"attempt", std::to_string(Name.Attempt)},
+                                 {"executor", Id.Value}});
+  }
+  for (const run_name &Name : Recorded) {
+    executor_state &Executor = State.Executors.at(Runs.at(Name));
+    if (Withdrawn.contains(unitNameOf(Job, Name.Task))) {
+      dropRun(Executor, Name);
+      continue;
+    }
+    run_state &Run = Executor.Runs.at(Name);
     Run.Phase = run_phase::Starting;
     Run.Ordered = Now;
     const unit_progress &Progress = *findProgress(unitNameOf(Job, Name.Task));
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -191,6 +191,11 @@
     "after that term had ended and was ignored.",
     "None."};
 
+const log_event StartWithdrawn{
+    3211, Info, "start-withdrawn",
+    "A start was stored but not ordered: meanwhile its executor became "
+    "unusable or reported less capacity. The task is placed again.",
+    "None."};
 const log_event CrashCounted{
     3212, Warning, "crash-counted",
     "An executor crashed, or is presumed to have, while it ran the task. "
@@ -335,6 +340,7 @@
     &events::RoomReclaimed,
     &events::SaveFailed,
     &events::AnswerOutdated,
+    &events::StartWithdrawn,
     &events::CrashCounted,
     &events::ExecutorSilent,
     &events::ExecutorLost,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -109,6 +109,7 @@
 extern const log_event SaveFailed;
 extern const log_event AnswerOutdated;
 // 3300: executors
+extern const log_event StartWithdrawn;
 extern const log_event CrashCounted;
 extern const log_event ExecutorSilent;
 extern const log_event ExecutorLost;
