Refuse jobs that no leader can keep or store

The class of the crashing task, for our own instances: something stored at which a leader ends, and after it the next. A job of 256 kB may name thousands of steps with 100,000 tasks each; each leader that loads it allocates them all. A schedule that began long ago with a short interval has millions of occurrences due at once. And progress over 1 MiB fails every save that it is part of, which is repeated first for ever.

A new job has at most 8,000 tasks in all and 8,000 occurrences, an interval from 0 to 366 days; the answer names field, value and limit. Of a schedule that is behind, occurrences begin while fewer than 8,000 tasks are open. Jobs already stored are loaded as before.

Found by reading; both tests fail without the limits.

--- a/core/job/batch/model.cpp
+++ b/core/job/batch/model.cpp
@@ -80,6 +80,24 @@
   return {};
 }
 
+std::string explainOversized(const job_spec &Job) {
+  std::int64_t Tasks = 0;
+  for (const step_spec &Step : Job.Steps)
+    Tasks += Step.Count;
+  if (Tasks > MaxTasksPerJob)
+    return "steps have " + std::to_string(Tasks) + " tasks in all, more than " +
+           std::to_string(MaxTasksPerJob);
+  if (Job.Schedule.Repetitions > MaxRepetitions)
+    return "repetitions is " + std::to_string(Job.Schedule.Repetitions) +
+           ", more than " + std::to_string(MaxRepetitions);
+  const milliseconds Interval = Job.Schedule.Interval;
+  if (Interval < milliseconds(0) || Interval > MaxInterval)
+    return "interval must be from 0 ms to " +
+           std::to_string(MaxInterval.count()) + " ms, it is " +
+           std::to_string(Interval.count()) + " ms";
+  return {};
+}
+
 const queue_config *deployment_config::findQueue(const route_id &Name) const {
   const auto Found = std::ranges::find(Queues, Name, &queue_config::Name);
   return Found == Queues.end() ? nullptr : &*Found;
--- a/core/job/batch/model.hpp
+++ b/core/job/batch/model.hpp
@@ -110,6 +110,17 @@
 /// valid. The text starts with the path of the field, as in "steps[1].after".
 std::string explainInvalid(const job_spec &Job);
 
+/// Tasks of all steps, and occurrences, of a job. Its progress must fit into
+/// one item of the platform's store (1 MiB), about 80 bytes a task.
+inline constexpr int MaxTasksPerJob = 8'000;
+inline constexpr int MaxRepetitions = 8'000;
+inline constexpr milliseconds MaxInterval = std::chrono::hours(24 * 366);
+
+/// Returns why a new job is too large for any instance to schedule, in the form
+/// of explainInvalid; empty when it isn't. Jobs stored by earlier programs may
+/// be larger.
+std::string explainOversized(const job_spec &Job);
+
 // [2] Identifiers of tasks and runs
 
 struct task_name {
--- a/core/job/batch/progress.cpp
+++ b/core/job/batch/progress.cpp
@@ -73,6 +73,15 @@
   });
 }
 
+std::int64_t countOpenTasks(const job_spec &Job, const job_progress &Progress) {
+  std::int64_t OfOne = 0;
+  for (const step_spec &Step : Job.Steps)
+    OfOne += Step.Count;
+  return OfOne * std::ranges::count_if(Progress.Occurrences, [](auto &Item) {
+           return !Item.second.IsDone;
+         });
+}
+
 wall_instant dueTime(const job_spec &Job, int Number) {
   if (Job.Schedule.Repetitions == 0)
     return Job.Submitted;
--- a/core/job/batch/progress.hpp
+++ b/core/job/batch/progress.hpp
@@ -86,6 +86,9 @@
 bool isUnblocked(const job_spec &Job, const occurrence_progress &Occurrence,
                  int Step);
 
+/// Tasks of the occurrences that have begun and aren't done.
+std::int64_t countOpenTasks(const job_spec &Job, const job_progress &Progress);
+
 /// When occurrence number Number is due.
 wall_instant dueTime(const job_spec &Job, int Number);
 
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -354,6 +354,12 @@
     const int Next = static_cast<int>(Occurrences.size());
     if (WallNow < dueTime(Job.Spec, Next))
       return;
+    // A schedule that began long ago has all its occurrences due at once.
+    const bool IsFull =
+        !Occurrences.empty() &&
+        countOpenTasks(Job.Spec, Job.Progress) >= MaxTasksPerJob;
+    if (IsFull)
+      return;
     Occurrences[Next] = beginOccurrence(Job.Spec);
     touch(Job);
     State.NeedsPlacement = true;
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -306,3 +306,17 @@
   CHECK(nextStarts().size() == 2);
   CHECK(nextStarts().empty());
 }
+
+// Guards against a leader that runs out of memory over a schedule that began
+// long ago, and the next leader after it.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: of a schedule that began long ago only so many "
+                 "occurrences are open at once") {
+  settle({"x1"});
+  job_spec Job = job("a", 1, 1'000, 8);
+  Job.Schedule = {MaxRepetitions, Wall - milliseconds(900'000),
+                  milliseconds(1)};
+  submit(Job);
+  pass(milliseconds(100));
+  CHECK(progress("a").Occurrences.size() == MaxTasksPerJob / 1'000);
+}
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -129,3 +129,23 @@
   CHECK_FALSE(Config.findKey(""));
   CHECK_FALSE(parseConfig(R"({"version":"x"})").Result);
 }
+
+// Guards against a job whose progress no leader can keep or store: it would end
+// each leader in turn.
+TEST_CASE(
+    "wire: a job that is too large to schedule is refused with a reason") {
+  const std::string Many(R"({"count":4000},{"count":4001})");
+  for (const std::string &Text :
+       {R"({"spec":"","steps":[)" + Many + "]}",
+        std::string(R"({"spec":"","steps":[{"count":1}],"repetitions":9000})"),
+        std::string(R"({"spec":"","steps":[{"count":1}],"repetitions":2,)"
+                    R"("interval_ms":9000000000000000000})"),
+        std::string(R"({"spec":"","steps":[{"count":1}],"repetitions":2,)"
+                    R"("interval_ms":-1})")}) {
+    CAPTURE(Text);
+    CHECK_FALSE(parseJob(Text).Result);
+    CHECK_FALSE(parseJob(Text).Reason.empty());
+  }
+  CHECK(parseJob(R"({"spec":"","steps":[{"count":4000},{"count":4000}]})")
+            .Result);
+}
