Treat a run of a task that its job doesn't have as an orphan

An executor that lists a run of a known job with a step or an index that the job doesn't have led to a read outside the job's units (the test ends in SIGSEGV without the change). Such a run blocks its executor until it has ended, like a run of an unknown job.

The stand-in's executors can crash at each start and report a share of their capacity; the client's test shows that a lost connection is told from a hold that timed out.

--- a/core/job/batch/model.cpp
+++ b/core/job/batch/model.cpp
@@ -98,6 +98,11 @@
   return {};
 }
 
+bool hasTask(const job_spec &Job, const task_name &Task) {
+  return Task.Step >= 0 && Task.Step < static_cast<int>(Job.Steps.size()) &&
+         Task.Index >= 0 && Task.Index < Job.Steps[Task.Step].Count;
+}
+
 const queue_config *deployment_config::findQueue(const route_id &Name) const {
   const auto Found = std::ranges::find(Queues, Name, &queue_config::Name);
   return Found == Queues.end() ? nullptr : &*Found;
--- a/core/job/batch/model.hpp
+++ b/core/job/batch/model.hpp
@@ -133,6 +133,9 @@
   friend bool operator==(const task_name &, const task_name &) = default;
 };
 
+/// Whether the job has a step and a task with these numbers.
+bool hasTask(const job_spec &Job, const task_name &Task);
+
 /// One attempt to run a task. Attempts count from 1 and keep increasing when
 /// the leader changes.
 struct run_name {
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -254,7 +254,7 @@
   bool IsUrgent = false;       // of priority 0
   bool IsOfGang = false;
   bool IsOnProbation = false;   // suspected of crashing its executor
-  bool IsOrphan = false;        // of an unknown job, so its needs are unknown
+  bool IsOrphan = false;        // of no known job or task: unknown needs
   std::int64_t OrderedTo = 0;   // incarnation chosen by an earlier leader
   bool IsLongRunning = false;   // its Percent isn't a share of its work
   bool IsCheckpointing = false; // a stop saves its work
--- a/core/job/batch/scheduler_crashes.cpp
+++ b/core/job/batch/scheduler_crashes.cpp
@@ -50,6 +50,8 @@
   for (const auto &[Name, Run] : Executor.Runs) {
     if (Run.Phase == run_phase::Recording)
       continue; // its start was never ordered
+    if (Run.IsOrphan)
+      continue;
     const bool IsBlamed =
         Cause != run_loss::LeaseExpired && !Run.IsInherited &&
         !hasOutlived(Executor, Run, State.Settings.Crashes.Probation) &&
--- a/core/job/batch/scheduler_reclaim.cpp
+++ b/core/job/batch/scheduler_reclaim.cpp
@@ -223,7 +223,7 @@
     touch(Executor);
     for (auto &[Name, Run] : Executor.Runs)
       if (const auto Job = State.Jobs.find(Name.Task.Job);
-          Job != State.Jobs.end())
+          Job != State.Jobs.end() && !Run.IsOrphan)
         Run.IsUrgent = Job->second.Queue.Priority == 0;
   }
   State.GuaranteedUse.clear();
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -227,12 +227,13 @@
   if (Found == Executor.Runs.end())
     return;
   const bool IsUrgent = Found->second.IsUrgent;
+  const bool IsOrphan = Found->second.IsOrphan;
   Executor.Used -= Found->second.Needs;
   Executor.Runs.erase(Found);
   touch(Executor);
   State.NeedsPlacement = true;
   const auto Job = State.Jobs.find(Run.Task.Job);
-  if (Job == State.Jobs.end())
+  if (Job == State.Jobs.end() || IsOrphan)
     return;
   if (IsUrgent)
     State.GuaranteedUse[Job->second.Spec.Organisation] -=
@@ -255,10 +256,7 @@
   if (Found == State.Jobs.end() || isFinal(Found->second.Progress.Phase))
     return;
   job_state &Job = Found->second;
-  const bool IsKnown =
-      Run.Task.Step < static_cast<int>(Job.Spec.Steps.size()) &&
-      Run.Task.Index < Job.Spec.Steps[Run.Task.Step].Count;
-  if (!IsKnown)
+  if (!hasTask(Job.Spec, Run.Task))
     return;
   const unit_name Unit = unitNameOf(Job, Run.Task);
   unit_progress *Progress = findProgress(Unit);
@@ -322,8 +320,7 @@
 void event_handler::noteGangEnd(job_state &Job, const run_name &Run,
                                 run_end End) {
   const bool IsOfGang =
-      Run.Task.Step < static_cast<int>(Job.Spec.Steps.size()) &&
-      Job.Spec.Steps[Run.Task.Step].IsGang;
+      hasTask(Job.Spec, Run.Task) && Job.Spec.Steps[Run.Task.Step].IsGang;
   if (!IsOfGang)
     return;
   const unit_name Unit = unitNameOf(Job, Run.Task);
@@ -391,12 +388,12 @@
 /// that is no longer needed.
 void event_handler::adopt(executor_state &Executor, const active_run &Active) {
   const auto Job = State.Jobs.find(Active.Run.Task.Job);
-  const bool IsWanted =
-      Job != State.Jobs.end() && !isFinal(Job->second.Progress.Phase) &&
-      Active.Run.Task.Step < static_cast<int>(Job->second.Spec.Steps.size());
+  const bool IsTask =
+      Job != State.Jobs.end() && hasTask(Job->second.Spec, Active.Run.Task);
+  const bool IsWanted = IsTask && !isFinal(Job->second.Progress.Phase);
   auto Known = Executor.Runs.find(Active.Run);
   if (Known == Executor.Runs.end()) {
-    if (Job == State.Jobs.end()) {
+    if (!IsTask) {
       // Its needs are unknown, so it blocks the whole executor until it ends.
       run_state Orphan;
       Orphan.Phase = run_phase::Active;
--- a/standin/run_service.cpp
+++ b/standin/run_service.cpp
@@ -97,6 +97,12 @@
   if (LeaseEndMs <= clock())
     return answer(409, "late");
   ++Starts;
+  if (Faults.CrashesOnStart) {
+    restart();
+    http_response Dropped;
+    Dropped.Status = 0;
+    return Dropped;
+  }
   Runs[Run] = {readClock() + Settings.WorkTime};
   return answer(200, "");
 }
--- a/standin/run_service.hpp
+++ b/standin/run_service.hpp
@@ -13,9 +13,11 @@
 namespace galenastage::standin {
 
 struct run_faults {
-  bool LosesAnswers = false; // acts, then closes without a response
-  bool IsUnhealthy = false;  // 503 before acting
-  bool FailsAll = false;     // every run ends as failed
+  bool LosesAnswers = false;   // acts, then closes without a response
+  bool IsUnhealthy = false;    // 503 before acting
+  bool FailsAll = false;       // every run ends as failed
+  bool CrashesOnStart = false; // each start restarts it without an answer
+  int CapacityPercent = 100;   // of its capacity, as it reports it
 
   friend bool operator==(const run_faults &, const run_faults &) = default;
 };
--- a/standin/users_platform.cpp
+++ b/standin/users_platform.cpp
@@ -65,13 +65,16 @@
   for (std::int64_t Sequence = 1;; ++Sequence) {
     for (std::size_t I = 0; I < Executors.size(); ++I) {
       const auto Rack = "rack-" + std::to_string(I / ExecutorsPerRack);
+      const int Percent = Executors[I]->Faults.CapacityPercent;
       const json Entry = {
           {"service", "demo"},
           {"address", printEndpoint(Executors[I]->localEndpoint())},
           {"zone", "a"},
           {"state", "ready"},
           {"capacity",
-           {{"cpu", CpuMillis}, {"mem_mb", MemoryMb}, {"gpu", Accelerators}}},
+           {{"cpu", CpuMillis * Percent / 100},
+            {"mem_mb", MemoryMb * Percent / 100},
+            {"gpu", Accelerators * Percent / 100}}},
           {"labels", {"kind", Rack}},
           {"born", Executors[I]->incarnation()},
           {"sequence", Sequence}};
--- a/tests/contract/executor_client_test.cpp
+++ b/tests/contract/executor_client_test.cpp
@@ -92,10 +92,23 @@
   Service.Faults.LosesAnswers = true;
   CHECK(start(5, runOf(1)).Outcome == order_outcome::Unknown);
   CHECK_FALSE(stop(5, runOf(1)).IsAccepted);
-  CHECK(std::holds_alternative<hold_failed>(hold(5, 0)));
+  const auto Hold = hold(5, 0);
+  REQUIRE(std::holds_alternative<hold_failed>(Hold));
+  CHECK(std::get<hold_failed>(Hold).Failure == hold_failure::ConnectionLost);
   CHECK(Service.starts() == 1); // it ran although its answer was lost
 }
 
+TEST_CASE_METHOD(executor_fixture,
+                 "executor: a crash at a start is an unknown outcome, and the "
+                 "next hold shows the restart") {
+  const std::int64_t Before = std::get<runs_reported>(hold(5, 0)).Incarnation;
+  Service.Faults.CrashesOnStart = true;
+  CHECK(start(5, runOf(1)).Outcome == order_outcome::Unknown);
+  const auto Report = std::get<runs_reported>(hold(5, 0));
+  CHECK(Report.Incarnation > Before);
+  CHECK(Report.Active.empty());
+}
+
 TEST_CASE_METHOD(executor_fixture,
                  "executor: ends are reported in pages until acknowledged") {
   for (int I = 0; I < 5; ++I)
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -320,3 +320,27 @@
   pass(milliseconds(100));
   CHECK(progress("a").Occurrences.size() == MaxTasksPerJob / 1'000);
 }
+
+// Guards against a report that ends each leader that reads it.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a run of a task that its job doesn't have is an "
+                 "orphan, whatever becomes of it") {
+  settle({"x1", "x2"});
+  submit(job("a", 1, 1, 1));
+  const start_run Start = save().front();
+  const executor_id Other(Start.To.Id.Value == "x1" ? "x2" : "x1");
+  run_name Unknown = Start.Run;
+  Unknown.Task = GENERATE(task_name{job_id("a"), 0, 7, 0},
+                          task_name{job_id("a"), 0, 0, 99},
+                          task_name{job_id("a"), 3, 7, 99});
+  answer(Other.Value, {{Unknown, "", 10}});
+  post(configuration_changed{State.Config});
+  CHECK(State.Executors.at(Other).Runs.size() == 1);
+  SECTION("it ends") {
+    answer(Other.Value, {}, {{1, Unknown, run_end::Done, ""}});
+  }
+  SECTION("it vanishes") { answer(Other.Value); }
+  SECTION("its executor crashes") { crash(Other); }
+  CHECK(State.Executors.at(Other).Runs.empty());
+  CHECK(progress("a").Phase == job_phase::Running);
+}
