--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -117,8 +117,6 @@
   void startRecorded(job_state &Job);
   void applyEnd(executor_state &Executor, const run_name &Run, run_end End,
                 const std::string &Checkpoint);
-  /// Applies the end of a run that its executor didn't report.
-  void applyLoss(executor_state &Executor, const run_name &Run, run_loss Cause);
   void logEnd(const executor_state &Executor, const run_name &Run,
               std::vector<log_field> Outcome);
   void noteGangEnd(job_state &Job, const run_name &Run, run_end End);
@@ -128,10 +126,6 @@
   void applyFailure(executor_state &Executor, job_state &Job,
                     const run_name &Run, unit_progress &Progress);
   void adopt(executor_state &Executor, const active_run &Active);
-  void handleUnlisted(executor_state &Executor, const runs_reported &Report);
-  /// HasNewIncarnation: the restarted executor may still accept late orders.
-  void dropAllRuns(executor_state &Executor, run_loss Cause,
-                   bool HasNewIncarnation);
   void orderStop(executor_state &Executor, const run_name &Run);
   /// Stops the runs of a unit whose attempt is below BelowAttempt.
   void stopUnit(job_state &Job, const unit_name &Unit,
@@ -144,6 +138,14 @@
   [[nodiscard]] std::int64_t leaseEnd(executor_state &Executor);
   unit_progress *findProgress(const unit_name &Unit);
 
+  // Runs without a reported end (scheduler_losses.cpp)
+  /// Applies the end of a run that its executor didn't report.
+  void applyLoss(executor_state &Executor, const run_name &Run, run_loss Cause);
+  void handleUnlisted(executor_state &Executor, const runs_reported &Report);
+  /// HasNewIncarnation: the restarted executor may still accept late orders.
+  void dropAllRuns(executor_state &Executor, run_loss Cause,
+                   bool HasNewIncarnation);
+
   // Crashes of executors (scheduler_crashes.cpp)
   /// Counts the crash against the tasks that the executor ran. Returns those
   /// that are given up for it.
--- /dev/null
+++ b/core/job/batch/scheduler_losses.cpp
@@ -0,0 +1,114 @@
+// Runs that have ended although no executor reported it.
+
+#include "core/job/batch/scheduler_internal.hpp"
+
+namespace galenastage::batch::detail {
+
+std::string_view name(run_loss Cause) {
+  switch (Cause) {
+  case run_loss::NotListed:
+    return "not listed";
+  case run_loss::Restarted:
+    return "restarted";
+  case run_loss::Replaced:
+    return "another executor answers";
+  case run_loss::LeaseExpired:
+    return "its leases have expired";
+  case run_loss::GangBroken:
+    break;
+  }
+  return "gang broken";
+}
+
+void event_handler::applyLoss(executor_state &Executor, const run_name &Run,
+                              run_loss Cause) {
+  const auto Found = Executor.Runs.find(Run);
+  if (Found == Executor.Runs.end())
+    return; // the loss of another member of its gang has ended it
+  const run_state &Known = Found->second;
+  const std::string ForMs = std::to_string((Now - Known.Ordered).count());
+  logEnd(Executor, Run,
+         {{"end", std::string(name(run_end::Lost))},
+          {"cause", std::string(name(Cause))},
+          {"listed", Known.IsListed ? "yes" : "no"},
+          {"since_ms", ForMs}});
+  applyEnd(Executor, Run, run_end::Lost, {});
+}
+
+/// Handles runs that the report lists neither as active nor as ended.
+void event_handler::handleUnlisted(executor_state &Executor,
+                                   const runs_reported &Report) {
+  std::set<run_name> Listed;
+  for (const active_run &Active : Report.Active)
+    Listed.insert(Active.Run);
+  std::vector<run_name> Gone;
+  std::vector<run_name> MayStartLater;
+  for (auto &[Name, Run] : Executor.Runs) {
+    if (Listed.contains(Name))
+      continue;
+    // Orders of earlier leaders can no longer take effect.
+    const bool IsOver = Run.IsListed || Run.IsInherited ||
+                        (Run.IsStopAccepted && Report.Sent >= Run.Confirmed);
+    const bool MayStartLate =
+        Run.Phase == run_phase::Unconfirmed && Report.Sent >= Run.Confirmed;
+    if (IsOver)
+      Gone.push_back(Name);
+    else if (MayStartLate)
+      MayStartLater.push_back(Name);
+  }
+  std::vector<task_name> GivenUp;
+  for (const run_name &Name : Gone) {
+    // The leader that ordered it knew an earlier incarnation of the executor.
+    const auto Found = Executor.Runs.find(Name);
+    if (Found == Executor.Runs.end())
+      continue; // the loss of another member of its gang has ended it
+    const run_state &Run = Found->second;
+    const bool HasCrashed = Run.IsInherited && !Run.IsListed &&
+                            Run.OrderedTo != 0 &&
+                            Run.OrderedTo != Report.Incarnation;
+    const run_loss Cause =
+        HasCrashed ? run_loss::Restarted : run_loss::NotListed;
+    if (HasCrashed && countCrash(Executor, Name, Cause, false))
+      GivenUp.push_back(Name.Task);
+    applyLoss(Executor, Name, Cause);
+  }
+  giveUp(GivenUp);
+  for (const run_name &Name : MayStartLater)
+    orderStop(Executor, Name);
+}
+
+void event_handler::dropAllRuns(executor_state &Executor, run_loss Cause,
+                                bool HasNewIncarnation) {
+  log(events::ExecutorLost, {{"executor", Executor.Report.Id.Value},
+                             {"cause", std::string(name(Cause))},
+                             {"runs", std::to_string(Executor.Runs.size())}});
+  const std::vector<task_name> GivenUp = noteCrash(Executor, Cause);
+  const std::map<run_name, run_state> Runs = Executor.Runs;
+  for (const auto &[Name, Run] : Runs) {
+    // A start that wasn't listed may take effect in the new incarnation; its
+    // answer doesn't tell which incarnation accepted it.
+    const bool MayRunInNewIncarnation = HasNewIncarnation && !Run.IsListed &&
+                                        !Run.IsInherited &&
+                                        Run.Phase != run_phase::Recording;
+    const auto Found = Executor.Runs.find(Name);
+    if (Found == Executor.Runs.end())
+      continue; // the loss of another member of its gang has ended it
+    if (MayRunInNewIncarnation)
+      Found->second.Phase = run_phase::Unconfirmed;
+    else
+      applyLoss(Executor, Name, Cause);
+  }
+  Executor.HasAnsweredHold = false;
+  Executor.ProvenAt = {};
+  Executor.Incarnation = 0;
+  Executor.LastSeenProcessed = 0;
+  Executor.LastSeenSaved = 0;
+  Executor.LastSeenAcknowledged = 0;
+  Executor.SaveNeeded = 0;
+  Executor.NextHold = Now;
+  touch(Executor);
+  State.NeedsPlacement = true;
+  giveUp(GivenUp);
+}
+
+} // namespace galenastage::batch::detail
