--- a/tests/contract/executor_client_test.cpp
+++ b/tests/contract/executor_client_test.cpp
@@ -3,7 +3,9 @@
 #include "platform/executor_client.hpp"
 #include "standin/run_service.hpp"
 #include "tests/support/run_task.hpp"
+#include "tests/support/tcp_relay.hpp"
 
+#include <boost/asio/co_spawn.hpp>
 #include <catch2/catch.hpp>
 
 using namespace galenastage;
@@ -139,3 +141,29 @@
   CHECK(After.Incarnation > Before);
   CHECK(After.Ended.empty());
 }
+
+// Guards against orders that wait for one silent connection after the other.
+TEST_CASE_METHOD(executor_fixture,
+                 "executor: after a hold that got no answer in time, a start "
+                 "uses a new connection") {
+  test::tcp_relay Relay(Context, Service.localEndpoint());
+  executor_target To = target(5);
+  To.Address = Relay.localEndpoint();
+  const hold_executor Hold{To, 0, 60'000, {}};
+  constexpr int Parallel = 3; // connections that are idle afterwards
+  int Answered = 0;
+  for (int I = 0; I < Parallel; ++I)
+    asio::co_spawn(Context, Client.hold(Hold),
+                   [&](std::exception_ptr, const auto &) { ++Answered; });
+  while (Answered < Parallel)
+    Context.run_one();
+  REQUIRE(Relay.connections() == Parallel);
+  Relay.silenceConnections();
+  const auto Silent = test::runTask(Context, Client.hold(Hold));
+  REQUIRE(std::holds_alternative<hold_failed>(Silent));
+  CHECK(std::get<hold_failed>(Silent).Failure == hold_failure::NoAnswer);
+  const start_answered Start =
+      test::runTask(Context, Client.start({To, runOf(1), "spec", "", 60'000}));
+  CHECK(Start.Outcome == order_outcome::Accepted);
+  CHECK(Relay.connections() == Parallel + 1);
+}
