Don't count an outage against tasks that had run for a while

A run that has outlived its probation when three or more executors fall silent together, the others without its job, is now not counted at all. A run that had just started still is, so that tasks which crash their executors at the same moment are given up after five starts at most.

The new test fails without the change.

--- a/core/job/batch/scheduler_crashes.cpp
+++ b/core/job/batch/scheduler_crashes.cpp
@@ -52,10 +52,13 @@
       continue; // its start was never ordered
     if (Run.IsOrphan)
       continue;
-    const bool IsBlamed =
-        Cause != run_loss::LeaseExpired && !Run.IsInherited &&
-        !hasOutlived(Executor, Run, State.Settings.Crashes.Probation) &&
-        !isOutage(Executor, Name.Task.Job);
+    const bool IsOutlived =
+        hasOutlived(Executor, Run, State.Settings.Crashes.Probation);
+    const bool IsPartOfOutage = isOutage(Executor, Name.Task.Job);
+    if (IsOutlived && IsPartOfOutage)
+      continue;
+    const bool IsBlamed = Cause != run_loss::LeaseExpired && !Run.IsInherited &&
+                          !IsOutlived && !IsPartOfOutage;
     if (countCrash(Executor, Name, Cause, IsBlamed))
       GivenUp.push_back(Name.Task);
   }
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -147,8 +147,9 @@
                    bool HasNewIncarnation);
 
   // Crashes of executors (scheduler_crashes.cpp)
-  /// Counts the crash against the tasks that the executor ran. Returns those
-  /// that are given up for it.
+  /// Counts the crash against the tasks that the executor ran, except those
+  /// that had run for a while when it fell silent together with others. Returns
+  /// the tasks that are given up for it.
   std::vector<task_name> noteCrash(executor_state &Executor, run_loss Cause);
   /// Counts one crash of the task's executor. True when it is given up.
   bool countCrash(const executor_state &Executor, const run_name &Run,
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -214,6 +214,29 @@
   }
 }
 
+// Guards against jobs that fail after several waves of plain crashes.
+TEST_CASE_METHOD(
+    crash_fixture,
+    "batch: an outage doesn't count against tasks that had run for "
+    "a while") {
+  settle({"x1", "x2", "x3"});
+  std::vector<start_run> Starts;
+  for (const char *Id : {"a", "b", "c"}) {
+    const auto One = run(job(Id, 1, 1, 8));
+    Starts.insert(Starts.end(), One.begin(), One.end());
+  }
+  REQUIRE(Starts.size() == 3);
+  Now += milliseconds(2'000);
+  for (const start_run &Start : Starts)
+    answer(Start.To.Id.Value, {{Start.Run, "", 10}});
+  for (const start_run &Start : Starts)
+    post(hold_failed{Start.To.Id, 1, hold_failure::ConnectionLost});
+  for (const start_run &Start : Starts) {
+    post(hold_failed{Start.To.Id, 1, hold_failure::OtherIncarnation});
+    CHECK(unit(Start.Run.Task.Job.Value).Crashes.empty());
+  }
+}
+
 TEST_CASE_METHOD(crash_fixture,
                  "batch: a task that has run for long isn't blamed for a "
                  "crash, however often, before the fifth") {
