--- a/core/job/batch/crashes.hpp
+++ b/core/job/batch/crashes.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
-// Decides which tasks may have crashed an executor, and which are given up for
-// it. Pure functions on counts that are stored with the progress of a job.
+// Tasks that crash the executors that start them. A task whose executor crashed
+// right after its start is blamed for it. While it is a suspect it runs alone,
+// and it is given up after a few crashes. Pure functions on counts that are
+// stored with the progress of a job.
 
 #include "core/types.hpp"
 
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -6,6 +6,9 @@
 // Safety rules:
 // - The executors of a task are stored before its start is ordered, so that the
 //   next leader knows every run that may exist.
+// - A stored start is ordered only if the executor could still be chosen.
+// - The crashes under a task are stored before its next start, so that the next
+//   leader goes on counting.
 // - Nothing starts on an executor before it has answered a hold with this
 //   leader's fencing token; after that it rejects orders of earlier leaders.
 // - A run counts against its executor's capacity until its end is listed, the
@@ -14,8 +17,8 @@
 // - After the leader's own lease has expired, it starts no run and extends no
 //   lease.
 // - What was read or ordered for one term of leadership has no effect on
-// another
-//   one, also of the same instance. Both carry their term, the fencing token.
+//   another one, also of the same instance. Both carry their term, the fencing
+//   token.
 //
 // Index of this file
 // [1] Settings
@@ -124,10 +127,10 @@
   std::vector<ended_run> Ended;
 };
 enum class hold_failure {
-  NoAnswer,         // in time; the executor may still be running
-  ConnectionLost,   // before an answer; the executor was up until then
-  OtherIncarnation, // another executor answers at its address
-  Fenced,           // the executor has seen a higher token
+  NoAnswer,       // in time; the executor may still be running
+  ConnectionLost, // before an answer; the executor was up until then
+  Replaced,       // another executor answers at its address
+  Fenced,         // the executor has seen a higher token
 };
 struct hold_failed {
   executor_id Executor;
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -24,7 +24,7 @@
     return "no answer";
   case hold_failure::ConnectionLost:
     return "connection lost";
-  case hold_failure::OtherIncarnation:
+  case hold_failure::Replaced:
     return "another executor answers";
   case hold_failure::Fenced:
     break;
@@ -155,7 +155,7 @@
   executor_state &Executor = Found->second;
   Executor.IsHolding = false;
   Executor.NextHold = Now + State.Settings.HoldRetry;
-  if (Event.Failure == hold_failure::OtherIncarnation) {
+  if (Event.Failure == hold_failure::Replaced) {
     // No order reaches the executor any more: each call names it.
     if (!std::exchange(Executor.IsReplaced, true))
       dropAllRuns(Executor, run_loss::Replaced, false);
--- a/tests/contract/executor_client_test.cpp
+++ b/tests/contract/executor_client_test.cpp
@@ -85,7 +85,7 @@
   CHECK(Start.Reason == "status 421");
   const auto Hold = hold(5, 0, "i-2");
   REQUIRE(std::holds_alternative<hold_failed>(Hold));
-  CHECK(std::get<hold_failed>(Hold).Failure == hold_failure::OtherIncarnation);
+  CHECK(std::get<hold_failed>(Hold).Failure == hold_failure::Replaced);
   CHECK(Service.starts() == 0);
 }
 
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -391,8 +391,7 @@
       if (Executor.IsGone || Now < Executor.DownUntil) {
         const bool IsBack = Now >= Executor.DownUntil;
         after(Latency, [fail, IsBack] {
-          fail(IsBack ? hold_failure::OtherIncarnation
-                      : hold_failure::ConnectionLost);
+          fail(IsBack ? hold_failure::Replaced : hold_failure::ConnectionLost);
         });
         return;
       }
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -24,7 +24,7 @@
   void replace(const executor_id &Id) {
     Now += milliseconds(3'000);
     Wall += milliseconds(3'000);
-    post(hold_failed{Id, 1, hold_failure::OtherIncarnation});
+    post(hold_failed{Id, 1, hold_failure::Replaced});
   }
   /// Confirms saves until starts follow. Empty when nothing is left to save.
   std::vector<start_run> nextStarts() {
@@ -209,7 +209,7 @@
   for (const start_run &Start : Starts)
     post(hold_failed{Start.To.Id, 1, hold_failure::ConnectionLost});
   for (const start_run &Start : Starts) {
-    post(hold_failed{Start.To.Id, 1, hold_failure::OtherIncarnation});
+    post(hold_failed{Start.To.Id, 1, hold_failure::Replaced});
     CHECK(unit(Start.Run.Task.Job.Value).crashesOf(0) == crash_record{1, 0});
   }
 }
@@ -232,7 +232,7 @@
   for (const start_run &Start : Starts)
     post(hold_failed{Start.To.Id, 1, hold_failure::ConnectionLost});
   for (const start_run &Start : Starts) {
-    post(hold_failed{Start.To.Id, 1, hold_failure::OtherIncarnation});
+    post(hold_failed{Start.To.Id, 1, hold_failure::Replaced});
     CHECK(unit(Start.Run.Task.Job.Value).Crashes.empty());
   }
 }
@@ -299,7 +299,7 @@
     for (const hold_executor &Hold : all<hold_executor>())
       if (Hold.To.Id == Start.To.Id) {
         ++Holds;
-        post(hold_failed{Start.To.Id, 0, hold_failure::OtherIncarnation});
+        post(hold_failed{Start.To.Id, 0, hold_failure::Replaced});
       }
   }
   CHECK(Holds == 3);
@@ -322,7 +322,7 @@
   for (const std::string &Id : Many)
     Left.push_back(report(Id));
   for (const start_run &Start : Starts) {
-    post(hold_failed{Start.To.Id, 1, hold_failure::OtherIncarnation});
+    post(hold_failed{Start.To.Id, 1, hold_failure::Replaced});
     std::erase_if(Left, [&](const auto &One) { return One.Id == Start.To.Id; });
   }
   list(Left);
--- a/tests/unit/batch_term_test.cpp
+++ b/tests/unit/batch_term_test.cpp
@@ -120,8 +120,7 @@
   continueRun();
   REQUIRE(x().IsHolding);
   for (const hold_failure Failure :
-       {hold_failure::NoAnswer, hold_failure::Fenced,
-        hold_failure::OtherIncarnation}) {
+       {hold_failure::NoAnswer, hold_failure::Fenced, hold_failure::Replaced}) {
     postOf(Token, hold_failed{executor_id("x"), 1, Failure});
     CHECK(x().IsHolding);
     CHECK_FALSE(x().IsUnresponsive);
