--- a/tests/unit/batch_room_test.cpp
+++ b/tests/unit/batch_room_test.cpp
@@ -109,7 +109,9 @@
                  "batch: a run of an unknown job blocks its executor, also "
                  "after its capacity has grown") {
   post(recovery_finished{});
-  list({reportOf("x", 2)});
+  executor_report Shrunk = report("x");
+  Shrunk.Capacity = {8'000, 16'000, 2};
+  list({Shrunk});
   const run_name Unknown{{job_id("0123456789abcdef"), 0, 0, 0}, 1};
   answer("x", {{Unknown, "", 10}});
   list({report("x")});
