Count executors by speed and reservation in the capacity index

Cause: a placement can only prefer executors by free capacity, and rules of guarantees stand in one file with the search for victims, so parts that decide by speed, by what is kept free and by shares would each need a pass of their own.

Change: the index counts eight groups of executors of a rack; a placement tries sets of groups in the order that preferredExecutors gives, which is one set of all until the parts exist. Guarantees have a file of their own. The platform's bounds for stops, checkpoints and restores and the time that a draining executor has left are read. Switches for the four parts to come.

--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -30,15 +30,27 @@
 constexpr milliseconds DrainPoll{20};
 constexpr milliseconds StopMargin{700}; // before the platform kills the process
 
+constexpr const char *On = "on";
+constexpr const char *Off = "off";
+
+/// Parts of the scheduler that an operator may switch off.
+struct features {
+  std::string Speeds = On;
+  std::string Shares = On;
+  std::string Headroom = On;
+  std::string Departures = On;
+};
+
 /// One instance on the users' platform: always answers clients, and schedules
 /// while it leads.
 class instance_app {
 public:
-  explicit instance_app(platform::instance_settings NewSettings)
+  instance_app(platform::instance_settings NewSettings,
+               const features &Features)
       : Settings(std::move(NewSettings)), Io(1), Context(Io.context(0)),
         Store(Context, Settings.Store, Settings.Address),
         Executors(Context, Settings.Address),
-        State(schedulerSettings(Settings)),
+        State(schedulerSettings(Settings, Features)),
         Feed(Context, Store, Metrics,
              [this](const deployment_view &View) { applyView(View); }),
         Leadership(Context, Store, Settings.Name.Value, forwardEndpoint(),
@@ -94,10 +106,18 @@
 
 private:
   static batch::scheduler_settings
-  schedulerSettings(const platform::instance_settings &Settings) {
+  schedulerSettings(const platform::instance_settings &Settings,
+                    const features &Features) {
     batch::scheduler_settings Scheduler;
     Scheduler.MaxLease = Settings.MaxRunLease;
     Scheduler.Lease = std::min(Scheduler.Lease, Settings.MaxRunLease);
+    Scheduler.StopTimeout = Settings.RunStopTimeout;
+    Scheduler.CheckpointInterval = Settings.CheckpointInterval;
+    Scheduler.RestoreTime = Settings.RestoreTime;
+    Scheduler.Speeds.IsEnabled = Features.Speeds == On;
+    Scheduler.Shares.IsEnabled = Features.Shares == On;
+    Scheduler.Headroom.IsEnabled = Features.Headroom == On;
+    Scheduler.Departures.IsEnabled = Features.Departures == On;
     return Scheduler;
   }
 
@@ -214,6 +234,15 @@
               "platform's environment names");
   Parser.choice("log-format", Format, {"key-value", "json"},
                 "format of the log lines");
+  features Features;
+  Parser.choice("executor-speeds", Features.Speeds, {On, Off},
+                "learn how fast executors are, and place work by it");
+  Parser.choice("organisation-shares", Features.Shares, {On, Off},
+                "share what guarantees leave evenly between organisations");
+  Parser.choice("headroom", Features.Headroom, {On, Off},
+                "keep room free for guaranteed work that is about to come");
+  Parser.choice("departures", Features.Departures, {On, Off},
+                "move runs away from executors that are about to leave");
   if (const auto ExitCode = Parser.parse(Argc, Argv))
     return *ExitCode;
   startLogging("galenastage-instance",
@@ -224,7 +253,7 @@
 
   blockStopSignals();
   try {
-    instance_app App(*Settings);
+    instance_app App(*Settings, Features);
     App.start();
     writeLog(events::ProcessStarted,
              {{"instance", Settings->Name.Value},
--- a/core/job/batch/capacity_index.cpp
+++ b/core/job/batch/capacity_index.cpp
@@ -38,7 +38,36 @@
   return Fits;
 }
 
-int indexed_rack::boundFits(const resources &Needs, int Limit) const {
+std::string_view name(speed_class Class) {
+  switch (Class) {
+  case speed_class::Unknown:
+    return "unknown";
+  case speed_class::Slow:
+    return "slow";
+  case speed_class::Normal:
+    return "normal";
+  case speed_class::Fast:
+    break;
+  }
+  return "fast";
+}
+
+free_capacity &free_capacity::operator+=(const free_capacity &Other) {
+  Free += Other.Free;
+  Largest = largerOf(Largest, Other.Largest);
+  for (std::size_t Each = 1; Each < Tasks.size(); ++Each)
+    Tasks[Each] += Other.Tasks[Each];
+  return *this;
+}
+
+void free_capacity::add(const indexed_executor &Executor) {
+  Free += Executor.Free;
+  Largest = largerOf(Largest, Executor.Free);
+  for (int Each = 1; Each <= MostCounted; ++Each)
+    Tasks[static_cast<std::size_t>(Each)] += Executor.Free.Accelerators / Each;
+}
+
+int free_capacity::boundFits(const resources &Needs, int Limit) const {
   const int Fits = Largest.covers(Needs) ? countFits(Free, Needs, Limit) : 0;
   const int Each = Needs.Accelerators;
   return Each > 0 && Each <= MostCounted
@@ -46,6 +75,24 @@
              : Fits;
 }
 
+free_capacity indexed_rack::freeOf(executor_filter Allowed) const {
+  free_capacity Sum;
+  for (int Group = 0; Group < executor_filter::Groups; ++Group)
+    if (Allowed.includes(Group))
+      Sum += Groups[static_cast<std::size_t>(Group)];
+  return Sum;
+}
+
+int indexed_rack::boundFits(const resources &Needs, int Limit,
+                            executor_filter Allowed) const {
+  int Fits = 0;
+  for (int Group = 0; Group < executor_filter::Groups; ++Group)
+    if (Allowed.includes(Group) && Fits < Limit)
+      Fits += Groups[static_cast<std::size_t>(Group)].boundFits(Needs,
+                                                                Limit - Fits);
+  return Fits;
+}
+
 const indexed_rack *indexed_service::findRack(const rack_id &Id) const {
   const auto Found = Numbers.find(Id);
   return Found == Numbers.end()
@@ -98,14 +145,12 @@
   Rack.Preemptible += Executor.Preemptible * Sign;
   Rack.Capacity += Executor.Capacity * Sign;
   Free += Executor.Free * Sign;
-  Rack.Largest = {};
-  Rack.Tasks = {};
-  for (const auto &[Id, Member] : Rack.Open) {
-    Rack.Largest = largerOf(Rack.Largest, Member.Free);
-    for (int Each = 1; Each <= indexed_rack::MostCounted; ++Each)
-      Rack.Tasks[static_cast<std::size_t>(Each)] +=
-          Member.Free.Accelerators / Each;
-  }
+  free_capacity &Group =
+      Rack.Groups[static_cast<std::size_t>(Executor.group())];
+  Group = {};
+  for (const auto &[Id, Member] : Rack.Open)
+    if (Member.group() == Executor.group())
+      Group.add(Member);
   if (!Rack.Open.empty())
     ByFree.emplace(capacityWeight(Rack.Free), Number);
 }
--- a/core/job/batch/capacity_index.hpp
+++ b/core/job/batch/capacity_index.hpp
@@ -7,12 +7,71 @@
 #include "core/job/batch/model.hpp"
 
 #include <array>
+#include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace galenastage::batch {
 
+/// How fast an executor works, compared with the others of its service.
+enum class speed_class : std::uint8_t { Unknown, Slow, Normal, Fast };
+
+std::string_view name(speed_class Class);
+
+/// A set of executors of one service, by their speed and by whether they are
+/// kept free for guaranteed work. The index counts each such group by itself,
+/// so that a placement can prefer some executors without looking at all.
+class executor_filter {
+public:
+  static constexpr int Groups = 8; // four speeds, kept or not
+
+  static constexpr int groupOf(speed_class Speed, bool IsKept) {
+    return 2 * static_cast<int>(Speed) + (IsKept ? 1 : 0);
+  }
+  static constexpr executor_filter all() { return executor_filter(0xff); }
+  static constexpr executor_filter none() { return executor_filter(0); }
+  /// Executors of these speeds, kept or not.
+  static constexpr executor_filter
+  ofSpeeds(std::initializer_list<speed_class> Speeds) {
+    executor_filter Filter = none();
+    for (const speed_class Speed : Speeds)
+      Filter = Filter.with(Speed, false).with(Speed, true);
+    return Filter;
+  }
+  /// Executors that are kept, or those that aren't, of any speed.
+  static constexpr executor_filter kept(bool IsKept) {
+    return executor_filter(IsKept ? 0xaa : 0x55);
+  }
+
+  [[nodiscard]] constexpr executor_filter with(speed_class Speed,
+                                               bool IsKept) const {
+    return executor_filter(Bits | (1U << groupOf(Speed, IsKept)));
+  }
+  /// The executors that are in both sets.
+  [[nodiscard]] constexpr executor_filter
+  operator&(executor_filter Other) const {
+    return executor_filter(Bits & Other.Bits);
+  }
+  [[nodiscard]] constexpr bool includes(int Group) const {
+    return (Bits >> Group & 1U) != 0;
+  }
+  /// Whether every executor of the other set is in this one.
+  [[nodiscard]] constexpr bool covers(executor_filter Other) const {
+    return (Other.Bits & ~Bits) == 0;
+  }
+  [[nodiscard]] constexpr bool isEmpty() const { return Bits == 0; }
+
+  friend constexpr bool operator==(executor_filter, executor_filter) = default;
+
+private:
+  explicit constexpr executor_filter(unsigned Bits) : Bits(Bits) {}
+
+  unsigned Bits; // one for each group
+};
+
 /// What the index knows about one executor.
 struct indexed_executor {
   service_id Service;
@@ -25,6 +84,12 @@
   bool IsOpen = false;    // runs may start on it
   bool IsSuspect = false; // a task failed on it since its last success
   instant ProvenAt{};     // its last success
+  speed_class Speed = speed_class::Unknown;
+  bool IsKept = false; // free for guaranteed work only
+
+  [[nodiscard]] int group() const {
+    return executor_filter::groupOf(Speed, IsKept);
+  }
 
   /// Whether its kind or its rack has this name.
   [[nodiscard]] bool hasLabel(std::string_view Label) const;
@@ -33,6 +98,24 @@
                          const indexed_executor &) = default;
 };
 
+/// Free capacity of some executors of a rack.
+struct free_capacity {
+  resources Free;    // sum
+  resources Largest; // per resource, the most that one of them has free
+  // By accelerators of a task: how many such tasks their free accelerators
+  // hold. The sum above hides that a task must fit on one executor.
+  static constexpr int MostCounted = 16; // accelerators of a task
+  std::array<int, MostCounted + 1> Tasks{};
+
+  free_capacity &operator+=(const free_capacity &Other);
+  void add(const indexed_executor &Executor);
+  /// Upper bound of the tasks with these needs that fit, at most Limit.
+  [[nodiscard]] int boundFits(const resources &Needs, int Limit) const;
+
+  friend bool operator==(const free_capacity &,
+                         const free_capacity &) = default;
+};
+
 /// The open executors of one rack.
 struct indexed_rack {
   rack_id Id;
@@ -40,14 +123,14 @@
   resources Free;        // sums over the open executors
   resources Preemptible; //
   resources Capacity;    //
-  resources Largest;     // per resource, the most that one of them has free
-  // By accelerators of a task: how many such tasks their free accelerators
-  // hold. The sums above hide that a task must fit on one executor.
-  static constexpr int MostCounted = 16; // accelerators of a task
-  std::array<int, MostCounted + 1> Tasks{};
-
-  /// Upper bound of the tasks with these needs that fit, at most Limit.
-  [[nodiscard]] int boundFits(const resources &Needs, int Limit) const;
+  std::array<free_capacity, executor_filter::Groups> Groups;
+
+  /// Free capacity of the executors in the set.
+  [[nodiscard]] free_capacity freeOf(executor_filter Allowed) const;
+  /// Upper bound of the tasks with these needs that fit on executors of the
+  /// set, at most Limit.
+  [[nodiscard]] int boundFits(const resources &Needs, int Limit,
+                              executor_filter Allowed) const;
 
   friend bool operator==(const indexed_rack &, const indexed_rack &) = default;
 };
--- a/core/job/batch/model.hpp
+++ b/core/job/batch/model.hpp
@@ -202,6 +202,7 @@
   resources Capacity;
   std::int64_t Incarnation = 0; // changes at each restart; 0: unknown
   bool IsDraining = false;      // still runs for a while, accepts nothing new
+  milliseconds Remaining{0};    // least time until it leaves, while draining
 
   /// Whether its kind or its rack has this name.
   [[nodiscard]] bool hasLabel(std::string_view Label) const;
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -29,8 +29,12 @@
 
 #include "core/job/batch/capacity_index.hpp"
 #include "core/job/batch/crashes.hpp"
+#include "core/job/batch/departure.hpp"
+#include "core/job/batch/headroom.hpp"
 #include "core/job/batch/pace.hpp"
 #include "core/job/batch/progress.hpp"
+#include "core/job/batch/shares.hpp"
+#include "core/job/batch/speed.hpp"
 #include "core/job/policy/quarantine.hpp"
 #include "core/log_event.hpp"
 
@@ -66,8 +70,15 @@
   int MaxJobsPerSave = 15;     // fits a store transaction of 32 entries
   quarantine_settings Quarantine{2, 10, milliseconds(6'000),
                                  milliseconds(60'000)};
+  milliseconds StopTimeout{900};          // longest time that a stop takes
+  milliseconds CheckpointInterval{1'000}; // of work between checkpoints
+  milliseconds RestoreTime{100};          // to resume from a checkpoint
   pace_settings Pace;
   crash_settings Crashes;
+  speed_settings Speeds;
+  share_settings Shares;
+  headroom_settings Headroom;
+  departure_settings Departures;
 
   friend bool operator==(const scheduler_settings &,
                          const scheduler_settings &) = default;
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -39,6 +39,7 @@
   const std::set<executor_id> &Avoided;
   caution Caution;
   bool MayUseAvoided; // there is no other executor
+  executor_filter Allowed = executor_filter::all();
 
   /// Whether every open executor of the service may run the step.
   [[nodiscard]] bool isUnrestricted() const {
@@ -57,6 +58,7 @@
   service_id Service;
   resources Needs; // of each task
   int Count;
+  executor_filter Allowed;
 };
 
 /// Applies one event to the state; created for each call of reduce.
@@ -192,11 +194,18 @@
   [[nodiscard]] caution cautionFor(const job_state &Job,
                                    const unit_name &Unit) const;
   [[nodiscard]] bool mustUseAvoided(const placement_query &Query) const;
+  /// The executors that may run the step: sets to be tried one after the other.
+  /// Empty: none may.
+  [[nodiscard]] std::vector<executor_filter>
+  preferredExecutors(const placement_query &Query) const;
+  /// Tries the sets of executors in order.
   [[nodiscard]] std::optional<placement_choice>
-  placeWherePreferred(const placement_query &Query,
-                      const placement_request &Request);
+  placeWherePreferred(placement_query Query, const placement_request &Request);
   [[nodiscard]] std::optional<placement_choice>
-  placeAnywhere(const placement_query &Query, placement_request Request);
+  placeAnywhere(placement_query Query, placement_request Request);
+  [[nodiscard]] std::optional<placement_choice>
+  placeInPreferredRack(const placement_query &Query,
+                       const placement_request &Request);
   [[nodiscard]] bool isAvoided(const placement_query &Query,
                                const executor_id &Id,
                                const indexed_executor &Executor) const;
@@ -236,8 +245,6 @@
                  const std::vector<executor_id> &Executors);
 
   // Reclaim (scheduler_reclaim.cpp)
-  [[nodiscard]] bool mayReclaim(const job_state &Job,
-                                const placement_request &Request) const;
   bool placeReclaiming(const placement_query &Query,
                        const placement_request &Request);
   [[nodiscard]] std::optional<placement_choice>
@@ -254,8 +261,29 @@
                       std::map<unit_name, int> &Groups) const;
   void advancePlans();
   void dropPlan(const unit_name &Unit);
+
+  // Guarantees (scheduler_guarantees.cpp)
+  /// Whether the unit fits into the guarantee of the job's organisation.
+  [[nodiscard]] bool mayReclaim(const job_state &Job,
+                                const placement_request &Request) const;
+  /// Recounts what depends on the priorities of queues and on guarantees.
   void recountPolicy();
 
+  // Speeds of executors (scheduler_speed.cpp)
+  /// Sets of speeds that may run the step, the best first.
+  [[nodiscard]] std::vector<executor_filter>
+  preferredSpeeds(const placement_query &Query) const;
+  /// Expected time until the run is done, by its progress so far.
+  [[nodiscard]] milliseconds remainingTime(const job_state &Job,
+                                           const run_name &Name,
+                                           const run_state &Run) const;
+
+  // Room kept for guaranteed work (scheduler_headroom.cpp)
+  /// Whether the executors that are kept may run the step: sets to be tried in
+  /// order.
+  [[nodiscard]] std::vector<executor_filter>
+  preferredRoom(const placement_query &Query) const;
+
   void log(const log_event &Event, std::vector<log_field> Fields) {
     Out.emplace_back(write_log{{&Event, std::move(Fields)}});
   }
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -227,6 +227,8 @@
   std::vector<candidate> Candidates;
   State.Examined += Rack.Open.size();
   for (const auto &[Id, Executor] : Rack.Open) {
+    if (!Query.Allowed.includes(Executor.group()))
+      continue;
     if (!Step.Requirement.empty() && !Executor.hasLabel(Step.Requirement))
       continue;
     if (!Query.MayUseAvoided && isAvoided(Query, Id, Executor))
@@ -272,6 +274,7 @@
   return std::ranges::any_of(Vain, [&](const vain_search &Known) {
     return Known.Kind == Kind && Known.Count <= Request.Count &&
            Known.Service == Query.Job.Queue.Service &&
+           Known.Allowed.covers(Query.Allowed) &&
            Request.Needs.covers(Known.Needs);
   });
 }
@@ -279,8 +282,8 @@
 void event_handler::noteVain(search Kind, const placement_query &Query,
                              const placement_request &Request) {
   if (Query.isUnrestricted())
-    Vain.push_back(
-        {Kind, Query.Job.Queue.Service, Request.Needs, Request.Count});
+    Vain.push_back({Kind, Query.Job.Queue.Service, Request.Needs, Request.Count,
+                    Query.Allowed});
 }
 
 /// The rack with the least free capacity that suffices.
@@ -292,8 +295,8 @@
     return Choice;
   Query.Service->fromWeight(
       totalWeight(Request), [&](const indexed_rack &Rack) {
-        const bool IsPossible =
-            Rack.boundFits(Request.Needs, Request.Count) == Request.Count;
+        const bool IsPossible = Rack.boundFits(Request.Needs, Request.Count,
+                                               Query.Allowed) == Request.Count;
         if (IsPossible && Request.Count == 1) {
           const std::vector<candidate> Candidates = listCandidates(Query, Rack);
           if (const candidate *Best = findBestFit(Request, Candidates))
@@ -322,7 +325,7 @@
   std::vector<candidate> Candidates;
   std::int64_t Fits = 0;
   Query.Service->fromLargest([&](const indexed_rack &Rack) {
-    if (Rack.boundFits(Request.Needs, 1) == 0)
+    if (Rack.boundFits(Request.Needs, 1, Query.Allowed) == 0)
       return true;
     for (candidate &Candidate : listCandidates(Query, Rack)) {
       const int OnOne =
@@ -377,10 +380,21 @@
   return Fits;
 }
 
+std::vector<executor_filter>
+event_handler::preferredExecutors(const placement_query &Query) const {
+  std::vector<executor_filter> Sets;
+  for (const executor_filter Speeds : preferredSpeeds(Query))
+    for (const executor_filter Room : preferredRoom(Query))
+      if (const executor_filter Both = Speeds & Room;
+          !Both.isEmpty() && std::ranges::count(Sets, Both) == 0)
+        Sets.push_back(Both);
+  return Sets;
+}
+
 /// In the rack of the data, or the whole gang in one rack.
 std::optional<placement_choice>
-event_handler::placeWherePreferred(const placement_query &Query,
-                                   const placement_request &Request) {
+event_handler::placeInPreferredRack(const placement_query &Query,
+                                    const placement_request &Request) {
   if (Query.Step.Affinity.isEmpty())
     return Query.Step.IsRackLocal ? placeInOneRack(Query, Request)
                                   : std::nullopt;
@@ -390,11 +404,30 @@
 }
 
 std::optional<placement_choice>
-event_handler::placeAnywhere(const placement_query &Query,
-                             placement_request Request) {
-  std::optional<placement_choice> Choice = placeInOneRack(Query, Request);
+event_handler::placeWherePreferred(placement_query Query,
+                                   const placement_request &Request) {
+  for (const executor_filter Allowed : preferredExecutors(Query)) {
+    Query.Allowed = Allowed;
+    if (auto Choice = placeInPreferredRack(Query, Request))
+      return Choice;
+  }
+  return std::nullopt;
+}
+
+std::optional<placement_choice>
+event_handler::placeAnywhere(placement_query Query, placement_request Request) {
+  for (const executor_filter Allowed : preferredExecutors(Query)) {
+    Query.Allowed = Allowed;
+    if (auto Choice = placeInOneRack(Query, Request))
+      return Choice;
+  }
   Request.NeedsOneRack = false;
-  return Choice ? Choice : placeAcrossRacks(Query, Request);
+  for (const executor_filter Allowed : preferredExecutors(Query)) {
+    Query.Allowed = Allowed;
+    if (auto Choice = placeAcrossRacks(Query, Request))
+      return Choice;
+  }
+  return std::nullopt;
 }
 
 bool event_handler::place(const unit_name &Unit) {
--- a/tests/unit/batch_capacity_index_test.cpp
+++ b/tests/unit/batch_capacity_index_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 using namespace galenastage;
 using namespace galenastage::batch;
 
@@ -52,7 +54,7 @@
   const indexed_rack *Rack = Index.find(Service)->findRack(rack_id("r1"));
   REQUIRE(Rack);
   CHECK(Rack->Free.Accelerators == 3);
-  CHECK(Rack->Largest.Accelerators == 2);
+  CHECK(Rack->freeOf(executor_filter::all()).Largest.Accelerators == 2);
   CHECK(Index.find(Service)->percentInUse() == 100 * 13 / 16);
 }
 
@@ -89,3 +91,48 @@
   CHECK_FALSE(Index.find(Service));
   CHECK(Index == capacity_index{});
 }
+
+// A bound below the real number would hide room from placements.
+TEST_CASE("capacity index: each set of executors is counted by itself") {
+  std::mt19937 Random(1);
+  const auto Draw = [&](int Least, int Most) {
+    return std::uniform_int_distribution<int>(Least, Most)(Random);
+  };
+  capacity_index Index;
+  std::map<executor_id, indexed_executor> Known;
+  for (int Change = 0; Change < 400; ++Change) {
+    const executor_id Id(std::to_string(Draw(0, 19)));
+    if (Draw(0, 9) == 0) {
+      Index.remove(Id);
+      Known.erase(Id);
+    } else {
+      indexed_executor Executor =
+          makeExecutor("r" + std::to_string(Draw(0, 2)), Draw(0, 8));
+      Executor.Speed = static_cast<speed_class>(Draw(0, 3));
+      Executor.IsKept = Draw(0, 1) == 1;
+      Index.update(Id, Executor);
+      Known[Id] = Executor;
+    }
+    if (!Index.find(Service))
+      continue;
+    const auto Speed = static_cast<speed_class>(Draw(0, 3));
+    const executor_filter Allowed = executor_filter::ofSpeeds({Speed}) &
+                                    executor_filter::kept(Draw(0, 1) == 1);
+    const resources Needs{4'000, 8'000, Draw(1, 8)};
+    for (int Number = 0; Number < 3; ++Number) {
+      const rack_id Id("r" + std::to_string(Number));
+      const indexed_rack *Rack = Index.find(Service)->findRack(Id);
+      int Fits = 0;
+      resources Free;
+      for (const auto &[Name, Executor] : Known)
+        if (Executor.Rack == Id && Allowed.includes(Executor.group())) {
+          Fits += countFits(Executor.Free, Needs, 100);
+          Free += Executor.Free;
+        }
+      const int Bound = Rack ? Rack->boundFits(Needs, 100, Allowed) : 0;
+      REQUIRE(Bound >= Fits);
+      if (Rack)
+        REQUIRE(Rack->freeOf(Allowed).Free == Free);
+    }
+  }
+}
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -14,7 +14,8 @@
   "listen_addrs": {"frontend": "10.1.0.19:8521", "ready": "10.1.0.19:8523"},
   "internal_ports": [7000, 7015], "a_new_field": {"x": 1},
   "limits": {"cpu_quota": 0.25, "cpu_cores": 2, "link_mbps": 20},
-  "bounds": {"grace_s": 6, "hold_max_ms": 9000},
+  "bounds": {"grace_s": 6, "hold_max_ms": 9000, "stop_timeout_ms": 400,
+             "restore_ms": 250, "checkpoint_interval_s": 0.5},
   "advisor": "10.200.1.9:8524", "heartbeat_ms": 1500,
   "platform": {"address": "10.200.1.7:8524", "ttl_min_ms": 900}})";
 
@@ -28,6 +29,9 @@
   CHECK(Parsed.Settings.FirstInternalPort == 7000);
   CHECK(Parsed.Settings.MaxRunLease == milliseconds(9'000));
   CHECK(Parsed.Settings.StopGrace == milliseconds(6'000));
+  CHECK(Parsed.Settings.RunStopTimeout == milliseconds(400));
+  CHECK(Parsed.Settings.RestoreTime == milliseconds(250));
+  CHECK(Parsed.Settings.CheckpointInterval == milliseconds(500));
   CHECK(Parsed.Settings.Cores == Approx(0.5));
   CHECK(Parsed.Settings.LinkMbps == Approx(20));
 }
@@ -49,6 +53,20 @@
   CHECK(parseSettings("{").Error);
 }
 
+TEST_CASE("wire: the time that is left is read of draining executors only") {
+  const auto Entry = [](const std::string &State) {
+    return R"({"service":"s","address":"10.0.0.9:8080","zone":"a",)"
+           R"("capacity":{"cpu":16000},"remaining_ms":3500,"state":")" +
+           State + R"("})";
+  };
+  const auto Draining = parseExecutor("i-1", Entry("draining"));
+  REQUIRE(Draining.Result);
+  CHECK(Draining.Result->Remaining == milliseconds(3'500));
+  const auto Ready = parseExecutor("i-1", Entry("ready"));
+  REQUIRE(Ready.Result);
+  CHECK(Ready.Result->Remaining == milliseconds(0));
+}
+
 TEST_CASE("wire: an invalid executor entry is rejected with a reason") {
   const std::string Good =
       R"({"service":"s","address":"10.0.0.9:8080","zone":"a","state":"ready",)"
