Choose the runs that a reclaim stops by the work they lose

The price of a unit now counts the platform's restore time, the restart and its earlier stops; after three of them the unit is stopped only when nothing else frees enough. Capacity that earlier stops free counts for later reclaims, less what plans reserve of it; before, each reclaim stopped work of its own. A run that ends within the time of a stop is waited for, and stopped if it takes longer. Stopped work pauses for 0.25 to 2 s while 60% of the accelerators are in use.

With the switch off, the tests of reclaims and of the pause fail.

--- a/core/job/batch/capacity_index.hpp
+++ b/core/job/batch/capacity_index.hpp
@@ -80,7 +80,7 @@
   resources Capacity;     // of the whole executor
   resources Used;         // by runs
   resources Free;         // neither used nor reserved
-  resources Preemptible;  // used by runs that a reclaim may stop
+  resources Preemptible;  // that stops free, now or soon, beyond plans
   bool IsOpen = false;    // runs may start on it
   bool IsSuspect = false; // a task failed on it since its last success
   instant ProvenAt{};     // its last success
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -260,6 +260,7 @@
   instant Ordered{};   // when the start was ordered
   instant Confirmed{}; // last answer to its start or stop
   instant StopSent{};
+  instant StopOrdered{};       // first; StopSent is of the last repeat
   bool IsStopAccepted = false; // a late start is now ineffective
   bool IsInSave = false;       // its executor is part of the current save
   bool IsInherited = false;    // an earlier leader may have started it
@@ -335,6 +336,8 @@
   instant ReclaimAfter{};        // earliest next reclaim after a vain one
   int Moves = 0;                 // to another executor after a stall
   gang_break Break;
+  int Stops = 0;         // by reclaims
+  instant PausedUntil{}; // after the last of them, while capacity is scarce
 };
 
 /// The units of one step that could start now, with their sort keys.
@@ -377,6 +380,9 @@
 struct reclaim_plan {
   std::vector<executor_id> Executors; // one for each task
   instant CreatedAt{};
+  // Runs that were about to end. They are stopped if they take longer than a
+  // stop would have taken.
+  std::vector<std::pair<executor_id, run_name>> Ending;
 };
 
 struct scheduler_state {
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -254,6 +254,20 @@
                    const placement_request &Request,
                    const placement_choice &Choice,
                    const std::map<unit_name, int> &Groups);
+  /// Stops a unit of lower priority for the urgent one.
+  void stopVictim(const unit_name &Victim, const unit_name &Urgent);
+  [[nodiscard]] double reclaimPrice(const run_name &Name,
+                                    const run_state &Run) const;
+  /// Whether the run ends by itself before a stop would have ended it.
+  [[nodiscard]] bool isEnding(const run_name &Name, const run_state &Run) const;
+  /// Whether a stop that was ordered earlier should end the run soon.
+  [[nodiscard]] bool isStopDue(const run_state &Run) const;
+  [[nodiscard]] bool isFreeNow(const placement_choice &Choice,
+                               const resources &Needs) const;
+  /// Stops the runs of the plan that should have ended by now.
+  void stopLate(const unit_name &Unit);
+  /// Whether the unit was stopped a short time ago and capacity is scarce.
+  [[nodiscard]] bool isPaused(const unit_name &Unit);
   [[nodiscard]] std::vector<const indexed_rack *>
   listReclaimRacks(const placement_query &Query,
                    const placement_request &Request, bool IsOneRack) const;
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -39,11 +39,15 @@
   Known.Kind = Executor.Report.Kind;
   Known.Capacity = Executor.Report.Capacity;
   Known.Used = Executor.Used;
-  Known.Free =
-      atLeastNone(Executor.Report.Capacity - Executor.Used - Executor.Reserved);
+  // Less than none while plans reserve what stops have yet to free.
+  const resources Left =
+      Executor.Report.Capacity - Executor.Used - Executor.Reserved;
+  Known.Free = atLeastNone(Left);
+  resources Stoppable;
   for (const auto &[Name, Run] : Executor.Runs)
-    if (isPreemptible(Run))
-      Known.Preemptible += Run.Needs;
+    if (isPreemptible(Run) || Run.Phase == run_phase::Stopping)
+      Stoppable += Run.Needs;
+  Known.Preemptible = atLeastNone(Left + Stoppable) - Known.Free;
   Known.IsOpen = IsOpen;
   Known.IsSuspect = !Executor.Health.FailedJobs.empty();
   Known.ProvenAt = Executor.ProvenAt;
@@ -263,6 +267,8 @@
   unit_name Unit = Waiting.First;
   for (int Number : Waiting.Units) {
     Unit.Unit = Number;
+    if (isPaused(Unit))
+      continue;
     const bool IsSuspect = findProgress(Unit)->hasSuspect();
     if (!place(Unit) && !IsSuspect)
       return;
--- a/core/job/batch/scheduler_reclaim.cpp
+++ b/core/job/batch/scheduler_reclaim.cpp
@@ -8,7 +8,13 @@
 namespace detail {
 namespace {
 
-constexpr double RestoreSeconds = 0.1; // time to resume from a checkpoint
+/// Null when nothing is known of the unit.
+const unit_state *findUnit(const job_state &Job, const unit_name &Unit) {
+  const auto Found = Job.Units.find(Unit.Occurrence);
+  return Found == Job.Units.end() || Found->second.empty()
+             ? nullptr
+             : &Found->second[Unit.Step][Unit.Unit];
+}
 
 } // namespace
 
@@ -37,25 +43,57 @@
   return Racks;
 }
 
+bool event_handler::isEnding(const run_name &Name, const run_state &Run) const {
+  const auto Job = State.Jobs.find(Name.Task.Job);
+  return Run.Phase == run_phase::Active && Job != State.Jobs.end() &&
+         remainingTime(Job->second, Name, Run) <= State.Settings.StopTimeout;
+}
+
+bool event_handler::isStopDue(const run_state &Run) const {
+  return Run.Phase == run_phase::Stopping &&
+         Now - Run.StopOrdered <= State.Settings.StopTimeout;
+}
+
+double event_handler::reclaimPrice(const run_name &Name,
+                                   const run_state &Run) const {
+  const victim_settings &Settings = State.Settings.Headroom.Victims;
+  victim Victim{Run.Phase != run_phase::Recording, Run.IsCheckpointing,
+                Now - Run.Ordered, weightedCores(Run.Needs) * Run.GangSize, 0};
+  if (!State.Settings.Headroom.IsEnabled)
+    return lossOf(Victim, State.Settings.RestoreTime);
+  if (const auto Job = State.Jobs.find(Name.Task.Job); Job != State.Jobs.end())
+    if (const unit_state *Unit =
+            findUnit(Job->second, unitNameOf(Job->second, Name.Task)))
+      Victim.Stops = Unit->Stops;
+  return priceOf(Victim, State.Settings.RestoreTime, Settings);
+}
+
 /// Lists the runs on the executor that may be stopped for guaranteed work.
+/// Capacity of runs that end soon anyway counts as free, less what plans have
+/// reserved of it.
 void event_handler::addPreemptible(candidate &Candidate,
                                    std::map<unit_name, int> &Groups) const {
   const executor_state &Executor = State.Executors.at(Candidate.Executor);
+  const bool IsEnabled = State.Settings.Headroom.IsEnabled;
+  if (IsEnabled)
+    Candidate.Free =
+        Executor.Report.Capacity - Executor.Used - Executor.Reserved;
   for (const auto &[Name, Run] : Executor.Runs) {
-    if (!isPreemptible(Run))
+    const bool IsPreemptible = isPreemptible(Run);
+    const bool EndsSoon =
+        IsEnabled && (isStopDue(Run) || (IsPreemptible && isEnding(Name, Run)));
+    if (EndsSoon) {
+      Candidate.Free += Run.Needs;
+      continue;
+    }
+    if (!IsPreemptible)
       continue;
     const unit_name Victim{Name.Task.Job, Name.Task.Occurrence, Name.Task.Step,
                            Run.IsOfGang ? 0 : Name.Task.Index};
     const auto [Item, IsNew] =
         Groups.try_emplace(Victim, static_cast<int>(Groups.size()));
-    const double Elapsed =
-        std::chrono::duration<double>(Now - Run.Ordered).count();
-    // A stop saves a checkpoint, so only the time to restore is lost.
-    const double Unsaved =
-        Run.IsCheckpointing ? std::min(Elapsed, RestoreSeconds) : Elapsed;
     Candidate.Preemptible.push_back(
-        {Item->second, Run.Needs,
-         Unsaved * weightedCores(Run.Needs) * Run.GangSize});
+        {Item->second, Run.Needs, reclaimPrice(Name, Run)});
   }
 }
 
@@ -88,6 +126,53 @@
   return Choice;
 }
 
+bool event_handler::isFreeNow(const placement_choice &Choice,
+                              const resources &Needs) const {
+  std::map<executor_id, int> Tasks;
+  for (const executor_id &Id : Choice.Executors)
+    ++Tasks[Id];
+  return std::ranges::all_of(Tasks, [&](const auto &Item) {
+    const executor_state &Executor = State.Executors.at(Item.first);
+    return (Executor.Report.Capacity - Executor.Used - Executor.Reserved)
+        .covers(Needs * Item.second);
+  });
+}
+
+void event_handler::stopVictim(const unit_name &Victim,
+                               const unit_name &Urgent) {
+  job_state &Job = State.Jobs.at(Victim.Job);
+  unit_state &Known = unitState(Job, Victim);
+  const headroom_settings &Settings = State.Settings.Headroom;
+  double Loss = 0;
+  for (const auto &[Name, Id] : Job.Runs)
+    if (unitNameOf(Job, Name.Task) == Victim) {
+      const run_state &Run = State.Executors.at(Id).Runs.at(Name);
+      Loss += lossOf({Run.Phase != run_phase::Recording, Run.IsCheckpointing,
+                      Now - Run.Ordered, weightedCores(Run.Needs), 0},
+                     State.Settings.RestoreTime);
+    }
+  ++Known.Stops;
+  if (Settings.IsEnabled)
+    Known.PausedUntil = Now + pauseAfter(Known.Stops, Settings.Victims);
+  log(events::UnitStopped,
+      {{"task",
+        printTask({Victim.Job, Victim.Occurrence, Victim.Step, Victim.Unit})},
+       {"loss", std::to_string(static_cast<std::int64_t>(Loss))},
+       {"stops", std::to_string(Known.Stops)},
+       {"for_job", Urgent.Job.Value}});
+  stopUnit(Job, Victim);
+}
+
+bool event_handler::isPaused(const unit_name &Unit) {
+  const job_state &Job = State.Jobs.at(Unit.Job);
+  const unit_state *Known = findUnit(Job, Unit);
+  if (!Known || Now >= Known->PausedUntil)
+    return false;
+  const indexed_service *Service = State.Capacity.find(Job.Queue.Service);
+  return Service && Service->percentInUse() >=
+                        State.Settings.Headroom.Victims.PauseAbovePercent;
+}
+
 /// Stops the chosen groups and reserves their capacity for the unit.
 void event_handler::planReclaim(const placement_query &Query,
                                 const placement_request &Request,
@@ -96,7 +181,13 @@
   const unit_name Unit = Query.Unit;
   for (const auto &[Victim, Number] : Groups)
     if (std::ranges::count(Choice.PreemptedGroups, Number) > 0)
-      stopUnit(State.Jobs.at(Victim.Job), Victim);
+      stopVictim(Victim, Unit);
+  reclaim_plan Plan{Choice.Executors, Now, {}};
+  for (const executor_id &Id :
+       std::set(Choice.Executors.begin(), Choice.Executors.end()))
+    for (const auto &[Name, Run] : State.Executors.at(Id).Runs)
+      if (isPreemptible(Run) && isEnding(Name, Run))
+        Plan.Ending.emplace_back(Id, Name);
   for (const executor_id &Id : Choice.Executors) {
     executor_state &Executor = State.Executors.at(Id);
     Executor.Reserved += Request.Needs;
@@ -110,10 +201,27 @@
        {"stopped", std::to_string(Choice.PreemptedGroups.size())},
        {"accelerators", std::to_string(Accelerators)}});
   State.GuaranteedUse[Job.Spec.Organisation] += Accelerators;
-  State.Plans[Unit] = {Choice.Executors, Now};
+  State.Plans[Unit] = std::move(Plan);
   touch(Job);
 }
 
+void event_handler::stopLate(const unit_name &Unit) {
+  reclaim_plan &Plan = State.Plans.at(Unit);
+  const bool IsLate = Now - Plan.CreatedAt >= State.Settings.StopTimeout;
+  if (!IsLate || !State.Settings.Headroom.IsEnabled)
+    return;
+  for (const auto &[Id, Name] : std::exchange(Plan.Ending, {})) {
+    const executor_state &Executor = State.Executors.at(Id);
+    const auto Run = Executor.Runs.find(Name);
+    const auto Job = State.Jobs.find(Name.Task.Job);
+    const bool IsNeeded =
+        Run != Executor.Runs.end() && isPreemptible(Run->second) &&
+        !Executor.Report.Capacity.covers(Executor.Used + Executor.Reserved);
+    if (IsNeeded && Job != State.Jobs.end())
+      stopVictim(unitNameOf(Job->second, Name.Task), Unit);
+  }
+}
+
 /// Preempts lower-priority runs for a guaranteed unit. True when it was started
 /// or got a reclaim plan.
 bool event_handler::placeReclaiming(const placement_query &Query,
@@ -131,7 +239,7 @@
     Known.ReclaimAfter = Now + State.Settings.ReclaimRetry;
     return false;
   }
-  if (Choice->PreemptedGroups.empty())
+  if (Choice->PreemptedGroups.empty() && isFreeNow(*Choice, Request.Needs))
     startUnit(Query.Unit, Choice->Executors);
   else
     planReclaim(Query, Request, *Choice, Groups);
@@ -185,8 +293,10 @@
       const resources Free = Found->second.Report.Capacity - Found->second.Used;
       IsFree = IsFree && Free.covers(reservedResources(Step) * Count);
     }
-    if (IsPossible && !IsFree)
+    if (IsPossible && !IsFree) {
+      stopLate(Unit);
       continue;
+    }
     dropPlan(Unit);
     if (IsPossible)
       startUnit(Unit, Plan.Executors);
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -459,6 +459,7 @@
     return;
   }
   Found->second.Phase = run_phase::Stopping;
+  Found->second.StopOrdered = Now;
   touch(Executor);
   if (!isLeading())
     return; // retryStops sends it if the leader lease is renewed
--- /dev/null
+++ b/core/job/batch/victims.cpp
@@ -0,0 +1,41 @@
+#include "core/job/batch/victims.hpp"
+
+#include <algorithm>
+
+namespace galenastage::batch {
+namespace {
+
+double seconds(milliseconds Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+} // namespace
+
+double lossOf(const victim &Victim, milliseconds RestoreTime) {
+  if (!Victim.HasBegun)
+    return 0;
+  const milliseconds Lost = Victim.IsCheckpointing
+                                ? std::min(Victim.Elapsed, RestoreTime)
+                                : Victim.Elapsed;
+  return seconds(Lost) * Victim.Weight;
+}
+
+double priceOf(const victim &Victim, milliseconds RestoreTime,
+               const victim_settings &Settings) {
+  if (!Victim.HasBegun)
+    return 0;
+  const double Price =
+      lossOf(Victim, RestoreTime) + seconds(Settings.StartTime) * Victim.Weight;
+  const double Factor =
+      Victim.Stops >= Settings.MaxStops ? Settings.ExhaustedFactor : 1;
+  return Price * (1 + Victim.Stops) * Factor;
+}
+
+milliseconds pauseAfter(int Stops, const victim_settings &Settings) {
+  milliseconds Pause = Settings.FirstPause;
+  for (int Stop = 1; Stop < Stops && Pause < Settings.LongestPause; ++Stop)
+    Pause *= 2;
+  return Stops > 0 ? std::min(Pause, Settings.LongestPause) : milliseconds(0);
+}
+
+} // namespace galenastage::batch
--- /dev/null
+++ b/core/job/batch/victims.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+// Prices the runs that a reclaim may stop, by the work that a stop would throw
+// away. Pure functions on what is known of one unit.
+
+#include "core/types.hpp"
+
+namespace galenastage::batch {
+
+struct victim_settings {
+  milliseconds StartTime{100}; // from the order to start until a task works
+  // A unit that was stopped this often is stopped again only when nothing else
+  // frees enough capacity. It is a price and no exclusion, because guaranteed
+  // work must always get its capacity.
+  int MaxStops = 3;
+  double ExhaustedFactor = 1'000; // on the price of such a unit
+  milliseconds FirstPause{250};   // before a restart; doubles with each stop
+  milliseconds LongestPause{2'000};
+  int PauseAbovePercent = 60; // accelerators in use; below, no pause
+
+  friend bool operator==(const victim_settings &,
+                         const victim_settings &) = default;
+};
+
+/// A unit that a reclaim may stop.
+struct victim {
+  bool HasBegun = true; // its start was ordered
+  bool IsCheckpointing = false;
+  milliseconds Elapsed{0}; // since its start
+  double Weight = 0;       // of all its tasks, in weighted cores
+  int Stops = 0;           // by earlier reclaims
+};
+
+/// Work thrown away by a stop, in weighted core-seconds. A stop saves a
+/// checkpoint, so a checkpointing unit only loses the time to restore it.
+double lossOf(const victim &Victim, milliseconds RestoreTime);
+
+/// The loss and the restart, raised with each earlier stop.
+double priceOf(const victim &Victim, milliseconds RestoreTime,
+               const victim_settings &Settings);
+
+/// How long a unit waits before it may start again after this many stops, so
+/// that it doesn't take the capacity that the next urgent job needs.
+milliseconds pauseAfter(int Stops, const victim_settings &Settings);
+
+} // namespace galenastage::batch
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -242,6 +242,15 @@
     "elsewhere.",
     "If one job moves repeatedly, its own tasks are stalling."};
 
+// Headroom
+const log_event UnitStopped{
+    3340, Info, "unit-stopped",
+    "A task, or a gang, is stopped for the guaranteed work of the job named. "
+    "loss is the work thrown away, in core-seconds; an accelerator counts as "
+    "eight cores. stops counts the stops of the task so far.",
+    "If one task is stopped again and again, the guarantees use most of the "
+    "service."};
+
 const log_event RequestAnswered{
     4001, Info, "request-answered",
     "Access log: one request, its route, verdict and duration.", "None."};
@@ -350,6 +359,7 @@
     &events::ExecutorStalled,
     &events::ExecutorAdvances,
     &events::UnitMoved,
+    &events::UnitStopped,
     &events::SubmissionRefused,
     &events::SubmissionUnsettled,
     &events::RequestForwarded,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -119,6 +119,8 @@
 extern const log_event ExecutorStalled;
 extern const log_event ExecutorAdvances;
 extern const log_event UnitMoved;
+// 3340: headroom
+extern const log_event UnitStopped;
 // 4000: requests
 extern const log_event RequestAnswered;
 extern const log_event SubmissionRefused;
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -50,6 +50,9 @@
   double StretchFactor = 3;
   milliseconds TargetDuration{0};
   int MaxAttempts = 3;
+  double EstimateError = 0;    // the work differs by at most this fraction
+  milliseconds BurstPeriod{0}; // in its first quarter come five times as many
+                               // jobs as in the rest; 0: no bursts
 };
 
 struct world_settings {
@@ -63,6 +66,10 @@
   milliseconds Arrivals{20'000}; // jobs arrive until then
   milliseconds Faulty{40'000};   // faults occur until then
   milliseconds Length{160'000};  // duration of the run
+  bool ReportsProgress = false;  // otherwise each run reports 50%
+  milliseconds StopTime{300};    // from the order to stop to the end
+  scheduler_settings Scheduler;  // of all leaders; the executors use its
+                                 // RestoreTime and CheckpointInterval
   world_faults Faults;
 };
 
@@ -85,7 +92,7 @@
   int Leaders = 0;
   std::map<int, job_times> Times; // by priority
   double CompletedWork = 0; // weighted core-seconds of runs that ended as done
-  double LostWork = 0;      // of runs that ended otherwise
+  double LostWork = 0; // of runs that ended otherwise, without what they saved
   std::uint64_t Examined = 0; // executors that placements looked at
 };
 
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -38,13 +38,23 @@
         crashExecutor(Executors[Id]);
     });
   }
-  fake_run Run{Order.Run, Step.Needs, Now, time_point::max(), false};
+  fake_run Run;
+  Run.Name = Order.Run;
+  Run.Needs = Step.Needs;
+  Run.Begun = Now;
+  Run.EndsAt = time_point::max();
+  Run.Work = milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(Step.Estimate.count()) * Stored.WorkFactor));
+  if (!Order.Checkpoint.empty())
+    Run.Resumed = milliseconds(std::stoll(Order.Checkpoint));
+  if (!Step.IsGang)
+    Run.WorksFrom = Now;
   Executor.Runs[Order.Run] = Run;
   checkCapacity(Executor);
   const std::int64_t ExpectedIncarnation = Executor.Report.Incarnation;
   const executor_id Id = Executor.Report.Id;
   if (!Step.IsGang) {
-    finishLater(Id, ExpectedIncarnation, Order.Run, Step.Estimate);
+    finishLater(Id, ExpectedIncarnation, Order.Run, runTime(Run));
     return "";
   }
   after(GangTimeout, [this, Id, ExpectedIncarnation, Name = Order.Run] {
@@ -71,9 +81,13 @@
   const bool FailsSoon = std::ranges::any_of(Members, [&](const auto &Item) {
     return failsAll(Executors[Item.first]);
   });
-  const milliseconds Work = FailsSoon ? FailureDelay : Step.Estimate;
-  for (const auto &[Id, Name] : Members)
+  const milliseconds Work =
+      FailsSoon ? FailureDelay
+                : runTime(Executors[Members[0].first].Runs[Members[0].second]);
+  for (const auto &[Id, Name] : Members) {
     Executors[Id].Runs[Name].EndsAt = Now + Work;
+    Executors[Id].Runs[Name].WorksFrom = Now;
+  }
   const bool Fails = chance(Settings.Faults.FailingRuns);
   after(Work, [this, Members, Fails] {
     bool IsWhole = true;
@@ -119,12 +133,13 @@
   if (Ending == Executor.Runs.end())
     return;
   noteWork(Ending->second, End);
+  const std::string Checkpoint = checkpointOf(Ending->second, End);
   Executor.Runs.erase(Ending);
   trace(Executor.Report.Id.Value + " ends " + print(Name) + " " +
         std::string(name(End)));
   int &Closed = Executor.Closed[Name.Task];
   Closed = std::max(Closed, Name.Attempt);
-  Executor.Ends.push_back({++Executor.LastNumber, Name, End, Now});
+  Executor.Ends.push_back({++Executor.LastNumber, Name, End, Now, Checkpoint});
   if (End == run_end::Done)
     DoneEnds[Name.Task].push_back(
         {Executor.Report.Id, Executor.Report.Incarnation, Executor.LastNumber});
@@ -150,11 +165,55 @@
 }
 
 void world::noteWork(const fake_run &Run, run_end End) {
-  const double Work = weightedCores(Run.Needs) *
-                      std::chrono::duration<double>(Now - Run.Begun).count();
+  milliseconds Time = Now - Run.Begun;
+  const std::string Checkpoint = checkpointOf(Run, End);
+  if (!Checkpoint.empty())
+    Time -= milliseconds(std::stoll(Checkpoint)) - Run.Resumed;
+  const double Work =
+      weightedCores(Run.Needs) * std::chrono::duration<double>(Time).count();
   (End == run_end::Done ? Report.CompletedWork : Report.LostWork) += Work;
 }
 
+milliseconds world::runTime(const fake_run &Run) const {
+  const milliseconds Restore = Run.Resumed.count() > 0
+                                   ? Settings.Scheduler.RestoreTime
+                                   : milliseconds(0);
+  return Run.Work - Run.Resumed + Restore;
+}
+
+milliseconds world::doneWork(const fake_run &Run) const {
+  if (Run.WorksFrom == time_point::max())
+    return Run.Resumed;
+  const time_point Until = Run.IsStopping ? Run.StoppedAt : Now;
+  const milliseconds Restore = runTime(Run) - (Run.Work - Run.Resumed);
+  return std::min(
+      Run.Work,
+      Run.Resumed + std::max(milliseconds(0), Until - Run.WorksFrom - Restore));
+}
+
+int world::percentOf(const fake_run &Run) const {
+  constexpr int WholePercent = 100;
+  if (!Settings.ReportsProgress)
+    return WholePercent / 2;
+  if (Run.WorksFrom == time_point::max())
+    return 0;
+  return static_cast<int>(WholePercent * doneWork(Run) /
+                          std::max(Run.Work, milliseconds(1)));
+}
+
+std::string world::checkpointOf(const fake_run &Run, run_end End) const {
+  const task_name &Task = Run.Name.Task;
+  const bool Saves = Jobs.at(Task.Job).Spec.Steps[Task.Step].IsCheckpointing &&
+                     End != run_end::Done;
+  if (!Saves)
+    return "";
+  milliseconds Saved = doneWork(Run);
+  if (End != run_end::Stopped)
+    Saved -= Saved % Settings.Scheduler.CheckpointInterval;
+  Saved = std::max(Saved, Run.Resumed);
+  return Saved.count() > 0 ? std::to_string(Saved.count()) : "";
+}
+
 void world::restartExecutor(fake_executor &Executor) {
   trace(Executor.Report.Id.Value + " restarts");
   ++Executor.Report.Incarnation;
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -17,7 +17,6 @@
 constexpr milliseconds StoreLatency{4};
 constexpr milliseconds LeaderLease{2'000};
 constexpr milliseconds Tick{100};
-constexpr milliseconds StopTime{300};
 constexpr milliseconds FailureDelay{300}; // of runs on a faulty executor
 constexpr milliseconds GangTimeout{3'000};
 constexpr milliseconds CallTimeout{1'000};
@@ -36,6 +35,10 @@
   time_point Begun{0};
   time_point EndsAt{0}; // gangs only; max() until all members run
   bool IsStopping = false;
+  time_point StoppedAt{0};
+  milliseconds Work{0};                     // of the whole task
+  milliseconds Resumed{0};                  // of it, as saved by earlier runs
+  time_point WorksFrom = time_point::max(); // after start and restore
 };
 
 struct fake_end {
@@ -43,6 +46,7 @@
   run_name Name;
   run_end End = run_end::Done;
   time_point At{0};
+  std::string Checkpoint;
 };
 
 struct fake_executor {
@@ -71,6 +75,7 @@
   bool IsCancelled = false;
   bool IsCrashing = false; // its first task crashes each executor
   int CrashingStarts = 0;  // of that task
+  double WorkFactor = 1;   // of its tasks' work to their estimate
   time_point CancelledAt{0};
   std::optional<time_point> StartedAt; // its first run
 };
@@ -155,7 +160,7 @@
   void makeExecutors();
   void makeJobs();
   void makeLoads();
-  void submitAt(time_point When, job_spec Job);
+  void submitAt(time_point When, job_spec Job, double WorkFactor = 1);
   [[nodiscard]] organisation_id organisationOf(int Number) const;
   time_point faultTime();
   void makeFaults();
@@ -173,7 +178,9 @@
   void elect() {
     const bool Returns = Previous && Previous->IsAlive && !Previous->IsCutOff &&
                          chance(ReturningLeaders);
-    auto Leader = Returns ? Previous : std::make_shared<fake_leader>();
+    auto Leader = Returns ? Previous
+                          : std::make_shared<fake_leader>(
+                                scheduler_state(Settings.Scheduler));
     Leader->Token = static_cast<std::uint64_t>(++Revision);
     Leader->IsLoaded = false;
     Leader->Revisions.clear();
@@ -355,7 +362,8 @@
           const auto Found = Executor.Runs.find(Order.Run);
           if (Found != Executor.Runs.end() && !Found->second.IsStopping) {
             Found->second.IsStopping = true;
-            after(StopTime,
+            Found->second.StoppedAt = Now;
+            after(Settings.StopTime,
                   [this, Id = Executor.Report.Id, Run = Order.Run,
                    ExpectedIncarnation = Executor.Report.Incarnation] {
                     if (Executors[Id].Report.Incarnation == ExpectedIncarnation)
@@ -456,9 +464,10 @@
     Answer.ClockMs = Now.count();
     Answer.Sent = Sent;
     for (const auto &[Name, Run] : Executor.Runs)
-      Answer.Active.push_back({Name, "", 50});
+      Answer.Active.push_back(
+          {Name, checkpointOf(Run, run_end::Lapsed), percentOf(Run)});
     for (const fake_end &End : Executor.Ends)
-      Answer.Ended.push_back({End.Number, End.Name, End.End, ""});
+      Answer.Ended.push_back({End.Number, End.Name, End.End, End.Checkpoint});
     after(Latency, [=, this] { post(Leader, To.Token, Answer); });
   }
 
@@ -541,6 +550,14 @@
   [[nodiscard]] bool failsAll(const fake_executor &Executor) const;
   void finish(fake_executor &Executor, const run_name &Name, run_end End);
   void noteWork(const fake_run &Run, run_end End);
+  /// Work of the task that is done, by this run and those it resumes.
+  [[nodiscard]] milliseconds doneWork(const fake_run &Run) const;
+  [[nodiscard]] int percentOf(const fake_run &Run) const;
+  /// What the run saves if it ends like this now: the work done, in ms.
+  [[nodiscard]] std::string checkpointOf(const fake_run &Run,
+                                         run_end End) const;
+  /// Time from the start of work to its end.
+  [[nodiscard]] milliseconds runTime(const fake_run &Run) const;
   void restartExecutor(fake_executor &Executor);
   /// All its runs end now; it is back after 2 to 5 s, under its id or, at the
   /// same address, under another one.
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -40,13 +40,14 @@
 }
 
 /// Stores the job when its time has come, and informs the leader.
-void world::submitAt(time_point When, job_spec Job) {
-  at(When, [this, Job = std::move(Job)]() mutable {
+void world::submitAt(time_point When, job_spec Job, double WorkFactor) {
+  at(When, [this, WorkFactor, Job = std::move(Job)]() mutable {
     Job.Submitted = wall();
     job_progress Progress;
     Progress.Organisation = Job.Organisation;
     stored_job &Stored = Jobs[Job.Id];
     Stored.Spec = Job;
+    Stored.WorkFactor = WorkFactor;
     Stored.Progress = printProgress(Progress);
     Stored.Revision = ++Revision;
     Stored.IsCrashing = Settings.Faults.CrashingJobs > 0 &&
@@ -83,8 +84,17 @@
                     Load.Accelerators[static_cast<std::size_t>(draw(0, Last))]};
       Step.Estimate = Load.Work;
       Job.Steps = {Step};
-      submitAt(time_point(draw(3'000, int(Settings.Arrivals.count()))),
-               std::move(Job));
+      time_point When(draw(3'000, int(Settings.Arrivals.count())));
+      if (Load.BurstPeriod.count() > 0 && chance(0.5)) {
+        const milliseconds InPeriod = When % Load.BurstPeriod;
+        When -= InPeriod - InPeriod / 4;
+      }
+      const double Error =
+          Load.EstimateError > 0
+              ? std::uniform_real_distribution<double>(
+                    -Load.EstimateError, Load.EstimateError)(Random)
+              : 0;
+      submitAt(When, std::move(Job), 1 + Error);
     }
   }
 }
--- /dev/null
+++ b/tests/unit/batch_victims_test.cpp
@@ -0,0 +1,185 @@
+// Which runs a reclaim stops, and which it leaves alone.
+
+#include "tests/support/scheduler_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace galenastage;
+using namespace galenastage::batch;
+
+namespace {
+
+constexpr milliseconds Restore{250};
+
+struct victims_fixture : test::scheduler_fixture {
+  /// A job of one gang without a guarantee.
+  static job_spec gang(const std::string &Id, int Priority, int Count,
+                       int Accelerators) {
+    job_spec Job = job(Id, Priority, Count, Accelerators, "none");
+    Job.Steps[0].IsGang = true;
+    return Job;
+  }
+  /// Reports the runs that are active on the executor.
+  void report(const std::string &Id, const std::vector<start_run> &Starts,
+              int Percent) {
+    std::vector<active_run> Active;
+    for (const start_run &Start : Starts)
+      if (Start.To.Id.Value == Id)
+        Active.push_back({Start.Run, "", Percent});
+    answer(Id, Active);
+  }
+  /// The jobs of the stops that the last event ordered.
+  [[nodiscard]] std::set<std::string> stopped() const {
+    std::set<std::string> Jobs;
+    for (const stop_run &Stop : all<stop_run>())
+      Jobs.insert(Stop.Run.Task.Job.Value);
+    return Jobs;
+  }
+};
+
+} // namespace
+
+TEST_CASE("victims: a checkpointing unit loses only the time to restore it") {
+  const victim Saved{true, true, milliseconds(8'000), 10, 0};
+  const victim Unsaved{true, false, milliseconds(8'000), 10, 0};
+  CHECK(lossOf(Saved, Restore) == Approx(2.5));
+  CHECK(lossOf(Unsaved, Restore) == Approx(80));
+  const victim Recorded{false, false, milliseconds(8'000), 10, 0};
+  CHECK(lossOf(Recorded, Restore) == 0);
+}
+
+// Guards against one unit that is stopped up to 13 times.
+TEST_CASE("victims: the price of a unit rises with each stop") {
+  const victim_settings Settings;
+  victim Victim{true, true, milliseconds(8'000), 10, 0};
+  double Last = priceOf(Victim, Restore, Settings);
+  for (Victim.Stops = 1; Victim.Stops < 6; ++Victim.Stops) {
+    const double Price = priceOf(Victim, Restore, Settings);
+    CHECK(Price > Last);
+    Last = Price;
+  }
+  // Dearer than a large unit that loses everything.
+  Victim.Stops = Settings.MaxStops;
+  const victim Large{true, false, milliseconds(11'000), 1'000, 0};
+  CHECK(priceOf(Victim, Restore, Settings) > priceOf(Large, Restore, Settings));
+}
+
+TEST_CASE("victims: the pause after a stop doubles up to a bound") {
+  const victim_settings Settings;
+  CHECK(pauseAfter(0, Settings) == milliseconds(0));
+  CHECK(pauseAfter(1, Settings) == Settings.FirstPause);
+  CHECK(pauseAfter(2, Settings) == 2 * Settings.FirstPause);
+  CHECK(pauseAfter(50, Settings) == Settings.LongestPause);
+}
+
+// Guards against stops for capacity that earlier stops free anyway.
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: two reclaims don't stop two units for the same "
+                 "capacity") {
+  settle({"x", "y"});
+  run(gang("first", 1, 2, 4));
+  run(gang("second", 1, 2, 4));
+  submit(job("urgent1", 0, 1, 2));
+  REQUIRE(stopped().size() == 1);
+  submit(job("urgent2", 0, 1, 2));
+  CHECK(stopped().empty());
+  CHECK(State.Plans.size() == 2);
+  CHECK(explainStaleIndex(State, Now).empty());
+}
+
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: what plans reserve of stopped runs isn't reserved "
+                 "again") {
+  settle({"x", "y"});
+  run(gang("first", 1, 2, 4));
+  run(gang("second", 1, 2, 4));
+  submit(job("urgent1", 0, 1, 3));
+  REQUIRE(stopped().size() == 1);
+  deployment_config Config = State.Config;
+  Config.Organisations[0].GuaranteedAccelerators = 100;
+  post(configuration_changed{Config});
+  submit(job("urgent2", 0, 1, 6));
+  // The first stop frees 8 accelerators, 3 of them are taken.
+  CHECK(stopped().size() == 1);
+}
+
+// Guards against work thrown away just before its end, for capacity that its
+// end would have freed sooner than the stop.
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: a run that is about to end isn't stopped") {
+  settle({"x"});
+  const auto Starts = run(job("patient", 2, 1, 8, "none"));
+  REQUIRE(Starts.size() == 1);
+  Now += milliseconds(3'800);
+  report("x", Starts, 95);
+  submit(job("urgent", 0, 1, 4));
+  CHECK(stopped().empty());
+  CHECK(State.Plans.size() == 1);
+  SECTION("its end starts the urgent job") {
+    answer("x", {}, {end(Starts[0].Run, run_end::Done)});
+    pass(milliseconds(20));
+    CHECK(State.Plans.empty());
+    CHECK(State.Jobs.at(job_id("urgent")).Progress.Phase == job_phase::Running);
+  }
+  SECTION("it is stopped when it takes longer than expected") {
+    pass(State.Settings.StopTimeout + milliseconds(20));
+    CHECK(stopped() == std::set<std::string>{"patient"});
+  }
+}
+
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: a unit that was stopped often is spared while "
+                 "another one frees enough") {
+  settle({"x", "y"});
+  run(gang("often", 1, 1, 8));
+  Now += milliseconds(2'000); // the other one has less to lose
+  run(gang("never", 1, 1, 8));
+  job_state &Often = State.Jobs.at(job_id("often"));
+  Often.Units[0][0][0].Stops = State.Settings.Headroom.Victims.MaxStops;
+  State.Jobs.at(job_id("often")).Spec.Steps[0].IsCheckpointing = true;
+  for (auto &[Id, Executor] : State.Executors)
+    for (auto &[Name, Run] : Executor.Runs)
+      Run.IsCheckpointing = Name.Task.Job.Value == "often";
+  Now += milliseconds(1'000);
+  submit(job("urgent1", 0, 1, 2));
+  CHECK(stopped() == std::set<std::string>{"never"});
+}
+
+// Guards against a guarantee that isn't kept because all units were stopped
+// often.
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: a unit that was stopped often is stopped when "
+                 "nothing else frees enough") {
+  settle({"x"});
+  run(gang("often", 1, 1, 8));
+  State.Jobs.at(job_id("often")).Units[0][0][0].Stops = 20;
+  submit(job("urgent", 0, 1, 2));
+  CHECK(stopped() == std::set<std::string>{"often"});
+}
+
+// Guards against stopped work that takes the capacity which the next urgent
+// job needs, and is stopped again.
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: stopped work pauses while capacity is scarce") {
+  settle({"x"});
+  const auto Victim = run(job("victim", 2, 1, 4, "none"));
+  run(gang("other", 1, 1, 4));
+  State.Jobs.at(job_id("other")).Units[0][0][0].Stops = 20;
+  submit(job("urgent", 0, 1, 2));
+  REQUIRE(stopped() == std::set<std::string>{"victim"});
+  answer("x", {}, {end(Victim[0].Run, run_end::Stopped)});
+  pass(milliseconds(20));
+  for (int I = 0; I < 3; ++I)
+    save();
+  const auto IsRunning = [&] {
+    return !State.Jobs.at(job_id("victim")).Runs.empty();
+  };
+  CHECK_FALSE(IsRunning());
+  const auto &Urgent = State.Jobs.at(job_id("urgent")).Runs;
+  REQUIRE(Urgent.size() == 1);
+  answer("x", {}, {end(Urgent.begin()->first, run_end::Done)});
+  pass(State.Settings.Headroom.Victims.LongestPause);
+  CHECK(IsRunning());
+}
