Use avoided executors when the others can't hold a gang

Avoided executors were used only when no other one was left. A gang whose tasks had failed on most executors waited for ever when the others, however empty, were too few.

--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -205,23 +205,32 @@
   return Query;
 }
 
-/// Avoided executors are better than none.
+/// Avoided executors are better than too few: a gang must fit on the others,
+/// however empty they become. A wait for proven ones ends by itself.
 bool event_handler::mustUseAvoided(const placement_query &Query) const {
   const bool HasToAvoid =
       !Query.Avoided.empty() || Query.Caution != caution::None;
   if (!HasToAvoid || !Query.Service)
     return false;
-  bool IsNoneLeft = true;
+  const step_spec &Step = Query.Step;
+  const int Needed = Query.Caution == caution::Unproven ? 1 : countTasks(Step);
+  const int MostOnOne =
+      Step.MaxPerExecutor > 0 ? std::min(Step.MaxPerExecutor, Needed) : Needed;
+  int Fits = 0;
   Query.Service->fromLargest([&](const indexed_rack &Rack) {
     for (const auto &[Id, Executor] : Rack.Open) {
-      const bool IsEligible = Query.Step.Requirement.empty() ||
-                              Executor.hasLabel(Query.Step.Requirement);
+      const bool IsEligible =
+          Step.Requirement.empty() || Executor.hasLabel(Step.Requirement);
       if (IsEligible && !isAvoided(Query, Id, Executor))
-        IsNoneLeft = false;
+        Fits += Needed == 1 ? 1
+                            : countFits(Executor.Capacity,
+                                        reservedResources(Step), MostOnOne);
+      if (Fits >= Needed)
+        return false;
     }
-    return IsNoneLeft;
+    return true;
   });
-  return IsNoneLeft;
+  return Fits < Needed;
 }
 
 std::vector<candidate>
--- a/tests/unit/batch_room_test.cpp
+++ b/tests/unit/batch_room_test.cpp
@@ -120,3 +120,25 @@
   answer("x", {}, {end(Unknown, run_end::Done)});
   CHECK_FALSE(all<save_progress>().empty());
 }
+
+// Guards against a gang that never starts again: its tasks failed on so many
+// executors that the others, however empty, can't hold it.
+TEST_CASE_METHOD(room_fixture,
+                 "batch: a gang uses avoided executors when the others can't "
+                 "hold it") {
+  settle({"x", "y"});
+  job_spec Gang = job("a", 1, 2, 8);
+  Gang.Steps[0].IsGang = true;
+  const auto Starts = run(Gang);
+  REQUIRE(Starts.size() == 2);
+  for (const start_run &Start : Starts)
+    answer(Start.To.Id.Value, {},
+           {end(Start.Run,
+                Start.To.Id.Value == "x" ? run_end::Failed : run_end::Broken)});
+  std::size_t Started = 0;
+  for (int I = 0; I < 10; ++I) {
+    Started += save().size();
+    pass(State.Settings.ProvenWait);
+  }
+  CHECK(Started == 2);
+}
