Keep executors for guaranteed work; let the true loss price a stop

An earlier stop now adds the time of a stop and a restore, there is no bound on stops, and a reclaim also tries the units with the least loss in all, not only per capacity.

Stops on kept executors count half, since nothing else takes what they free.

--- a/core/job/batch/placement.cpp
+++ b/core/job/batch/placement.cpp
@@ -91,16 +91,19 @@
     }
   }
 
-  /// Adds groups in order of lost work per freed capacity until the tasks fit,
-  /// then removes each group that turns out to be unnecessary, the one with
-  /// the most lost work first. False when the tasks don't fit at all.
-  bool run() {
+  /// Adds groups in order of lost work, in all or per freed capacity, until the
+  /// tasks fit, then removes each group that turns out to be unnecessary, the
+  /// one with the most lost work first. False when the tasks don't fit at all.
+  bool run(bool IsPerCapacity) {
     std::vector<int> Order;
     for (const auto &[Number, Group] : Groups)
       Order.push_back(Number);
-    std::ranges::stable_sort(Order, [&](int Left, int Right) {
-      return Groups[Left].costPerCapacity() < Groups[Right].costPerCapacity();
-    });
+    const auto Cost = [&](int Number) {
+      const group &Group = Groups[Number];
+      return IsPerCapacity ? Group.costPerCapacity() : Group.LostWork;
+    };
+    std::ranges::stable_sort(
+        Order, [&](int Left, int Right) { return Cost(Left) < Cost(Right); });
     for (int Number : Order) {
       if (doFit())
         break;
@@ -252,11 +255,17 @@
   std::optional<placement_choice> Best;
   double LeastLost = 0;
   const auto Consider = [&](const std::vector<const candidate *> &From) {
-    preemption_trial Trial(Request, From);
-    if (!Trial.run() || (Best && Trial.LostWork >= LeastLost))
-      return;
-    LeastLost = Trial.LostWork;
-    Best = placement_choice{Trial.choose(), std::move(Trial.Stopped)};
+    // A large group may free more than is needed at the least cost per
+    // capacity, and small ones may lose less in all.
+    for (const bool IsPerCapacity : {true, false}) {
+      preemption_trial Trial(Request, From);
+      if (!Trial.run(IsPerCapacity))
+        return;
+      if (Best && Trial.LostWork >= LeastLost)
+        continue;
+      LeastLost = Trial.LostWork;
+      Best = placement_choice{Trial.choose(), std::move(Trial.Stopped)};
+    }
   };
   for (const auto &[Rack, Members] : groupByRack(Candidates))
     Consider(Members);
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -216,6 +216,8 @@
   State.SavesFinished = 0;
   State.PublishedLengths.clear();
   State.GuaranteedUse.clear();
+  State.Headroom.clear();
+  State.UrgentSeen.clear();
   for (auto &[Id, Executor] : State.Executors) {
     executor_state Fresh;
     Fresh.Report = Executor.Report;
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -300,6 +300,7 @@
   instant StalledSeen{};  // last report of that
   resources Used;         // by Runs
   resources Reserved;     // by reclaim plans
+  bool IsKept = false;    // for guaranteed work
   bool IsTouched = false; // in Touched, the index may be out of date
   std::map<run_name, run_state> Runs;
   worker_health Health;
@@ -385,6 +386,16 @@
   std::vector<std::pair<executor_id, run_name>> Ending;
 };
 
+/// Room that is kept for guaranteed work on one service.
+struct service_headroom {
+  resources Use; // by runs and plans of priority 0
+  urgent_demand Demand;
+  resources Typical;  // capacity of an open executor, as of the last update
+  resources Capacity; // of all of them
+  std::set<executor_id> Kept;
+  instant NextLog{}; // earliest time
+};
+
 struct scheduler_state {
   explicit scheduler_state(scheduler_settings Settings = {})
       : Settings(Settings) {}
@@ -408,6 +419,9 @@
   std::deque<executor_silence> Silences; // recent ones, oldest first
   // Accelerators of runs and plans of priority 0, by organisation.
   std::map<organisation_id, int> GuaranteedUse;
+  std::map<service_id, service_headroom> Headroom;
+  std::map<organisation_id, instant> UrgentSeen; // last start or plan
+  instant NextHeadroom{};                        // earliest update of it
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
   std::vector<job_id> Saving;      // in the save in flight
   std::uint64_t SavesQueued = 0;   // entries ever added to SaveQueue
@@ -432,6 +446,9 @@
 int countGuaranteedUse(const scheduler_state &State,
                        const organisation_id &Organisation);
 
+/// Capacity that runs and plans of priority 0 use, counted anew.
+std::map<service_id, resources> countUrgentUse(const scheduler_state &State);
+
 /// Compares what the state keeps up to date from event to event with a full
 /// recount. Returns a description of the first difference, or an empty string.
 std::string explainStaleIndex(const scheduler_state &State, instant Now);
--- a/core/job/batch/scheduler_guarantees.cpp
+++ b/core/job/batch/scheduler_guarantees.cpp
@@ -40,6 +40,7 @@
   for (const organisation_config &Organisation : State.Config.Organisations)
     State.GuaranteedUse[Organisation.Name] =
         countGuaranteedUse(State, Organisation.Name);
+  recountUrgentUse();
 }
 
 } // namespace detail
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -293,6 +293,23 @@
                                            const run_state &Run) const;
 
   // Room kept for guaranteed work (scheduler_headroom.cpp)
+  /// Records that Count tasks of the urgent job were added, or dropped.
+  void noteUrgentUse(const job_state &Job, const resources &Needs, int Count);
+  void recountUrgentUse();
+  [[nodiscard]] int guaranteesInUse() const;
+  /// Chooses which executors are kept, at most once in UpdateInterval.
+  void updateKept();
+  void updateKept(const service_id &Service, service_headroom &Room);
+  void setKept(executor_state &Executor, service_headroom &Room, bool IsKept);
+  void releaseUnusable(const service_id &Service, service_headroom &Room);
+  void keepMore(const service_id &Service, service_headroom &Room, int Count);
+  void keepFewer(service_headroom &Room, int Count);
+  [[nodiscard]] std::map<rack_id, int>
+  countKeptByRack(const service_headroom &Room) const;
+  /// Whether other work has waited so long that it may use kept executors.
+  [[nodiscard]] bool mayUseKept(const placement_query &Query,
+                                const service_headroom &Room) const;
+  [[nodiscard]] std::string explainStaleHeadroom() const;
   /// Whether the executors that are kept may run the step: sets to be tried in
   /// order.
   [[nodiscard]] std::vector<executor_filter>
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -49,6 +49,7 @@
       Stoppable += Run.Needs;
   Known.Preemptible = atLeastNone(Left + Stoppable) - Known.Free;
   Known.IsOpen = IsOpen;
+  Known.IsKept = Executor.IsKept;
   Known.IsSuspect = !Executor.Health.FailedJobs.empty();
   Known.ProvenAt = Executor.ProvenAt;
   return Known;
@@ -85,6 +86,8 @@
   refreshIndex();
   if (!(State.Capacity == Recount))
     return "the capacity index differs from a recount";
+  if (std::string Difference = explainStaleHeadroom(); !Difference.empty())
+    return Difference;
   for (const auto &[Organisation, Use] : State.GuaranteedUse)
     if (Use != countGuaranteedUse(State, Organisation))
       return "the guaranteed use of " + Organisation.Value + " is stale";
@@ -265,6 +268,7 @@
 void event_handler::placeWaiting() {
   if (!isLeading() || !State.IsRecovered)
     return;
+  updateKept();
   advancePlans();
   for (const waiting_step *Waiting : listWaiting())
     placeStep(*Waiting);
@@ -485,8 +489,11 @@
   }
   if (!Choice)
     Choice = placeWherePreferred(Query, Request);
-  if (HasRackPreference && !Choice && !MayRelax)
-    MayRelax = !couldFitOneRack(Query, Request);
+  if (HasRackPreference && !Choice && !MayRelax) {
+    placement_query Widest = Query;
+    Widest.Allowed = preferredRoom(Query).back();
+    MayRelax = !couldFitOneRack(Widest, Request);
+  }
   if (!Choice && placeReclaiming(Query, Request))
     return true;
   if (!Choice && (!HasRackPreference || MayRelax))
--- a/core/job/batch/scheduler_reclaim.cpp
+++ b/core/job/batch/scheduler_reclaim.cpp
@@ -65,7 +65,8 @@
     if (const unit_state *Unit =
             findUnit(Job->second, unitNameOf(Job->second, Name.Task)))
       Victim.Stops = Unit->Stops;
-  return priceOf(Victim, State.Settings.RestoreTime, Settings);
+  return priceOf(Victim, State.Settings.RestoreTime, State.Settings.StopTimeout,
+                 Settings);
 }
 
 /// Lists the runs on the executor that may be stopped for guaranteed work.
@@ -74,6 +75,8 @@
 void event_handler::addPreemptible(candidate &Candidate,
                                    std::map<unit_name, int> &Groups) const {
   const executor_state &Executor = State.Executors.at(Candidate.Executor);
+  // Other work takes the capacity outside of what is kept again after use.
+  constexpr double OutsideFactor = 2;
   const bool IsEnabled = State.Settings.Headroom.IsEnabled;
   if (IsEnabled)
     Candidate.Free =
@@ -93,7 +96,8 @@
     const auto [Item, IsNew] =
         Groups.try_emplace(Victim, static_cast<int>(Groups.size()));
     Candidate.Preemptible.push_back(
-        {Item->second, Run.Needs, reclaimPrice(Name, Run)});
+        {Item->second, Run.Needs,
+         reclaimPrice(Name, Run) * (Executor.IsKept ? 1 : OutsideFactor)});
   }
 }
 
@@ -201,6 +205,7 @@
        {"stopped", std::to_string(Choice.PreemptedGroups.size())},
        {"accelerators", std::to_string(Accelerators)}});
   State.GuaranteedUse[Job.Spec.Organisation] += Accelerators;
+  noteUrgentUse(Job, Request.Needs, Request.Count);
   State.Plans[Unit] = std::move(Plan);
   touch(Job);
 }
@@ -263,6 +268,8 @@
     State.GuaranteedUse[Job->second.Spec.Organisation] -=
         Step.Needs.Accelerators *
         static_cast<int>(Plan->second.Executors.size());
+    noteUrgentUse(Job->second, Needs,
+                  -static_cast<int>(Plan->second.Executors.size()));
     touch(Job->second);
   }
   State.Plans.erase(Plan);
--- a/core/job/batch/victims.cpp
+++ b/core/job/batch/victims.cpp
@@ -21,14 +21,12 @@
 }
 
 double priceOf(const victim &Victim, milliseconds RestoreTime,
-               const victim_settings &Settings) {
+               milliseconds StopTimeout, const victim_settings &Settings) {
   if (!Victim.HasBegun)
     return 0;
-  const double Price =
-      lossOf(Victim, RestoreTime) + seconds(Settings.StartTime) * Victim.Weight;
-  const double Factor =
-      Victim.Stops >= Settings.MaxStops ? Settings.ExhaustedFactor : 1;
-  return Price * (1 + Victim.Stops) * Factor;
+  const milliseconds Restarts =
+      Settings.StartTime + Victim.Stops * (RestoreTime + StopTimeout);
+  return lossOf(Victim, RestoreTime) + seconds(Restarts) * Victim.Weight;
 }
 
 milliseconds pauseAfter(int Stops, const victim_settings &Settings) {
--- a/core/job/batch/victims.hpp
+++ b/core/job/batch/victims.hpp
@@ -8,13 +8,8 @@
 namespace galenastage::batch {
 
 struct victim_settings {
-  milliseconds StartTime{100}; // from the order to start until a task works
-  // A unit that was stopped this often is stopped again only when nothing else
-  // frees enough capacity. It is a price and no exclusion, because guaranteed
-  // work must always get its capacity.
-  int MaxStops = 3;
-  double ExhaustedFactor = 1'000; // on the price of such a unit
-  milliseconds FirstPause{250};   // before a restart; doubles with each stop
+  milliseconds StartTime{100};  // from the order to start until a task works
+  milliseconds FirstPause{250}; // before a restart; doubles with each stop
   milliseconds LongestPause{2'000};
   int PauseAbovePercent = 60; // accelerators in use; below, no pause
 
@@ -35,9 +30,12 @@
 /// checkpoint, so a checkpointing unit only loses the time to restore it.
 double lossOf(const victim &Victim, milliseconds RestoreTime);
 
-/// The loss and the restart, raised with each earlier stop.
+/// The loss and the cost of the restart. Each earlier stop adds what a stop
+/// and a restart cost at least, so that the true loss dominates: a
+/// checkpointing unit that was stopped a few times remains cheaper than one
+/// that loses the work of several seconds.
 double priceOf(const victim &Victim, milliseconds RestoreTime,
-               const victim_settings &Settings);
+               milliseconds StopTimeout, const victim_settings &Settings);
 
 /// How long a unit waits before it may start again after this many stops, so
 /// that it doesn't take the capacity that the next urgent job needs.
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -251,6 +251,13 @@
     "If one task is stopped again and again, the guarantees use most of the "
     "service."};
 
+const log_event KeptChanged{
+    3341, Info, "kept-changed",
+    "The number of executors changed that are kept for urgent work within "
+    "guarantees. use, peak and guaranteed are in whole executors: in urgent "
+    "use, its recent peak, and the guarantees in use.",
+    "None."};
+
 const log_event RequestAnswered{
     4001, Info, "request-answered",
     "Access log: one request, its route, verdict and duration.", "None."};
@@ -360,6 +367,7 @@
     &events::ExecutorAdvances,
     &events::UnitMoved,
     &events::UnitStopped,
+    &events::KeptChanged,
     &events::SubmissionRefused,
     &events::SubmissionUnsettled,
     &events::RequestForwarded,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -121,6 +121,7 @@
 extern const log_event UnitMoved;
 // 3340: headroom
 extern const log_event UnitStopped;
+extern const log_event KeptChanged;
 // 4000: requests
 extern const log_event RequestAnswered;
 extern const log_event SubmissionRefused;
--- a/tests/unit/batch_placement_test.cpp
+++ b/tests/unit/batch_placement_test.cpp
@@ -113,3 +113,16 @@
   REQUIRE(Chosen);
   CHECK(Chosen->Rack == rack_id("b")); // rack a stays free for a large gang
 }
+
+// Guards against a gang that is stopped because it frees much at a low cost per
+// capacity, where a small run that loses less in all frees enough.
+TEST_CASE("placement: the runs that lose the least in all are preempted") {
+  std::vector<candidate> Candidates{
+      candidate{executor_id("x"), rack_id("r"), {0, 0, 0}, 10, {}},
+      candidate{executor_id("y"), rack_id("r"), {0, 0, 0}, 10, {}}};
+  Candidates[0].Preemptible = {{1, {8'000, 8'000, 8}, 40}};
+  Candidates[1].Preemptible = {{2, {1'000, 1'000, 1}, 10}};
+  const auto Choice = placeByPreemption(makeRequest(1, 1), Candidates);
+  REQUIRE(Choice);
+  CHECK(Choice->PreemptedGroups == std::vector<int>{2});
+}
