Start planned units where capacity becomes free first

A unit that waits for stops or ends now starts as soon as it fits elsewhere; its stops keep their effect for the next reclaim. A plan whose stops are overdue (a stop's time and 0.5 s for the orders) is replaced, before it was kept for 3 s. A plan that loses an executor is dropped and placed again in the same pass, with what its stops free.

--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -58,6 +58,7 @@
   milliseconds StopRetry{500};     // until an unanswered stop is sent again
   milliseconds SpreadDelay{1'500}; // wait for the preferred rack before that
   milliseconds PlanTimeout{3'000}; // of a reservation after a preemption
+  milliseconds PlanGrace{500};     // for orders, beyond the stops it waits for
   milliseconds ReclaimRetry{100};  // after a reclaim that found no room
   int MaxReclaimRacks = 24;        // that one reclaim considers
   milliseconds RestartDelay{200};  // before a failed unit restarts
@@ -384,6 +385,7 @@
   // Runs that were about to end. They are stopped if they take longer than a
   // stop would have taken.
   std::vector<std::pair<executor_id, run_name>> Ending;
+  instant Until{}; // then its stops are overdue
 };
 
 /// Room that is kept for guaranteed work on one service.
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -266,6 +266,11 @@
                                const resources &Needs) const;
   /// Stops the runs of the plan that should have ended by now.
   void stopLate(const unit_name &Unit);
+  /// Adds the plan and reserves its capacity.
+  void addPlan(const unit_name &Unit, reclaim_plan Plan);
+  /// Starts a planned unit in capacity that became free elsewhere.
+  bool startElsewhere(const unit_name &Unit);
+  [[nodiscard]] bool isPlanPossible(const unit_name &Unit) const;
   /// Whether the unit was stopped a short time ago and capacity is scarce.
   [[nodiscard]] bool isPaused(const unit_name &Unit);
   [[nodiscard]] std::vector<const indexed_rack *>
--- a/core/job/batch/scheduler_reclaim.cpp
+++ b/core/job/batch/scheduler_reclaim.cpp
@@ -186,30 +186,65 @@
   for (const auto &[Victim, Number] : Groups)
     if (std::ranges::count(Choice.PreemptedGroups, Number) > 0)
       stopVictim(Victim, Unit);
-  reclaim_plan Plan{Choice.Executors, Now, {}};
+  reclaim_plan Plan{Choice.Executors, Now, {}, {}};
   for (const executor_id &Id :
        std::set(Choice.Executors.begin(), Choice.Executors.end()))
     for (const auto &[Name, Run] : State.Executors.at(Id).Runs)
       if (isPreemptible(Run) && isEnding(Name, Run))
         Plan.Ending.emplace_back(Id, Name);
-  for (const executor_id &Id : Choice.Executors) {
-    executor_state &Executor = State.Executors.at(Id);
-    Executor.Reserved += Request.Needs;
-    touch(Executor);
-  }
-  job_state &Job = State.Jobs.at(Unit.Job);
-  const int Accelerators = Request.Needs.Accelerators * Request.Count;
+  const scheduler_settings &Settings = State.Settings;
+  const milliseconds Wait =
+      Settings.StopTimeout * (Plan.Ending.empty() ? 1 : 2) + Settings.PlanGrace;
+  Plan.Until =
+      Now + (Settings.Headroom.IsEnabled ? std::min(Wait, Settings.PlanTimeout)
+                                         : Settings.PlanTimeout);
   log(events::RoomReclaimed,
       {{"job", Unit.Job.Value},
-       {"organisation", Job.Spec.Organisation.Value},
+       {"organisation", Query.Job.Spec.Organisation.Value},
        {"stopped", std::to_string(Choice.PreemptedGroups.size())},
-       {"accelerators", std::to_string(Accelerators)}});
-  State.GuaranteedUse[Job.Spec.Organisation] += Accelerators;
-  noteUrgentUse(Job, Request.Needs, Request.Count);
+       {"accelerators",
+        std::to_string(Request.Needs.Accelerators * Request.Count)}});
+  addPlan(Unit, std::move(Plan));
+}
+
+void event_handler::addPlan(const unit_name &Unit, reclaim_plan Plan) {
+  job_state &Job = State.Jobs.at(Unit.Job);
+  const resources Needs = reservedResources(Job.Spec.Steps[Unit.Step]);
+  for (const executor_id &Id : Plan.Executors) {
+    executor_state &Executor = State.Executors.at(Id);
+    Executor.Reserved += Needs;
+    touch(Executor);
+  }
+  const auto Count = static_cast<int>(Plan.Executors.size());
+  State.GuaranteedUse[Job.Spec.Organisation] +=
+      Job.Spec.Steps[Unit.Step].Needs.Accelerators * Count;
+  noteUrgentUse(Job, Needs, Count);
   State.Plans[Unit] = std::move(Plan);
   touch(Job);
 }
 
+bool event_handler::startElsewhere(const unit_name &Unit) {
+  if (!State.Settings.Headroom.IsEnabled)
+    return false;
+  const reclaim_plan Plan = State.Plans.at(Unit);
+  dropPlan(Unit);
+  refreshIndex();
+  const placement_query Query = queryFor(Unit);
+  const step_spec &Step = Query.Step;
+  const placement_request Request{reservedResources(Step), countTasks(Step),
+                                  Step.IsRackLocal, Step.Affinity};
+  std::optional<placement_choice> Choice;
+  if (Query.Service)
+    Choice = Step.IsRackLocal || !Step.Affinity.isEmpty()
+                 ? placeWherePreferred(Query, Request)
+                 : placeAnywhere(Query, Request);
+  if (Choice)
+    startUnit(Unit, Choice->Executors);
+  else
+    addPlan(Unit, Plan);
+  return Choice.has_value();
+}
+
 void event_handler::stopLate(const unit_name &Unit) {
   reclaim_plan &Plan = State.Plans.at(Unit);
   const bool IsLate = Now - Plan.CreatedAt >= State.Settings.StopTimeout;
@@ -275,38 +310,45 @@
   State.Plans.erase(Plan);
 }
 
-/// Starts units whose planned capacity has become free and drops plans that
-/// timed out or lost an executor.
+bool event_handler::isPlanPossible(const unit_name &Unit) const {
+  const reclaim_plan &Plan = State.Plans.at(Unit);
+  const job_state &Job = State.Jobs.at(Unit.Job);
+  return Now < Plan.Until &&
+         std::ranges::all_of(Plan.Executors, [&](const executor_id &Id) {
+           const auto Found = State.Executors.find(Id);
+           return Found != State.Executors.end() &&
+                  isEligible(Found->second, Job, Job.Spec.Steps[Unit.Step]);
+         });
+}
+
+/// Starts units whose planned capacity, or other capacity, has become free.
+/// Drops plans that timed out or lost an executor; their units are placed again
+/// in this pass, and what stops have freed for them counts.
 void event_handler::advancePlans() {
   std::vector<unit_name> Units;
   for (const auto &[Unit, Plan] : State.Plans)
     Units.push_back(Unit);
   for (const unit_name &Unit : Units) {
+    if (!isPlanPossible(Unit)) {
+      dropPlan(Unit);
+      continue;
+    }
     const reclaim_plan Plan = State.Plans.at(Unit);
-    const job_state &Job = State.Jobs.at(Unit.Job);
-    const step_spec &Step = Job.Spec.Steps[Unit.Step];
-    bool IsPossible = Now - Plan.CreatedAt < State.Settings.PlanTimeout;
-    bool IsFree = true;
+    const step_spec &Step = State.Jobs.at(Unit.Job).Spec.Steps[Unit.Step];
     std::map<executor_id, int> Tasks;
     for (const executor_id &Id : Plan.Executors)
       ++Tasks[Id];
-    for (const auto &[Id, Count] : Tasks) {
-      const auto Found = State.Executors.find(Id);
-      if (Found == State.Executors.end() ||
-          !isEligible(Found->second, Job, Step)) {
-        IsPossible = false;
-        break;
-      }
-      const resources Free = Found->second.Report.Capacity - Found->second.Used;
-      IsFree = IsFree && Free.covers(reservedResources(Step) * Count);
-    }
-    if (IsPossible && !IsFree) {
+    const bool IsFree = std::ranges::all_of(Tasks, [&](const auto &Item) {
+      const executor_state &Executor = State.Executors.at(Item.first);
+      return (Executor.Report.Capacity - Executor.Used)
+          .covers(reservedResources(Step) * Item.second);
+    });
+    if (IsFree) {
+      dropPlan(Unit);
+      startUnit(Unit, Plan.Executors);
+    } else if (!startElsewhere(Unit)) {
       stopLate(Unit);
-      continue;
     }
-    dropPlan(Unit);
-    if (IsPossible)
-      startUnit(Unit, Plan.Executors);
   }
 }
 
--- a/tests/unit/batch_victims_test.cpp
+++ b/tests/unit/batch_victims_test.cpp
@@ -208,3 +208,107 @@
   pass(State.Settings.Headroom.Victims.LongestPause);
   CHECK(IsRunning());
 }
+
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: two reclaims of one pass don't stop two units for "
+                 "the same capacity") {
+  settle({"x", "y"});
+  run(gang("first", 1, 2, 4));
+  run(gang("second", 1, 2, 4));
+  submit(job("urgent1", 0, 2, 2)); // two units
+  CHECK(stopped().size() == 1);
+  CHECK(State.Plans.size() == 2);
+}
+
+// Guards against a wait for stops while capacity is free elsewhere.
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: a planned unit starts where capacity becomes free "
+                 "first") {
+  settle({"x", "y"});
+  run(gang("old", 1, 1, 8));
+  Now += milliseconds(1'000);
+  const auto Young = run(gang("young", 1, 1, 8));
+  submit(job("urgent", 0, 1, 2));
+  REQUIRE(stopped() == std::set<std::string>{"young"});
+  const run_name Old = State.Jobs.at(job_id("old")).Runs.begin()->first;
+  const executor_id Where = State.Jobs.at(job_id("old")).Runs.begin()->second;
+  answer(Where.Value, {}, {end(Old, run_end::Done)});
+  CHECK(State.Plans.empty());
+  REQUIRE(State.Jobs.at(job_id("urgent")).Runs.size() == 1);
+  CHECK(State.Jobs.at(job_id("urgent")).Runs.begin()->second == Where);
+  CHECK(explainStaleIndex(State, Now).empty());
+}
+
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: a victim that ends meanwhile frees its capacity") {
+  settle({"x"});
+  const auto Starts = run(gang("victim", 1, 1, 8));
+  submit(job("urgent", 0, 1, 2));
+  REQUIRE(stopped() == std::set<std::string>{"victim"});
+  answer("x", {}, {end(Starts[0].Run, run_end::Done)});
+  pass(milliseconds(20));
+  CHECK(State.Plans.empty());
+  CHECK(State.Jobs.at(job_id("victim")).Progress.Phase == job_phase::Completed);
+  CHECK_FALSE(State.Jobs.at(job_id("urgent")).Runs.empty());
+}
+
+// Guards against guaranteed work that waits for an executor which doesn't
+// carry out stops.
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: a stop that is overdue is replaced by another one") {
+  settle({"x", "y"});
+  run(gang("first", 1, 1, 8));
+  run(gang("second", 1, 1, 8));
+  submit(job("urgent", 0, 1, 2));
+  const std::set<std::string> First = stopped();
+  REQUIRE(First.size() == 1);
+  pass(State.Settings.StopTimeout + State.Settings.PlanGrace - milliseconds(1));
+  CHECK(State.Plans.size() == 1);
+  pass(milliseconds(20));
+  std::set<std::string> Second = stopped();
+  Second.erase(*First.begin()); // repeated
+  CHECK(Second.size() == 1);
+}
+
+// Guards against new stops for all of a gang when one executor of its plan is
+// lost.
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: a plan that loses an executor keeps what its stops "
+                 "free") {
+  settle({"x", "y", "z"});
+  deployment_config Config = State.Config;
+  Config.Organisations[0].GuaranteedAccelerators = 100;
+  post(configuration_changed{Config});
+  for (const char *Id : {"a", "b", "c"})
+    run(gang(Id, 1, 1, 8));
+  job_spec Urgent = job("urgent", 0, 2, 8);
+  Urgent.Steps[0].IsGang = true;
+  submit(Urgent);
+  const std::set<std::string> First = stopped();
+  REQUIRE(First.size() == 2);
+  const executor_id Lost = State.Plans.begin()->second.Executors.front();
+  post(hold_failed{Lost, 1, hold_failure::NoAnswer});
+  pass(milliseconds(20));
+  std::set<std::string> More = stopped();
+  for (const std::string &Id : First)
+    More.erase(Id);
+  CHECK(More.size() == 1);
+  CHECK(State.Plans.size() == 1);
+  CHECK(explainStaleIndex(State, Now).empty());
+}
+
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: nothing of a plan outlives its term") {
+  settle({"x"});
+  const auto Starts = run(gang("victim", 1, 1, 8));
+  submit(job("urgent", 0, 1, 2));
+  REQUIRE(State.Plans.size() == 1);
+  const std::uint64_t Before = State.Token;
+  post(leadership_lost{});
+  CHECK(State.Plans.empty());
+  CHECK(State.Executors.at(executor_id("x")).Reserved == resources{});
+  post(leadership_gained{Before + 1, Now + milliseconds(1'000'000)});
+  postOf(Before, stop_answered{executor_id("x"), Starts[0].Run, true});
+  CHECK(State.Plans.empty());
+  CHECK(explainStaleIndex(State, Now).empty());
+}
