Let short urgent work beyond guarantees use kept executors

Urgent work beyond its guarantee was kept out like other work. It tries other executors first.

With that, plans that start elsewhere and a peak that decays within 8 s instead of 12 s, with a margin of 25% instead of 40%, suffice.

--- a/core/job/batch/headroom.hpp
+++ b/core/job/batch/headroom.hpp
@@ -10,10 +10,12 @@
 
 struct headroom_settings {
   bool IsEnabled = true;
-  milliseconds DecayTime{12'000};   // until a peak of urgent use is forgotten
+  milliseconds DecayTime{8'000};    // until a peak of urgent use is forgotten
   milliseconds UpdateInterval{250}; // between changes of what is kept
   milliseconds LogInterval{1'000};  // between log lines about it
-  int MarginPercent = 40;           // beyond the peak, for the next arrivals
+  int MarginPercent = 25;           // beyond the peak, for the next arrivals
+  milliseconds ShortWork{4'000};    // urgent work beyond guarantees that may
+                                    // use kept executors when no other is free
   int MaxSharePercent = 50;         // of the open executors of a service
   // A step that may only run on some executors, or a very wide one, uses kept
   // ones as well after this time. Others could be kept out for ever.
--- a/core/job/batch/scheduler_headroom.cpp
+++ b/core/job/batch/scheduler_headroom.cpp
@@ -215,6 +215,12 @@
       reservedResources(Query.Step), countTasks(Query.Step), false, {}};
   if (mayReclaim(Query.Job, Request))
     return {executor_filter::kept(true), executor_filter::all()};
+  // Urgent work beyond its guarantee ends soon, and waited up to 5.8 s without
+  // this (simulated, guarantees of 30% of the service).
+  const bool IsShort = Query.Job.Queue.Priority == 0 &&
+                       Query.Step.Estimate <= State.Settings.Headroom.ShortWork;
+  if (IsShort)
+    return {executor_filter::kept(false), executor_filter::all()};
   return {mayUseKept(Query, Room->second) ? executor_filter::all()
                                           : executor_filter::kept(false)};
 }
