Remove executors that left during a term from its index

The index is refreshed only when something waits, and the end of a term forgot which executors had changed since. One that had left the list in between stayed in the index, and a placement of a later term looked it up among the known executors, where it isn't. The new test failed without the change.

--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -203,6 +203,7 @@
 void event_handler::apply(const leadership_lost &) { clearLeadership(); }
 
 void event_handler::clearLeadership() {
+  refreshIndex(); // executors that were touched and have left since
   State.Token = 0;
   State.IsRecovered = false;
   State.Jobs.clear();
@@ -215,7 +216,6 @@
   State.SavesFinished = 0;
   State.PublishedLengths.clear();
   State.GuaranteedUse.clear();
-  State.Touched.clear();
   for (auto &[Id, Executor] : State.Executors) {
     executor_state Fresh;
     Fresh.Report = Executor.Report;
--- a/tests/unit/batch_term_test.cpp
+++ b/tests/unit/batch_term_test.cpp
@@ -206,3 +206,18 @@
     CHECK(termOf(Effect) == Token);
   CHECK_FALSE(termOf(write_log{}).has_value());
 }
+
+// Guards against a placement on an executor that isn't known any more: it left
+// the list between the last pass of a term and the end of the term.
+TEST_CASE_METHOD(test::scheduler_fixture,
+                 "batch: an executor that leaves just before a term ends isn't "
+                 "in the index of the next term") {
+  settle({"x", "y"});
+  const auto Starts = run(job("a", 2, 1, 1, "none"));
+  REQUIRE(Starts.size() == 1);
+  pass(State.Settings.PlacementInterval); // no other pass follows at this time
+  list({report(Starts[0].To.Id.Value)});
+  REQUIRE(State.Executors.size() == 1);
+  post(leadership_lost{});
+  CHECK(explainStaleIndex(State, Now).empty());
+}
