Fail a gang whose workers are lost again and again

The gang scheduler of the standalone system started a gang again after each loss of a worker, without a limit: only reported failures counted. A gang that crashes its workers never reports one.

Losses while a gang runs are counted in its job record, once for each loss however many of its workers go, and saved at once, so that the next scheduler goes on counting. At MaxLosses (5, as MaxCrashes of the batch scheduler) the job fails with a reason before its next placement. As in the batch scheduler, a loss isn't counted if the gang had run for LossProbation and at least two workers that ran none of it were lost together with this one. A run of ten minutes clears the count. Records without the field have no losses.

--- a/core/job/job.cpp
+++ b/core/job/job.cpp
@@ -115,6 +115,7 @@
   Record.Verdict =
       verdictOf(Reader.optional<std::string>("verdict", "unknown"));
   Record.IsCancelRequested = Reader.optional<bool>("cancel_requested", false);
+  Record.Losses = Reader.optional<std::uint32_t>("losses", 0);
   Record.DataCentre = Reader.identifier<data_centre_id>("data_centre");
   Record.Reason = Reader.optional<std::string>("reason", "");
   Record.Placement = Reader.identifierList<worker_id>("placement");
@@ -144,6 +145,7 @@
           {"attempt", Record.Attempt},
           {"verdict", name(Record.Verdict)},
           {"cancel_requested", Record.IsCancelRequested},
+          {"losses", Record.Losses},
           {"data_centre", Record.DataCentre.Value},
           {"reason", Record.Reason},
           {"placement", detail::namesOf(Record.Placement)},
--- a/core/job/job.hpp
+++ b/core/job/job.hpp
@@ -62,6 +62,7 @@
   std::uint32_t Attempt = 0;            // incremented at each placement
   verdict Verdict = verdict::NotRun;    // whether any part may have run
   bool IsCancelRequested = false;       // by the caller
+  std::uint32_t Losses = 0;             // of workers while it ran, in a row
   data_centre_id DataCentre;            // owner; only its scheduler starts it
   std::string Reason;                   // why it waits, or how it ended
   std::vector<worker_id> Placement;     // the worker of each task
--- a/core/job/scheduler.hpp
+++ b/core/job/scheduler.hpp
@@ -27,6 +27,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <variant>
 #include <vector>
@@ -46,9 +47,15 @@
   milliseconds RebuildWindow{3'000};       // wait for reports on take-over
   milliseconds EndedRetention{60'000};     // at least, against stale job_seen
   std::uint32_t MaxTaskFailures = 5;       // then an idempotent job fails
-  milliseconds FleetSettleTime{60'000};    // without growth: size is known
-  placement_strategy Strategy;             // production uses the default
-  quarantine_settings Quarantine;          //
+  std::uint32_t MaxLosses = 5;             // of its workers, then it fails
+  milliseconds LossMemory{600'000};        // a run so long clears the losses
+  milliseconds LossProbation{500};  // a run that lived longer isn't the likely
+                                    // cause of a loss
+  milliseconds OutageWindow{1'250}; // a renewal interval and a response time
+  int OutageWorkers = 2;            // lost together, that make it an outage
+  milliseconds FleetSettleTime{60'000}; // without growth: size is known
+  placement_strategy Strategy;          // production uses the default
+  quarantine_settings Quarantine;       //
 };
 
 // [2] Events
@@ -185,6 +192,13 @@
   instant ConfirmedAt{};     // older reports are ignored
 };
 
+/// The last loss of a worker while the gang ran.
+struct worker_loss {
+  worker_id Worker;
+  instant At{};             // last sign of life, or the report without the gang
+  bool HasOutlived = false; // the gang had run for a while before
+};
+
 struct scheduled_job {
   job_record Record;
   std::int64_t Revision = 0; // of the record in the store
@@ -212,6 +226,8 @@
   instant ReservedStart{};    // estimated end of those gangs
   std::set<worker_id> FailedOn; // workers where a task of it failed
   instant NextEvictionSearch{}; // earliest time of the next one
+  // Until it is known whether it was part of an outage.
+  std::optional<worker_loss> UnsettledLoss;
 };
 
 /// Whether a running gang may be stopped and run again later. A non-idempotent
@@ -235,6 +251,7 @@
   int HeldAccelerators = 0;                  // sum over Held
   std::vector<pool_use> Cells;               // from the guarantee plan
   std::vector<task_report> Reported;         // in the last report
+  instant TasksLostAt{}; // last report that lacked a running gang
 
   worker_health Health;
 
--- a/core/job/scheduler_internal.hpp
+++ b/core/job/scheduler_internal.hpp
@@ -128,6 +128,12 @@
   [[nodiscard]] reports_by_job collectReports(const job_id *Only) const;
   void adoptGang(scheduled_job &Job, const reports_by_job &Reports);
 
+  // Gangs whose workers are lost: scheduler_losses.cpp
+  void countLoss(scheduled_job &Job, const worker_id &Worker, instant At);
+  [[nodiscard]] bool isOutage(const scheduled_job &Job,
+                              const worker_loss &Loss) const;
+  bool failIfLostTooOften(scheduled_job &Job);
+
   scheduled_job *findJob(const job_id &Id);
   known_worker *findWorker(const worker_id &Id);
   [[nodiscard]] attempt_id attemptOf(const scheduled_job &Job) const;
--- a/core/job/scheduler_policy.cpp
+++ b/core/job/scheduler_policy.cpp
@@ -136,6 +136,8 @@
   }
   if (Now < Job.RetryAt || !State.Tables)
     return false;
+  if (failIfLostTooOften(Job))
+    return false;
   if (!Job.MovingTo.isEmpty()) {
     moveJob(Job, Job.MovingTo); // outcome unknown: it may have moved already
     return false;
--- a/core/job/scheduler_workers.cpp
+++ b/core/job/scheduler_workers.cpp
@@ -86,8 +86,11 @@
   if (Job.Step != gang_step::Running || SentAt < Member.ConfirmedAt)
     return;
   if (!Report) {
-    if (!Member.HasSucceeded)
+    if (!Member.HasSucceeded) {
+      State.Workers.at(Member.Place.Worker).TasksLostAt = Now;
+      countLoss(Job, Member.Place.Worker, Now);
       handleLostGang(Job, Member.Place.Worker.Value + " no longer runs it");
+    }
     return;
   }
   switch (Report->State) {
@@ -158,8 +161,10 @@
     Held.push_back(Attempt);
   for (const attempt_id &Attempt : Held) {
     scheduled_job *Job = findJob(Attempt.Job);
-    if (Job && attemptOf(*Job) == Attempt && Job->Step == gang_step::Running)
+    if (Job && attemptOf(*Job) == Attempt && Job->Step == gang_step::Running) {
+      countLoss(*Job, Worker, State.Workers.at(Worker).LastHeard);
       handleLostGang(*Job, Why);
+    }
   }
 }
 
--- a/tests/unit/policy_scheduler_test.cpp
+++ b/tests/unit/policy_scheduler_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <set>
 
 // Tests reclaim, leaving service and refusal through the reducer, with workers
 // that answer immediately and ticks of 100 ms.
@@ -88,6 +89,52 @@
     return Taken;
   }
 
+  void crash(const worker_id &Worker) { Models.at(Worker).crash(); }
+  void setReachable(const worker_id &Worker, bool IsReachable) {
+    if (IsReachable)
+      Unreachable.erase(Worker);
+    else
+      Unreachable.insert(Worker);
+  }
+
+  /// Crashes and restarts a worker each time the job runs, at most Most times.
+  /// Returns how often.
+  int crashWheneverRunning(const char *Id, int Most) {
+    int Crashes = 0;
+    for (; Crashes < Most; ++Crashes) {
+      timeToRunOrEnd(Id, seconds(30));
+      if (!isRunning(Id))
+        return Crashes;
+      crash(State.Jobs.at(job_id(Id)).Members.front().Place.Worker);
+      advance(seconds(2));
+    }
+    return Crashes;
+  }
+
+  bool isRunning(const char *Id) const {
+    const auto Found = State.Jobs.find(job_id(Id));
+    return Found != State.Jobs.end() &&
+           Found->second.Step == gang_step::Running;
+  }
+
+  void timeToRunOrEnd(const char *Id, milliseconds Limit) {
+    for (milliseconds Taken{0}; Taken < Limit; Taken += TickInterval) {
+      if (isRunning(Id) || !State.Jobs.contains(job_id(Id)))
+        return;
+      advance(TickInterval);
+    }
+  }
+
+  /// Another scheduler takes over, with the records as saved.
+  void takeOver() {
+    post(leadership_changed{true, State.Epoch + 1});
+    drain();
+    for (const auto &[Id, Record] : Saved)
+      post(job_seen{*parseJobRecord(printJobRecord(Record)).Job, 1'000});
+    post(jobs_loaded{});
+    advance(seconds(4));
+  }
+
   scheduler_state State;
   std::vector<move_job> Moves;
   std::map<job_id, job_record> Saved;
@@ -129,6 +176,8 @@
            Models.at(E.Worker).release(E.Request, Now));
   }
   void perform(const send_renew &E) {
+    if (Unreachable.contains(E.Worker))
+      return;
     post(worker_reported{Models.at(E.Worker).renew(E.Request, Now), Now});
   }
   void perform(const save_job &E) {
@@ -142,6 +191,7 @@
 
   std::shared_ptr<const tables> Tables;
   std::map<worker_id, worker_model> Models;
+  std::set<worker_id> Unreachable; // don't answer renewals
   std::deque<scheduler_event_body> Queue;
   instant Now{seconds(1'000)};
 };
@@ -216,3 +266,61 @@
   CHECK(Fixture.Saved.at(job_id("many")).Reason ==
         "here holds 4 of its 5 tasks at most");
 }
+
+// Guards against a gang that crashes its workers and is started again without a
+// limit.
+TEST_CASE("a gang whose workers are lost again and again is failed") {
+  scheduler_fixture Fixture;
+  Fixture.submit(Fixture.makeSpec("deadly", "other", 2, 8));
+  CHECK(Fixture.crashWheneverRunning("deadly", 20) == 5);
+  const job_record Record = Fixture.Saved.at(job_id("deadly"));
+  CHECK(Record.Phase == job_phase::Failed);
+  CHECK(Record.Reason == "workers were lost 5 times while it ran");
+}
+
+// Guards against a count that each take-over begins anew.
+TEST_CASE("lost workers are counted on after a take-over") {
+  scheduler_fixture Fixture;
+  Fixture.submit(Fixture.makeSpec("deadly", "other", 2, 8));
+  CHECK(Fixture.crashWheneverRunning("deadly", 3) == 3);
+  Fixture.takeOver();
+  CHECK(Fixture.crashWheneverRunning("deadly", 20) == 2);
+  CHECK(Fixture.Saved.at(job_id("deadly")).Phase == job_phase::Failed);
+}
+
+// Guards against failing an innocent gang for outages of many workers, and
+// against excusing one that crashes its worker right after each start.
+TEST_CASE("an outage of many workers doesn't count against a gang that had run "
+          "for a while") {
+  const bool HasRunBefore = GENERATE(true, false);
+  scheduler_fixture Fixture;
+  Fixture.submit(Fixture.makeSpec("job", "other", 1, 8));
+  for (int Outage = 0; Outage < 7; ++Outage) {
+    Fixture.timeToRunOrEnd("job", seconds(30));
+    if (HasRunBefore)
+      Fixture.advance(seconds(3));
+    for (int I = 0; I < 4; ++I) {
+      Fixture.crash(worker_id("w" + std::to_string(I)));
+      Fixture.setReachable(worker_id("w" + std::to_string(I)), false);
+    }
+    Fixture.advance(seconds(9));
+    for (int I = 0; I < 4; ++I)
+      Fixture.setReachable(worker_id("w" + std::to_string(I)), true);
+  }
+  Fixture.advance(seconds(5));
+  CHECK(Fixture.isRunning("job") == HasRunBefore);
+}
+
+// Guards against failing a long job for unrelated losses that are far apart.
+TEST_CASE("losses of workers that are far apart aren't summed") {
+  scheduler_fixture Fixture;
+  Fixture.State.Settings.LossMemory = seconds(20);
+  Fixture.submit(Fixture.makeSpec("long", "other", 2, 8));
+  for (int I = 0; I < 8; ++I) {
+    Fixture.timeToRunOrEnd("long", seconds(30));
+    Fixture.advance(seconds(25));
+    CHECK(Fixture.crashWheneverRunning("long", 1) == 1);
+  }
+  Fixture.timeToRunOrEnd("long", seconds(30));
+  CHECK(Fixture.isRunning("long"));
+}
