Remove executors from the capacity index that left before a change of leader

An executor that left the list without runs is forgotten at once, and leaves the capacity index at the next placement. If leadership ended before that, the list of changed executors was cleared and the index kept the executor. The next leader of the same instance could choose it and ended with an exception, because it knows no such executor.

The test was seen to fail without the change, with that exception.

--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -215,7 +215,10 @@
   State.SavesFinished = 0;
   State.PublishedLengths.clear();
   State.GuaranteedUse.clear();
-  State.Touched.clear();
+  // Executors that are gone must still leave the index.
+  std::erase_if(State.Touched, [&](const executor_id &Id) {
+    return State.Executors.contains(Id);
+  });
   for (auto &[Id, Executor] : State.Executors) {
     executor_state Fresh;
     Fresh.Report = Executor.Report;
--- a/tests/unit/batch_term_test.cpp
+++ b/tests/unit/batch_term_test.cpp
@@ -206,3 +206,23 @@
     CHECK(termOf(Effect) == Token);
   CHECK_FALSE(termOf(write_log{}).has_value());
 }
+
+// Guards against placing work on an executor that has gone: the change of
+// leader came before the capacity index had left it out.
+TEST_CASE("term: executors that left in the last term get nothing") {
+  test::scheduler_fixture Fixture;
+  Fixture.settle({"x"});
+  const auto Ended = Fixture.run(test::scheduler_fixture::job("i", 2, 1, 1));
+  REQUIRE(Ended.size() == 1);
+  Fixture.answer("x", {}, {Fixture.end(Ended[0].Run, run_end::Done)});
+  Fixture.save();
+  Fixture.list({});
+  Fixture.post(leadership_lost{});
+  CHECK(explainStaleIndex(Fixture.State, Fixture.Now) == "");
+  Fixture.post(leadership_gained{test::scheduler_fixture::Token + 1,
+                                 Fixture.Now + milliseconds(1'000'000)});
+  Fixture.settle({"y"});
+  const auto Starts = Fixture.run(test::scheduler_fixture::job("j", 2, 1, 1));
+  REQUIRE(Starts.size() == 1);
+  CHECK(Starts[0].To.Id == executor_id("y"));
+}
