--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -203,7 +203,7 @@
 void event_handler::apply(const leadership_lost &) { clearLeadership(); }
 
 void event_handler::clearLeadership() {
-  refreshIndex(); // executors that were touched and have left since
+  refreshIndex(); // executors that have left must still leave the index
   State.Token = 0;
   State.IsRecovered = false;
   State.Jobs.clear();
