Order waiting work of equal priority by the shares of organisations

Waiting steps of one priority were ordered by their latest start alone, so an organisation that sends much was nearly always first, and one pass could give it all that was free.

The state keeps the usage of each organisation (cores, memory, accelerators of its runs and reclaim plans) and the capacity of all listed executors. A pass takes the next unit from the organisation with the smallest dominant share and updates that share after each unit. The even share is the mean share of the organisations that use capacity or wait for some, rather than a fraction of the service, so that it holds as well where fragments stay free. The order within one organisation is unchanged.

The other tests guard what was so before.

--- a/core/job/batch/capacity_index.cpp
+++ b/core/job/batch/capacity_index.cpp
@@ -178,6 +178,7 @@
   remove(Id);
   Services[Executor.Service].add(Id, Executor);
   Executors.insert_or_assign(Id, Executor);
+  Total.add(Executor.Capacity, 1);
 }
 
 void capacity_index::remove(const executor_id &Id) {
@@ -188,6 +189,7 @@
   Service->second.remove(Id, Known->second);
   if (Service->second.isEmpty())
     Services.erase(Service);
+  Total.add(Known->second.Capacity, -1);
   Executors.erase(Known);
 }
 
--- a/core/job/batch/capacity_index.hpp
+++ b/core/job/batch/capacity_index.hpp
@@ -4,7 +4,7 @@
 // placement look only at racks that may have the capacity, so that its cost
 // doesn't grow with the number of executors.
 
-#include "core/job/batch/model.hpp"
+#include "core/job/batch/shares.hpp"
 
 #include <array>
 #include <cstdint>
@@ -201,6 +201,8 @@
   void remove(const executor_id &Id);
   /// Null when no executor of the service was ever known.
   [[nodiscard]] const indexed_service *find(const service_id &Id) const;
+  /// Capacity of all listed executors, open or not.
+  [[nodiscard]] const capacity_sum &total() const { return Total; }
 
   friend bool operator==(const capacity_index &,
                          const capacity_index &) = default;
@@ -208,6 +210,7 @@
 private:
   std::map<executor_id, indexed_executor> Executors;
   std::map<service_id, indexed_service> Services;
+  capacity_sum Total;
 };
 
 } // namespace galenastage::batch
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -402,6 +402,8 @@
   std::deque<executor_silence> Silences; // recent ones, oldest first
   // Accelerators of runs and plans of priority 0, by organisation.
   std::map<organisation_id, int> GuaranteedUse;
+  // Needs of runs and plans, by organisation; none without either.
+  std::map<organisation_id, capacity_sum> Usage;
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
   std::vector<job_id> Saving;      // in the save in flight
   std::uint64_t SavesQueued = 0;   // entries ever added to SaveQueue
@@ -426,6 +428,10 @@
 int countGuaranteedUse(const scheduler_state &State,
                        const organisation_id &Organisation);
 
+/// The state's Usage, counted anew.
+std::map<organisation_id, capacity_sum>
+countUsage(const scheduler_state &State);
+
 /// Compares what the state keeps up to date from event to event with a full
 /// recount. Returns a description of the first difference, or an empty string.
 std::string explainStaleIndex(const scheduler_state &State, instant Now);
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -61,6 +61,17 @@
   executor_filter Allowed;
 };
 
+/// What waits of one organisation during a pass. Without shares there is one
+/// queue with all waiting steps.
+struct share_queue {
+  organisation_id Organisation;
+  std::vector<const waiting_step *> Steps; // those that go last come first
+  std::size_t NextUnit = 0;                // of the step that goes next
+  share_claim Claim;                       // of that step
+
+  [[nodiscard]] const waiting_step &next() const { return *Steps.back(); }
+};
+
 /// Applies one event to the state; created for each call of reduce.
 class event_handler {
 public:
@@ -178,6 +189,7 @@
   // What waits (scheduler_waiting.cpp)
   /// To be called after each change of a job that may alter what can start.
   static void touch(job_state &Job) { Job.IsWaitingKnown = false; }
+  /// The steps that could start, in no order.
   [[nodiscard]] std::vector<const waiting_step *> listWaiting();
   void updateWaiting(job_state &Job);
   void listWaitingOf(job_state &Job, int Occurrence);
@@ -186,8 +198,6 @@
   /// To be called after each change of an executor that the index reflects.
   void touch(executor_state &Executor);
   void refreshIndex();
-  void placeWaiting();
-  void placeStep(const waiting_step &Waiting);
   /// False if it doesn't fit; then no other unit of the step fits either.
   bool place(const unit_name &Unit);
   [[nodiscard]] placement_query queryFor(const unit_name &Unit) const;
@@ -269,6 +279,20 @@
   /// Recounts what depends on the priorities of queues and on guarantees.
   void recountPolicy();
 
+  // Shares of organisations (scheduler_shares.cpp)
+  void placeWaiting();
+  /// Places the next unit of the step that goes first. False if it doesn't fit.
+  bool placeNext(share_queue &Queue);
+  [[nodiscard]] std::vector<share_queue> listByOrganisation();
+  /// Updates the claim of the queue's next step.
+  void updateClaim(share_queue &Queue) const;
+  [[nodiscard]] double shareOf(const organisation_id &Organisation) const;
+  /// Mean share of the organisations that use capacity or wait for some.
+  [[nodiscard]] double evenShare(const std::vector<share_queue> &Queues) const;
+  /// Adds Count times Needs to the organisation's usage; Count may be negative.
+  void addUsage(const organisation_id &Organisation, const resources &Needs,
+                int Count);
+
   // Speeds of executors (scheduler_speed.cpp)
   /// Sets of speeds that may run the step, the best first.
   [[nodiscard]] std::vector<executor_filter>
@@ -300,6 +324,11 @@
 /// What the index should know about the executor.
 indexed_executor describe(const executor_state &Executor, bool IsOpen);
 
+/// Order of the steps of one organisation: by priority, then steps that can
+/// still meet their objective by latest start, then late steps by the work of
+/// their job, smallest first.
+bool ranksBefore(const waiting_step *Left, const waiting_step *Right);
+
 /// Whether a reclaim may stop the run.
 bool isPreemptible(const run_state &Run);
 
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -84,6 +84,8 @@
   for (const auto &[Organisation, Use] : State.GuaranteedUse)
     if (Use != countGuaranteedUse(State, Organisation))
       return "the guaranteed use of " + Organisation.Value + " is stale";
+  if (State.Usage != countUsage(State))
+    return "the usage of an organisation is stale";
   for (auto &[Id, Job] : State.Jobs) {
     const bool IsCurrent = Job.IsWaitingKnown && Now < Job.WaitingUntil &&
                            !isFinal(Job.Progress.Phase);
@@ -249,26 +251,6 @@
 
 // Placement
 
-void event_handler::placeWaiting() {
-  if (!isLeading() || !State.IsRecovered)
-    return;
-  advancePlans();
-  for (const waiting_step *Waiting : listWaiting())
-    placeStep(*Waiting);
-}
-
-/// The units of a step are identical but for suspects: when one doesn't fit,
-/// none of the others does.
-void event_handler::placeStep(const waiting_step &Waiting) {
-  unit_name Unit = Waiting.First;
-  for (int Number : Waiting.Units) {
-    Unit.Unit = Number;
-    const bool IsSuspect = findProgress(Unit)->hasSuspect();
-    if (!place(Unit) && !IsSuspect)
-      return;
-  }
-}
-
 bool event_handler::isVain(search Kind, const placement_query &Query,
                            const placement_request &Request) const {
   return std::ranges::any_of(Vain, [&](const vain_search &Known) {
--- a/core/job/batch/scheduler_reclaim.cpp
+++ b/core/job/batch/scheduler_reclaim.cpp
@@ -110,6 +110,7 @@
        {"stopped", std::to_string(Choice.PreemptedGroups.size())},
        {"accelerators", std::to_string(Accelerators)}});
   State.GuaranteedUse[Job.Spec.Organisation] += Accelerators;
+  addUsage(Job.Spec.Organisation, Request.Needs, Request.Count);
   State.Plans[Unit] = {Choice.Executors, Now};
   touch(Job);
 }
@@ -155,6 +156,8 @@
     State.GuaranteedUse[Job->second.Spec.Organisation] -=
         Step.Needs.Accelerators *
         static_cast<int>(Plan->second.Executors.size());
+    addUsage(Job->second.Spec.Organisation, Needs,
+             -static_cast<int>(Plan->second.Executors.size()));
     touch(Job->second);
   }
   State.Plans.erase(Plan);
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -201,6 +201,7 @@
   touch(Job);
   if (Added.IsUrgent)
     State.GuaranteedUse[Job.Spec.Organisation] += Step.Needs.Accelerators;
+  addUsage(Job.Spec.Organisation, Added.Needs, 1);
   Executor.Runs[Run] = std::move(Added);
   Job.Runs[Run] = Executor.Report.Id;
   ++unitState(Job, unitNameOf(Job, Run.Task)).LiveRuns;
@@ -212,7 +213,8 @@
     return;
   const bool IsUrgent = Found->second.IsUrgent;
   const bool IsOrphan = Found->second.IsOrphan;
-  Executor.Used -= Found->second.Needs;
+  const resources Needs = Found->second.Needs;
+  Executor.Used -= Needs;
   Executor.Runs.erase(Found);
   touch(Executor);
   State.NeedsPlacement = true;
@@ -222,6 +224,7 @@
   if (IsUrgent)
     State.GuaranteedUse[Job->second.Spec.Organisation] -=
         Job->second.Spec.Steps[Run.Task.Step].Needs.Accelerators;
+  addUsage(Job->second.Spec.Organisation, Needs, -1);
   touch(Job->second);
   Job->second.Runs.erase(Run);
   const unit_name Name = unitNameOf(Job->second, Run.Task);
--- a/core/job/batch/scheduler_waiting.cpp
+++ b/core/job/batch/scheduler_waiting.cpp
@@ -40,8 +40,8 @@
          Job.Queue.TargetDuration;
 }
 
-/// Orders by priority, then steps that can still meet their objective by latest
-/// start, then late steps by the work of their job, smallest first.
+} // namespace
+
 bool ranksBefore(const waiting_step *Left, const waiting_step *Right) {
   if (Left->Priority != Right->Priority)
     return Left->Priority < Right->Priority;
@@ -53,8 +53,6 @@
          std::tie(Right->LatestStart, Right->First);
 }
 
-} // namespace
-
 std::vector<const waiting_step *> event_handler::listWaiting() {
   std::vector<const waiting_step *> Waiting;
   for (auto &[Id, Job] : State.Jobs) {
@@ -67,7 +65,6 @@
       Waiting.push_back(&Step);
     }
   }
-  std::ranges::sort(Waiting, ranksBefore);
   return Waiting;
 }
 
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -50,6 +50,7 @@
   double StretchFactor = 3;
   milliseconds TargetDuration{0};
   int MaxAttempts = 3;
+  int Organisation = -1; // number of its sender; -1: all of them in turn
 };
 
 struct world_settings {
@@ -63,6 +64,8 @@
   milliseconds Arrivals{20'000}; // jobs arrive until then
   milliseconds Faulty{40'000};   // faults occur until then
   milliseconds Length{160'000};  // duration of the run
+  milliseconds CountedFrom{0};   // runs count for RoomOf between these times
+  milliseconds CountedUntil{0};
   world_faults Faults;
 };
 
@@ -83,7 +86,9 @@
   int FailedInnocents = 0; // without a task that crashes executors
   int Starts = 0;
   int Leaders = 0;
-  std::map<int, job_times> Times; // by priority
+  std::map<int, job_times> Times;                              // by priority
+  std::map<organisation_id, std::map<int, job_times>> TimesOf; // the same
+  std::map<organisation_id, double> RoomOf; // weighted core-seconds in use
   double CompletedWork = 0; // weighted core-seconds of runs that ended as done
   double LostWork = 0;      // of runs that ended otherwise
   std::uint64_t Examined = 0; // executors that placements looked at
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -23,8 +23,10 @@
   const job_spec &Job = Stored.Spec;
   if (!Stored.StartedAt) {
     Stored.StartedAt = Now;
-    Report.Times[Job.Queue.Priority].Starts.push_back(
-        Now - Job.Submitted.time_since_epoch());
+    const milliseconds Waited = Now - Job.Submitted.time_since_epoch();
+    Report.Times[Job.Queue.Priority].Starts.push_back(Waited);
+    Report.TimesOf[Job.Organisation][Job.Queue.Priority].Starts.push_back(
+        Waited);
   }
   const step_spec &Step = Job.Steps[Order.Run.Task.Step];
   const bool Crashes = Stored.IsCrashing && Order.Run.Task.Step == 0 &&
@@ -153,6 +155,12 @@
   const double Work = weightedCores(Run.Needs) *
                       std::chrono::duration<double>(Now - Run.Begun).count();
   (End == run_end::Done ? Report.CompletedWork : Report.LostWork) += Work;
+  const milliseconds Counted = std::min(Now, Settings.CountedUntil) -
+                               std::max(Run.Begun, Settings.CountedFrom);
+  if (Counted.count() > 0)
+    Report.RoomOf[Jobs[Run.Name.Task.Job].Spec.Organisation] +=
+        weightedCores(Run.Needs) *
+        std::chrono::duration<double>(Counted).count();
 }
 
 void world::restartExecutor(fake_executor &Executor) {
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -71,7 +71,8 @@
       job_spec Job;
       Job.Id = job_id("load" + std::to_string(++Number));
       Job.Queue = Queue;
-      Job.Organisation = organisationOf(Number);
+      Job.Organisation =
+          organisationOf(Load.Organisation < 0 ? Number : Load.Organisation);
       step_spec Step;
       const auto Mean = static_cast<int>(Load.MeanWidth);
       Step.Count = draw(std::max(1, Mean / 2), std::max(1, Mean + Mean / 2));
