Reclaim guaranteed capacity from urgent work beyond other guarantees

Runs of priority 0 were never stopped for other work, so urgent work without a guarantee could keep the service full and a guaranteed gang waited for its end.

The urgent units of each organisation are counted against its guarantee in the order of their starts: those that still fit are within it, the others beyond. A gang counts as a whole. Runs beyond are preemptible for work within another organisation's guarantee, after all runs of lower priority, the organisation furthest beyond first and its latest runs first. Marks change with the starts and ends of that organisation's units, and all of them with the configuration, which also drops the plans that no guarantee covers any more. Events 3330 and 3331 say what was stopped or dropped, and by which use and guarantee.

The simulated executors may report true progress. With the constant 50% each run over a second seemed stalled, and its executor got no work.

--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -215,6 +215,7 @@
   State.SavesFinished = 0;
   State.PublishedLengths.clear();
   State.GuaranteedUse.clear();
+  State.UrgentUse.clear();
   State.Usage.clear();
   State.Touched.clear();
   for (auto &[Id, Executor] : State.Executors) {
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -266,6 +266,7 @@
   bool IsListed = false;       // in a report of the executor
   bool IsAccepted = false;     // the executor accepted the start
   bool IsUrgent = false;       // of priority 0
+  bool IsBeyond = false;       // urgent, beyond its organisation's guarantee
   bool IsOfGang = false;
   bool IsOnProbation = false;   // suspected of crashing its executor
   bool IsOrphan = false;        // of no known job or task: unknown needs
@@ -333,6 +334,7 @@
   instant NotBefore{};           // earliest restart after a failure
   std::set<executor_id> Avoided; // where it failed or stalled
   instant ReclaimAfter{};        // earliest next reclaim after a vain one
+  instant Planned{};             // when its last plan since a start was made
   int Moves = 0;                 // to another executor after a stall
   gang_break Break;
 };
@@ -365,6 +367,26 @@
   instant WaitingUntil{}; // a unit's restart delay ends then
 };
 
+/// A unit of priority 0 that has runs or a plan.
+struct urgent_unit {
+  instant Since{}; // its start, or the plan before that
+  int Tasks = 0;   // runs, and tasks of the plan
+  int Accelerators = 0;
+  bool IsBeyond = false; // as its runs
+
+  friend bool operator==(const urgent_unit &, const urgent_unit &) = default;
+};
+
+/// The urgent units of an organisation. In the order of their starts, each one
+/// that still fits the guarantee is within it and the others are beyond it.
+struct urgent_use {
+  std::map<unit_name, urgent_unit> Units;
+  std::set<std::pair<instant, unit_name>> InOrder;
+  int Covered = 0; // accelerators of the units within the guarantee
+
+  friend bool operator==(const urgent_use &, const urgent_use &) = default;
+};
+
 /// When an executor fell silent: at some time between the two.
 struct executor_silence {
   executor_id Executor;
@@ -402,6 +424,7 @@
   std::deque<executor_silence> Silences; // recent ones, oldest first
   // Accelerators of runs and plans of priority 0, by organisation.
   std::map<organisation_id, int> GuaranteedUse;
+  std::map<organisation_id, urgent_use> UrgentUse; // the same, by unit
   // Needs of runs and plans, by organisation; none without either.
   std::map<organisation_id, capacity_sum> Usage;
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -276,8 +276,27 @@
   /// Whether the unit fits into the guarantee of the job's organisation.
   [[nodiscard]] bool mayReclaim(const job_state &Job,
                                 const placement_request &Request) const;
-  /// Recounts what depends on the priorities of queues and on guarantees.
+  /// Recounts what depends on the priorities of queues and on guarantees. Drops
+  /// plans of units that no guarantee covers any more.
   void recountPolicy();
+  [[nodiscard]] int guaranteeOf(const organisation_id &Organisation) const;
+  /// To be called for each task of priority 0 that gets a run or a plan (Tasks
+  /// above 0) or loses it (below 0), after the run was added or removed.
+  void changeUrgentUse(job_state &Job, const unit_name &Unit, int Tasks);
+  /// Decides anew which units of the organisation are beyond its guarantee.
+  void markAllUrgent(const organisation_id &Organisation);
+  /// The same for one unit, which must be the last one in order.
+  void markLastUrgent(const organisation_id &Organisation,
+                      const unit_name &Unit);
+  void setBeyond(const unit_name &Unit, urgent_unit &Urgent, bool IsBeyond);
+  /// Loss that makes runs of priority 0 the last ones to be stopped; 0 for
+  /// others.
+  [[nodiscard]] double priceBeyond(const run_name &Name,
+                                   const run_state &Run) const;
+  void noteUrgentVictims(const unit_name &Unit, const placement_choice &Choice,
+                         const std::map<unit_name, int> &Groups);
+  [[nodiscard]] std::map<organisation_id, urgent_use> countUrgentUse() const;
+  std::string explainStaleGuarantees();
 
   // Shares of organisations (scheduler_shares.cpp)
   void placeWaiting();
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -86,6 +86,8 @@
       return "the guaranteed use of " + Organisation.Value + " is stale";
   if (State.Usage != countUsage(State))
     return "the usage of an organisation is stale";
+  if (std::string Stale = explainStaleGuarantees(); !Stale.empty())
+    return Stale;
   for (auto &[Id, Job] : State.Jobs) {
     const bool IsCurrent = Job.IsWaitingKnown && Now < Job.WaitingUntil &&
                            !isFinal(Job.Progress.Phase);
@@ -483,6 +485,7 @@
     Executor.Runs[Run].IsOnProbation = IsSuspect;
     Progress.Placed.push_back({Executors[I], Executor.Incarnation});
   }
+  Known.Planned = {};
   if (IsSuspect)
     State.Suspects.insert(Unit);
   if (Job.Progress.Phase == job_phase::Queued)
--- a/core/job/batch/scheduler_reclaim.cpp
+++ b/core/job/batch/scheduler_reclaim.cpp
@@ -55,7 +55,8 @@
         Run.IsCheckpointing ? std::min(Elapsed, RestoreSeconds) : Elapsed;
     Candidate.Preemptible.push_back(
         {Item->second, Run.Needs,
-         Unsaved * weightedCores(Run.Needs) * Run.GangSize});
+         Unsaved * weightedCores(Run.Needs) * Run.GangSize +
+             priceBeyond(Name, Run)});
   }
 }
 
@@ -109,9 +110,11 @@
        {"organisation", Job.Spec.Organisation.Value},
        {"stopped", std::to_string(Choice.PreemptedGroups.size())},
        {"accelerators", std::to_string(Accelerators)}});
-  State.GuaranteedUse[Job.Spec.Organisation] += Accelerators;
+  noteUrgentVictims(Unit, Choice, Groups);
   addUsage(Job.Spec.Organisation, Request.Needs, Request.Count);
   State.Plans[Unit] = {Choice.Executors, Now};
+  unitState(Job, Unit).Planned = Now;
+  changeUrgentUse(Job, Unit, Request.Count);
   touch(Job);
 }
 
@@ -153,11 +156,9 @@
         Found->second.Reserved -= Needs;
         touch(Found->second);
       }
-    State.GuaranteedUse[Job->second.Spec.Organisation] -=
-        Step.Needs.Accelerators *
-        static_cast<int>(Plan->second.Executors.size());
-    addUsage(Job->second.Spec.Organisation, Needs,
-             -static_cast<int>(Plan->second.Executors.size()));
+    const int Tasks = static_cast<int>(Plan->second.Executors.size());
+    addUsage(Job->second.Spec.Organisation, Needs, -Tasks);
+    changeUrgentUse(Job->second, Unit, -Tasks);
     touch(Job->second);
   }
   State.Plans.erase(Plan);
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -199,12 +199,14 @@
   Executor.Used += Added.Needs;
   touch(Executor);
   touch(Job);
-  if (Added.IsUrgent)
-    State.GuaranteedUse[Job.Spec.Organisation] += Step.Needs.Accelerators;
+  const bool IsUrgent = Added.IsUrgent;
   addUsage(Job.Spec.Organisation, Added.Needs, 1);
   Executor.Runs[Run] = std::move(Added);
   Job.Runs[Run] = Executor.Report.Id;
-  ++unitState(Job, unitNameOf(Job, Run.Task)).LiveRuns;
+  const unit_name Unit = unitNameOf(Job, Run.Task);
+  ++unitState(Job, Unit).LiveRuns;
+  if (IsUrgent)
+    changeUrgentUse(Job, Unit, 1);
 }
 
 void event_handler::dropRun(executor_state &Executor, const run_name &Run) {
@@ -221,13 +223,12 @@
   const auto Job = State.Jobs.find(Run.Task.Job);
   if (Job == State.Jobs.end() || IsOrphan)
     return;
-  if (IsUrgent)
-    State.GuaranteedUse[Job->second.Spec.Organisation] -=
-        Job->second.Spec.Steps[Run.Task.Step].Needs.Accelerators;
   addUsage(Job->second.Spec.Organisation, Needs, -1);
   touch(Job->second);
   Job->second.Runs.erase(Run);
   const unit_name Name = unitNameOf(Job->second, Run.Task);
+  if (IsUrgent)
+    changeUrgentUse(Job->second, Name, -1);
   unit_state &Unit = unitState(Job->second, Name);
   Unit.LiveRuns = std::max(0, Unit.LiveRuns - 1);
   if (Unit.LiveRuns == 0)
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -242,6 +242,20 @@
     "elsewhere.",
     "If one job moves repeatedly, its own tasks are stalling."};
 
+// 3330 to 3339: shares of organisations
+const log_event UrgentReclaimed{
+    3330, Info, "urgent-reclaimed",
+    "Runs of priority 0 beyond their organisation's guarantee (from) are "
+    "stopped for a job within another organisation's guarantee. used and "
+    "guaranteed are accelerators of the former.",
+    "If it is frequent, the guarantee of the organisation that is stopped is "
+    "smaller than its urgent work."};
+const log_event ReclaimDropped{
+    3331, Info, "reclaim-dropped",
+    "A changed guarantee no longer covers a job that capacity was being freed "
+    "for; the job waits like others.",
+    "None."};
+
 const log_event RequestAnswered{
     4001, Info, "request-answered",
     "Access log: one request, its route, verdict and duration.", "None."};
@@ -350,6 +364,8 @@
     &events::ExecutorStalled,
     &events::ExecutorAdvances,
     &events::UnitMoved,
+    &events::UrgentReclaimed,
+    &events::ReclaimDropped,
     &events::SubmissionRefused,
     &events::SubmissionUnsettled,
     &events::RequestForwarded,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -119,6 +119,9 @@
 extern const log_event ExecutorStalled;
 extern const log_event ExecutorAdvances;
 extern const log_event UnitMoved;
+// Shares of organisations
+extern const log_event UrgentReclaimed;
+extern const log_event ReclaimDropped;
 // 4000: requests
 extern const log_event RequestAnswered;
 extern const log_event SubmissionRefused;
--- a/tests/property/batch_shares_load_test.cpp
+++ b/tests/property/batch_shares_load_test.cpp
@@ -22,6 +22,7 @@
   Settings.Executors = 16;
   Settings.Organisations = 2;
   Settings.Guaranteed = 0;
+  Settings.ReportsProgress = true;
   Settings.Arrivals = milliseconds(16'000);
   Settings.CountedFrom = milliseconds(5'000);
   Settings.CountedUntil = milliseconds(15'000);
@@ -44,6 +45,19 @@
   return Times[(Times.size() - 1) * static_cast<std::size_t>(Percent) / 100];
 }
 
+job_load makeGangs(int Organisation) {
+  job_load Load;
+  Load.PerSecond = 2;
+  Load.MeanWidth = 4;
+  Load.Accelerators = {1, 2};
+  Load.Work = milliseconds(2'000);
+  Load.IsGang = true;
+  Load.StretchFactor = 1.5;
+  Load.TargetDuration = milliseconds(250);
+  Load.Organisation = Organisation;
+  return Load;
+}
+
 } // namespace
 
 TEST_CASE("load: an organisation that sends ten times as many jobs doesn't "
@@ -60,16 +74,25 @@
           "another organisation floods the service") {
   world_settings Settings = makeFlood();
   Settings.Guaranteed = 48;
-  job_load Urgent;
-  Urgent.PerSecond = 2;
-  Urgent.MeanWidth = 4;
-  Urgent.Accelerators = {1, 2};
-  Urgent.Work = milliseconds(2'000);
-  Urgent.IsGang = true;
-  Urgent.StretchFactor = 1.5;
-  Urgent.TargetDuration = milliseconds(250);
-  Urgent.Organisation = 1;
-  Settings.Loads[1] = Urgent;
+  Settings.Loads[1] = makeGangs(1);
+  world_report Report = runWorld(Settings, Seed);
+  for (const std::string &Violation : Report.Violations)
+    CHECK(Violation == "");
+  const milliseconds Bound{2'900};
+  const auto Starts = Report.TimesOf[Modest][0].Starts;
+  CHECK(percentile(Starts, 100) < Bound);
+}
+
+// Guards against a service that urgent work beyond a guarantee keeps full.
+TEST_CASE("load: a guaranteed gang starts within its bound while urgent work "
+          "beyond another guarantee fills the service") {
+  world_settings Settings = makeFlood();
+  Settings.Guaranteed = 48;
+  Settings.Loads[0] = makeGangs(0);
+  Settings.Loads[0].PerSecond = 8;
+  Settings.Loads[0].Work = milliseconds(8'000);
+  Settings.Loads[1] = makeGangs(1);
+  Settings.Loads[1].PerSecond = 1;
   world_report Report = runWorld(Settings, Seed);
   for (const std::string &Violation : Report.Violations)
     CHECK(Violation == "");
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -64,6 +64,7 @@
   milliseconds Arrivals{20'000}; // jobs arrive until then
   milliseconds Faulty{40'000};   // faults occur until then
   milliseconds Length{160'000};  // duration of the run
+  bool ReportsProgress = false;  // else 50%, and runs over 1 s seem stalled
   milliseconds CountedFrom{0};   // runs count for RoomOf between these times
   milliseconds CountedUntil{0};
   world_faults Faults;
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -111,6 +111,21 @@
   });
 }
 
+int world::percentOf(const fake_run &Run) {
+  constexpr int WholePercent = 100;
+  if (!Settings.ReportsProgress)
+    return WholePercent / 2;
+  const step_spec &Step =
+      Jobs[Run.Name.Task.Job].Spec.Steps[Run.Name.Task.Step];
+  if (Step.IsGang && Run.EndsAt == time_point::max())
+    return 0;
+  const time_point EndsAt =
+      Step.IsGang ? Run.EndsAt : Run.Begun + Step.Estimate;
+  const auto Left = static_cast<int>((EndsAt - Now) * WholePercent /
+                                     std::max(Step.Estimate, milliseconds(1)));
+  return std::clamp(WholePercent - Left, 1, WholePercent - 1);
+}
+
 bool world::failsAll(const fake_executor &Executor) const {
   return Executor.IsFaulty && Now >= Settings.Faults.FailingFrom &&
          Now < Settings.Faults.FailingUntil;
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -456,7 +456,7 @@
     Answer.ClockMs = Now.count();
     Answer.Sent = Sent;
     for (const auto &[Name, Run] : Executor.Runs)
-      Answer.Active.push_back({Name, "", 50});
+      Answer.Active.push_back({Name, "", percentOf(Run)});
     for (const fake_end &End : Executor.Ends)
       Answer.Ended.push_back({End.Number, End.Name, End.End, ""});
     after(Latency, [=, this] { post(Leader, To.Token, Answer); });
@@ -538,6 +538,8 @@
   void beginGang(const run_name &Any, const step_spec &Step);
   void finishLater(const executor_id &Id, std::int64_t ExpectedIncarnation,
                    const run_name &Name, milliseconds Work);
+  /// Reported progress; 0 for members of a gang that hasn't begun.
+  [[nodiscard]] int percentOf(const fake_run &Run);
   [[nodiscard]] bool failsAll(const fake_executor &Executor) const;
   void finish(fake_executor &Executor, const run_name &Name, run_end End);
   void noteWork(const fake_run &Run, run_end End);
