--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -23,8 +23,10 @@
   const job_spec &Job = Stored.Spec;
   if (!Stored.StartedAt) {
     Stored.StartedAt = Now;
-    Report.Times[Job.Queue.Priority].Starts.push_back(
-        Now - Job.Submitted.time_since_epoch());
+    const milliseconds Waited = Now - Job.Submitted.time_since_epoch();
+    Report.Times[Job.Queue.Priority].Starts.push_back(Waited);
+    Report.TimesOf[Job.Organisation][Job.Queue.Priority].Starts.push_back(
+        Waited);
   }
   const step_spec &Step = Job.Steps[Order.Run.Task.Step];
   const bool Crashes = Stored.IsCrashing && Order.Run.Task.Step == 0 &&
@@ -109,6 +111,21 @@
   });
 }
 
+int world::percentOf(const fake_run &Run) {
+  constexpr int WholePercent = 100;
+  if (!Settings.ReportsProgress)
+    return WholePercent / 2;
+  const step_spec &Step =
+      Jobs[Run.Name.Task.Job].Spec.Steps[Run.Name.Task.Step];
+  if (Step.IsGang && Run.EndsAt == time_point::max())
+    return 0;
+  const time_point EndsAt =
+      Step.IsGang ? Run.EndsAt : Run.Begun + Step.Estimate;
+  const auto Left = static_cast<int>((EndsAt - Now) * WholePercent /
+                                     std::max(Step.Estimate, milliseconds(1)));
+  return std::clamp(WholePercent - Left, 1, WholePercent - 1);
+}
+
 bool world::failsAll(const fake_executor &Executor) const {
   return Executor.IsFaulty && Now >= Settings.Faults.FailingFrom &&
          Now < Settings.Faults.FailingUntil;
@@ -153,6 +170,12 @@
   const double Work = weightedCores(Run.Needs) *
                       std::chrono::duration<double>(Now - Run.Begun).count();
   (End == run_end::Done ? Report.CompletedWork : Report.LostWork) += Work;
+  const milliseconds Counted = std::min(Now, Settings.CountedUntil) -
+                               std::max(Run.Begun, Settings.CountedFrom);
+  if (Counted.count() > 0)
+    Report.RoomOf[Jobs[Run.Name.Task.Job].Spec.Organisation] +=
+        weightedCores(Run.Needs) *
+        std::chrono::duration<double>(Counted).count();
 }
 
 void world::restartExecutor(fake_executor &Executor) {
