Learn the speeds of executors and place tight work on faster ones

Urgent gangs were late on executors of uneven speed although nothing waited: a gang runs at the pace of its slowest member, and placement didn't know speeds.

Runs and gangs are measured between two reports, relative to the estimate of their step. The estimates of the step and of the executors are updated by their uncertainty; a gang's pace is taken as that of its slowest member, with the probability that each member is it. Executors get classes with hysteresis. Steps that would miss their objective on slow executors try fast ones first; steps with slack try slow ones first.

The simulated world has executors of several speeds, uneven tasks, wrong estimates and reports that follow the progress (it reported 50% before, which made busy executors look stalled). That showed three faults, mended here: - A rack in which a unit didn't fit was examined again at each pass.

--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -93,7 +93,10 @@
       Executor.IsReplaced = false; // it has come back elsewhere
     const bool IsChanged =
         IsNew || !Executor.IsListed || Executor.Report != Report;
+    const bool IsOther =
+        IsNew || Executor.Report.Incarnation != Report.Incarnation;
     Executor.Report = Report;
+    recallSpeed(Executor, IsOther);
     Executor.IsListed = true;
     if (IsChanged)
       touch(Executor);
@@ -109,6 +112,7 @@
   std::erase_if(State.Executors, [](const auto &Item) {
     return !Item.second.IsListed && Item.second.Runs.empty();
   });
+  forgetOldSpeeds();
   State.NeedsPlacement = true;
   holdAll();
 }
@@ -215,7 +219,8 @@
   State.SavesFinished = 0;
   State.PublishedLengths.clear();
   State.GuaranteedUse.clear();
-  State.Touched.clear();
+  State.Speeds.clear();
+  State.SpeedSums.clear();
   for (auto &[Id, Executor] : State.Executors) {
     executor_state Fresh;
     Fresh.Report = Executor.Report;
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -302,7 +302,9 @@
   bool IsTouched = false; // in Touched, the index may be out of date
   std::map<run_name, run_state> Runs;
   worker_health Health;
-  instant ProvenAt{}; // when a task last succeeded there
+  instant ProvenAt{};      // when a task last succeeded there
+  milliseconds HoldGap{0}; // without a hold in flight, before the last report
+  speed_class Speed = speed_class::Unknown; // as in scheduler_state::Speeds
 };
 
 /// Identifies a unit of a job.
@@ -335,6 +337,7 @@
   instant ReclaimAfter{};        // earliest next reclaim after a vain one
   int Moves = 0;                 // to another executor after a stall
   gang_break Break;
+  speed_probe Probe;
 };
 
 /// The units of one step that could start now, with their sort keys.
@@ -358,6 +361,7 @@
                                                              // step and unit
   milliseconds CriticalPath{0};         // estimated critical path of its steps
   double Work = 0;                      // estimated, in weighted core-seconds
+  std::map<int, log_estimate> Paces;    // by step, relative to its estimate
   std::map<run_name, executor_id> Runs; // not removed yet
   // What could start, as of the last change of the job.
   std::vector<waiting_step> Waiting;
@@ -379,6 +383,13 @@
   instant CreatedAt{};
 };
 
+/// Tasks that don't fit into a rack together, nor do more or larger ones.
+struct vain_fit {
+  resources Needs; // of each task
+  int Count = 0;
+  executor_filter Allowed = executor_filter::all();
+};
+
 struct scheduler_state {
   explicit scheduler_state(scheduler_settings Settings = {})
       : Settings(Settings) {}
@@ -389,7 +400,9 @@
   std::map<executor_id, executor_state> Executors;
   capacity_index Capacity;          // of the listed executors
   std::vector<executor_id> Touched; // not up to date in Capacity
-  std::uint64_t Examined = 0;       // executors that placements looked at
+  // What didn't fit into a rack since it last changed.
+  std::map<std::pair<service_id, rack_id>, std::vector<vain_fit>> VainFits;
+  std::uint64_t Examined = 0; // executors that placements looked at
 
   // State of one leadership; empty while another instance leads.
   std::uint64_t Token = 0;  // 0: not leading
@@ -402,6 +415,10 @@
   std::deque<executor_silence> Silences; // recent ones, oldest first
   // Accelerators of runs and plans of priority 0, by organisation.
   std::map<organisation_id, int> GuaranteedUse;
+  std::map<executor_id, executor_speed> Speeds; // of observed executors
+  std::map<service_id, speed_sums> SpeedSums;   // of these
+  // Open executors of unknown speed without runs, as in Capacity.
+  std::map<service_id, std::set<executor_id>> Unprobed;
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
   std::vector<job_id> Saving;      // in the save in flight
   std::uint64_t SavesQueued = 0;   // entries ever added to SaveQueue
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -117,8 +117,10 @@
               run_phase Phase);
   void dropRun(executor_state &Executor, const run_name &Run);
   void startRecorded(job_state &Job);
+  /// Sent: when the hold was sent that reported the end; nullopt: none did.
   void applyEnd(executor_state &Executor, const run_name &Run, run_end End,
-                const std::string &Checkpoint);
+                const std::string &Checkpoint,
+                std::optional<instant> Sent = std::nullopt);
   void logEnd(const executor_state &Executor, const run_name &Run,
               std::vector<log_field> Outcome);
   void noteGangEnd(job_state &Job, const run_name &Run, run_end End);
@@ -216,6 +218,12 @@
                  bool IsEmpty = false);
   [[nodiscard]] bool isVain(search Kind, const placement_query &Query,
                             const placement_request &Request) const;
+  /// The same for one rack that hasn't changed since.
+  [[nodiscard]] bool isVainIn(const indexed_rack &Rack,
+                              const placement_query &Query,
+                              const placement_request &Request) const;
+  void noteVainIn(const indexed_rack &Rack, const placement_query &Query,
+                  const placement_request &Request);
   void noteVain(search Kind, const placement_query &Query,
                 const placement_request &Request);
   [[nodiscard]] std::optional<placement_choice>
@@ -273,6 +281,37 @@
   /// Sets of speeds that may run the step, the best first.
   [[nodiscard]] std::vector<executor_filter>
   preferredSpeeds(const placement_query &Query) const;
+  /// Whether the unit would miss its objective on slow executors.
+  /// Places a single task with slack alone on an executor of unknown speed, so
+  /// that it is observed.
+  [[nodiscard]] std::optional<placement_choice>
+  placeProbing(const placement_query &Query,
+               const placement_request &Request) const;
+  /// Whether runs on the executor may tell its speed.
+  [[nodiscard]] bool isProbed(const executor_state &Executor) const;
+  [[nodiscard]] bool isTight(const placement_query &Query) const;
+  /// Measures the run, or its gang, by a report of the executor.
+  void measureProgress(const executor_state &Executor, job_state &Job,
+                       const run_name &Name, const run_state &Run);
+  /// Measures a run that has ended as done, as reported by a hold that was sent
+  /// at Sent.
+  void measureDone(const executor_state &Executor, job_state &Job,
+                   const run_name &Name, instant Sent);
+  /// Learns from one observation: the share of the work done each second.
+  void learnFrom(job_state &Job, const unit_name &Unit, int Attempt,
+                 double SharePerSecond);
+  /// The executors of the attempt, each once; empty if they are unknown or the
+  /// attempt is slower because of the racks it runs in.
+  [[nodiscard]] std::vector<executor_id>
+  listMeasured(const job_state &Job, const unit_name &Unit, int Attempt);
+  void setSpeed(executor_state &Executor, const log_estimate &Estimate);
+  /// Takes over what is known about the executor's id.
+  void recallSpeed(executor_state &Executor, bool IsRestarted);
+  void forgetSpeed(executor_state &Executor);
+  /// Removes the speeds of executors that are gone if there are many.
+  void forgetOldSpeeds();
+  /// A difference between the speeds and their sums; empty: none.
+  [[nodiscard]] std::string explainStaleSpeeds() const;
   /// Expected time until the run is done, by its progress so far.
   [[nodiscard]] milliseconds remainingTime(const job_state &Job,
                                            const run_name &Name,
@@ -300,6 +339,9 @@
 /// What the index should know about the executor.
 indexed_executor describe(const executor_state &Executor, bool IsOpen);
 
+/// Whether a task may start there to observe the executor's speed.
+bool isUnprobed(const indexed_executor &Executor);
+
 /// Whether a reclaim may stop the run.
 bool isPreemptible(const run_state &Run);
 
@@ -307,6 +349,9 @@
 milliseconds remainingCriticalPath(const job_spec &Job,
                                    const occurrence_progress *Progress);
 
+/// When an occurrence of the job should have ended.
+wall_instant objectiveOf(const job_state &Job, int Occurrence);
+
 /// Estimated work of the whole job, in weighted core-seconds.
 double workOf(const job_spec &Job);
 
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -47,6 +47,7 @@
   Known.IsOpen = IsOpen;
   Known.IsSuspect = !Executor.Health.FailedJobs.empty();
   Known.ProvenAt = Executor.ProvenAt;
+  Known.Speed = Executor.Speed;
   return Known;
 }
 
@@ -61,8 +62,17 @@
     const auto Found = State.Executors.find(Id);
     if (Found == State.Executors.end() || !Found->second.IsListed) {
       State.Capacity.remove(Id);
+      for (auto &[Service, Executors] : State.Unprobed)
+        Executors.erase(Id);
     } else {
-      State.Capacity.update(Id, describe(Found->second, isOpen(Found->second)));
+      const indexed_executor Known =
+          describe(Found->second, isOpen(Found->second));
+      State.Capacity.update(Id, Known);
+      State.VainFits.erase({Known.Service, Known.Rack});
+      if (isUnprobed(Known))
+        State.Unprobed[Known.Service].insert(Id);
+      else
+        State.Unprobed[Known.Service].erase(Id);
     }
     if (Found != State.Executors.end())
       Found->second.IsTouched = false;
@@ -72,18 +82,28 @@
 
 std::string event_handler::explainStaleIndex() {
   capacity_index Recount;
+  std::map<service_id, std::set<executor_id>> Unprobed;
   for (auto &[Id, Executor] : State.Executors) {
     if (Executor.Health.IsQuarantined)
       touch(Executor); // time alone may open it to a probe
-    if (Executor.IsListed)
-      Recount.update(Id, describe(Executor, isOpen(Executor)));
+    if (!Executor.IsListed)
+      continue;
+    const indexed_executor Known = describe(Executor, isOpen(Executor));
+    Recount.update(Id, Known);
+    if (isUnprobed(Known))
+      Unprobed[Known.Service].insert(Id);
   }
   refreshIndex();
   if (!(State.Capacity == Recount))
     return "the capacity index differs from a recount";
+  for (const auto &[Service, Executors] : State.Unprobed)
+    if (Executors != Unprobed[Service])
+      return "the unprobed executors of " + Service.Value + " are stale";
   for (const auto &[Organisation, Use] : State.GuaranteedUse)
     if (Use != countGuaranteedUse(State, Organisation))
       return "the guaranteed use of " + Organisation.Value + " is stale";
+  if (std::string Stale = explainStaleSpeeds(); !Stale.empty())
+    return Stale;
   for (auto &[Id, Job] : State.Jobs) {
     const bool IsCurrent = Job.IsWaitingKnown && Now < Job.WaitingUntil &&
                            !isFinal(Job.Progress.Phase);
@@ -201,23 +221,28 @@
   return Query;
 }
 
-/// Avoided executors are better than none.
+/// Avoided executors are better than a unit that never fits: one that the
+/// others couldn't hold if nothing else ran.
 bool event_handler::mustUseAvoided(const placement_query &Query) const {
   const bool HasToAvoid =
       !Query.Avoided.empty() || Query.Caution != caution::None;
   if (!HasToAvoid || !Query.Service)
     return false;
-  bool IsNoneLeft = true;
+  const step_spec &Step = Query.Step;
+  const int Tasks = countTasks(Step);
+  const int MostOnOne = Step.MaxPerExecutor > 0 ? Step.MaxPerExecutor : Tasks;
+  int Fits = 0;
   Query.Service->fromLargest([&](const indexed_rack &Rack) {
     for (const auto &[Id, Executor] : Rack.Open) {
       const bool IsEligible = Query.Step.Requirement.empty() ||
                               Executor.hasLabel(Query.Step.Requirement);
       if (IsEligible && !isAvoided(Query, Id, Executor))
-        IsNoneLeft = false;
+        Fits += countFits(Executor.Capacity, reservedResources(Step),
+                          std::min(MostOnOne, Tasks));
     }
-    return IsNoneLeft;
+    return Fits < Tasks;
   });
-  return IsNoneLeft;
+  return Fits < Tasks;
 }
 
 std::vector<candidate>
@@ -286,6 +311,26 @@
                     Query.Allowed});
 }
 
+bool event_handler::isVainIn(const indexed_rack &Rack,
+                             const placement_query &Query,
+                             const placement_request &Request) const {
+  const auto Known = State.VainFits.find({Query.Job.Queue.Service, Rack.Id});
+  return Known != State.VainFits.end() &&
+         std::ranges::any_of(Known->second, [&](const vain_fit &Fit) {
+           return Fit.Count <= Request.Count &&
+                  Fit.Allowed.covers(Query.Allowed) &&
+                  Request.Needs.covers(Fit.Needs);
+         });
+}
+
+void event_handler::noteVainIn(const indexed_rack &Rack,
+                               const placement_query &Query,
+                               const placement_request &Request) {
+  if (Query.isUnrestricted())
+    State.VainFits[{Query.Job.Queue.Service, Rack.Id}].push_back(
+        {Request.Needs, Request.Count, Query.Allowed});
+}
+
 /// The rack with the least free capacity that suffices.
 std::optional<placement_choice>
 event_handler::placeInOneRack(const placement_query &Query,
@@ -295,8 +340,10 @@
     return Choice;
   Query.Service->fromWeight(
       totalWeight(Request), [&](const indexed_rack &Rack) {
-        const bool IsPossible = Rack.boundFits(Request.Needs, Request.Count,
-                                               Query.Allowed) == Request.Count;
+        const bool IsPossible =
+            Rack.boundFits(Request.Needs, Request.Count, Query.Allowed) ==
+                Request.Count &&
+            !isVainIn(Rack, Query, Request);
         if (IsPossible && Request.Count == 1) {
           const std::vector<candidate> Candidates = listCandidates(Query, Rack);
           if (const candidate *Best = findBestFit(Request, Candidates))
@@ -306,6 +353,8 @@
           InRack.NeedsOneRack = true;
           Choice = placeInFreeCapacity(InRack, listCandidates(Query, Rack));
         }
+        if (IsPossible && !Choice)
+          noteVainIn(Rack, Query, Request);
         return !Choice;
       });
   if (!Choice)
@@ -416,13 +465,20 @@
 
 std::optional<placement_choice>
 event_handler::placeAnywhere(placement_query Query, placement_request Request) {
-  for (const executor_filter Allowed : preferredExecutors(Query)) {
+  // A unit that gains from one rack prefers it to better executors of several.
+  const bool PrefersOneRack = std::exchange(Request.NeedsOneRack, false);
+  const std::vector<executor_filter> Sets = preferredExecutors(Query);
+  for (const executor_filter Allowed : Sets) {
     Query.Allowed = Allowed;
-    if (auto Choice = placeInOneRack(Query, Request))
+    auto Choice = placeInOneRack(Query, Request);
+    if (!Choice && !PrefersOneRack)
+      Choice = placeAcrossRacks(Query, Request);
+    if (Choice)
       return Choice;
   }
-  Request.NeedsOneRack = false;
-  for (const executor_filter Allowed : preferredExecutors(Query)) {
+  if (!PrefersOneRack)
+    return std::nullopt;
+  for (const executor_filter Allowed : Sets) {
     Query.Allowed = Allowed;
     if (auto Choice = placeAcrossRacks(Query, Request))
       return Choice;
@@ -468,6 +524,8 @@
     Choice = HasRackPreference ? placeWherePreferred(Cautious, Request)
                                : placeAnywhere(Cautious, Request);
   }
+  if (!Choice)
+    Choice = placeProbing(Query, Request);
   if (!Choice)
     Choice = placeWherePreferred(Query, Request);
   if (HasRackPreference && !Choice && !MayRelax)
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -88,6 +88,8 @@
   if (HasRuns && Executor.HasAnsweredHold && !IsUnsaved && !HasUnconfirmed)
     Hold.Wait =
         HasUrgent ? State.Settings.UrgentHoldWait : State.Settings.HoldWait;
+  if (isProbed(Executor))
+    Hold.Wait = std::min(Hold.Wait, State.Settings.Speeds.ProbeWait);
   // An unresponsive executor may receive the hold and extend its leases all the
   // same. Without a new lease its runs expire sooner.
   if (Executor.HasAnsweredHold && !Executor.IsUnresponsive)
@@ -111,6 +113,8 @@
       Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation;
   if (IsRestarted)
     dropAllRuns(Executor, run_loss::Restarted, true);
+  Executor.HoldGap = std::chrono::duration_cast<milliseconds>(
+      Event.Sent - Executor.ClockReadAt);
   Executor.Incarnation = Event.Incarnation;
   Executor.ClockMs = Event.ClockMs;
   Executor.ClockReadAt = Now;
@@ -124,7 +128,7 @@
   for (const ended_run &Ended : Event.Ended) {
     if (Ended.Number <= Executor.LastSeenProcessed)
       continue;
-    applyEnd(Executor, Ended.Run, Ended.End, Ended.Checkpoint);
+    applyEnd(Executor, Ended.Run, Ended.End, Ended.Checkpoint, Event.Sent);
     Executor.LastSeenProcessed = Ended.Number;
     Executor.SaveNeeded = State.SavesQueued;
   }
@@ -232,7 +236,8 @@
 }
 
 void event_handler::applyEnd(executor_state &Executor, const run_name &Run,
-                             run_end End, const std::string &Checkpoint) {
+                             run_end End, const std::string &Checkpoint,
+                             std::optional<instant> Sent) {
   const auto Found = State.Jobs.find(Run.Task.Job);
   if (Found != State.Jobs.end())
     noteGangEnd(Found->second, Run, End);
@@ -263,6 +268,8 @@
     touch(Executor);
     noteSuccess(Executor.Health);
     Executor.ProvenAt = Now;
+    if (Sent)
+      measureDone(Executor, Job, Run, *Sent);
     Progress->IsDone = true;
     stopOtherAttempts(Job, Unit, Run.Attempt);
     queueSave(Job);
@@ -405,6 +412,8 @@
                : nullptr;
   const bool IsNeeded = Progress && Active.Run.Attempt >= Progress->Attempts;
   const bool IsUnitDone = IsWanted && Progress && Progress->IsDone;
+  if (IsNeeded && !IsUnitDone)
+    measureProgress(Executor, Job->second, Active.Run, Run);
   if (!IsNeeded && !IsUnitDone && Run.Phase != run_phase::Stopping)
     orderStop(Executor, Active.Run);
 }
--- a/core/job/batch/scheduler_speed.cpp
+++ b/core/job/batch/scheduler_speed.cpp
@@ -2,13 +2,298 @@
 
 #include "core/job/batch/scheduler_internal.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace galenastage::batch::detail {
+namespace {
+
+/// Speed and deviation with two decimals, for log lines.
+std::string printHundredths(double Value) {
+  const long Hundredths = std::lround(Value * 100);
+  const std::string Digits = std::to_string(Hundredths % 100);
+  return std::to_string(Hundredths / 100) + (Digits.size() < 2 ? ".0" : ".") +
+         Digits;
+}
+
+bool isOtherMachine(const executor_speed &Known,
+                    const executor_report &Report) {
+  return Known.Service != Report.Service || Known.Kind != Report.Kind ||
+         Known.Capacity != Report.Capacity;
+}
+
+} // namespace
+
+bool isUnprobed(const indexed_executor &Executor) {
+  return Executor.IsOpen && Executor.Speed == speed_class::Unknown &&
+         !Executor.IsKept && Executor.Free == Executor.Capacity;
+}
+
+// Placement
+
+bool event_handler::isTight(const placement_query &Query) const {
+  const job_state &Job = Query.Job;
+  const int Occurrence = Query.Unit.Occurrence;
+  const milliseconds Path =
+      remainingCriticalPath(Job.Spec, &Job.Progress.Occurrences.at(Occurrence));
+  const speed_settings &Settings = State.Settings.Speeds;
+  const double OnSlow = static_cast<double>(Path.count()) *
+                        Settings.TightMargin / Settings.SlowSpeed;
+  return WallNow + milliseconds(static_cast<std::int64_t>(OnSlow)) >
+         objectiveOf(Job, Occurrence);
+}
 
 std::vector<executor_filter>
-event_handler::preferredSpeeds(const placement_query & /*Query*/) const {
-  return {executor_filter::all()};
+event_handler::preferredSpeeds(const placement_query &Query) const {
+  using enum speed_class;
+  const speed_settings &Settings = State.Settings.Speeds;
+  const auto Sums = State.SpeedSums.find(Query.Job.Queue.Service);
+  const bool IsAny = !Settings.IsEnabled || Sums == State.SpeedSums.end();
+  if (IsAny)
+    return {executor_filter::all()};
+  const bool IsUneven = Sums->second.isUneven(Settings);
+  const bool HasSlow = Sums->second.of(Slow) > 0;
+  if (!IsUneven && !HasSlow)
+    return {executor_filter::all()};
+  const bool IsShort = isTight(Query);
+  if (IsShort && !IsUneven)
+    return {executor_filter::ofSpeeds({Unknown, Normal, Fast}),
+            executor_filter::all()};
+  if (IsShort)
+    return {executor_filter::ofSpeeds({Fast}),
+            executor_filter::ofSpeeds({Fast, Normal}),
+            executor_filter::ofSpeeds({Fast, Normal, Unknown}),
+            executor_filter::all()};
+  if (!IsUneven)
+    return {executor_filter::all()};
+  const executor_filter AllButFast =
+      executor_filter::ofSpeeds({Unknown, Slow, Normal});
+  const bool IsFull =
+      Query.Service->percentInUse() >= Settings.SpreadBelowPercent;
+  if (IsFull)
+    return {AllButFast, executor_filter::all()};
+  return {executor_filter::ofSpeeds({Slow}),
+          executor_filter::ofSpeeds({Slow, Unknown}), AllButFast,
+          executor_filter::all()};
 }
 
+std::optional<placement_choice>
+event_handler::placeProbing(const placement_query &Query,
+                            const placement_request &Request) const {
+  const speed_settings &Settings = State.Settings.Speeds;
+  const auto Unprobed = State.Unprobed.find(Query.Job.Queue.Service);
+  const bool MayProbe =
+      Settings.IsEnabled && Unprobed != State.Unprobed.end() &&
+      !Query.Step.IsGang && !Query.Step.IsLongRunning &&
+      Query.Step.Affinity.isEmpty() && Query.isUnrestricted() &&
+      Query.Service->percentInUse() < Settings.ProbeBelowPercent &&
+      !isTight(Query);
+  if (!MayProbe)
+    return std::nullopt;
+  for (const executor_id &Id : Unprobed->second)
+    if (State.Executors.at(Id).Report.Capacity.covers(Request.Needs))
+      return placement_choice{{Id}, {}};
+  return std::nullopt;
+}
+
+bool event_handler::isProbed(const executor_state &Executor) const {
+  return State.Settings.Speeds.IsEnabled &&
+         Executor.Speed == speed_class::Unknown &&
+         std::ranges::any_of(Executor.Runs, [](const auto &Item) {
+           return !Item.second.IsLongRunning;
+         });
+}
+
+// Observations
+
+void event_handler::measureProgress(const executor_state &Executor,
+                                    job_state &Job, const run_name &Name,
+                                    const run_state &Run) {
+  const speed_settings &Settings = State.Settings.Speeds;
+  const bool IsMeasurable = Settings.IsEnabled &&
+                            Run.Phase == run_phase::Active &&
+                            !Run.IsLongRunning && !Executor.IsStalled;
+  if (!IsMeasurable)
+    return;
+  const unit_name Unit = unitNameOf(Job, Name.Task);
+  speed_probe &Probe = unitState(Job, Unit).Probe;
+  const bool HasStalled = Probe.HasBegun && Probe.Attempt == Name.Attempt &&
+                          isStalled(Run.Pace, State.Settings.Pace);
+  if (HasStalled)
+    Probe.IsOver = true;
+  if (const auto Share = measure(Probe, Settings, Name.Attempt,
+                                 Run.Pace.Percent, Run.IsCheckpointing, Now))
+    learnFrom(Job, Unit, Name.Attempt, *Share);
+}
+
+void event_handler::measureDone(const executor_state &Executor, job_state &Job,
+                                const run_name &Name, instant Sent) {
+  const speed_settings &Settings = State.Settings.Speeds;
+  const unit_name Unit = unitNameOf(Job, Name.Task);
+  speed_probe &Probe = unitState(Job, Unit).Probe;
+  // An end without a hold in flight is known late; a hold that waited for it is
+  // answered when it happens.
+  constexpr milliseconds Waited{200};
+  constexpr int Precision = 10; // of the duration that is measured
+  const bool IsPrompt =
+      Now - Sent >= Waited || Executor.HoldGap <= (Now - Probe.At) / Precision;
+  if (!Settings.IsEnabled || !IsPrompt ||
+      Job.Spec.Steps[Unit.Step].IsLongRunning)
+    return;
+  if (const auto Share = measureEnd(Probe, Settings, Name.Attempt, Now))
+    learnFrom(Job, Unit, Name.Attempt, *Share);
+}
+
+std::vector<executor_id> event_handler::listMeasured(const job_state &Job,
+                                                     const unit_name &Unit,
+                                                     int Attempt) {
+  const unit_progress *Progress = findProgress(Unit);
+  const step_spec &Step = Job.Spec.Steps[Unit.Step];
+  const auto Tasks = static_cast<std::size_t>(countTasks(Step));
+  if (!Progress || Progress->Attempts != Attempt ||
+      Progress->Placed.size() != Tasks)
+    return {};
+  std::vector<executor_id> Executors;
+  std::set<rack_id> Racks;
+  for (const task_placement &Placed : Progress->Placed) {
+    const auto Found = State.Executors.find(Placed.Executor);
+    if (Found == State.Executors.end())
+      return {};
+    const executor_report &Report = Found->second.Report;
+    const bool IsAway =
+        !Step.Affinity.isEmpty() && Report.Rack != Step.Affinity;
+    Racks.insert(Report.Rack);
+    if (IsAway || (Step.IsRackLocal && Racks.size() > 1))
+      return {};
+    if (std::ranges::count(Executors, Placed.Executor) == 0)
+      Executors.push_back(Placed.Executor);
+  }
+  return Executors;
+}
+
+void event_handler::learnFrom(job_state &Job, const unit_name &Unit,
+                              int Attempt, double SharePerSecond) {
+  const speed_settings &Settings = State.Settings.Speeds;
+  const std::vector<executor_id> Ids = listMeasured(Job, Unit, Attempt);
+  const double Estimate =
+      std::chrono::duration<double>(Job.Spec.Steps[Unit.Step].Estimate).count();
+  if (Ids.empty() || Estimate <= 0)
+    return;
+  const double Unobserved = Settings.SpeedDeviation * Settings.SpeedDeviation;
+  std::vector<log_estimate> Members;
+  for (const executor_id &Id : Ids) {
+    const auto Known = State.Speeds.find(Id);
+    if (Known == State.Speeds.end())
+      Members.push_back({0, Unobserved});
+    else
+      Members.push_back(age(Settings, Known->second.Estimate,
+                            std::chrono::duration_cast<milliseconds>(
+                                Now - Known->second.LearnedAt)));
+  }
+  const log_estimate Unknown{0,
+                             Settings.StepDeviation * Settings.StepDeviation};
+  log_estimate &Pace = Job.Paces.try_emplace(Unit.Step, Unknown).first->second;
+  learnPace(Settings, Pace, Members, std::log(SharePerSecond * Estimate));
+  for (std::size_t I = 0; I < Ids.size(); ++I)
+    setSpeed(State.Executors.at(Ids[I]), Members[I]);
+}
+
+void event_handler::setSpeed(executor_state &Executor,
+                             const log_estimate &Estimate) {
+  const executor_report &Report = Executor.Report;
+  executor_speed &Known = State.Speeds[Report.Id];
+  speed_sums &Sums = State.SpeedSums[Report.Service];
+  if (Known.Observations > 0)
+    Sums.remove(Known);
+  Known.Service = Report.Service;
+  Known.Kind = Report.Kind;
+  Known.Capacity = Report.Capacity;
+  Known.Estimate = Estimate;
+  Known.LearnedAt = Now;
+  ++Known.Observations;
+  const speed_class Class =
+      classify(State.Settings.Speeds, Estimate, Sums.mean(), Known.Class);
+  const speed_class Before = std::exchange(Known.Class, Class);
+  Sums.add(Known);
+  if (Class == Before)
+    return;
+  Executor.Speed = Class;
+  touch(Executor);
+  log(events::SpeedClassChanged,
+      {{"executor", Report.Id.Value},
+       {"class", std::string(name(Class))},
+       {"before", std::string(name(Before))},
+       {"speed", printHundredths(std::exp(Estimate.Mean - Sums.mean()))},
+       {"deviation", printHundredths(std::sqrt(Estimate.Variance))},
+       {"observations", std::to_string(Known.Observations)}});
+}
+
+// Restarts
+
+void event_handler::recallSpeed(executor_state &Executor, bool IsRestarted) {
+  const auto Found = State.Speeds.find(Executor.Report.Id);
+  if (Found == State.Speeds.end())
+    return;
+  executor_speed &Known = Found->second;
+  const bool IsSame = !isOtherMachine(Known, Executor.Report);
+  const bool IsResized = !IsRestarted &&
+                         Known.Service == Executor.Report.Service &&
+                         Known.Kind == Executor.Report.Kind;
+  if (!IsSame && !IsResized) {
+    forgetSpeed(Executor);
+    return;
+  }
+  Known.Capacity = Executor.Report.Capacity;
+  if (std::exchange(Executor.Speed, Known.Class) != Known.Class)
+    touch(Executor);
+}
+
+void event_handler::forgetSpeed(executor_state &Executor) {
+  const auto Found = State.Speeds.find(Executor.Report.Id);
+  if (Found == State.Speeds.end())
+    return;
+  State.SpeedSums[Found->second.Service].remove(Found->second);
+  State.Speeds.erase(Found);
+  if (std::exchange(Executor.Speed, speed_class::Unknown) !=
+      speed_class::Unknown)
+    touch(Executor);
+}
+
+void event_handler::forgetOldSpeeds() {
+  constexpr std::size_t MostGone = 1'000; // executors
+  if (State.Speeds.size() <= State.Executors.size() + MostGone)
+    return;
+  std::erase_if(State.Speeds, [&](const auto &Item) {
+    const bool IsGone = !State.Executors.contains(Item.first);
+    if (IsGone)
+      State.SpeedSums[Item.second.Service].remove(Item.second);
+    return IsGone;
+  });
+}
+
+std::string event_handler::explainStaleSpeeds() const {
+  std::map<service_id, speed_sums> Recount;
+  for (const auto &[Id, Known] : State.Speeds)
+    Recount[Known.Service].add(Known);
+  constexpr double Rounding = 1e-6; // of sums that change often
+  for (const auto &[Service, Sums] : State.SpeedSums) {
+    const speed_sums &Fresh = Recount[Service];
+    if (Fresh.Observed != Sums.Observed || Fresh.Classes != Sums.Classes ||
+        std::abs(Fresh.Logs - Sums.Logs) > Rounding)
+      return "the speeds of " + Service.Value + " differ from a recount";
+  }
+  for (const auto &[Id, Executor] : State.Executors) {
+    const auto Known = State.Speeds.find(Id);
+    const speed_class Class = Known == State.Speeds.end() ? speed_class::Unknown
+                                                          : Known->second.Class;
+    if (Executor.Speed != Class)
+      return "the speed of " + Id.Value + " is stale";
+  }
+  return {};
+}
+
+// Durations
+
 milliseconds event_handler::remainingTime(const job_state &Job,
                                           const run_name &Name,
                                           const run_state &Run) const {
--- a/core/job/batch/scheduler_waiting.cpp
+++ b/core/job/batch/scheduler_waiting.cpp
@@ -30,9 +30,7 @@
   return Work;
 }
 
-namespace {
-
-wall_instant objective(const job_state &Job, int Occurrence) {
+wall_instant objectiveOf(const job_state &Job, int Occurrence) {
   const double Stretched =
       static_cast<double>(Job.CriticalPath.count()) * Job.Queue.StretchFactor;
   return dueTime(Job.Spec, Occurrence) +
@@ -40,6 +38,8 @@
          Job.Queue.TargetDuration;
 }
 
+namespace {
+
 /// Orders by priority, then steps that can still meet their objective by latest
 /// start, then late steps by the work of their job, smallest first.
 bool ranksBefore(const waiting_step *Left, const waiting_step *Right) {
@@ -106,7 +106,7 @@
     if (Ready.empty())
       continue;
     const wall_instant LatestStart =
-        objective(Job, Number) - remainingCriticalPath(Job.Spec, &Occurrence);
+        objectiveOf(Job, Number) - remainingCriticalPath(Job.Spec, &Occurrence);
     const unit_name First{Job.Spec.Id, Number, Step, Ready.front()};
     Job.Waiting.push_back({First, std::move(Ready), Job.Queue.Priority, false,
                            LatestStart, Job.Work});
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -241,6 +241,11 @@
     "A task, or a gang, made no progress on an executor and is restarted "
     "elsewhere.",
     "If one job moves repeatedly, its own tasks are stalling."};
+const log_event SpeedClassChanged{
+    3320, Info, "speed-class-changed",
+    "An executor is now known as slow, normal or fast compared with the others "
+    "of its service; work that is short of time prefers faster ones.",
+    "If an executor that should be fast is slow, check it."};
 
 const log_event RequestAnswered{
     4001, Info, "request-answered",
@@ -350,6 +355,7 @@
     &events::ExecutorStalled,
     &events::ExecutorAdvances,
     &events::UnitMoved,
+    &events::SpeedClassChanged,
     &events::SubmissionRefused,
     &events::SubmissionUnsettled,
     &events::RequestForwarded,
--- a/tests/property/batch_load_test.cpp
+++ b/tests/property/batch_load_test.cpp
@@ -118,3 +118,75 @@
   CAPTURE(Failed, Jobs);
   CHECK(Failed < Jobs * FaultyShare / 2);
 }
+
+namespace {
+
+/// A calm day of a deployment with executors of three kinds.
+world_settings makeUnevenDay(bool HasSpeeds) {
+  world_settings Settings;
+  Settings.Executors = 350;
+  Settings.PerRack = 12;
+  Settings.Capacity = {32'000, 65'536, 8};
+  Settings.Speeds = {0.6, 1, 1.6};
+  Settings.TaskDeviation = 0.2;
+  Settings.Arrivals = milliseconds(23'000);
+  Settings.Length = milliseconds(100'000);
+  Settings.Scheduler.Speeds.IsEnabled = HasSpeeds;
+  constexpr double WrongEstimates = 0.5;
+  job_load Urgent;
+  Urgent.PerSecond = 3.5;
+  Urgent.MeanWidth = 5;
+  Urgent.MilliCpu = 3'700;
+  Urgent.MemoryMb = 7'000;
+  Urgent.Accelerators = {1, 2, 4, 8};
+  Urgent.Work = milliseconds(2'100);
+  Urgent.IsGang = true;
+  Urgent.RackLocal = 0.8;
+  Urgent.StretchFactor = 1.5;
+  Urgent.TargetDuration = milliseconds(300);
+  Urgent.EstimateError = WrongEstimates;
+  job_load Ordinary = Urgent;
+  Ordinary.Priority = 1;
+  Ordinary.PerSecond = 0.65;
+  Ordinary.MeanWidth = 13;
+  Ordinary.MilliCpu = 13'000;
+  Ordinary.Work = milliseconds(9'400);
+  Ordinary.Checkpointing = 0.45;
+  Ordinary.StretchFactor = 3;
+  Ordinary.TargetDuration = milliseconds(1'000);
+  job_load Patient = Ordinary;
+  Patient.Priority = 2;
+  Patient.PerSecond = 0.8;
+  Patient.MeanWidth = 39;
+  Patient.MilliCpu = 2'800;
+  Patient.Accelerators = {1};
+  Patient.Work = milliseconds(6'500);
+  Patient.IsGang = false;
+  Patient.RackLocal = 0;
+  Patient.TargetDuration = milliseconds(3'000);
+  Settings.Loads = {Urgent, Ordinary, Patient};
+  Settings.Organisations = 10;
+  Settings.Guaranteed = 170;
+  return Settings;
+}
+
+} // namespace
+
+TEST_CASE("load: urgent gangs on executors of uneven speed end within their "
+          "objective") {
+  const world_report Report = runWorld(makeUnevenDay(true), Seed);
+  for (const std::string &Violation : Report.Violations)
+    CHECK(Violation == "");
+  const world_report Without = runWorld(makeUnevenDay(false), Seed);
+  const job_times &Urgent = Report.Times.at(0);
+  const int InTimeWithout = Without.Times.at(0).InTime;
+  CAPTURE(Urgent.InTime, Urgent.Ends.size(), InTimeWithout,
+          Report.Times.at(1).InTime, Without.Times.at(1).InTime,
+          Report.Times.at(2).InTime, Without.Times.at(2).InTime);
+  constexpr int Wanted = 60; // of each
+  constexpr int Of = 69;     // urgent jobs
+  CHECK(Urgent.InTime * Of >= Wanted * static_cast<int>(Urgent.Ends.size()));
+  CHECK(Urgent.InTime > InTimeWithout);
+  CHECK(Report.Times.at(1).InTime >= Without.Times.at(1).InTime);
+  CHECK(Report.Times.at(2).InTime >= Without.Times.at(2).InTime);
+}
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -50,12 +50,16 @@
   double StretchFactor = 3;
   milliseconds TargetDuration{0};
   int MaxAttempts = 3;
+  double EstimateError = 0; // largest deviation of the estimates, a fraction
 };
 
 struct world_settings {
   int Executors = 8;
   int PerRack = 4;
   resources Capacity{32'000, 64'000, 8};
+  std::vector<double> Speeds; // each executor has one of them; empty: 1
+  double TaskDeviation = 0;   // of the logarithm of a task's work
+  scheduler_settings Scheduler;
   int Jobs = 20;                 // of mixed kinds, when there are no Loads
   std::vector<job_load> Loads;   // streams of jobs
   int Organisations = 1;         // that share the jobs evenly
@@ -70,6 +74,7 @@
 struct job_times {
   std::vector<milliseconds> Starts; // from submission to the first start
   std::vector<milliseconds> Ends;   // from submission to the last end
+  int InTime = 0; // ended within their objective, by their actual work
 };
 
 /// Violations that were found, and the final counts.
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -2,6 +2,8 @@
 
 #include "tests/support/batch_world_internal.hpp"
 
+#include <cmath>
+
 namespace galenastage::batch::test::detail {
 
 std::string world::begin(fake_executor &Executor, const start_run &Order) {
@@ -38,13 +40,15 @@
         crashExecutor(Executors[Id]);
     });
   }
-  fake_run Run{Order.Run, Step.Needs, Now, time_point::max(), false};
+  fake_run Run{Order.Run,         Step.Needs,        Now,
+               time_point::max(), time_point::max(), false};
   Executor.Runs[Order.Run] = Run;
   checkCapacity(Executor);
   const std::int64_t ExpectedIncarnation = Executor.Report.Incarnation;
   const executor_id Id = Executor.Report.Id;
   if (!Step.IsGang) {
-    finishLater(Id, ExpectedIncarnation, Order.Run, Step.Estimate);
+    finishLater(Id, ExpectedIncarnation, Order.Run,
+                durationOn(Id, Order.Run, Step));
     return "";
   }
   after(GangTimeout, [this, Id, ExpectedIncarnation, Name = Order.Run] {
@@ -71,9 +75,15 @@
   const bool FailsSoon = std::ranges::any_of(Members, [&](const auto &Item) {
     return failsAll(Executors[Item.first]);
   });
-  const milliseconds Work = FailsSoon ? FailureDelay : Step.Estimate;
+  milliseconds Work{0}; // of the slowest member
   for (const auto &[Id, Name] : Members)
+    Work = std::max(Work, durationOn(Id, Name, Step));
+  if (FailsSoon)
+    Work = FailureDelay;
+  for (const auto &[Id, Name] : Members) {
     Executors[Id].Runs[Name].EndsAt = Now + Work;
+    Executors[Id].Runs[Name].Works = Now;
+  }
   const bool Fails = chance(Settings.Faults.FailingRuns);
   after(Work, [this, Members, Fails] {
     bool IsWhole = true;
@@ -94,11 +104,31 @@
   });
 }
 
+milliseconds world::durationOn(const executor_id &Id, const run_name &Run,
+                               const step_spec &Step) {
+  double Work = static_cast<double>(Step.Estimate.count()) *
+                Jobs[Run.Task.Job].ActualWork / Executors[Id].Speed;
+  if (Settings.TaskDeviation > 0)
+    Work *= std::exp(
+        std::normal_distribution<double>(0, Settings.TaskDeviation)(Random));
+  return milliseconds(static_cast<std::int64_t>(Work));
+}
+
+int world::percentOf(const fake_run &Run) const {
+  if (Run.EndsAt == time_point::max())
+    return 0;
+  return static_cast<int>(100 * (Now - Run.Works) /
+                          std::max(milliseconds(1), Run.EndsAt - Run.Works));
+}
+
 void world::finishLater(const executor_id &Id, std::int64_t ExpectedIncarnation,
                         const run_name &Name, milliseconds Work) {
   const bool Fails = chance(Settings.Faults.FailingRuns);
   if (failsAll(Executors[Id]))
     Work = FailureDelay;
+  fake_run &Begun = Executors[Id].Runs[Name];
+  Begun.Works = Now;
+  Begun.EndsAt = Now + Work;
   after(Work, [this, Id, ExpectedIncarnation, Name, Fails] {
     fake_executor &Executor = Executors[Id];
     const auto Found = Executor.Runs.find(Name);
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -34,7 +34,8 @@
   run_name Name;
   resources Needs;
   time_point Begun{0};
-  time_point EndsAt{0}; // gangs only; max() until all members run
+  time_point EndsAt{0}; // of a gang: max() until all members run
+  time_point Works{0};  // since when
   bool IsStopping = false;
 };
 
@@ -61,6 +62,7 @@
   resources CapacityBefore; // the last larger one
   time_point ShrunkAt{0};
   bool IsFaulty = false; // fails all runs while the fault lasts
+  double Speed = 1;
   std::vector<std::function<void()>> Waiting; // held calls that wait for an end
 };
 
@@ -73,6 +75,7 @@
   int CrashingStarts = 0;  // of that task
   time_point CancelledAt{0};
   std::optional<time_point> StartedAt; // its first run
+  double ActualWork = 1;               // relative to its estimates
 };
 
 /// An instance that leads or has led, in one term or several.
@@ -155,7 +158,8 @@
   void makeExecutors();
   void makeJobs();
   void makeLoads();
-  void submitAt(time_point When, job_spec Job);
+  /// ActualWork: of its tasks, relative to their estimates.
+  void submitAt(time_point When, job_spec Job, double ActualWork = 1);
   [[nodiscard]] organisation_id organisationOf(int Number) const;
   time_point faultTime();
   void makeFaults();
@@ -174,6 +178,8 @@
     const bool Returns = Previous && Previous->IsAlive && !Previous->IsCutOff &&
                          chance(ReturningLeaders);
     auto Leader = Returns ? Previous : std::make_shared<fake_leader>();
+    if (!Returns)
+      Leader->State = scheduler_state(Settings.Scheduler);
     Leader->Token = static_cast<std::uint64_t>(++Revision);
     Leader->IsLoaded = false;
     Leader->Revisions.clear();
@@ -456,7 +462,7 @@
     Answer.ClockMs = Now.count();
     Answer.Sent = Sent;
     for (const auto &[Name, Run] : Executor.Runs)
-      Answer.Active.push_back({Name, "", 50});
+      Answer.Active.push_back({Name, "", percentOf(Run)});
     for (const fake_end &End : Executor.Ends)
       Answer.Ended.push_back({End.Number, End.Name, End.End, ""});
     after(Latency, [=, this] { post(Leader, To.Token, Answer); });
@@ -513,9 +519,19 @@
     const bool IsNew =
         Saved.Progress.Phase == job_phase::Completed &&
         parseSummary(Job.Progress).Record.Phase != job_phase::Completed;
-    if (IsNew)
-      Report.Times[Job.Spec.Queue.Priority].Ends.push_back(
-          Now - Job.Spec.Submitted.time_since_epoch());
+    if (!IsNew)
+      return;
+    job_times &Times = Report.Times[Job.Spec.Queue.Priority];
+    const milliseconds Took = Now - Job.Spec.Submitted.time_since_epoch();
+    Times.Ends.push_back(Took);
+    const queue_config &Queue = Job.Spec.Queue;
+    double Work = 0; // of one step after the other
+    for (const step_spec &Step : Job.Spec.Steps)
+      Work += static_cast<double>(Step.Estimate.count()) * Job.ActualWork;
+    const bool IsInTime =
+        static_cast<double>((Took - Queue.TargetDuration).count()) <=
+        Work * Queue.StretchFactor;
+    Times.InTime += IsInTime ? 1 : 0;
   }
 
   void carryOut(const std::shared_ptr<fake_leader> &, forget_job &) {}
@@ -536,6 +552,10 @@
   std::string begin(fake_executor &Executor, const start_run &Order);
   /// Starts the work of a gang once all its members have started.
   void beginGang(const run_name &Any, const step_spec &Step);
+  /// How long a task of the step takes there.
+  milliseconds durationOn(const executor_id &Id, const run_name &Run,
+                          const step_spec &Step);
+  [[nodiscard]] int percentOf(const fake_run &Run) const;
   void finishLater(const executor_id &Id, std::int64_t ExpectedIncarnation,
                    const run_name &Name, milliseconds Work);
   [[nodiscard]] bool failsAll(const fake_executor &Executor) const;
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -18,6 +18,9 @@
     Executor.Report.Incarnation = 1;
     Executor.IsFaulty = Settings.Faults.FailingExecutors > 0 &&
                         chance(Settings.Faults.FailingExecutors);
+    if (!Settings.Speeds.empty())
+      Executor.Speed = Settings.Speeds[static_cast<std::size_t>(
+          draw(0, static_cast<int>(Settings.Speeds.size()) - 1))];
     Executors[Executor.Report.Id] = Executor;
   }
   for (int Priority = 0; Priority < 3; ++Priority) {
@@ -40,13 +43,14 @@
 }
 
 /// Stores the job when its time has come, and informs the leader.
-void world::submitAt(time_point When, job_spec Job) {
-  at(When, [this, Job = std::move(Job)]() mutable {
+void world::submitAt(time_point When, job_spec Job, double ActualWork) {
+  at(When, [this, ActualWork, Job = std::move(Job)]() mutable {
     Job.Submitted = wall();
     job_progress Progress;
     Progress.Organisation = Job.Organisation;
     stored_job &Stored = Jobs[Job.Id];
     Stored.Spec = Job;
+    Stored.ActualWork = ActualWork;
     Stored.Progress = printProgress(Progress);
     Stored.Revision = ++Revision;
     Stored.IsCrashing = Settings.Faults.CrashingJobs > 0 &&
@@ -81,10 +85,14 @@
       const auto Last = static_cast<int>(Load.Accelerators.size()) - 1;
       Step.Needs = {Load.MilliCpu, Load.MemoryMb,
                     Load.Accelerators[static_cast<std::size_t>(draw(0, Last))]};
-      Step.Estimate = Load.Work;
+      const double Error =
+          Load.EstimateError > 0
+              ? 1 + Load.EstimateError * draw(-1'000, 1'000) / 1'000
+              : 1;
+      Step.Estimate = milliseconds(static_cast<int>(Error * Load.Work.count()));
       Job.Steps = {Step};
       submitAt(time_point(draw(3'000, int(Settings.Arrivals.count()))),
-               std::move(Job));
+               std::move(Job), 1 / Error);
     }
   }
 }
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -367,3 +367,21 @@
   CHECK(State.Executors.at(Other).Runs.empty());
   CHECK(progress("a").Phase == job_phase::Running);
 }
+
+// The executor on which the gang failed is avoided. The others can't hold it,
+// so that it would wait for ever.
+TEST_CASE("batch: a gang that needs an avoided executor starts there again") {
+  test::scheduler_fixture Fixture;
+  Fixture.settle({"x1", "x2", "x3"});
+  job_spec Gang = Fixture.job("gang", 1, 3, 8);
+  Gang.Steps[0].IsGang = true;
+  const auto Starts = Fixture.run(Gang);
+  REQUIRE(Starts.size() == 3);
+  for (const start_run &Start : Starts)
+    Fixture.answer(Start.To.Id.Value, {},
+                   {{1, Start.Run, run_end::Failed, ""}});
+  while (!Fixture.State.Saving.empty())
+    Fixture.post(progress_saved{true});
+  Fixture.pass(milliseconds(4'000));
+  CHECK(Fixture.save().size() == 3);
+}
