--- a/core/job/batch/scheduler_waiting.cpp
+++ b/core/job/batch/scheduler_waiting.cpp
@@ -30,9 +30,7 @@
   return Work;
 }
 
-namespace {
-
-wall_instant objective(const job_state &Job, int Occurrence) {
+wall_instant objectiveOf(const job_state &Job, int Occurrence) {
   const double Stretched =
       static_cast<double>(Job.CriticalPath.count()) * Job.Queue.StretchFactor;
   return dueTime(Job.Spec, Occurrence) +
@@ -40,8 +38,6 @@
          Job.Queue.TargetDuration;
 }
 
-} // namespace
-
 bool ranksBefore(const waiting_step *Left, const waiting_step *Right) {
   if (Left->Priority != Right->Priority)
     return Left->Priority < Right->Priority;
@@ -103,7 +99,7 @@
     if (Ready.empty())
       continue;
     const wall_instant LatestStart =
-        objective(Job, Number) - remainingCriticalPath(Job.Spec, &Occurrence);
+        objectiveOf(Job, Number) - remainingCriticalPath(Job.Spec, &Occurrence);
     const unit_name First{Job.Spec.Id, Number, Step, Ready.front()};
     Job.Waiting.push_back({First, std::move(Ready), Job.Queue.Priority, false,
                            LatestStart, Job.Work});
