--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -268,6 +268,7 @@
   bool IsListed = false;       // in a report of the executor
   bool IsAccepted = false;     // the executor accepted the start
   bool IsUrgent = false;       // of priority 0
+  bool IsBeyond = false;       // urgent, beyond its organisation's guarantee
   bool IsOfGang = false;
   bool IsOnProbation = false;   // suspected of crashing its executor
   bool IsOrphan = false;        // of no known job or task: unknown needs
@@ -305,7 +306,9 @@
   bool IsTouched = false; // in Touched, the index may be out of date
   std::map<run_name, run_state> Runs;
   worker_health Health;
-  instant ProvenAt{}; // when a task last succeeded there
+  instant ProvenAt{};      // when a task last succeeded there
+  milliseconds HoldGap{0}; // without a hold in flight, before the last report
+  speed_class Speed = speed_class::Unknown; // as in scheduler_state::Speeds
 };
 
 /// Identifies a unit of a job.
@@ -336,10 +339,12 @@
   instant NotBefore{};           // earliest restart after a failure
   std::set<executor_id> Avoided; // where it failed or stalled
   instant ReclaimAfter{};        // earliest next reclaim after a vain one
+  instant Planned{};             // when its last plan since a start was made
   int Moves = 0;                 // to another executor after a stall
   gang_break Break;
   int Stops = 0;         // by reclaims
   instant PausedUntil{}; // after the last of them, while capacity is scarce
+  speed_probe Probe;
 };
 
 /// The units of one step that could start now, with their sort keys.
@@ -363,6 +368,7 @@
                                                              // step and unit
   milliseconds CriticalPath{0};         // estimated critical path of its steps
   double Work = 0;                      // estimated, in weighted core-seconds
+  std::map<int, log_estimate> Paces;    // by step, relative to its estimate
   std::map<run_name, executor_id> Runs; // not removed yet
   // What could start, as of the last change of the job.
   std::vector<waiting_step> Waiting;
@@ -370,6 +376,26 @@
   instant WaitingUntil{}; // a unit's restart delay ends then
 };
 
+/// A unit of priority 0 that has runs or a plan.
+struct urgent_unit {
+  instant Since{}; // its start, or the plan before that
+  int Tasks = 0;   // runs, and tasks of the plan
+  int Accelerators = 0;
+  bool IsBeyond = false; // as its runs
+
+  friend bool operator==(const urgent_unit &, const urgent_unit &) = default;
+};
+
+/// The urgent units of an organisation. In the order of their starts, each one
+/// that still fits the guarantee is within it and the others are beyond it.
+struct urgent_use {
+  std::map<unit_name, urgent_unit> Units;
+  std::set<std::pair<instant, unit_name>> InOrder;
+  int Covered = 0; // accelerators of the units within the guarantee
+
+  friend bool operator==(const urgent_use &, const urgent_use &) = default;
+};
+
 /// When an executor fell silent: at some time between the two.
 struct executor_silence {
   executor_id Executor;
@@ -398,6 +424,13 @@
   instant NextLog{}; // earliest time
 };
 
+/// Tasks that don't fit into a rack together, nor do more or larger ones.
+struct vain_fit {
+  resources Needs; // of each task
+  int Count = 0;
+  executor_filter Allowed = executor_filter::all();
+};
+
 struct scheduler_state {
   explicit scheduler_state(scheduler_settings Settings = {})
       : Settings(Settings) {}
@@ -408,7 +441,9 @@
   std::map<executor_id, executor_state> Executors;
   capacity_index Capacity;          // of the listed executors
   std::vector<executor_id> Touched; // not up to date in Capacity
-  std::uint64_t Examined = 0;       // executors that placements looked at
+  // What didn't fit into a rack since it last changed.
+  std::map<std::pair<service_id, rack_id>, std::vector<vain_fit>> VainFits;
+  std::uint64_t Examined = 0; // executors that placements looked at
 
   // State of one leadership; empty while another instance leads.
   std::uint64_t Token = 0;  // 0: not leading
@@ -422,8 +457,15 @@
   // Accelerators of runs and plans of priority 0, by organisation.
   std::map<organisation_id, int> GuaranteedUse;
   std::map<service_id, service_headroom> Headroom;
-  std::map<organisation_id, instant> UrgentSeen; // last start or plan
-  instant NextHeadroom{};                        // earliest update of it
+  std::map<organisation_id, instant> UrgentSeen;   // last start or plan
+  instant NextHeadroom{};                          // earliest update of it
+  std::map<organisation_id, urgent_use> UrgentUse; // the same, by unit
+  // Needs of runs and plans, by organisation; none without either.
+  std::map<organisation_id, capacity_sum> Usage;
+  std::map<executor_id, executor_speed> Speeds; // of observed executors
+  std::map<service_id, speed_sums> SpeedSums;   // of these
+  // Open executors of unknown speed without runs, as in Capacity.
+  std::map<service_id, std::set<executor_id>> Unprobed;
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
   std::vector<job_id> Saving;      // in the save in flight
   std::uint64_t SavesQueued = 0;   // entries ever added to SaveQueue
@@ -449,7 +491,10 @@
                        const organisation_id &Organisation);
 
 /// Capacity that runs and plans of priority 0 use, counted anew.
-std::map<service_id, resources> countUrgentUse(const scheduler_state &State);
+std::map<service_id, resources> countUrgentNeeds(const scheduler_state &State);
+/// The state's Usage, counted anew.
+std::map<organisation_id, capacity_sum>
+countUsage(const scheduler_state &State);
 
 /// Compares what the state keeps up to date from event to event with a full
 /// recount. Returns a description of the first difference, or an empty string.
--- a/core/job/batch/scheduler_headroom.cpp
+++ b/core/job/batch/scheduler_headroom.cpp
@@ -40,8 +40,8 @@
 
 } // namespace
 
-void event_handler::noteUrgentUse(const job_state &Job, const resources &Needs,
-                                  int Count) {
+void event_handler::noteUrgentNeeds(const job_state &Job,
+                                    const resources &Needs, int Count) {
   service_headroom &Room = State.Headroom[Job.Queue.Service];
   Room.Use += Needs * Count;
   recordUse(Room.Demand, inExecutors(Room.Use, Room.Typical), Now,
@@ -50,10 +50,10 @@
     State.UrgentSeen[Job.Spec.Organisation] = Now;
 }
 
-void event_handler::recountUrgentUse() {
+void event_handler::recountUrgentNeeds() {
   for (auto &[Service, Room] : State.Headroom)
     Room.Use = {};
-  for (auto &[Service, Use] : countUrgentUse(State))
+  for (auto &[Service, Use] : countUrgentNeeds(State))
     State.Headroom[Service].Use = Use;
 }
 
@@ -242,7 +242,7 @@
 }
 
 std::string event_handler::explainStaleHeadroom() const {
-  const auto Uses = countUrgentUse(State);
+  const auto Uses = countUrgentNeeds(State);
   for (const auto &[Service, Room] : State.Headroom) {
     const auto Use = Uses.find(Service);
     if (!(Room.Use == (Use == Uses.end() ? resources{} : Use->second)))
@@ -263,7 +263,7 @@
 
 } // namespace detail
 
-std::map<service_id, resources> countUrgentUse(const scheduler_state &State) {
+std::map<service_id, resources> countUrgentNeeds(const scheduler_state &State) {
   std::map<service_id, resources> Uses;
   for (const auto &[Id, Executor] : State.Executors)
     for (const auto &[Name, Run] : Executor.Runs) {
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -61,6 +61,17 @@
   executor_filter Allowed;
 };
 
+/// What waits of one organisation during a pass. Without shares there is one
+/// queue with all waiting steps.
+struct share_queue {
+  organisation_id Organisation;
+  std::vector<const waiting_step *> Steps; // those that go last come first
+  std::size_t NextUnit = 0;                // of the step that goes next
+  share_claim Claim;                       // of that step
+
+  [[nodiscard]] const waiting_step &next() const { return *Steps.back(); }
+};
+
 /// Applies one event to the state; created for each call of reduce.
 class event_handler {
 public:
@@ -117,8 +128,10 @@
               run_phase Phase);
   void dropRun(executor_state &Executor, const run_name &Run);
   void startRecorded(job_state &Job);
+  /// Sent: when the hold was sent that reported the end; nullopt: none did.
   void applyEnd(executor_state &Executor, const run_name &Run, run_end End,
-                const std::string &Checkpoint);
+                const std::string &Checkpoint,
+                std::optional<instant> Sent = std::nullopt);
   void logEnd(const executor_state &Executor, const run_name &Run,
               std::vector<log_field> Outcome);
   void noteGangEnd(job_state &Job, const run_name &Run, run_end End);
@@ -178,6 +191,7 @@
   // What waits (scheduler_waiting.cpp)
   /// To be called after each change of a job that may alter what can start.
   static void touch(job_state &Job) { Job.IsWaitingKnown = false; }
+  /// The steps that could start, in no order.
   [[nodiscard]] std::vector<const waiting_step *> listWaiting();
   void updateWaiting(job_state &Job);
   void listWaitingOf(job_state &Job, int Occurrence);
@@ -186,8 +200,6 @@
   /// To be called after each change of an executor that the index reflects.
   void touch(executor_state &Executor);
   void refreshIndex();
-  void placeWaiting();
-  void placeStep(const waiting_step &Waiting);
   /// False if it doesn't fit; then no other unit of the step fits either.
   bool place(const unit_name &Unit);
   [[nodiscard]] placement_query queryFor(const unit_name &Unit) const;
@@ -216,6 +228,12 @@
                  bool IsEmpty = false);
   [[nodiscard]] bool isVain(search Kind, const placement_query &Query,
                             const placement_request &Request) const;
+  /// The same for one rack that hasn't changed since.
+  [[nodiscard]] bool isVainIn(const indexed_rack &Rack,
+                              const placement_query &Query,
+                              const placement_request &Request) const;
+  void noteVainIn(const indexed_rack &Rack, const placement_query &Query,
+                  const placement_request &Request);
   void noteVain(search Kind, const placement_query &Query,
                 const placement_request &Request);
   [[nodiscard]] std::optional<placement_choice>
@@ -285,13 +303,77 @@
   /// Whether the unit fits into the guarantee of the job's organisation.
   [[nodiscard]] bool mayReclaim(const job_state &Job,
                                 const placement_request &Request) const;
-  /// Recounts what depends on the priorities of queues and on guarantees.
+  /// Recounts what depends on the priorities of queues and on guarantees. Drops
+  /// plans of units that no guarantee covers any more.
   void recountPolicy();
+  [[nodiscard]] int guaranteeOf(const organisation_id &Organisation) const;
+  /// To be called for each task of priority 0 that gets a run or a plan (Tasks
+  /// above 0) or loses it (below 0), after the run was added or removed.
+  void changeUrgentUse(job_state &Job, const unit_name &Unit, int Tasks);
+  /// Decides anew which units of the organisation are beyond its guarantee.
+  void markAllUrgent(const organisation_id &Organisation);
+  /// The same for one unit, which must be the last one in order.
+  void markLastUrgent(const organisation_id &Organisation,
+                      const unit_name &Unit);
+  void setBeyond(const unit_name &Unit, urgent_unit &Urgent, bool IsBeyond);
+  /// Loss that makes runs of priority 0 the last ones to be stopped; 0 for
+  /// others.
+  [[nodiscard]] double priceBeyond(const run_name &Name,
+                                   const run_state &Run) const;
+  void noteUrgentVictims(const unit_name &Unit, const placement_choice &Choice,
+                         const std::map<unit_name, int> &Groups);
+  [[nodiscard]] std::map<organisation_id, urgent_use> countUrgentUse() const;
+  std::string explainStaleGuarantees();
+
+  // Shares of organisations (scheduler_shares.cpp)
+  void placeWaiting();
+  /// Places the next unit of the step that goes first. False if it doesn't fit.
+  bool placeNext(share_queue &Queue);
+  [[nodiscard]] std::vector<share_queue> listByOrganisation();
+  /// Updates the claim of the queue's next step.
+  void updateClaim(share_queue &Queue) const;
+  [[nodiscard]] double shareOf(const organisation_id &Organisation) const;
+  /// Mean share of the organisations that use capacity or wait for some.
+  [[nodiscard]] double evenShare(const std::vector<share_queue> &Queues) const;
+  /// Adds Count times Needs to the organisation's usage; Count may be negative.
+  void addUsage(const organisation_id &Organisation, const resources &Needs,
+                int Count);
 
   // Speeds of executors (scheduler_speed.cpp)
   /// Sets of speeds that may run the step, the best first.
   [[nodiscard]] std::vector<executor_filter>
   preferredSpeeds(const placement_query &Query) const;
+  /// Whether the unit would miss its objective on slow executors.
+  /// Places a single task with slack alone on an executor of unknown speed, so
+  /// that it is observed.
+  [[nodiscard]] std::optional<placement_choice>
+  placeProbing(const placement_query &Query,
+               const placement_request &Request) const;
+  /// Whether runs on the executor may tell its speed.
+  [[nodiscard]] bool isProbed(const executor_state &Executor) const;
+  [[nodiscard]] bool isTight(const placement_query &Query) const;
+  /// Measures the run, or its gang, by a report of the executor.
+  void measureProgress(const executor_state &Executor, job_state &Job,
+                       const run_name &Name, const run_state &Run);
+  /// Measures a run that has ended as done, as reported by a hold that was sent
+  /// at Sent.
+  void measureDone(const executor_state &Executor, job_state &Job,
+                   const run_name &Name, instant Sent);
+  /// Learns from one observation: the share of the work done each second.
+  void learnFrom(job_state &Job, const unit_name &Unit, int Attempt,
+                 double SharePerSecond);
+  /// The executors of the attempt, each once; empty if they are unknown or the
+  /// attempt is slower because of the racks it runs in.
+  [[nodiscard]] std::vector<executor_id>
+  listMeasured(const job_state &Job, const unit_name &Unit, int Attempt);
+  void setSpeed(executor_state &Executor, const log_estimate &Estimate);
+  /// Takes over what is known about the executor's id.
+  void recallSpeed(executor_state &Executor, bool IsRestarted);
+  void forgetSpeed(executor_state &Executor);
+  /// Removes the speeds of executors that are gone if there are many.
+  void forgetOldSpeeds();
+  /// A difference between the speeds and their sums; empty: none.
+  [[nodiscard]] std::string explainStaleSpeeds() const;
   /// Expected time until the run is done, by its progress so far.
   [[nodiscard]] milliseconds remainingTime(const job_state &Job,
                                            const run_name &Name,
@@ -299,8 +381,8 @@
 
   // Room kept for guaranteed work (scheduler_headroom.cpp)
   /// Records that Count tasks of the urgent job were added, or dropped.
-  void noteUrgentUse(const job_state &Job, const resources &Needs, int Count);
-  void recountUrgentUse();
+  void noteUrgentNeeds(const job_state &Job, const resources &Needs, int Count);
+  void recountUrgentNeeds();
   [[nodiscard]] int guaranteesInUse() const;
   /// Chooses which executors are kept, at most once in UpdateInterval.
   void updateKept();
@@ -336,6 +418,13 @@
 /// What the index should know about the executor.
 indexed_executor describe(const executor_state &Executor, bool IsOpen);
 
+/// Order of the steps of one organisation: by priority, then steps that can
+/// still meet their objective by latest start, then late steps by the work of
+/// their job, smallest first.
+bool ranksBefore(const waiting_step *Left, const waiting_step *Right);
+/// Whether a task may start there to observe the executor's speed.
+bool isUnprobed(const indexed_executor &Executor);
+
 /// Whether a reclaim may stop the run.
 bool isPreemptible(const run_state &Run);
 
@@ -343,6 +432,9 @@
 milliseconds remainingCriticalPath(const job_spec &Job,
                                    const occurrence_progress *Progress);
 
+/// When an occurrence of the job should have ended.
+wall_instant objectiveOf(const job_state &Job, int Occurrence);
+
 /// Estimated work of the whole job, in weighted core-seconds.
 double workOf(const job_spec &Job);
 
--- a/core/job/batch/scheduler_reclaim.cpp
+++ b/core/job/batch/scheduler_reclaim.cpp
@@ -97,7 +97,8 @@
         Groups.try_emplace(Victim, static_cast<int>(Groups.size()));
     Candidate.Preemptible.push_back(
         {Item->second, Run.Needs,
-         reclaimPrice(Name, Run) * (Executor.IsKept ? 1 : OutsideFactor)});
+         reclaimPrice(Name, Run) * (Executor.IsKept ? 1 : OutsideFactor) +
+             priceBeyond(Name, Run)});
   }
 }
 
@@ -204,6 +205,7 @@
        {"stopped", std::to_string(Choice.PreemptedGroups.size())},
        {"accelerators",
         std::to_string(Request.Needs.Accelerators * Request.Count)}});
+  noteUrgentVictims(Unit, Choice, Groups);
   addPlan(Unit, std::move(Plan));
 }
 
@@ -216,10 +218,11 @@
     touch(Executor);
   }
   const auto Count = static_cast<int>(Plan.Executors.size());
-  State.GuaranteedUse[Job.Spec.Organisation] +=
-      Job.Spec.Steps[Unit.Step].Needs.Accelerators * Count;
-  noteUrgentUse(Job, Needs, Count);
+  addUsage(Job.Spec.Organisation, Needs, Count);
+  noteUrgentNeeds(Job, Needs, Count);
+  unitState(Job, Unit).Planned = Plan.CreatedAt;
   State.Plans[Unit] = std::move(Plan);
+  changeUrgentUse(Job, Unit, Count);
   touch(Job);
 }
 
@@ -300,11 +303,10 @@
         Found->second.Reserved -= Needs;
         touch(Found->second);
       }
-    State.GuaranteedUse[Job->second.Spec.Organisation] -=
-        Step.Needs.Accelerators *
-        static_cast<int>(Plan->second.Executors.size());
-    noteUrgentUse(Job->second, Needs,
-                  -static_cast<int>(Plan->second.Executors.size()));
+    const int Tasks = static_cast<int>(Plan->second.Executors.size());
+    addUsage(Job->second.Spec.Organisation, Needs, -Tasks);
+    noteUrgentNeeds(Job->second, Needs, -Tasks);
+    changeUrgentUse(Job->second, Unit, -Tasks);
     touch(Job->second);
   }
   State.Plans.erase(Plan);
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -88,6 +88,8 @@
   if (HasRuns && Executor.HasAnsweredHold && !IsUnsaved && !HasUnconfirmed)
     Hold.Wait =
         HasUrgent ? State.Settings.UrgentHoldWait : State.Settings.HoldWait;
+  if (isProbed(Executor))
+    Hold.Wait = std::min(Hold.Wait, State.Settings.Speeds.ProbeWait);
   // An unresponsive executor may receive the hold and extend its leases all the
   // same. Without a new lease its runs expire sooner.
   if (Executor.HasAnsweredHold && !Executor.IsUnresponsive)
@@ -111,6 +113,8 @@
       Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation;
   if (IsRestarted)
     dropAllRuns(Executor, run_loss::Restarted, true);
+  Executor.HoldGap = std::chrono::duration_cast<milliseconds>(
+      Event.Sent - Executor.ClockReadAt);
   Executor.Incarnation = Event.Incarnation;
   Executor.ClockMs = Event.ClockMs;
   Executor.ClockReadAt = Now;
@@ -124,7 +128,7 @@
   for (const ended_run &Ended : Event.Ended) {
     if (Ended.Number <= Executor.LastSeenProcessed)
       continue;
-    applyEnd(Executor, Ended.Run, Ended.End, Ended.Checkpoint);
+    applyEnd(Executor, Ended.Run, Ended.End, Ended.Checkpoint, Event.Sent);
     Executor.LastSeenProcessed = Ended.Number;
     Executor.SaveNeeded = State.SavesQueued;
   }
@@ -199,13 +203,16 @@
   Executor.Used += Added.Needs;
   touch(Executor);
   touch(Job);
-  if (Added.IsUrgent)
-    State.GuaranteedUse[Job.Spec.Organisation] += Step.Needs.Accelerators;
-  if (Added.IsUrgent)
-    noteUrgentUse(Job, Added.Needs, 1);
+  const bool IsUrgent = Added.IsUrgent;
+  addUsage(Job.Spec.Organisation, Added.Needs, 1);
+  if (IsUrgent)
+    noteUrgentNeeds(Job, Added.Needs, 1);
   Executor.Runs[Run] = std::move(Added);
   Job.Runs[Run] = Executor.Report.Id;
-  ++unitState(Job, unitNameOf(Job, Run.Task)).LiveRuns;
+  const unit_name Unit = unitNameOf(Job, Run.Task);
+  ++unitState(Job, Unit).LiveRuns;
+  if (IsUrgent)
+    changeUrgentUse(Job, Unit, 1);
 }
 
 void event_handler::dropRun(executor_state &Executor, const run_name &Run) {
@@ -215,21 +222,21 @@
   const bool IsUrgent = Found->second.IsUrgent;
   const bool IsOrphan = Found->second.IsOrphan;
   const resources Needs = Found->second.Needs;
-  Executor.Used -= Found->second.Needs;
+  Executor.Used -= Needs;
   Executor.Runs.erase(Found);
   touch(Executor);
   State.NeedsPlacement = true;
   const auto Job = State.Jobs.find(Run.Task.Job);
   if (Job == State.Jobs.end() || IsOrphan)
     return;
+  addUsage(Job->second.Spec.Organisation, Needs, -1);
   if (IsUrgent)
-    State.GuaranteedUse[Job->second.Spec.Organisation] -=
-        Job->second.Spec.Steps[Run.Task.Step].Needs.Accelerators;
-  if (IsUrgent)
-    noteUrgentUse(Job->second, Needs, -1);
+    noteUrgentNeeds(Job->second, Needs, -1);
   touch(Job->second);
   Job->second.Runs.erase(Run);
   const unit_name Name = unitNameOf(Job->second, Run.Task);
+  if (IsUrgent)
+    changeUrgentUse(Job->second, Name, -1);
   unit_state &Unit = unitState(Job->second, Name);
   Unit.LiveRuns = std::max(0, Unit.LiveRuns - 1);
   if (Unit.LiveRuns == 0)
@@ -237,7 +244,8 @@
 }
 
 void event_handler::applyEnd(executor_state &Executor, const run_name &Run,
-                             run_end End, const std::string &Checkpoint) {
+                             run_end End, const std::string &Checkpoint,
+                             std::optional<instant> Sent) {
   const auto Found = State.Jobs.find(Run.Task.Job);
   if (Found != State.Jobs.end())
     noteGangEnd(Found->second, Run, End);
@@ -268,6 +276,8 @@
     touch(Executor);
     noteSuccess(Executor.Health);
     Executor.ProvenAt = Now;
+    if (Sent)
+      measureDone(Executor, Job, Run, *Sent);
     Progress->IsDone = true;
     stopOtherAttempts(Job, Unit, Run.Attempt);
     queueSave(Job);
@@ -410,6 +420,8 @@
                : nullptr;
   const bool IsNeeded = Progress && Active.Run.Attempt >= Progress->Attempts;
   const bool IsUnitDone = IsWanted && Progress && Progress->IsDone;
+  if (IsNeeded && !IsUnitDone)
+    measureProgress(Executor, Job->second, Active.Run, Run);
   if (!IsNeeded && !IsUnitDone && Run.Phase != run_phase::Stopping)
     orderStop(Executor, Active.Run);
 }
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -241,6 +241,25 @@
     "A task, or a gang, made no progress on an executor and is restarted "
     "elsewhere.",
     "If one job moves repeatedly, its own tasks are stalling."};
+const log_event SpeedClassChanged{
+    3320, Info, "speed-class-changed",
+    "An executor is now known as slow, normal or fast compared with the others "
+    "of its service; work that is short of time prefers faster ones.",
+    "If an executor that should be fast is slow, check it."};
+
+// 3330 to 3339: shares of organisations
+const log_event UrgentReclaimed{
+    3330, Info, "urgent-reclaimed",
+    "Runs of priority 0 beyond their organisation's guarantee (from) are "
+    "stopped for a job within another organisation's guarantee. used and "
+    "guaranteed are accelerators of the former.",
+    "If it is frequent, the guarantee of the organisation that is stopped is "
+    "smaller than its urgent work."};
+const log_event ReclaimDropped{
+    3331, Info, "reclaim-dropped",
+    "A changed guarantee no longer covers a job that capacity was being freed "
+    "for; the job waits like others.",
+    "None."};
 
 // Headroom
 const log_event UnitStopped{
@@ -366,6 +385,9 @@
     &events::ExecutorStalled,
     &events::ExecutorAdvances,
     &events::UnitMoved,
+    &events::SpeedClassChanged,
+    &events::UrgentReclaimed,
+    &events::ReclaimDropped,
     &events::UnitStopped,
     &events::KeptChanged,
     &events::SubmissionRefused,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -119,6 +119,10 @@
 extern const log_event ExecutorStalled;
 extern const log_event ExecutorAdvances;
 extern const log_event UnitMoved;
+extern const log_event SpeedClassChanged;
+// Shares of organisations
+extern const log_event UrgentReclaimed;
+extern const log_event ReclaimDropped;
 // 3340: headroom
 extern const log_event UnitStopped;
 extern const log_event KeptChanged;
--- a/tests/property/batch_headroom_load_test.cpp
+++ b/tests/property/batch_headroom_load_test.cpp
@@ -21,7 +21,6 @@
   Settings.Capacity = {128'000, 524'288, 8};
   Settings.Arrivals = milliseconds(33'000);
   Settings.Length = milliseconds(240'000);
-  Settings.ReportsProgress = true;
   Settings.StopTime = milliseconds(400);
   Settings.Scheduler.StopTimeout = Settings.StopTime;
   Settings.Scheduler.CheckpointInterval = milliseconds(500);
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -50,7 +50,8 @@
   double StretchFactor = 3;
   milliseconds TargetDuration{0};
   int MaxAttempts = 3;
-  double EstimateError = 0;    // the work differs by at most this fraction
+  int Organisation = -1;       // number of its sender; -1: all of them in turn
+  double EstimateError = 0;    // largest deviation of the estimates, a fraction
   milliseconds BurstPeriod{0}; // in its first quarter come five times as many
                                // jobs as in the rest; 0: no bursts
 };
@@ -59,6 +60,10 @@
   int Executors = 8;
   int PerRack = 4;
   resources Capacity{32'000, 64'000, 8};
+  std::vector<double> Speeds;    // each executor has one of them; empty: 1
+  double TaskDeviation = 0;      // of the logarithm of a task's work
+  scheduler_settings Scheduler;  // of all leaders; the executors use its
+                                 // RestoreTime and CheckpointInterval
   int Jobs = 20;                 // of mixed kinds, when there are no Loads
   std::vector<job_load> Loads;   // streams of jobs
   int Organisations = 1;         // that share the jobs evenly
@@ -66,10 +71,9 @@
   milliseconds Arrivals{20'000}; // jobs arrive until then
   milliseconds Faulty{40'000};   // faults occur until then
   milliseconds Length{160'000};  // duration of the run
-  bool ReportsProgress = false;  // otherwise each run reports 50%
-  milliseconds StopTime{300};    // from the order to stop to the end
-  scheduler_settings Scheduler;  // of all leaders; the executors use its
-                                 // RestoreTime and CheckpointInterval
+  milliseconds CountedFrom{0};   // runs count for RoomOf between these times
+  milliseconds CountedUntil{0};
+  milliseconds StopTime{300}; // from the order to stop to the end
   world_faults Faults;
 };
 
@@ -77,6 +81,7 @@
 struct job_times {
   std::vector<milliseconds> Starts; // from submission to the first start
   std::vector<milliseconds> Ends;   // from submission to the last end
+  int InTime = 0; // ended within their objective, by their actual work
 };
 
 /// Violations that were found, and the final counts.
@@ -90,7 +95,9 @@
   int FailedInnocents = 0; // without a task that crashes executors
   int Starts = 0;
   int Leaders = 0;
-  std::map<int, job_times> Times; // by priority
+  std::map<int, job_times> Times;                              // by priority
+  std::map<organisation_id, std::map<int, job_times>> TimesOf; // the same
+  std::map<organisation_id, double> RoomOf; // weighted core-seconds in use
   double CompletedWork = 0; // weighted core-seconds of runs that ended as done
   double LostWork = 0; // of runs that ended otherwise, without what they saved
   std::uint64_t Examined = 0; // executors that placements looked at
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -2,6 +2,8 @@
 
 #include "tests/support/batch_world_internal.hpp"
 
+#include <cmath>
+
 namespace galenastage::batch::test::detail {
 
 std::string world::begin(fake_executor &Executor, const start_run &Order) {
@@ -23,8 +25,10 @@
   const job_spec &Job = Stored.Spec;
   if (!Stored.StartedAt) {
     Stored.StartedAt = Now;
-    Report.Times[Job.Queue.Priority].Starts.push_back(
-        Now - Job.Submitted.time_since_epoch());
+    const milliseconds Waited = Now - Job.Submitted.time_since_epoch();
+    Report.Times[Job.Queue.Priority].Starts.push_back(Waited);
+    Report.TimesOf[Job.Organisation][Job.Queue.Priority].Starts.push_back(
+        Waited);
   }
   const step_spec &Step = Job.Steps[Order.Run.Task.Step];
   const bool Crashes = Stored.IsCrashing && Order.Run.Task.Step == 0 &&
@@ -43,18 +47,16 @@
   Run.Needs = Step.Needs;
   Run.Begun = Now;
   Run.EndsAt = time_point::max();
-  Run.Work = milliseconds(static_cast<std::int64_t>(
-      static_cast<double>(Step.Estimate.count()) * Stored.WorkFactor));
+  Run.Works = time_point::max();
   if (!Order.Checkpoint.empty())
-    Run.Resumed = milliseconds(std::stoll(Order.Checkpoint));
-  if (!Step.IsGang)
-    Run.WorksFrom = Now;
+    Run.Resumed = std::stod(Order.Checkpoint);
   Executor.Runs[Order.Run] = Run;
   checkCapacity(Executor);
   const std::int64_t ExpectedIncarnation = Executor.Report.Incarnation;
   const executor_id Id = Executor.Report.Id;
   if (!Step.IsGang) {
-    finishLater(Id, ExpectedIncarnation, Order.Run, runTime(Run));
+    finishLater(Id, ExpectedIncarnation, Order.Run,
+                durationOn(Id, Order.Run, Step));
     return "";
   }
   after(GangTimeout, [this, Id, ExpectedIncarnation, Name = Order.Run] {
@@ -81,12 +83,14 @@
   const bool FailsSoon = std::ranges::any_of(Members, [&](const auto &Item) {
     return failsAll(Executors[Item.first]);
   });
-  const milliseconds Work =
-      FailsSoon ? FailureDelay
-                : runTime(Executors[Members[0].first].Runs[Members[0].second]);
+  milliseconds Work{0}; // of the slowest member
+  for (const auto &[Id, Name] : Members)
+    Work = std::max(Work, durationOn(Id, Name, Step));
+  if (FailsSoon)
+    Work = FailureDelay;
   for (const auto &[Id, Name] : Members) {
     Executors[Id].Runs[Name].EndsAt = Now + Work;
-    Executors[Id].Runs[Name].WorksFrom = Now;
+    Executors[Id].Runs[Name].Works = Now;
   }
   const bool Fails = chance(Settings.Faults.FailingRuns);
   after(Work, [this, Members, Fails] {
@@ -108,11 +112,36 @@
   });
 }
 
+milliseconds world::durationOn(const executor_id &Id, const run_name &Run,
+                               const step_spec &Step) {
+  double Work = static_cast<double>(Step.Estimate.count()) *
+                Jobs[Run.Task.Job].ActualWork / Executors[Id].Speed;
+  if (Settings.TaskDeviation > 0)
+    Work *= std::exp(
+        std::normal_distribution<double>(0, Settings.TaskDeviation)(Random));
+  const double Resumed = Executors[Id].Runs[Run].Resumed;
+  const milliseconds Restore =
+      Resumed > 0 ? Settings.Scheduler.RestoreTime : milliseconds(0);
+  return Restore +
+         milliseconds(static_cast<std::int64_t>(Work * (1 - Resumed)));
+}
+
+int world::percentOf(const fake_run &Run) const {
+  constexpr double WholePercent = 100;
+  if (Run.EndsAt == time_point::max())
+    return 0;
+  const time_point Until = Run.IsStopping ? Run.StoppedAt : Now;
+  return static_cast<int>(WholePercent * doneShare(Run, Until - Run.Works));
+}
+
 void world::finishLater(const executor_id &Id, std::int64_t ExpectedIncarnation,
                         const run_name &Name, milliseconds Work) {
   const bool Fails = chance(Settings.Faults.FailingRuns);
   if (failsAll(Executors[Id]))
     Work = FailureDelay;
+  fake_run &Begun = Executors[Id].Runs[Name];
+  Begun.Works = Now;
+  Begun.EndsAt = Now + Work;
   after(Work, [this, Id, ExpectedIncarnation, Name, Fails] {
     fake_executor &Executor = Executors[Id];
     const auto Found = Executor.Runs.find(Name);
@@ -165,53 +194,48 @@
 }
 
 void world::noteWork(const fake_run &Run, run_end End) {
-  milliseconds Time = Now - Run.Begun;
-  const std::string Checkpoint = checkpointOf(Run, End);
-  if (!Checkpoint.empty())
-    Time -= milliseconds(std::stoll(Checkpoint)) - Run.Resumed;
+  const milliseconds Restore =
+      Run.Resumed > 0 ? Settings.Scheduler.RestoreTime : milliseconds(0);
+  const milliseconds Saved =
+      std::max(milliseconds(0), savedTime(Run, End) - Restore);
+  const milliseconds Time = Now - Run.Begun - Saved;
   const double Work =
       weightedCores(Run.Needs) * std::chrono::duration<double>(Time).count();
   (End == run_end::Done ? Report.CompletedWork : Report.LostWork) += Work;
+  const milliseconds Counted = std::min(Now, Settings.CountedUntil) -
+                               std::max(Run.Begun, Settings.CountedFrom);
+  if (Counted.count() > 0)
+    Report.RoomOf[Jobs[Run.Name.Task.Job].Spec.Organisation] +=
+        weightedCores(Run.Needs) *
+        std::chrono::duration<double>(Counted).count();
 }
 
-milliseconds world::runTime(const fake_run &Run) const {
-  const milliseconds Restore = Run.Resumed.count() > 0
-                                   ? Settings.Scheduler.RestoreTime
-                                   : milliseconds(0);
-  return Run.Work - Run.Resumed + Restore;
-}
-
-milliseconds world::doneWork(const fake_run &Run) const {
-  if (Run.WorksFrom == time_point::max())
-    return Run.Resumed;
-  const time_point Until = Run.IsStopping ? Run.StoppedAt : Now;
-  const milliseconds Restore = runTime(Run) - (Run.Work - Run.Resumed);
-  return std::min(
-      Run.Work,
-      Run.Resumed + std::max(milliseconds(0), Until - Run.WorksFrom - Restore));
+milliseconds world::savedTime(const fake_run &Run, run_end End) const {
+  const task_name &Task = Run.Name.Task;
+  const bool Saves = Jobs.at(Task.Job).Spec.Steps[Task.Step].IsCheckpointing &&
+                     End != run_end::Done && Run.EndsAt != time_point::max();
+  if (!Saves)
+    return milliseconds(0);
+  const milliseconds Worked =
+      (Run.IsStopping ? Run.StoppedAt : Now) - Run.Works;
+  return End == run_end::Stopped
+             ? Worked
+             : Worked - Worked % Settings.Scheduler.CheckpointInterval;
 }
 
-int world::percentOf(const fake_run &Run) const {
-  constexpr int WholePercent = 100;
-  if (!Settings.ReportsProgress)
-    return WholePercent / 2;
-  if (Run.WorksFrom == time_point::max())
-    return 0;
-  return static_cast<int>(WholePercent * doneWork(Run) /
-                          std::max(Run.Work, milliseconds(1)));
+double world::doneShare(const fake_run &Run, milliseconds Worked) {
+  const milliseconds Whole = std::max(milliseconds(1), Run.EndsAt - Run.Works);
+  return Run.Resumed +
+         (1 - Run.Resumed) *
+             (Worked / std::chrono::duration<double, std::milli>(Whole));
 }
 
 std::string world::checkpointOf(const fake_run &Run, run_end End) const {
-  const task_name &Task = Run.Name.Task;
-  const bool Saves = Jobs.at(Task.Job).Spec.Steps[Task.Step].IsCheckpointing &&
-                     End != run_end::Done;
-  if (!Saves)
-    return "";
-  milliseconds Saved = doneWork(Run);
-  if (End != run_end::Stopped)
-    Saved -= Saved % Settings.Scheduler.CheckpointInterval;
-  Saved = std::max(Saved, Run.Resumed);
-  return Saved.count() > 0 ? std::to_string(Saved.count()) : "";
+  const milliseconds Saved = savedTime(Run, End);
+  if (Saved.count() > 0)
+    return std::to_string(doneShare(Run, Saved));
+  return Run.Resumed > 0 && End != run_end::Done ? std::to_string(Run.Resumed)
+                                                 : "";
 }
 
 void world::restartExecutor(fake_executor &Executor) {
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -33,12 +33,11 @@
   run_name Name;
   resources Needs;
   time_point Begun{0};
-  time_point EndsAt{0}; // gangs only; max() until all members run
+  time_point EndsAt{0}; // of a gang: max() until all members run
+  time_point Works{0};  // since when
   bool IsStopping = false;
   time_point StoppedAt{0};
-  milliseconds Work{0};                     // of the whole task
-  milliseconds Resumed{0};                  // of it, as saved by earlier runs
-  time_point WorksFrom = time_point::max(); // after start and restore
+  double Resumed = 0; // share of the work that earlier runs saved
 };
 
 struct fake_end {
@@ -65,6 +64,7 @@
   resources CapacityBefore; // the last larger one
   time_point ShrunkAt{0};
   bool IsFaulty = false; // fails all runs while the fault lasts
+  double Speed = 1;
   std::vector<std::function<void()>> Waiting; // held calls that wait for an end
 };
 
@@ -75,9 +75,9 @@
   bool IsCancelled = false;
   bool IsCrashing = false; // its first task crashes each executor
   int CrashingStarts = 0;  // of that task
-  double WorkFactor = 1;   // of its tasks' work to their estimate
   time_point CancelledAt{0};
   std::optional<time_point> StartedAt; // its first run
+  double ActualWork = 1;               // relative to its estimates
 };
 
 /// An instance that leads or has led, in one term or several.
@@ -160,7 +160,8 @@
   void makeExecutors();
   void makeJobs();
   void makeLoads();
-  void submitAt(time_point When, job_spec Job, double WorkFactor = 1);
+  /// ActualWork: of its tasks, relative to their estimates.
+  void submitAt(time_point When, job_spec Job, double ActualWork = 1);
   [[nodiscard]] organisation_id organisationOf(int Number) const;
   time_point faultTime();
   void makeFaults();
@@ -178,9 +179,9 @@
   void elect() {
     const bool Returns = Previous && Previous->IsAlive && !Previous->IsCutOff &&
                          chance(ReturningLeaders);
-    auto Leader = Returns ? Previous
-                          : std::make_shared<fake_leader>(
-                                scheduler_state(Settings.Scheduler));
+    auto Leader = Returns ? Previous : std::make_shared<fake_leader>();
+    if (!Returns)
+      Leader->State = scheduler_state(Settings.Scheduler);
     Leader->Token = static_cast<std::uint64_t>(++Revision);
     Leader->IsLoaded = false;
     Leader->Revisions.clear();
@@ -522,9 +523,19 @@
     const bool IsNew =
         Saved.Progress.Phase == job_phase::Completed &&
         parseSummary(Job.Progress).Record.Phase != job_phase::Completed;
-    if (IsNew)
-      Report.Times[Job.Spec.Queue.Priority].Ends.push_back(
-          Now - Job.Spec.Submitted.time_since_epoch());
+    if (!IsNew)
+      return;
+    job_times &Times = Report.Times[Job.Spec.Queue.Priority];
+    const milliseconds Took = Now - Job.Spec.Submitted.time_since_epoch();
+    Times.Ends.push_back(Took);
+    const queue_config &Queue = Job.Spec.Queue;
+    double Work = 0; // of one step after the other
+    for (const step_spec &Step : Job.Spec.Steps)
+      Work += static_cast<double>(Step.Estimate.count()) * Job.ActualWork;
+    const bool IsInTime =
+        static_cast<double>((Took - Queue.TargetDuration).count()) <=
+        Work * Queue.StretchFactor;
+    Times.InTime += IsInTime ? 1 : 0;
   }
 
   void carryOut(const std::shared_ptr<fake_leader> &, forget_job &) {}
@@ -545,19 +556,24 @@
   std::string begin(fake_executor &Executor, const start_run &Order);
   /// Starts the work of a gang once all its members have started.
   void beginGang(const run_name &Any, const step_spec &Step);
+  /// How long a task of the step takes there.
+  milliseconds durationOn(const executor_id &Id, const run_name &Run,
+                          const step_spec &Step);
+  /// Reported progress; 0 for members of a gang that hasn't begun.
+  [[nodiscard]] int percentOf(const fake_run &Run) const;
   void finishLater(const executor_id &Id, std::int64_t ExpectedIncarnation,
                    const run_name &Name, milliseconds Work);
   [[nodiscard]] bool failsAll(const fake_executor &Executor) const;
   void finish(fake_executor &Executor, const run_name &Name, run_end End);
   void noteWork(const fake_run &Run, run_end End);
-  /// Work of the task that is done, by this run and those it resumes.
-  [[nodiscard]] milliseconds doneWork(const fake_run &Run) const;
-  [[nodiscard]] int percentOf(const fake_run &Run) const;
-  /// What the run saves if it ends like this now: the work done, in ms.
+  /// Time of the run whose work it saves if it ends like this now.
+  [[nodiscard]] milliseconds savedTime(const fake_run &Run, run_end End) const;
+  /// Share of the task that is done once the run has worked that long.
+  [[nodiscard]] static double doneShare(const fake_run &Run,
+                                        milliseconds Worked);
+  /// What the run saves if it ends like this now: the share that is done.
   [[nodiscard]] std::string checkpointOf(const fake_run &Run,
                                          run_end End) const;
-  /// Time from the start of work to its end.
-  [[nodiscard]] milliseconds runTime(const fake_run &Run) const;
   void restartExecutor(fake_executor &Executor);
   /// All its runs end now; it is back after 2 to 5 s, under its id or, at the
   /// same address, under another one.
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -18,6 +18,9 @@
     Executor.Report.Incarnation = 1;
     Executor.IsFaulty = Settings.Faults.FailingExecutors > 0 &&
                         chance(Settings.Faults.FailingExecutors);
+    if (!Settings.Speeds.empty())
+      Executor.Speed = Settings.Speeds[static_cast<std::size_t>(
+          draw(0, static_cast<int>(Settings.Speeds.size()) - 1))];
     Executors[Executor.Report.Id] = Executor;
   }
   for (int Priority = 0; Priority < 3; ++Priority) {
@@ -40,14 +43,14 @@
 }
 
 /// Stores the job when its time has come, and informs the leader.
-void world::submitAt(time_point When, job_spec Job, double WorkFactor) {
-  at(When, [this, WorkFactor, Job = std::move(Job)]() mutable {
+void world::submitAt(time_point When, job_spec Job, double ActualWork) {
+  at(When, [this, ActualWork, Job = std::move(Job)]() mutable {
     Job.Submitted = wall();
     job_progress Progress;
     Progress.Organisation = Job.Organisation;
     stored_job &Stored = Jobs[Job.Id];
     Stored.Spec = Job;
-    Stored.WorkFactor = WorkFactor;
+    Stored.ActualWork = ActualWork;
     Stored.Progress = printProgress(Progress);
     Stored.Revision = ++Revision;
     Stored.IsCrashing = Settings.Faults.CrashingJobs > 0 &&
@@ -72,7 +75,8 @@
       job_spec Job;
       Job.Id = job_id("load" + std::to_string(++Number));
       Job.Queue = Queue;
-      Job.Organisation = organisationOf(Number);
+      Job.Organisation =
+          organisationOf(Load.Organisation < 0 ? Number : Load.Organisation);
       step_spec Step;
       const auto Mean = static_cast<int>(Load.MeanWidth);
       Step.Count = draw(std::max(1, Mean / 2), std::max(1, Mean + Mean / 2));
@@ -82,19 +86,18 @@
       const auto Last = static_cast<int>(Load.Accelerators.size()) - 1;
       Step.Needs = {Load.MilliCpu, Load.MemoryMb,
                     Load.Accelerators[static_cast<std::size_t>(draw(0, Last))]};
-      Step.Estimate = Load.Work;
+      const double Error =
+          Load.EstimateError > 0
+              ? 1 + Load.EstimateError * draw(-1'000, 1'000) / 1'000
+              : 1;
+      Step.Estimate = milliseconds(static_cast<int>(Error * Load.Work.count()));
       Job.Steps = {Step};
       time_point When(draw(3'000, int(Settings.Arrivals.count())));
       if (Load.BurstPeriod.count() > 0 && chance(0.5)) {
         const milliseconds InPeriod = When % Load.BurstPeriod;
         When -= InPeriod - InPeriod / 4;
       }
-      const double Error =
-          Load.EstimateError > 0
-              ? std::uniform_real_distribution<double>(
-                    -Load.EstimateError, Load.EstimateError)(Random)
-              : 0;
-      submitAt(When, std::move(Job), 1 + Error);
+      submitAt(When, std::move(Job), 1 / Error);
     }
   }
 }
