Move runs away from executors that announce their departure

A draining executor got no new work, but nothing moved the runs on it. They ended with the executor, and their end was known only when their leases expired.

Units that won't be done in the usable time are stopped as soon as room for them is reserved elsewhere, and start there once their old runs have ended; a gang moves whole, and only its leaving members change their executors. Units that save a checkpoint are stopped at the last moment also without room.

The simulated worlds have departures: an executor drains, goes after its notice, and a new one comes. Their executors can report progress (HasProgress); by default they still report 50% always.

--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -88,7 +88,11 @@
     if (IsRestarted)
       dropAllRuns(Executor, run_loss::Restarted, true);
     if (Report.IsDraining && !Executor.Report.IsDraining)
-      log(events::ExecutorDraining, {{"executor", Report.Id.Value}});
+      log(events::ExecutorDraining,
+          {{"executor", Report.Id.Value},
+           {"remaining_ms", std::to_string(Report.Remaining.count())},
+           {"runs", std::to_string(Executor.Runs.size())}});
+    noteDeparture(Executor, Report);
     if (Executor.Report != Report)
       Executor.IsReplaced = false; // it has come back elsewhere
     const bool IsChanged =
@@ -101,6 +105,7 @@
   for (auto &[Id, Executor] : State.Executors)
     if (!Listed.contains(Id) && Executor.IsListed) {
       Executor.IsListed = false;
+      State.Draining.erase(Id);
       touch(Executor);
       log(events::ExecutorUnlisted,
           {{"executor", Id.Value},
@@ -109,6 +114,7 @@
   std::erase_if(State.Executors, [](const auto &Item) {
     return !Item.second.IsListed && Item.second.Runs.empty();
   });
+  moveDeparting();
   State.NeedsPlacement = true;
   holdAll();
 }
@@ -207,6 +213,7 @@
   State.IsRecovered = false;
   State.Jobs.clear();
   State.Plans.clear();
+  State.DeparturePlans.clear();
   State.Suspects.clear();
   State.Silences.clear();
   State.SaveQueue.clear();
@@ -223,6 +230,7 @@
     executor_state Fresh;
     Fresh.Report = Executor.Report;
     Fresh.IsListed = Executor.IsListed;
+    Fresh.LeavesAt = Executor.LeavesAt;
     Executor = std::move(Fresh);
     touch(Executor);
   }
@@ -271,6 +279,7 @@
     moveStalled(Executor);
     hold(Executor);
   }
+  moveDeparting();
   for (auto &[Id, Job] : State.Jobs)
     beginDueOccurrences(Job);
   forgetOldJobs();
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -298,11 +298,12 @@
   bool IsStalled = false; // none of its runs advances
   instant StalledSeen{};  // last report of that
   resources Used;         // by Runs
-  resources Reserved;     // by reclaim plans
+  resources Reserved;     // by reclaim and departure plans
   bool IsTouched = false; // in Touched, the index may be out of date
   std::map<run_name, run_state> Runs;
   worker_health Health;
   instant ProvenAt{}; // when a task last succeeded there
+  instant LeavesAt{}; // at the earliest, by its own report; not set: unknown
 };
 
 /// Identifies a unit of a job.
@@ -335,6 +336,8 @@
   instant ReclaimAfter{};        // earliest next reclaim after a vain one
   int Moves = 0;                 // to another executor after a stall
   gang_break Break;
+  int Departures = 0; // moves away from executors that were about to go
+  int StayNoted = 0;  // last attempt that was logged as staying there
 };
 
 /// The units of one step that could start now, with their sort keys.
@@ -373,6 +376,14 @@
   std::set<job_id> Jobs; // that it ran
 };
 
+/// Reserves capacity for a unit until its runs on executors that are about to
+/// go have ended.
+struct departure_plan {
+  std::vector<executor_id> Executors; // one for each task
+  resources Needs;                    // of each task
+  instant CreatedAt{};
+};
+
 /// Reserves capacity for a unit until the runs preempted for it have ended.
 struct reclaim_plan {
   std::vector<executor_id> Executors; // one for each task
@@ -389,6 +400,7 @@
   std::map<executor_id, executor_state> Executors;
   capacity_index Capacity;          // of the listed executors
   std::vector<executor_id> Touched; // not up to date in Capacity
+  std::set<executor_id> Draining;   // of the listed executors
   std::uint64_t Examined = 0;       // executors that placements looked at
 
   // State of one leadership; empty while another instance leads.
@@ -398,6 +410,7 @@
   bool IsRecovered = false; // all stored jobs have been reported
   std::map<job_id, job_state> Jobs;
   std::map<unit_name, reclaim_plan> Plans;
+  std::map<unit_name, departure_plan> DeparturePlans;
   std::set<unit_name> Suspects;          // units with runs on probation
   std::deque<executor_silence> Silences; // recent ones, oldest first
   // Accelerators of runs and plans of priority 0, by organisation.
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -61,6 +61,17 @@
   executor_filter Allowed;
 };
 
+/// A unit with runs on executors that are about to go.
+struct departure {
+  unit_name Unit;
+  int Priority = 0;
+  wall_instant LatestStart{};         // to meet its objective
+  std::vector<executor_id> Executors; // of its tasks
+  executor_id From;                   // the first of them that goes
+  milliseconds UntilLeaving = milliseconds::max(); // of that one
+  departing_unit Known;
+};
+
 /// Applies one event to the state; created for each call of reduce.
 class event_handler {
 public:
@@ -262,6 +273,41 @@
   void advancePlans();
   void dropPlan(const unit_name &Unit);
 
+  // Runs that leave an executor before it goes (scheduler_departure.cpp)
+  /// To be called with each listed report, before it replaces the last one.
+  void noteDeparture(executor_state &Executor, const executor_report &Report);
+  void moveDeparting();
+  [[nodiscard]] std::vector<departure> listDepartures() const;
+  [[nodiscard]] std::optional<departure>
+  describeDeparture(const unit_name &Unit) const;
+  void depart(const departure &Departure);
+  void noteStay(const departure &Departure, std::string_view Cause);
+  void logDeparture(const log_event &Event, const departure &Departure,
+                    std::vector<log_field> Outcome);
+  [[nodiscard]] bool mayBeMissing(const job_state &Job,
+                                  const unit_name &Unit) const;
+  [[nodiscard]] std::vector<executor_id>
+  findRoomElsewhere(const departure &Departure);
+  [[nodiscard]] std::vector<executor_id>
+  keepMembers(const placement_query &Query, const placement_request &Request,
+              const departure &Departure);
+  [[nodiscard]] std::optional<placement_choice>
+  placeInRack(placement_query Query, const placement_request &Request,
+              const rack_id &Id);
+  [[nodiscard]] std::vector<executor_id>
+  reclaimRoom(const placement_query &Query, const placement_request &Request);
+  void reserveRoom(const unit_name &Unit,
+                   const std::vector<executor_id> &Executors);
+  void dropDeparturePlan(const unit_name &Unit);
+  void advanceDepartures();
+  [[nodiscard]] std::string_view
+  explainLostRoom(const job_state &Job, const unit_name &Unit,
+                  const departure_plan &Plan) const;
+  [[nodiscard]] bool isFree(const departure_plan &Plan) const;
+  /// Compares what departures keep up to date with a recount, as
+  /// explainStaleIndex does.
+  [[nodiscard]] std::string explainStaleDepartures() const;
+
   // Guarantees (scheduler_guarantees.cpp)
   /// Whether the unit fits into the guarantee of the job's organisation.
   [[nodiscard]] bool mayReclaim(const job_state &Job,
@@ -307,6 +353,9 @@
 milliseconds remainingCriticalPath(const job_spec &Job,
                                    const occurrence_progress *Progress);
 
+/// When the occurrence should be done.
+wall_instant objective(const job_state &Job, int Occurrence);
+
 /// Estimated work of the whole job, in weighted core-seconds.
 double workOf(const job_spec &Job);
 
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -84,6 +84,8 @@
   for (const auto &[Organisation, Use] : State.GuaranteedUse)
     if (Use != countGuaranteedUse(State, Organisation))
       return "the guaranteed use of " + Organisation.Value + " is stale";
+  if (std::string Difference = explainStaleDepartures(); !Difference.empty())
+    return Difference;
   for (auto &[Id, Job] : State.Jobs) {
     const bool IsCurrent = Job.IsWaitingKnown && Now < Job.WaitingUntil &&
                            !isFinal(Job.Progress.Phase);
@@ -138,7 +140,7 @@
          Executor.Report.Capacity.covers(Executor.Used);
 }
 
-/// Tasks of the unit's step on the executor, including reclaim plans.
+/// Tasks of the unit's step on the executor, including planned ones.
 int event_handler::countRunsOfStep(const executor_state &Executor,
                                    const unit_name &Unit) const {
   const auto IsOfStep = [&](const auto &Name) {
@@ -151,6 +153,9 @@
   for (const auto &[Name, Plan] : State.Plans)
     if (IsOfStep(Name))
       Count += std::ranges::count(Plan.Executors, Executor.Report.Id);
+  for (const auto &[Name, Plan] : State.DeparturePlans)
+    if (IsOfStep(Name))
+      Count += std::ranges::count(Plan.Executors, Executor.Report.Id);
   return static_cast<int>(Count);
 }
 
@@ -253,6 +258,7 @@
   if (!isLeading() || !State.IsRecovered)
     return;
   advancePlans();
+  advanceDepartures();
   for (const waiting_step *Waiting : listWaiting())
     placeStep(*Waiting);
 }
--- a/core/job/batch/scheduler_waiting.cpp
+++ b/core/job/batch/scheduler_waiting.cpp
@@ -30,8 +30,6 @@
   return Work;
 }
 
-namespace {
-
 wall_instant objective(const job_state &Job, int Occurrence) {
   const double Stretched =
       static_cast<double>(Job.CriticalPath.count()) * Job.Queue.StretchFactor;
@@ -40,6 +38,8 @@
          Job.Queue.TargetDuration;
 }
 
+namespace {
+
 /// Orders by priority, then steps that can still meet their objective by latest
 /// start, then late steps by the work of their job, smallest first.
 bool ranksBefore(const waiting_step *Left, const waiting_step *Right) {
@@ -100,7 +100,7 @@
       }
       if (Known.Ready == instant{})
         Known.Ready = Now;
-      if (!State.Plans.contains(Name))
+      if (!State.Plans.contains(Name) && !State.DeparturePlans.contains(Name))
         Ready.push_back(Unit);
     }
     if (Ready.empty())
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -241,6 +241,26 @@
     "A task, or a gang, made no progress on an executor and is restarted "
     "elsewhere.",
     "If one job moves repeatedly, its own tasks are stalling."};
+const log_event UnitMovedAway{
+    3350, Info, "unit-moved-away",
+    "A task, or a gang, is stopped on an executor that is about to leave, and "
+    "starts where room is reserved for it. action is save if the stop saves "
+    "its work and the time left just suffices; then to may be empty and it "
+    "waits for room. remaining_ms is its expected run time, left_ms the usable "
+    "time.",
+    "None."};
+const log_event UnitLeftBehind{
+    3351, Info, "unit-left-behind",
+    "A task, or a gang, stays on an executor that is about to leave. Logged "
+    "once for each attempt, with the first cause; 3350 follows if it moves "
+    "after all.",
+    "If the cause is often \"no room\" or \"too late\", keep more capacity or "
+    "announce departures earlier."};
+const log_event DepartureRoomLost{
+    3352, Info, "departure-room-lost",
+    "The room reserved for a task that moves away was given up; the task is "
+    "placed as others are once its run has ended.",
+    "None."};
 
 const log_event RequestAnswered{
     4001, Info, "request-answered",
@@ -350,6 +370,9 @@
     &events::ExecutorStalled,
     &events::ExecutorAdvances,
     &events::UnitMoved,
+    &events::UnitMovedAway,
+    &events::UnitLeftBehind,
+    &events::DepartureRoomLost,
     &events::SubmissionRefused,
     &events::SubmissionUnsettled,
     &events::RequestForwarded,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -119,6 +119,9 @@
 extern const log_event ExecutorStalled;
 extern const log_event ExecutorAdvances;
 extern const log_event UnitMoved;
+extern const log_event UnitMovedAway;
+extern const log_event UnitLeftBehind;
+extern const log_event DepartureRoomLost;
 // 4000: requests
 extern const log_event RequestAnswered;
 extern const log_event SubmissionRefused;
--- a/tests/property/batch_load_test.cpp
+++ b/tests/property/batch_load_test.cpp
@@ -118,3 +118,33 @@
   CAPTURE(Failed, Jobs);
   CHECK(Failed < Jobs * FaultyShare / 2);
 }
+
+// Guards against runs that are lost with executors that had announced their
+// departure. A notice of 4 s is seen up to 0.7 s later.
+TEST_CASE("load: executors that leave with a notice lose few runs and no "
+          "checkpoint") {
+  constexpr double LeavingShare = 0.14;
+  constexpr int MostLost = 4; // one of so many without the part
+  world_settings Settings = makePortalDay(350, 0.7);
+  Settings.HasProgress = true;
+  Settings.Faults.LeavingExecutors = LeavingShare;
+  Settings.Faulty = milliseconds(14'000);
+  int Lost = 0;
+  int LostBefore = 0;
+  for (std::uint64_t Run = Seed; Run < Seed + 4; ++Run) {
+    Settings.Scheduler.Departures.IsEnabled = true;
+    const world_report With = runWorld(Settings, Run);
+    Settings.Scheduler.Departures.IsEnabled = false;
+    const world_report Without = runWorld(Settings, Run);
+    for (const std::string &Violation : With.Violations)
+      CHECK(Violation == "");
+    CAPTURE(Run, With.LostWithExecutor, Without.LostWithExecutor);
+    CHECK(With.LostUnsaved == 0);
+    CHECK(With.Failed == 0);
+    Lost += With.LostWithExecutor;
+    LostBefore += Without.LostWithExecutor;
+  }
+  CAPTURE(Lost, LostBefore);
+  CHECK(LostBefore > 0);
+  CHECK(Lost * MostLost <= LostBefore);
+}
--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -124,6 +124,31 @@
   checkWorlds(Settings);
 }
 
+// Guards against runs that are stopped for a departure and started twice or
+// never, and against starts on executors that drain.
+TEST_CASE("batch: executors leave with a notice") {
+  world_settings Settings;
+  Settings.HasProgress = true;
+  Settings.Faults.LeavingExecutors = 0.6;
+  checkWorlds(Settings);
+}
+
+TEST_CASE("batch: executors leave while leaders are lost, the store is away "
+          "and orders lose their answers") {
+  world_settings Settings;
+  Settings.Executors = 12;
+  Settings.HasProgress = true;
+  Settings.Faults.LeavingExecutors = 0.6;
+  Settings.Faults.LeaderLosses = 3;
+  Settings.Faults.HasFrozenLeaders = true;
+  Settings.Faults.StoreOutages = 4;
+  Settings.Faults.LostWrites = 0.1;
+  Settings.Faults.LostOrders = 0.1;
+  Settings.Faults.LateOrders = 0.5;
+  Settings.Faults.ExecutorCuts = 2;
+  checkWorlds(Settings);
+}
+
 TEST_CASE("batch: all faults at once") {
   world_settings Settings;
   Settings.Faults = {0.1, 0.5, 0.1, 0.1, 3, 4, 4, 2, true};
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -32,7 +32,10 @@
   milliseconds FailingUntil{0};
   double CrashingJobs = 0; // fraction with a task that crashes its executors
   int Outages = 0;         // crashes of three executors at once
-  int CapacityChanges = 0; // an executor's capacity is halved for 2 to 12 s
+  double LeavingExecutors = 0; // fraction that drains and then goes for good;
+                               // a new one comes 2 s later
+  milliseconds Notice{4'000};  // of those departures
+  int CapacityChanges = 0;     // an executor's capacity is halved for 2 to 12 s
 };
 
 /// A stream of jobs with one step each.
@@ -63,7 +66,9 @@
   milliseconds Arrivals{20'000}; // jobs arrive until then
   milliseconds Faulty{40'000};   // faults occur until then
   milliseconds Length{160'000};  // duration of the run
+  bool HasProgress = false;      // executors report it; false: always 50%
   world_faults Faults;
+  scheduler_settings Scheduler; // of the leaders
 };
 
 /// Times of the jobs of one priority that have got so far.
@@ -80,7 +85,9 @@
   int Failed = 0;
   int Cancelled = 0;
   int Unfinished = 0;
-  int FailedInnocents = 0; // without a task that crashes executors
+  int FailedInnocents = 0;  // without a task that crashes executors
+  int LostWithExecutor = 0; // runs on executors that left with a notice
+  int LostUnsaved = 0;      // of them, those that can save a checkpoint
   int Starts = 0;
   int Leaders = 0;
   std::map<int, job_times> Times; // by priority
--- a/tests/support/batch_world_checks.cpp
+++ b/tests/support/batch_world_checks.cpp
@@ -14,6 +14,8 @@
       if (Run.Task == Task)
         violate(Name + " runs twice: on " + Id.Value + " and " +
                 Executor.Report.Id.Value);
+  if (Executor.Report.IsDraining && Now > Executor.DrainedAt + DrainBound)
+    violate(Name + " starts on an executor that drains");
   if (Acknowledged.contains(Task))
     violate(Name + " starts after its end was noted");
   for (int Earlier : Job.Spec.Steps[Task.Step].After)
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -202,6 +202,55 @@
   });
 }
 
+void world::drainExecutor(fake_executor &Executor) {
+  trace(Executor.Report.Id.Value + " drains");
+  Executor.Report.IsDraining = true;
+  Executor.DrainedAt = Now;
+  Executor.LeavesAt = Now + Settings.Faults.Notice;
+  at(Executor.LeavesAt,
+     [this, Id = Executor.Report.Id] { removeExecutor(Executors[Id]); });
+}
+
+void world::removeExecutor(fake_executor &Executor) {
+  if (Executor.IsGone)
+    return;
+  trace(Executor.Report.Id.Value + " leaves");
+  for (const auto &[Name, Run] : Executor.Runs) {
+    noteWork(Run, run_end::Lost);
+    ++Report.LostWithExecutor;
+    const stored_job &Job = Jobs[Name.Task.Job];
+    Report.LostUnsaved +=
+        Job.Spec.Steps[Name.Task.Step].IsCheckpointing ? 1 : 0;
+    trace(Executor.Report.Id.Value + " loses " + print(Name));
+  }
+  Executor.IsGone = true;
+  Executor.DownUntil = time_point::max(); // no other one has its address
+  const auto Waiting = std::exchange(Executor.Waiting, {});
+  for (const auto &Reply : Waiting)
+    Reply();
+  restartExecutor(Executor);
+  after(ReplacementDelay, [this, Id = Executor.Report.Id] {
+    fake_executor Next;
+    Next.Report = Executors[Id].Report;
+    Next.Report.Id = executor_id(Id.Value + "'");
+    Next.Report.IsDraining = false;
+    Next.Report.Remaining = milliseconds(0);
+    Executors[Next.Report.Id] = Next;
+  });
+}
+
+int world::percentOf(const fake_run &Run) {
+  constexpr int WholePercent = 100;
+  if (!Settings.HasProgress)
+    return WholePercent / 2;
+  const step_spec &Step =
+      Jobs[Run.Name.Task.Job].Spec.Steps[Run.Name.Task.Step];
+  if (Step.IsGang && Run.EndsAt == time_point::max())
+    return 0;
+  const time_point Begun = Step.IsGang ? Run.EndsAt - Step.Estimate : Run.Begun;
+  return static_cast<int>((Now - Begun) * WholePercent / Step.Estimate);
+}
+
 void world::expireLeases() {
   for (auto &[Id, Executor] : Executors) {
     if (Executor.Runs.empty() || Now < Executor.LeaseEnd)
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -22,6 +22,8 @@
 constexpr milliseconds GangTimeout{3'000};
 constexpr milliseconds CallTimeout{1'000};
 constexpr milliseconds CancelBound{3'000};
+constexpr milliseconds DrainBound{3'000}; // from a notice to the last start
+constexpr milliseconds ReplacementDelay{2'000}; // of an executor that left
 constexpr milliseconds CrashDelay{20}; // of a task that crashes its executor
 constexpr int MaxStartsOfCrashing = 5; // three crashes, two starts more
 constexpr milliseconds ReportDelay{4'500}; // until a capacity change counts
@@ -56,8 +58,10 @@
   std::map<task_name, int>
       Closed; // highest attempt that was stopped or has ended here
   time_point CutUntil{0};
-  time_point DownUntil{0};  // crashed, not back yet
-  bool IsGone = false;      // another executor has its address
+  time_point DownUntil{0}; // crashed, not back yet
+  bool IsGone = false;     // another executor has its address, or none
+  time_point DrainedAt = time_point::max(); // announced its departure
+  time_point LeavesAt = time_point::max();
   resources CapacityBefore; // the last larger one
   time_point ShrunkAt{0};
   bool IsFaulty = false; // fails all runs while the fault lasts
@@ -174,6 +178,7 @@
     const bool Returns = Previous && Previous->IsAlive && !Previous->IsCutOff &&
                          chance(ReturningLeaders);
     auto Leader = Returns ? Previous : std::make_shared<fake_leader>();
+    Leader->State.Settings = Settings.Scheduler;
     Leader->Token = static_cast<std::uint64_t>(++Revision);
     Leader->IsLoaded = false;
     Leader->Revisions.clear();
@@ -211,6 +216,10 @@
 
   void listExecutors(const std::shared_ptr<fake_leader> &Leader) {
     executors_listed Listed;
+    for (auto &[Id, Executor] : Executors)
+      if (Executor.Report.IsDraining)
+        Executor.Report.Remaining =
+            std::max(Executor.LeavesAt - Now, milliseconds(0));
     for (const auto &[Id, Executor] : Executors)
       if (!Executor.IsGone && Now >= Executor.DownUntil &&
           (Now >= Executor.CutUntil ||
@@ -456,7 +465,7 @@
     Answer.ClockMs = Now.count();
     Answer.Sent = Sent;
     for (const auto &[Name, Run] : Executor.Runs)
-      Answer.Active.push_back({Name, "", 50});
+      Answer.Active.push_back({Name, "", percentOf(Run)});
     for (const fake_end &End : Executor.Ends)
       Answer.Ended.push_back({End.Number, End.Name, End.End, ""});
     after(Latency, [=, this] { post(Leader, To.Token, Answer); });
@@ -546,6 +555,11 @@
   /// same address, under another one.
   void crashExecutor(fake_executor &Executor);
   void changeCapacity(fake_executor &Executor);
+  /// The executor drains now and goes after the notice.
+  void drainExecutor(fake_executor &Executor);
+  void removeExecutor(fake_executor &Executor);
+  /// Share of the run's work that is reported as done.
+  [[nodiscard]] int percentOf(const fake_run &Run);
   void expireLeases();
 
   // Checks (batch_world_checks.cpp)
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -143,6 +143,12 @@
       for (int Crashes = 0; Crashes < 3; ++Crashes)
         crashExecutor(anyExecutor());
     });
+  std::vector<executor_id> Leaving;
+  for (const auto &[Id, Executor] : Executors)
+    if (Faults.LeavingExecutors > 0 && chance(Faults.LeavingExecutors))
+      Leaving.push_back(Id);
+  for (const executor_id &Id : Leaving)
+    at(faultTime(), [this, Id] { drainExecutor(Executors[Id]); });
   for (int I = 0; I < Faults.CapacityChanges; ++I)
     at(faultTime(), [this] { changeCapacity(anyExecutor()); });
   for (int I = 0; I < Faults.StoreOutages; ++I)
