Hand the leadership over to a much larger instance

A small instance that took the leadership while larger ones couldn't reach the store kept it until it failed or stopped. A standby with a campaign delay that is shorter by 300 ms now offers itself by one key with a lease; the leader, whose key names its delay, resigns once the offer has been there for 5 s, its term is 15 s old and no job was stored for 1 s.

The leader's key has one more word before the address. Earlier programs read the address as before; with a leader of an earlier program nobody offers itself.

The two of whole handovers were seen to hang without the leader's side; the other two are of the pure decision and of the key's text. Contract (56), unit (189) tests pass.

--- a/apps/instance/keys.hpp
+++ b/apps/instance/keys.hpp
@@ -10,6 +10,9 @@
 /// the leader's fencing token.
 inline constexpr const char *Leader = "batch/leader";
 
+/// Written with a lease by a standby that is much larger than the leader.
+inline constexpr const char *Candidate = "batch/candidate";
+
 /// Queue lengths, published by the leader.
 inline constexpr const char *QueueLengths = "batch/queues";
 
--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -28,11 +29,22 @@
 // Less than the 2 s after which no run may start on a draining executor.
 constexpr milliseconds ListInterval{700};
 
-/// The address in the value of the leader's key, "NAME NONCE ADDRESS:PORT".
+/// The address in the value of the leader's key, "NAME NONCE DELAY_MS
+/// ADDRESS:PORT".
 std::string_view addressIn(std::string_view Value) {
   return Value.substr(Value.rfind(' ') + 1);
 }
 
+/// The leader's campaign delay in the value of its key. Nullopt: written by an
+/// earlier program, "NAME NONCE ADDRESS:PORT".
+std::optional<milliseconds> delayIn(std::string_view Value) {
+  const bool IsEarlier = std::ranges::count(Value, ' ') < 3;
+  const auto Parsed = IsEarlier
+                          ? std::nullopt
+                          : parseCandidate(Value.substr(0, Value.rfind(' ')));
+  return Parsed ? std::optional(Parsed->CampaignDelay) : std::nullopt;
+}
+
 } // namespace
 
 milliseconds campaignDelay(double Cores, double LinkMbps) {
@@ -51,10 +63,13 @@
 leadership::leadership(asio::io_context &Context,
                        platform::metadata_store &Store, std::string Instance,
                        endpoint Forward, milliseconds LeaseLife,
-                       milliseconds CampaignDelay, post_event Post)
+                       milliseconds CampaignDelay, post_event Post,
+                       handover_settings NewHandover)
     : Context(Context), Store(Store), Instance(std::move(Instance)),
       Forward(std::move(Forward)), LeaseLife(LeaseLife),
-      CampaignDelay(CampaignDelay), Post(std::move(Post)) {}
+      CampaignDelay(CampaignDelay), Post(std::move(Post)),
+      Handover(NewHandover),
+      Candidacy(Context, Store, {this->Instance, CampaignDelay}, Handover) {}
 
 platform::key_condition leadership::fence(std::uint64_t Term) {
   return {keys::Leader, static_cast<std::int64_t>(Term)};
@@ -75,6 +90,7 @@
 }
 
 task<void> leadership::run() {
+  asio::co_spawn(Context, Candidacy.run(), asio::detached);
   bool HasWaited = false;
   while (!IsResigning) {
     const platform::item_read Key = co_await Store.read(keys::Leader);
@@ -88,9 +104,8 @@
       continue;
     }
     HasWaited = false;
-    Leader.reset();
+    noteLeaderKey(Key.Item);
     if (Key.Item && !isOwnKey(Key.Item->Value)) {
-      Leader = parseEndpoint(addressIn(Key.Item->Value));
       const platform::watch_result Watch =
           co_await Store.watch(keys::Leader, Key.Revision, StandbyWatchTimeout);
       if (Watch.Error)
@@ -104,6 +119,12 @@
   }
 }
 
+void leadership::noteLeaderKey(const std::optional<platform::store_item> &Key) {
+  const bool IsOther = Key && !isOwnKey(Key->Value);
+  Leader = IsOther ? parseEndpoint(addressIn(Key->Value)) : std::nullopt;
+  Candidacy.noteLeader(IsOther ? delayIn(Key->Value) : std::nullopt);
+}
+
 /// Whether the leader's key was written by this instance, before a restart or
 /// in an earlier term. This process is bound to the address in it, so no other
 /// process can still be leading under that key.
@@ -121,8 +142,9 @@
     co_await sleepFor(Context, RetryDelay);
     co_return false;
   }
-  const std::string Value =
-      Instance + " " + randomHex(16) + " " + printEndpoint(Forward);
+  const std::string Value = Instance + " " + randomHex(16) + " " +
+                            std::to_string(CampaignDelay.count()) + " " +
+                            printEndpoint(Forward);
   platform::store_change Change;
   Change.Conditions.push_back({keys::Leader, KeyRevision});
   Change.Writes.push_back({keys::Leader, Value, Granted.Id});
@@ -149,6 +171,8 @@
   ProgressRevisions.clear();
   IsHistoryMissing = false;
   IsCatchingUp = false;
+  LeadsSince = readClock();
+  LastJobAt = LeadsSince;
   Post(Term, leadership_gained{Term, ValidUntil});
   asio::co_spawn(Context, renew(Term), asio::detached);
   bool IsLoaded = false;
@@ -161,6 +185,7 @@
     co_return;
   Post(Term, recovery_finished{});
   asio::co_spawn(Context, listExecutors(Term), asio::detached);
+  asio::co_spawn(Context, watchCandidate(Term), asio::detached);
   co_await watchJobs(Term);
 }
 
@@ -279,6 +304,8 @@
       continue;
     }
     JobsRevision = Watch.Revision;
+    if (!Watch.Changes.empty())
+      LastJobAt = readClock();
     for (const platform::item_change &Change : Watch.Changes)
       if (!Change.IsRemoved)
         postNewItem(Term, Change.Item);
@@ -369,6 +396,42 @@
   }
 }
 
+/// Resigns in favour of a larger instance, at a quiet moment.
+task<void> leadership::watchCandidate(std::uint64_t Term) {
+  const bool MayBeSmaller = isLarger(milliseconds(0), CampaignDelay, Handover);
+  std::int64_t Revision = 0; // of the candidate's key
+  instant Seen{};
+  while (MayBeSmaller && isCurrent(Term)) {
+    co_await sleepFor(Context, Handover.KeepInterval);
+    if (!isCurrent(Term))
+      co_return;
+    const platform::item_read Key = co_await Store.read(keys::Candidate);
+    if (!isCurrent(Term))
+      co_return;
+    const instant Now = readClock();
+    const std::int64_t Found = Key.Item ? Key.Item->Revision : 0;
+    if (std::exchange(Revision, Found) != Found)
+      Seen = Now;
+    const auto Candidate =
+        Key.Item ? parseCandidate(Key.Item->Value) : std::nullopt;
+    if (!Candidate)
+      continue;
+    const handover_view View{CampaignDelay, Candidate->CampaignDelay,
+                             Now - Seen, Now - LeadsSince, Now - LastJobAt};
+    if (!isHandoverDue(View, Handover))
+      continue;
+    co_await handOver(Candidate->Name);
+    co_return;
+  }
+}
+
+/// Any standby may follow; the largest campaigns first.
+task<void> leadership::handOver(std::string Candidate) {
+  const std::int64_t Ended = Lease;
+  endTerm("handed over, " + Candidate + " is larger");
+  co_await endLease(Ended);
+}
+
 void leadership::endTerm(std::string_view Cause) {
   if (Token == 0)
     return;
@@ -385,10 +448,16 @@
 
 task<void> leadership::resign() {
   IsResigning = true;
+  Candidacy.stop();
   if (Token == 0)
     co_return;
+  const std::int64_t Ended = Lease;
   endTerm("this instance stops");
-  const std::error_code Error = co_await Store.endLease(Lease);
+  co_await endLease(Ended);
+}
+
+task<void> leadership::endLease(std::int64_t Ended) {
+  const std::error_code Error = co_await Store.endLease(Ended);
   if (Error) // the key is removed when the lease expires
     writeLog(events::StoreUnreachable, {{"call", "end of the leader's lease"},
                                         {"error", Error.message()}});
--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "apps/instance/handover.hpp"
 #include "core/job/batch/scheduler.hpp"
 #include "platform/metadata_store.hpp"
 
@@ -28,7 +29,8 @@
   /// leader. CampaignDelay: wait before it campaigns for a free leadership.
   leadership(asio::io_context &Context, platform::metadata_store &Store,
              std::string Instance, endpoint Forward, milliseconds LeaseLife,
-             milliseconds CampaignDelay, post_event Post);
+             milliseconds CampaignDelay, post_event Post,
+             handover_settings Handover = {});
 
   /// Campaigns and leads until resign is called.
   task<void> run();
@@ -63,6 +65,7 @@
   void forget(const job_id &Job) { ProgressRevisions.erase(Job); }
 
 private:
+  void noteLeaderKey(const std::optional<platform::store_item> &Key);
   [[nodiscard]] bool isOwnKey(const std::string &Value) const;
   task<bool> tryAcquireKey(std::int64_t KeyRevision);
   task<void> lead();
@@ -77,6 +80,9 @@
   task<bool> listExecutorsOnce(std::uint64_t Term);
   void postStoredItem(std::uint64_t Term, const platform::store_item &Item,
                       const std::string &Progress);
+  task<void> watchCandidate(std::uint64_t Term);
+  task<void> handOver(std::string Candidate);
+  task<void> endLease(std::int64_t Ended);
   void endTerm(std::string_view Cause);
   [[nodiscard]] bool isCurrent(std::uint64_t Term) const {
     return Term == Token;
@@ -90,6 +96,10 @@
   milliseconds LeaseLife;
   milliseconds CampaignDelay;
   post_event Post;
+  handover_settings Handover;
+  candidacy Candidacy;
+  instant LeadsSince{};
+  instant LastJobAt{}; // a job or a cancellation was stored
   std::int64_t Lease = 0;
   std::uint64_t Token = 0; // 0: not leading
   instant ValidUntil{};
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -411,3 +411,88 @@
   // Even the smallest instance takes over before the leases of runs expire.
   CHECK(campaignDelay(0.12, 2) < milliseconds(3'000));
 }
+
+TEST_CASE(
+    "leadership: a handover needs a larger candidate that is well, an old "
+    "term and a quiet moment") {
+  const handover_settings Settings;
+  const handover_view Due{milliseconds(900), milliseconds(100),
+                          Settings.MinWell, Settings.MinTerm,
+                          Settings.MinQuiet};
+  CHECK(isHandoverDue(Due, Settings));
+  constexpr milliseconds Little{1};
+  handover_view View = Due;
+  View.CandidateDelay = View.OwnDelay - Settings.Margin + Little;
+  CHECK_FALSE(isHandoverDue(View, Settings));
+  View = Due;
+  View.Well -= Little;
+  CHECK_FALSE(isHandoverDue(View, Settings));
+  View = Due;
+  View.Term -= Little;
+  CHECK_FALSE(isHandoverDue(View, Settings));
+  View = Due;
+  View.Quiet -= Little;
+  CHECK_FALSE(isHandoverDue(View, Settings));
+}
+
+TEST_CASE("leadership: a candidate is read as it was written") {
+  const leader_candidate Candidate{"n-1", milliseconds(150)};
+  CHECK(parseCandidate(printCandidate(Candidate)) == Candidate);
+  for (const char *Text : {"", "n-1", " 150", "n-1 ", "n-1 x", "n-1 -1",
+                           "n-1 150x", "n-1 99999999999999999999"})
+    CHECK_FALSE(parseCandidate(Text));
+}
+
+namespace {
+
+handover_settings fastHandover() {
+  handover_settings Settings;
+  Settings.KeepInterval = milliseconds(5);
+  Settings.OfferInterval = milliseconds(5);
+  Settings.MinWell = milliseconds(20);
+  Settings.MinTerm = milliseconds(30);
+  Settings.MinQuiet = milliseconds(10);
+  return Settings;
+}
+
+constexpr milliseconds SmallDelay{350};
+
+} // namespace
+
+// Guards against a small instance that leads for the rest of its life after
+// larger ones were away for a moment.
+TEST_CASE_METHOD(instance_fixture,
+                 "leadership: a small leader hands over to a larger standby") {
+  const auto Post = [](std::uint64_t, const decltype(event::What) &) {};
+  leadership Small(Context, Store, "small", {"127.0.0.1", 7},
+                   milliseconds(60'000), SmallDelay, Post, fastHandover());
+  asio::co_spawn(Context, Small.run(), asio::detached);
+  runUntil([&] { return Small.isLeading(); });
+  const std::uint64_t Token = Small.token();
+  leadership Large(Context, Store, "large", {"127.0.0.1", 8},
+                   milliseconds(60'000), milliseconds(0), Post, fastHandover());
+  asio::co_spawn(Context, Large.run(), asio::detached);
+  runUntil([&] { return Large.isLeading(); });
+  CHECK_FALSE(Small.isLeading());
+  CHECK(Large.token() > Token);
+  // The offer ends with its reason.
+  runUntil([&] { return Service.value(keys::Candidate).empty(); });
+}
+
+// Guards against a deployment without a leader when the candidate is gone at
+// the moment of the handover.
+TEST_CASE_METHOD(instance_fixture,
+                 "leadership: after a handover that nobody takes up the same "
+                 "instance leads again") {
+  std::vector<std::uint64_t> Tokens;
+  const auto Post = [&](std::uint64_t, decltype(event::What) What) {
+    if (const auto *Gained = std::get_if<leadership_gained>(&What))
+      Tokens.push_back(Gained->Token);
+  };
+  leadership Small(Context, Store, "small", {"127.0.0.1", 7},
+                   milliseconds(60'000), SmallDelay, Post, fastHandover());
+  Service.put(keys::Candidate, "gone 0");
+  asio::co_spawn(Context, Small.run(), asio::detached);
+  runUntil([&] { return Tokens.size() == 2; });
+  CHECK(Tokens[1] > Tokens[0]);
+}
--- a/tests/unit/batch_departure_test.cpp
+++ b/tests/unit/batch_departure_test.cpp
@@ -24,6 +24,7 @@
   }
   void relist() {
     std::vector<executor_report> Listed;
+    Listed.reserve(Reports.size());
     for (const auto &[Id, Report] : Reports)
       Listed.push_back(Report);
     list(std::move(Listed));
@@ -93,19 +94,19 @@
 
 TEST_CASE("departure: what is done in time stays, the rest moves while a stop "
           "can still end") {
-  const auto choose = [](const departing_unit &Unit) {
+  const auto Choose = [](const departing_unit &Unit) {
     return chooseAction(Unit, StopTimeout);
   };
   using action = departure_action;
-  CHECK(choose(unitOf(seconds(2), seconds(3), false)) == action::Stay);
-  CHECK(choose(unitOf(seconds(2), seconds(3), true)) == action::Stay);
-  CHECK(choose(unitOf(seconds(9), seconds(3), false)) == action::Move);
-  CHECK(choose(unitOf(seconds(9), seconds(3), true)) == action::Move);
-  CHECK(choose(unitOf(seconds(9), StopTimeout, false)) == action::Move);
-  CHECK(choose(unitOf(seconds(9), StopTimeout, true)) == action::Save);
-  CHECK(choose(unitOf(seconds(9), seconds(-1), false)) == action::Stay);
-  CHECK(choose(unitOf(seconds(9), seconds(-1), true)) == action::Save);
-  CHECK(choose({seconds(0), seconds(3), true, false}) == action::Move);
+  CHECK(Choose(unitOf(seconds(2), seconds(3), false)) == action::Stay);
+  CHECK(Choose(unitOf(seconds(2), seconds(3), true)) == action::Stay);
+  CHECK(Choose(unitOf(seconds(9), seconds(3), false)) == action::Move);
+  CHECK(Choose(unitOf(seconds(9), seconds(3), true)) == action::Move);
+  CHECK(Choose(unitOf(seconds(9), StopTimeout, false)) == action::Move);
+  CHECK(Choose(unitOf(seconds(9), StopTimeout, true)) == action::Save);
+  CHECK(Choose(unitOf(seconds(9), seconds(-1), false)) == action::Stay);
+  CHECK(Choose(unitOf(seconds(9), seconds(-1), true)) == action::Save);
+  CHECK(Choose({seconds(0), seconds(3), true, false}) == action::Move);
 }
 
 // Guards against a run that is lost with an executor that had announced its
