Let gangs outside their preferred rack leave for any room

A rack-local gang that was spread over racks found no room when one of its executors left: its leaving members had to be placed in one rack with all the others. It isn't in one rack now, so any room is as good. The same holds for tasks that already run outside the rack of their data.

The new test was seen to fail without the change.

--- a/core/job/batch/scheduler_departure.cpp
+++ b/core/job/batch/scheduler_departure.cpp
@@ -225,15 +225,25 @@
   if (!Room.empty())
     return Room;
   auto Choice = placeWherePreferred(Query, Request);
-  // In another rack it would take several times as long: no room.
-  const bool HasRackPreference = Step.IsRackLocal || !Step.Affinity.isEmpty();
-  if (!Choice && !HasRackPreference)
+  if (!Choice && !isInPreferredRack(Step, Departure))
     Choice = placeAnywhere(Query, Request);
   if (Choice)
     return Choice->Executors;
   return reclaimRoom(Query, Request);
 }
 
+/// Whether the unit would take several times as long in another rack.
+bool event_handler::isInPreferredRack(const step_spec &Step,
+                                      const departure &Departure) const {
+  std::set<rack_id> Racks;
+  for (const executor_id &Id : Departure.Executors)
+    Racks.insert(State.Executors.at(Id).Report.Rack);
+  const rack_id &Rack = *Racks.begin();
+  const bool IsOfData = Step.Affinity.isEmpty() || Step.Affinity == Rack;
+  return (Step.IsRackLocal || !Step.Affinity.isEmpty()) && Racks.size() == 1 &&
+         IsOfData;
+}
+
 /// Room for those members of a gang whose executors don't stay, beside the
 /// others.
 std::vector<executor_id>
@@ -242,23 +252,19 @@
                            const departure &Departure) {
   std::vector<executor_id> Members = Departure.Executors;
   std::vector<std::size_t> Leaving;
-  std::set<rack_id> Racks;
   for (std::size_t I = 0; I < Members.size(); ++I) {
     const executor_state &Executor = State.Executors.at(Members[I]);
-    if (isEligible(Executor, Query.Job, Query.Step))
-      Racks.insert(Executor.Report.Rack);
-    else
+    if (!isEligible(Executor, Query.Job, Query.Step))
       Leaving.push_back(I);
   }
   if (Leaving.empty() || Leaving.size() == Members.size())
     return {};
   placement_request Rest = Request;
   Rest.Count = static_cast<int>(Leaving.size());
-  std::optional<placement_choice> Choice;
-  if (!Request.NeedsOneRack && Request.PreferredRack.isEmpty())
-    Choice = placeAnywhere(Query, Rest);
-  else if (Racks.size() == 1)
-    Choice = placeInRack(Query, Rest, *Racks.begin());
+  const rack_id Rack = State.Executors.at(Members.front()).Report.Rack;
+  const auto Choice = isInPreferredRack(Query.Step, Departure)
+                          ? placeInRack(Query, Rest, Rack)
+                          : placeAnywhere(Query, Rest);
   if (!Choice)
     return {};
   for (std::size_t I = 0; I < Leaving.size(); ++I)
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -288,6 +288,8 @@
                                   const unit_name &Unit) const;
   [[nodiscard]] std::vector<executor_id>
   findRoomElsewhere(const departure &Departure);
+  [[nodiscard]] bool isInPreferredRack(const step_spec &Step,
+                                       const departure &Departure) const;
   [[nodiscard]] std::vector<executor_id>
   keepMembers(const placement_query &Query, const placement_request &Request,
               const departure &Departure);
--- a/tests/unit/batch_departure_test.cpp
+++ b/tests/unit/batch_departure_test.cpp
@@ -206,6 +206,21 @@
   CHECK(Fixture.index() == "");
 }
 
+// Guards against losing a gang that is spread over racks for want of one rack.
+TEST_CASE("departure: a gang outside its preferred rack takes any room") {
+  departure_fixture Fixture({"x", "y", "z"});
+  for (const char *Id : {"x", "y", "z"})
+    Fixture.Reports[Id].Rack = rack_id(std::string("rack-") + Id);
+  Fixture.relist();
+  job_spec Job = scheduler_fixture::job("j", 2, 2, 8);
+  Job.Steps[0].IsGang = true;
+  Job.Steps[0].IsRackLocal = true;
+  const auto Starts = Fixture.run(departure_fixture::lasting(Job, seconds(20)));
+  REQUIRE(Starts.size() == 2);
+  Fixture.announce(Starts[0].To.Id.Value, seconds(4));
+  CHECK(Fixture.all<stop_run>().size() == 2);
+}
+
 TEST_CASE("departure: a gang without room for the leaving member stays whole") {
   departure_fixture Fixture({"x", "y"});
   job_spec Job = scheduler_fixture::job("j", 2, 2, 8);
