--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -32,6 +32,7 @@
   if (!isLeading() || !State.IsRecovered)
     return;
   advancePlans();
+  advanceDepartures();
   std::vector<share_queue> Queues = listByOrganisation();
   refreshIndex();
   for (share_queue &Queue : Queues)
--- a/core/job/batch/scheduler_waiting.cpp
+++ b/core/job/batch/scheduler_waiting.cpp
@@ -93,7 +93,7 @@
       }
       if (Known.Ready == instant{})
         Known.Ready = Now;
-      if (!State.Plans.contains(Name))
+      if (!State.Plans.contains(Name) && !State.DeparturePlans.contains(Name))
         Ready.push_back(Unit);
     }
     if (Ready.empty())
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -123,6 +123,9 @@
 // Shares of organisations
 extern const log_event UrgentReclaimed;
 extern const log_event ReclaimDropped;
+extern const log_event UnitMovedAway;
+extern const log_event UnitLeftBehind;
+extern const log_event DepartureRoomLost;
 // 4000: requests
 extern const log_event RequestAnswered;
 extern const log_event SubmissionRefused;
