--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -301,12 +301,13 @@
   bool IsStalled = false; // none of its runs advances
   instant StalledSeen{};  // last report of that
   resources Used;         // by Runs
-  resources Reserved;     // by reclaim plans
+  resources Reserved;     // by reclaim and departure plans
   bool IsKept = false;    // for guaranteed work
   bool IsTouched = false; // in Touched, the index may be out of date
   std::map<run_name, run_state> Runs;
   worker_health Health;
   instant ProvenAt{};      // when a task last succeeded there
+  instant LeavesAt{};      // at the earliest, by its report; not set: unknown
   milliseconds HoldGap{0}; // without a hold in flight, before the last report
   speed_class Speed = speed_class::Unknown; // as in scheduler_state::Speeds
 };
@@ -345,6 +346,8 @@
   int Stops = 0;         // by reclaims
   instant PausedUntil{}; // after the last of them, while capacity is scarce
   speed_probe Probe;
+  int Departures = 0; // moves away from executors that were about to go
+  int StayNoted = 0;  // last attempt that was logged as staying there
 };
 
 /// The units of one step that could start now, with their sort keys.
@@ -404,6 +407,14 @@
   std::set<job_id> Jobs; // that it ran
 };
 
+/// Reserves capacity for a unit until its runs on executors that are about to
+/// go have ended.
+struct departure_plan {
+  std::vector<executor_id> Executors; // one for each task
+  resources Needs;                    // of each task
+  instant CreatedAt{};
+};
+
 /// Reserves capacity for a unit until the runs preempted for it have ended.
 struct reclaim_plan {
   std::vector<executor_id> Executors; // one for each task
@@ -443,7 +454,8 @@
   std::vector<executor_id> Touched; // not up to date in Capacity
   // What didn't fit into a rack since it last changed.
   std::map<std::pair<service_id, rack_id>, std::vector<vain_fit>> VainFits;
-  std::uint64_t Examined = 0; // executors that placements looked at
+  std::set<executor_id> Draining; // of the listed executors
+  std::uint64_t Examined = 0;     // executors that placements looked at
 
   // State of one leadership; empty while another instance leads.
   std::uint64_t Token = 0;  // 0: not leading
@@ -452,6 +464,7 @@
   bool IsRecovered = false; // all stored jobs have been reported
   std::map<job_id, job_state> Jobs;
   std::map<unit_name, reclaim_plan> Plans;
+  std::map<unit_name, departure_plan> DeparturePlans;
   std::set<unit_name> Suspects;          // units with runs on probation
   std::deque<executor_silence> Silences; // recent ones, oldest first
   // Accelerators of runs and plans of priority 0, by organisation.
--- a/core/job/batch/scheduler_reclaim.cpp
+++ b/core/job/batch/scheduler_reclaim.cpp
@@ -45,7 +45,9 @@
 
 bool event_handler::isEnding(const run_name &Name, const run_state &Run) const {
   const auto Job = State.Jobs.find(Name.Task.Job);
-  return Run.Phase == run_phase::Active && Job != State.Jobs.end() &&
+  // It isn't known when runs of an earlier leader began.
+  return Run.Phase == run_phase::Active && Run.IsAccepted &&
+         Job != State.Jobs.end() &&
          remainingTime(Job->second, Name, Run) <= State.Settings.StopTimeout;
 }
 
--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -33,6 +33,7 @@
     return;
   updateKept();
   advancePlans();
+  advanceDepartures();
   std::vector<share_queue> Queues = listByOrganisation();
   refreshIndex();
   for (share_queue &Queue : Queues)
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -126,6 +126,9 @@
 // 3340: headroom
 extern const log_event UnitStopped;
 extern const log_event KeptChanged;
+extern const log_event UnitMovedAway;
+extern const log_event UnitLeftBehind;
+extern const log_event DepartureRoomLost;
 // 4000: requests
 extern const log_event RequestAnswered;
 extern const log_event SubmissionRefused;
