Stop units that save later when their executor leaves, and keep urgent units' place

With departures one after the other a wide gang that saves moved five times within 4 s and was then lost at the limit of moves. Units that save now stay until the usable time is down to two stops, and the limit doesn't keep them from being saved. Units that can't save get no margin for a lost order: what matters is their own end. The margin had urgent gangs stopped that ended in time.

--- a/core/job/batch/departure.cpp
+++ b/core/job/batch/departure.cpp
@@ -24,12 +24,17 @@
   const bool IsDoneInTime = !Unit.IsLongRunning && Unit.Remaining <= Unit.Left;
   if (IsDoneInTime)
     return departure_action::Stay;
-  if (Unit.CanSave)
-    return Unit.Left <= StopTimeout ? departure_action::Save
-                                    : departure_action::Move;
   // Its work is lost either way; a move loses less of it and is known at once.
   const bool IsStopInTime = Unit.Left > milliseconds(0);
-  return IsStopInTime ? departure_action::Move : departure_action::Stay;
+  if (!Unit.CanSave)
+    return IsStopInTime ? departure_action::Move : departure_action::Stay;
+  // Until then it loses nothing here, and a gang whose executors go one after
+  // the other moves less often. The second stop is for a second try.
+  const bool CanWait = Unit.Left > 2 * StopTimeout;
+  if (CanWait)
+    return departure_action::Stay;
+  return Unit.Left <= StopTimeout ? departure_action::Save
+                                  : departure_action::Move;
 }
 
 } // namespace galenastage::batch
--- a/core/job/batch/scheduler_departure.cpp
+++ b/core/job/batch/scheduler_departure.cpp
@@ -118,6 +118,9 @@
     return std::nullopt;
   Departure.Known.Left =
       usableTime(Departure.UntilLeaving, State.Settings.Departures);
+  // What can't save matters by its own end, which needs no order.
+  if (!Departure.Known.CanSave)
+    Departure.Known.Left += State.Settings.Departures.MessageMargin;
   return Departure;
 }
 
@@ -127,11 +130,14 @@
   const departure_action Action =
       chooseAction(Departure.Known, State.Settings.StopTimeout);
   if (Action == departure_action::Stay) {
-    noteStay(Departure, Departure.Known.Left > milliseconds(0) ? "ends in time"
-                                                               : "too late");
+    if (Departure.Known.Remaining <= Departure.Known.Left)
+      noteStay(Departure, "ends in time");
+    else if (!Departure.Known.CanSave)
+      noteStay(Departure, "too late");
     return;
   }
-  if (Known.Departures >= State.Settings.Departures.MaxMoves) {
+  const bool MayMove = Known.Departures < State.Settings.Departures.MaxMoves;
+  if (!MayMove && Action != departure_action::Save) {
     noteStay(Departure, "moved too often");
     return;
   }
@@ -311,6 +317,7 @@
   for (const auto &[Victim, Number] : Groups)
     if (std::ranges::count(Choice->PreemptedGroups, Number) > 0)
       stopUnit(State.Jobs.at(Victim.Job), Victim);
+  noteUrgentVictims(Query.Unit, *Choice, Groups);
   log(events::RoomReclaimed,
       {{"job", Query.Unit.Job.Value},
        {"organisation", Job.Spec.Organisation.Value},
@@ -332,6 +339,12 @@
     touch(Executor);
   }
   State.DeparturePlans[Unit] = {Executors, Needs, Now};
+  // Its place within the guarantee of its organisation stays as it was.
+  if (const auto Use = State.UrgentUse.find(Job.Spec.Organisation);
+      Use != State.UrgentUse.end())
+    if (const auto Urgent = Use->second.Units.find(Unit);
+        Urgent != Use->second.Units.end())
+      unitState(Job, Unit).Planned = Urgent->second.Since;
   touch(Job);
 }
 
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -270,6 +270,7 @@
   after(ReplacementDelay, [this, Id = Executor.Report.Id] {
     fake_executor Next;
     Next.Report = Executors[Id].Report;
+    Next.Speed = Executors[Id].Speed;
     Next.Report.Id = executor_id(Id.Value + "'");
     Next.Report.IsDraining = false;
     Next.Report.Remaining = milliseconds(0);
