Weigh spread gangs and dear stops; note on headroom

A gang that prefers one rack is spread over free executors of several when that costs less than the stops for one rack: twice the added run time. A reclaim that throws away more than 8 times the urgent work itself waits until 1.2 s after the unit was ready, since urgent work that ends may leave enough (victim_settings::Patience; 0 switches it off). Urgent runs beyond a guarantee aren't spared by it.

Both have unit tests; that of the wait failed while the retry came 100 ms later than the wait.

--- a/core/job/batch/placement.cpp
+++ b/core/job/batch/placement.cpp
@@ -64,7 +64,7 @@
     const double Free = IsPreferred ? -1 : totalFree(Candidates);
     if (Free < BestFree) {
       BestFree = Free;
-      Best = placement_choice{std::move(Chosen), {}};
+      Best = placement_choice{std::move(Chosen), {}, 0};
     }
   }
   return Best;
@@ -225,7 +225,7 @@
   std::vector<executor_id> Chosen = fill(Request, All);
   if (Chosen.empty())
     return std::nullopt;
-  return placement_choice{std::move(Chosen), {}};
+  return placement_choice{std::move(Chosen), {}, 0};
 }
 
 const candidate *findBestFit(const placement_request &Request,
@@ -264,7 +264,8 @@
       if (Best && Trial.LostWork >= LeastLost)
         continue;
       LeastLost = Trial.LostWork;
-      Best = placement_choice{Trial.choose(), std::move(Trial.Stopped)};
+      Best = placement_choice{Trial.choose(), std::move(Trial.Stopped),
+                              Trial.LostWork};
     }
   };
   for (const auto &[Rack, Members] : groupByRack(Candidates))
--- a/core/job/batch/placement.hpp
+++ b/core/job/batch/placement.hpp
@@ -34,6 +34,7 @@
   std::vector<executor_id> Executors; // one for each task
   std::vector<int>
       PreemptedGroups; // to stop first; empty: capacity is free now
+  double LostWork = 0; // of these groups, in weighted core-seconds
 
   friend bool operator==(const placement_choice &,
                          const placement_choice &) = default;
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -279,10 +279,23 @@
   [[nodiscard]] std::optional<placement_choice>
   chooseReclaim(const placement_query &Query, const placement_request &Request,
                 std::map<unit_name, int> &Groups);
+  /// Free executors of several racks, if stops for one rack cost more than the
+  /// spread.
+  [[nodiscard]] std::optional<placement_choice>
+  chooseSpread(const placement_query &Query, const placement_request &Request,
+               const placement_choice &Reclaim);
+  /// Whether the reclaim throws away so much that it is better to wait a
+  /// little. Urgent runs beyond a guarantee aren't spared.
+  [[nodiscard]] bool isTooDear(const placement_query &Query,
+                               const placement_request &Request,
+                               const placement_choice &Choice,
+                               const std::map<unit_name, int> &Groups) const;
   void planReclaim(const placement_query &Query,
                    const placement_request &Request,
                    const placement_choice &Choice,
                    const std::map<unit_name, int> &Groups);
+  /// Work that a stop of the unit throws away, in weighted core-seconds.
+  [[nodiscard]] double lossOfVictim(const unit_name &Victim) const;
   /// Stops a unit of lower priority for the urgent one.
   void stopVictim(const unit_name &Victim, const unit_name &Urgent);
   [[nodiscard]] double reclaimPrice(const run_name &Name,
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -343,7 +343,7 @@
         if (IsPossible && Request.Count == 1) {
           const std::vector<candidate> Candidates = listCandidates(Query, Rack);
           if (const candidate *Best = findBestFit(Request, Candidates))
-            Choice = placement_choice{{Best->Executor}, {}};
+            Choice = placement_choice{{Best->Executor}, {}, 0};
         } else if (IsPossible) {
           placement_request InRack = Request;
           InRack.NeedsOneRack = true;
--- a/core/job/batch/scheduler_reclaim.cpp
+++ b/core/job/batch/scheduler_reclaim.cpp
@@ -145,11 +145,8 @@
   });
 }
 
-void event_handler::stopVictim(const unit_name &Victim,
-                               const unit_name &Urgent) {
-  job_state &Job = State.Jobs.at(Victim.Job);
-  unit_state &Known = unitState(Job, Victim);
-  const headroom_settings &Settings = State.Settings.Headroom;
+double event_handler::lossOfVictim(const unit_name &Victim) const {
+  const job_state &Job = State.Jobs.at(Victim.Job);
   double Loss = 0;
   for (const auto &[Name, Id] : Job.Runs)
     if (unitNameOf(Job, Name.Task) == Victim) {
@@ -158,6 +155,15 @@
                       Now - Run.Ordered, weightedCores(Run.Needs), 0},
                      State.Settings.RestoreTime);
     }
+  return Loss;
+}
+
+void event_handler::stopVictim(const unit_name &Victim,
+                               const unit_name &Urgent) {
+  job_state &Job = State.Jobs.at(Victim.Job);
+  unit_state &Known = unitState(Job, Victim);
+  const headroom_settings &Settings = State.Settings.Headroom;
+  const double Loss = lossOfVictim(Victim);
   ++Known.Stops;
   if (Settings.IsEnabled)
     Known.PausedUntil = Now + pauseAfter(Known.Stops, Settings.Victims);
@@ -267,6 +273,56 @@
   }
 }
 
+std::optional<placement_choice>
+event_handler::chooseSpread(const placement_query &Query,
+                            const placement_request &Request,
+                            const placement_choice &Reclaim) {
+  const auto RackOf = [&](const executor_id &Id) {
+    return State.Executors.at(Id).Report.Rack;
+  };
+  const bool IsInOneRack =
+      std::ranges::all_of(Reclaim.Executors, [&](const executor_id &Id) {
+        return RackOf(Id) == RackOf(Reclaim.Executors.front());
+      });
+  const double Cost =
+      IsInOneRack ? spreadCost(weightedCores(Request.Needs) * Request.Count,
+                               Query.Step.Estimate)
+                  : 0;
+  if (!State.Settings.Headroom.IsEnabled || Reclaim.LostWork <= Cost)
+    return std::nullopt;
+  placement_query Within = Query;
+  placement_request Anywhere = Request;
+  Anywhere.NeedsOneRack = false;
+  for (const executor_filter Allowed : preferredExecutors(Query)) {
+    Within.Allowed = Allowed;
+    if (auto Choice = placeAcrossRacks(Within, Anywhere))
+      return Choice;
+  }
+  return std::nullopt;
+}
+
+bool event_handler::isTooDear(const placement_query &Query,
+                              const placement_request &Request,
+                              const placement_choice &Choice,
+                              const std::map<unit_name, int> &Groups) const {
+  const headroom_settings &Settings = State.Settings.Headroom;
+  const auto &Units = Query.Job.Units.at(Query.Unit.Occurrence);
+  const instant Ready = Units[Query.Unit.Step][Query.Unit.Unit].Ready;
+  const std::chrono::duration<double> Estimate = Query.Step.Estimate;
+  const double Work =
+      weightedCores(Request.Needs) * Request.Count * Estimate.count();
+  if (!Settings.IsEnabled || Now - Ready >= Settings.Victims.Patience)
+    return false;
+  double Loss = 0;
+  for (const auto &[Victim, Number] : Groups)
+    if (std::ranges::count(Choice.PreemptedGroups, Number) > 0) {
+      if (State.Jobs.at(Victim.Job).Queue.Priority == 0)
+        return false;
+      Loss += lossOfVictim(Victim);
+    }
+  return Loss > Work * Settings.Victims.DearFactor;
+}
+
 /// Preempts lower-priority runs for a guaranteed unit. True when it was started
 /// or got a reclaim plan.
 bool event_handler::placeReclaiming(const placement_query &Query,
@@ -278,12 +334,20 @@
   if (!MayTry)
     return false;
   std::map<unit_name, int> Groups;
-  const auto Choice = chooseReclaim(Query, Request, Groups);
+  auto Choice = chooseReclaim(Query, Request, Groups);
   if (!Choice) {
     noteVain(search::Reclaim, Query, Request);
     Known.ReclaimAfter = Now + State.Settings.ReclaimRetry;
     return false;
   }
+  if (auto Spread = chooseSpread(Query, Request, *Choice))
+    Choice = std::move(Spread);
+  if (isTooDear(Query, Request, *Choice, Groups)) {
+    Known.ReclaimAfter =
+        std::min(Now + State.Settings.ReclaimRetry,
+                 Known.Ready + State.Settings.Headroom.Victims.Patience);
+    return false;
+  }
   if (Choice->PreemptedGroups.empty() && isFreeNow(*Choice, Request.Needs))
     startUnit(Query.Unit, Choice->Executors);
   else
--- a/core/job/batch/victims.cpp
+++ b/core/job/batch/victims.cpp
@@ -29,6 +29,12 @@
   return lossOf(Victim, RestoreTime) + seconds(Restarts) * Victim.Weight;
 }
 
+double spreadCost(double Weight, milliseconds Estimate) {
+  constexpr double AddedRuns = 2; // three times as long as in one rack
+  constexpr double ObjectiveFactor = 2;
+  return Weight * seconds(Estimate) * AddedRuns * ObjectiveFactor;
+}
+
 milliseconds pauseAfter(int Stops, const victim_settings &Settings) {
   milliseconds Pause = Settings.FirstPause;
   for (int Stop = 1; Stop < Stops && Pause < Settings.LongestPause; ++Stop)
--- a/core/job/batch/victims.hpp
+++ b/core/job/batch/victims.hpp
@@ -8,7 +8,11 @@
 namespace galenastage::batch {
 
 struct victim_settings {
-  milliseconds StartTime{100};  // from the order to start until a task works
+  milliseconds StartTime{100}; // from the order to start until a task works
+  // A reclaim that loses more than this many times the urgent work itself
+  // waits first: urgent work that ends may leave enough meanwhile.
+  double DearFactor = 8;
+  milliseconds Patience{1'200}; // well within the bound of guaranteed starts
   milliseconds FirstPause{250}; // before a restart; doubles with each stop
   milliseconds LongestPause{2'000};
   int PauseAbovePercent = 60; // accelerators in use; below, no pause
@@ -37,6 +41,11 @@
 double priceOf(const victim &Victim, milliseconds RestoreTime,
                milliseconds StopTimeout, const victim_settings &Settings);
 
+/// Cost of a gang's spread over several racks, in weighted core-seconds. It
+/// takes three times as long, and its job misses its objective, which counts
+/// as much as the work. Weight: of all its tasks, in weighted cores.
+double spreadCost(double Weight, milliseconds Estimate);
+
 /// How long a unit waits before it may start again after this many stops, so
 /// that it doesn't take the capacity that the next urgent job needs.
 milliseconds pauseAfter(int Stops, const victim_settings &Settings);
--- a/tests/unit/batch_victims_test.cpp
+++ b/tests/unit/batch_victims_test.cpp
@@ -312,3 +312,53 @@
   CHECK(State.Plans.empty());
   CHECK(explainStaleIndex(State, Now).empty());
 }
+
+// Guards against the loss of a large part of a gang's work to save a short one
+// from running in two racks.
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: a gang is spread over racks when a stop would lose "
+                 "more") {
+  deployment_config Config = State.Config;
+  Config.Organisations[0].GuaranteedAccelerators = 100;
+  post(configuration_changed{Config});
+  post(recovery_finished{});
+  using fixture = test::scheduler_fixture;
+  list({fixture::report("x", "r1"), fixture::report("y", "r1"),
+        fixture::report("z", "r2"), fixture::report("w", "r2")});
+  for (const char *Id : {"x", "y", "z", "w"})
+    answer(Id);
+  for (const char *Rack : {"r1", "r2"}) {
+    job_spec Other = gang(Rack, 1, 1, 8);
+    Other.Steps[0].Requirement = Rack;
+    run(Other);
+  }
+  job_spec Urgent = job("urgent", 0, 2, 8);
+  Urgent.Steps[0].IsGang = true;
+  Urgent.Steps[0].IsRackLocal = true;
+  SECTION("the others have lately begun") {
+    submit(Urgent);
+    CHECK(stopped().size() == 1);
+  }
+  SECTION("the others have run for long") {
+    Now += milliseconds(30'000);
+    submit(Urgent);
+    CHECK(stopped().empty());
+    CHECK(State.Jobs.at(job_id("urgent")).Runs.size() == 2);
+  }
+}
+
+// Guards against the loss of a large part of a gang's work for a job of a few
+// seconds, where another one would have ended soon.
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: a stop that loses far more than the urgent work "
+                 "waits a little") {
+  settle({"x"});
+  run(gang("old", 1, 1, 8));
+  Now += milliseconds(30'000);
+  submit(job("urgent", 0, 1, 2));
+  CHECK(stopped().empty());
+  pass(State.Settings.Headroom.Victims.Patience - milliseconds(1));
+  CHECK(stopped().empty());
+  pass(State.Settings.PlacementInterval);
+  CHECK(stopped() == std::set<std::string>{"old"});
+}
