--- a/core/job/batch/scheduler_headroom.cpp
+++ b/core/job/batch/scheduler_headroom.cpp
@@ -252,11 +252,11 @@
           Found != State.Executors.end() && !Found->second.IsKept)
         return Id.Value + " isn't marked as kept";
   }
+  std::set<executor_id> Kept;
+  for (const auto &[Service, Room] : State.Headroom)
+    Kept.insert(Room.Kept.begin(), Room.Kept.end());
   for (const auto &[Id, Executor] : State.Executors)
-    if (Executor.IsKept &&
-        std::ranges::none_of(State.Headroom, [&](const auto &Item) {
-          return Item.second.Kept.contains(Id);
-        }))
+    if (Executor.IsKept && !Kept.contains(Id))
       return Id.Value + " is marked as kept";
   return {};
 }
