Refuse jobs that can't end in time by the published backlog

Every readable job was accepted whatever the backlog, although it could only end later than three objectives, when it earns nothing.

The leader publishes what waits and runs by service, organisation and priority, the cores and the rate of each service (batch/backlog, at most twice a second, fenced by its term). Instances read it at most every 0.5 s, when they get a submission, and refuse with 503 and Retry-After what can't end in time even by an optimistic estimate. Nothing within a guarantee is refused, nor a job that is stored already, nor anything by a view that is older than 3 s on the reader's steady clock. Event 3332 has the figures that decided.

Seen to fail: the first publication after a start counted the units as waiting (jobs that have changed are listed anew first).

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -10,6 +10,7 @@
 #include "platform/wire.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace galenastage {
 namespace {
@@ -72,11 +73,11 @@
 
 front::front(asio::io_context &Context, std::string LocalAddress,
              platform::metadata_store &Store, const deployment_feed &Feed,
-             instance_metrics &Metrics,
+             instance_metrics &Metrics, admission_settings Admission,
              std::function<std::optional<endpoint>()> FindLeader)
     : Context(Context), Peers(Context, std::move(LocalAddress)),
       FindLeader(std::move(FindLeader)), Store(Store), Feed(Feed),
-      Metrics(Metrics) {}
+      Metrics(Metrics), Admission(Admission) {}
 
 task<http_response> front::handle(http_request Request, bool IsForwarded) {
   const instant Arrived = readClock();
@@ -218,9 +219,64 @@
   Spec.Queue = *Admitted.Queue;
   Spec.Organisation = Admitted.Organisation;
   Spec.Submitted = readWallClock();
+  std::optional<http_response> Refusal =
+      co_await refuseOverload(Admitted, Spec);
+  if (Refusal)
+    co_return std::move(*Refusal);
   co_return co_await storeJob(Job, std::move(Spec), Admitted.Deadline);
 }
 
+/// A job that is stored already is not refused: its client sends it again
+/// because an answer was lost.
+task<std::optional<http_response>>
+front::refuseOverload(const admitted &Admitted, const job_spec &Job) {
+  if (!Admission.IsEnabled)
+    co_return std::nullopt;
+  if (Backlog.beginRead(readClock())) {
+    const platform::item_read Read = co_await Store.read(keys::Backlog);
+    if (!Read.Error)
+      Backlog.note(Read.Item ? std::optional(Read.Item->Value) : std::nullopt,
+                   readClock());
+  }
+  const instant Now = readClock();
+  const backlog_record *Known = Backlog.current(Now);
+  if (!Known)
+    co_return std::nullopt;
+  const organisation_config *Organisation =
+      Admitted.View->Config.findOrganisation(Job.Organisation);
+  const int Guarantee = Organisation ? Organisation->GuaranteedAccelerators : 0;
+  const std::optional<admission_refusal> Refusal =
+      findRefusal(Known->Backlog, Job, Guarantee, Admission);
+  if (!Refusal)
+    co_return std::nullopt;
+  const std::uint64_t Term = Known->Term;
+  const milliseconds Age = Backlog.age(Now);
+  const platform::item_read Stored = co_await Store.read(keys::specKey(Job.Id));
+  if (Stored.Error || Stored.Item)
+    co_return std::nullopt;
+  writeLog(events::AdmissionRefused,
+           {{"job", Job.Id.Value},
+            {"organisation", Job.Organisation.Value},
+            {"priority", std::to_string(Job.Queue.Priority)},
+            {"expected_ms", std::to_string(Refusal->Expected.count())},
+            {"limit_ms", std::to_string(Refusal->Limit.count())},
+            {"retry_ms", std::to_string(Refusal->RetryAfter.count())},
+            {"ahead_core_s", std::to_string(std::llround(Refusal->Ahead))},
+            {"own_core_s", std::to_string(std::llround(Refusal->Own))},
+            {"cores", std::to_string(std::llround(Refusal->Throughput))},
+            {"term", std::to_string(Term)},
+            {"age_ms", std::to_string(Age.count())}});
+  http_response Response = problemResponse(
+      503, "overloaded",
+      "the job can't end in time; the backlog of its organisation or of work "
+      "that goes first is too long",
+      verdict::NotRun);
+  const auto Seconds =
+      std::chrono::ceil<std::chrono::seconds>(Refusal->RetryAfter);
+  Response.Headers.set("Retry-After", std::to_string(Seconds.count()));
+  co_return Response;
+}
+
 /// Stores the job and answers with the outcome that the store confirms. A write
 /// whose answer was lost is retried: its condition makes the retry idempotent.
 task<http_response> front::storeJob(job_id Job, job_spec Spec,
--- a/apps/instance/front.hpp
+++ b/apps/instance/front.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "apps/instance/backlog_record.hpp"
 #include "apps/instance/deployment_feed.hpp"
 #include "apps/instance/metrics.hpp"
 #include "platform/metadata_store.hpp"
@@ -7,15 +8,15 @@
 namespace galenastage {
 
 /// Handles client requests: submissions, state queries, cancellations and queue
-/// lengths. It holds no state except a short-lived cache of the queue lengths;
-/// every answer comes from the store.
+/// lengths. It holds no state except short-lived caches of the queue lengths
+/// and the backlog; every answer comes from the store.
 class front {
 public:
   /// FindLeader: where the leader accepts requests that this instance forwards
   /// while the store doesn't serve it; nullopt when no leader is known.
   front(asio::io_context &Context, std::string LocalAddress,
         platform::metadata_store &Store, const deployment_feed &Feed,
-        instance_metrics &Metrics,
+        instance_metrics &Metrics, batch::admission_settings Admission,
         std::function<std::optional<endpoint>()> FindLeader);
 
   /// Answers a client's request. IsForwarded: another instance forwarded it; it
@@ -42,6 +43,9 @@
 
   task<http_response> submit(const admitted &Admitted, job_id Job,
                              const std::string &Body);
+  /// The answer to a job that can't end in time, by the last backlog.
+  task<std::optional<http_response>> refuseOverload(const admitted &Admitted,
+                                                    const batch::job_spec &Job);
   task<http_response> storeJob(job_id Job, batch::job_spec Spec,
                                instant Deadline);
   task<http_response> showState(const admitted &Admitted, job_id Job);
@@ -59,6 +63,8 @@
   platform::metadata_store &Store;
   const deployment_feed &Feed;
   instance_metrics &Metrics;
+  batch::admission_settings Admission;
+  backlog_view Backlog;
   std::map<route_id, int> QueueLengths; // as last read
   instant QueueLengthsRead{};
 };
--- a/apps/instance/keys.hpp
+++ b/apps/instance/keys.hpp
@@ -13,6 +13,9 @@
 /// Queue lengths, published by the leader.
 inline constexpr const char *QueueLengths = "batch/queues";
 
+/// Work that waits and runs, published by the leader.
+inline constexpr const char *Backlog = "batch/backlog";
+
 /// Submitted jobs and cancellations. Any instance writes them, once each; the
 /// leader watches them.
 inline constexpr const char *Requests = "batch/asked/";
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -59,6 +59,7 @@
                    eventPoster()),
         Orders(Context, Store, Executors, Leadership, Metrics, eventPoster()),
         Front(Context, Settings.Address, Store, Feed, Metrics,
+              admissionSettings(Features),
               [this] { return Leadership.knownLeader(); }) {
     if (Settings.Front)
       Servers.push_back(std::make_unique<http_server>(
@@ -121,6 +122,12 @@
     return Scheduler;
   }
 
+  static batch::admission_settings admissionSettings(const features &Features) {
+    batch::admission_settings Admission;
+    Admission.IsEnabled = Features.Shares == On;
+    return Admission;
+  }
+
   /// Where other instances forward requests: the second internal port.
   [[nodiscard]] endpoint forwardEndpoint() const {
     return {Settings.Address,
--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -1,5 +1,6 @@
 #include "apps/instance/orders.hpp"
 
+#include "apps/instance/backlog_record.hpp"
 #include "apps/instance/keys.hpp"
 #include "apps/instance/queue_lengths.hpp"
 #include "apps/runtime/logging.hpp"
@@ -46,21 +47,23 @@
   const auto Spawn = [this](task<void> Work) {
     asio::co_spawn(Context, std::move(Work), asio::detached);
   };
-  std::visit(overloaded{
-                 [&](start_run &Order) { Spawn(start(std::move(Order))); },
-                 [&](stop_run &Order) { Spawn(stop(std::move(Order))); },
-                 [&](hold_executor &Order) { Spawn(hold(std::move(Order))); },
-                 [&](save_progress &Order) { Spawn(save(std::move(Order))); },
-                 [&](forget_job &Order) { Spawn(forget(std::move(Order))); },
-                 [&](publish_queue_lengths &Order) {
-                   Spawn(publish(std::move(Order)));
-                 },
-                 [&](write_log &Order) {
-                   Metrics.noteSchedulerEvent(Order.Line.Event->Name);
-                   writeLog(Order.Line);
-                 },
-             },
-             Effect);
+  std::visit(
+      overloaded{
+          [&](start_run &Order) { Spawn(start(std::move(Order))); },
+          [&](stop_run &Order) { Spawn(stop(std::move(Order))); },
+          [&](hold_executor &Order) { Spawn(hold(std::move(Order))); },
+          [&](save_progress &Order) { Spawn(save(std::move(Order))); },
+          [&](forget_job &Order) { Spawn(forget(std::move(Order))); },
+          [&](publish_queue_lengths &Order) {
+            Spawn(publish(std::move(Order)));
+          },
+          [&](publish_backlog &Order) { Spawn(publish(std::move(Order))); },
+          [&](write_log &Order) {
+            Metrics.noteSchedulerEvent(Order.Line.Event->Name);
+            writeLog(Order.Line);
+          },
+      },
+      Effect);
 }
 
 task<void> orders::start(start_run Start) {
@@ -195,4 +198,17 @@
              {{"record", "queue lengths"}, {"error", Write.Error.message()}});
 }
 
+task<void> orders::publish(publish_backlog Publish) {
+  platform::store_change Change;
+  Change.Conditions.push_back(leadership::fence(Publish.Token));
+  Change.Writes.push_back(
+      {keys::Backlog,
+       printBacklog({Publish.Token, Publish.Number, Publish.Backlog}), 0});
+  const platform::change_result Write =
+      co_await Store.change(std::move(Change));
+  if (Write.Error) // while work waits, the next publication follows soon
+    writeLog(events::SaveFailed,
+             {{"record", "backlog"}, {"error", Write.Error.message()}});
+}
+
 } // namespace galenastage
--- a/apps/instance/orders.hpp
+++ b/apps/instance/orders.hpp
@@ -22,6 +22,7 @@
   task<void> save(batch::save_progress Save);
   task<void> forget(batch::forget_job Forget);
   task<void> publish(batch::publish_queue_lengths Publish);
+  task<void> publish(batch::publish_backlog Publish);
   bool refreshRevisions(const batch::save_progress &Save,
                         const std::vector<std::string> &Values,
                         const std::vector<platform::store_item> &Current);
--- a/core/job/batch/capacity_index.cpp
+++ b/core/job/batch/capacity_index.cpp
@@ -101,16 +101,17 @@
 }
 
 int indexed_service::percentInUse() const {
-  return TotalAccelerators == 0
+  return Total.Accelerators == 0
              ? WholePercent
-             : WholePercent * UsedAccelerators / TotalAccelerators;
+             : static_cast<int>(WholePercent * UsedAccelerators /
+                                Total.Accelerators);
 }
 
 void indexed_service::add(const executor_id &Id,
                           const indexed_executor &Executor) {
   ++Listed;
   UsedAccelerators += Executor.Used.Accelerators;
-  TotalAccelerators += Executor.Capacity.Accelerators;
+  Total.add(Executor.Capacity, 1);
   if (!Executor.IsOpen)
     return;
   const auto [Found, IsNew] =
@@ -128,7 +129,7 @@
                              const indexed_executor &Executor) {
   --Listed;
   UsedAccelerators -= Executor.Used.Accelerators;
-  TotalAccelerators -= Executor.Capacity.Accelerators;
+  Total.add(Executor.Capacity, -1);
   if (!Executor.IsOpen)
     return;
   const int Number = Numbers.at(Executor.Rack);
@@ -167,7 +168,7 @@
          Left.ByFree.size() == Right.ByFree.size() && Left.Free == Right.Free &&
          Left.Listed == Right.Listed &&
          Left.UsedAccelerators == Right.UsedAccelerators &&
-         Left.TotalAccelerators == Right.TotalAccelerators;
+         Left.Total == Right.Total;
 }
 
 void capacity_index::update(const executor_id &Id,
--- a/core/job/batch/capacity_index.hpp
+++ b/core/job/batch/capacity_index.hpp
@@ -170,6 +170,9 @@
   /// Sum over the open executors.
   [[nodiscard]] const resources &free() const { return Free; }
 
+  /// Capacity of all its listed executors, open or not.
+  [[nodiscard]] const capacity_sum &total() const { return Total; }
+
   [[nodiscard]] bool isEmpty() const { return Listed == 0; }
 
   void add(const executor_id &Id, const indexed_executor &Executor);
@@ -187,9 +190,9 @@
   std::map<rack_id, int> Numbers;                // in Racks
   std::set<std::pair<std::int64_t, int>> ByFree; // weight and number
   resources Free;
-  int Listed = 0;            // executors, open or not
-  int UsedAccelerators = 0;  // of them
-  int TotalAccelerators = 0; //
+  int Listed = 0;           // executors, open or not
+  int UsedAccelerators = 0; // of them
+  capacity_sum Total;       //
 };
 
 /// All listed executors, by service. Equal contents compare equal, in whichever
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -217,6 +217,10 @@
   State.GuaranteedUse.clear();
   State.UrgentUse.clear();
   State.Usage.clear();
+  State.Rates.clear();
+  State.PublishedBacklog = {};
+  State.BacklogPublished = {};
+  State.BacklogNumber = 0;
   State.Touched.clear();
   for (auto &[Id, Executor] : State.Executors) {
     executor_state Fresh;
@@ -371,6 +375,7 @@
 void event_handler::publishQueueLengths() {
   if (Now < State.NextPublication || !isLeading() || !State.IsRecovered)
     return;
+  publishBacklog();
   std::map<route_id, int> Waiting;
   for (const auto &[Id, Job] : State.Jobs)
     if (Job.Progress.Phase == job_phase::Queued)
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -27,6 +27,7 @@
 // [4] State
 // [5] The reducer
 
+#include "core/job/batch/admission.hpp"
 #include "core/job/batch/capacity_index.hpp"
 #include "core/job/batch/crashes.hpp"
 #include "core/job/batch/departure.hpp"
@@ -237,8 +238,15 @@
   std::vector<queue_length> Queues;
 };
 
-using effect = std::variant<start_run, stop_run, hold_executor, save_progress,
-                            forget_job, publish_queue_lengths, write_log>;
+struct publish_backlog {
+  std::uint64_t Token = 0;
+  std::uint64_t Number = 0; // of the publication in the term, from 1
+  backlog Backlog;
+};
+
+using effect =
+    std::variant<start_run, stop_run, hold_executor, save_progress, forget_job,
+                 publish_queue_lengths, publish_backlog, write_log>;
 using effects = std::vector<effect>;
 
 /// The term that an effect was decided in. Nullopt: it belongs to none.
@@ -351,6 +359,21 @@
   friend bool operator==(const waiting_step &, const waiting_step &) = default;
 };
 
+/// Estimated work of a job that isn't done, in weighted core-seconds, without
+/// long-running steps.
+struct open_work {
+  double Waiting = 0; // of units without a run
+  double Running = 0; // of units with one, from their beginning
+
+  friend bool operator==(const open_work &, const open_work &) = default;
+};
+
+/// How fast the work of a service ends, in weighted core-seconds by estimates.
+struct work_rate {
+  double Done = 0;      // since the last publication
+  double PerSecond = 0; // smoothed
+};
+
 struct job_state {
   job_spec Spec;
   job_progress Progress;
@@ -363,6 +386,7 @@
   std::map<run_name, executor_id> Runs; // not removed yet
   // What could start, as of the last change of the job.
   std::vector<waiting_step> Waiting;
+  open_work Open; // of the same time
   bool IsWaitingKnown = false;
   instant WaitingUntil{}; // a unit's restart delay ends then
 };
@@ -427,6 +451,10 @@
   std::map<organisation_id, urgent_use> UrgentUse; // the same, by unit
   // Needs of runs and plans, by organisation; none without either.
   std::map<organisation_id, capacity_sum> Usage;
+  std::map<service_id, work_rate> Rates;
+  backlog PublishedBacklog;
+  instant BacklogPublished{};
+  std::uint64_t BacklogNumber = 0; // of the last publication
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
   std::vector<job_id> Saving;      // in the save in flight
   std::uint64_t SavesQueued = 0;   // entries ever added to SaveQueue
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -308,6 +308,12 @@
   [[nodiscard]] double shareOf(const organisation_id &Organisation) const;
   /// Mean share of the organisations that use capacity or wait for some.
   [[nodiscard]] double evenShare(const std::vector<share_queue> &Queues) const;
+  /// Publishes what waits and runs, for the admission of new jobs.
+  void publishBacklog();
+  [[nodiscard]] backlog countBacklog() const;
+  /// Counts a unit that is done towards the rate of its service.
+  void noteWorkDone(const job_state &Job, const unit_name &Unit);
+  void updateRates();
   /// Adds Count times Needs to the organisation's usage; Count may be negative.
   void addUsage(const organisation_id &Organisation, const resources &Needs,
                 int Count);
@@ -358,6 +364,9 @@
 /// Estimated work of the whole job, in weighted core-seconds.
 double workOf(const job_spec &Job);
 
+/// Estimated work of one task of the step, in weighted core-seconds.
+double workOf(const step_spec &Step);
+
 /// "JOB.OCCURRENCE.STEP.INDEX", for log lines.
 std::string printTask(const task_name &Task);
 
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -268,6 +268,7 @@
     noteSuccess(Executor.Health);
     Executor.ProvenAt = Now;
     Progress->IsDone = true;
+    noteWorkDone(Job, Unit);
     stopOtherAttempts(Job, Unit, Run.Attempt);
     queueSave(Job);
     noteUnitDone(Job, Unit.Occurrence);
--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -119,6 +119,88 @@
   return Count == 0 ? 0 : Sum / static_cast<double>(Count);
 }
 
+// The backlog
+
+void event_handler::noteWorkDone(const job_state &Job, const unit_name &Unit) {
+  const step_spec &Step = Job.Spec.Steps[Unit.Step];
+  if (!Step.IsLongRunning)
+    State.Rates[Job.Queue.Service].Done += workOf(Step) * countTasks(Step);
+}
+
+void event_handler::updateRates() {
+  constexpr double Weight = 0.1; // of half a second, so 5 s on the whole
+  const double Seconds =
+      std::chrono::duration<double>(State.Settings.QueueLengthInterval).count();
+  for (auto &[Service, Rate] : State.Rates) {
+    Rate.PerSecond += Weight * (Rate.Done / Seconds - Rate.PerSecond);
+    Rate.Done = 0;
+  }
+}
+
+void event_handler::publishBacklog() {
+  // While work waits, readers see from the record's age that it is current.
+  constexpr milliseconds RefreshInterval{1'500};
+  if (!State.Settings.Shares.IsEnabled)
+    return;
+  updateRates();
+  for (auto &[Id, Job] : State.Jobs)
+    if (!Job.IsWaitingKnown && !isFinal(Job.Progress.Phase))
+      updateWaiting(Job);
+  backlog Backlog = countBacklog();
+  limitSize(Backlog);
+  const bool HasWork = std::ranges::any_of(
+      Backlog.Services, [](const auto &Item) { return !Item.Entries.empty(); });
+  const bool IsOld = Now - State.BacklogPublished >= RefreshInterval;
+  if (!differsNotably(State.PublishedBacklog, Backlog) && !(HasWork && IsOld))
+    return;
+  State.PublishedBacklog = Backlog;
+  State.BacklogPublished = Now;
+  Out.emplace_back(
+      publish_backlog{State.Token, ++State.BacklogNumber, std::move(Backlog)});
+}
+
+backlog event_handler::countBacklog() const {
+  using key = std::pair<organisation_id, int>; // and priority
+  std::map<service_id, std::map<key, backlog_entry>> Entries;
+  for (const auto &[Id, Job] : State.Jobs) {
+    if (isFinal(Job.Progress.Phase) || Job.Open == open_work{})
+      continue;
+    const int Priority = Job.Queue.Priority;
+    const organisation_id &Organisation = Job.Spec.Organisation;
+    backlog_entry &Entry = Entries[Job.Queue.Service][{Organisation, Priority}];
+    Entry.Organisation = Organisation;
+    Entry.Priority = Priority;
+    Entry.Waiting += Job.Open.Waiting;
+    Entry.Running += Job.Open.Running;
+    if (Priority != 0)
+      continue;
+    if (const auto Used = State.GuaranteedUse.find(Organisation);
+        Entry.Accelerators == 0 && Used != State.GuaranteedUse.end())
+      Entry.Accelerators = Used->second;
+    for (const waiting_step &Step : Job.Waiting) {
+      const step_spec &Spec = Job.Spec.Steps[Step.First.Step];
+      Entry.Accelerators += static_cast<int>(Step.Units.size()) *
+                            countTasks(Spec) * Spec.Needs.Accelerators;
+    }
+  }
+  backlog Backlog;
+  for (const auto &[Service, OfService] : Entries) {
+    const indexed_service *Known = State.Capacity.find(Service);
+    if (!Known)
+      continue;
+    service_backlog Listed;
+    Listed.Service = Service;
+    Listed.Capacity = weightedCores(Known->total());
+    Listed.Accelerators = static_cast<int>(Known->total().Accelerators);
+    if (const auto Rate = State.Rates.find(Service); Rate != State.Rates.end())
+      Listed.Rate = Rate->second.PerSecond;
+    for (const auto &[Key, Entry] : OfService)
+      Listed.Entries.push_back(Entry);
+    Backlog.Services.push_back(std::move(Listed));
+  }
+  return Backlog;
+}
+
 void event_handler::addUsage(const organisation_id &Organisation,
                              const resources &Needs, int Count) {
   capacity_sum &Used = State.Usage[Organisation];
--- a/core/job/batch/scheduler_waiting.cpp
+++ b/core/job/batch/scheduler_waiting.cpp
@@ -25,11 +25,15 @@
 double workOf(const job_spec &Job) {
   double Work = 0;
   for (const step_spec &Step : Job.Steps)
-    Work += weightedCores(Step.Needs) * Step.Count *
-            std::chrono::duration<double>(Step.Estimate).count();
+    Work += workOf(Step) * Step.Count;
   return Work;
 }
 
+double workOf(const step_spec &Step) {
+  return weightedCores(Step.Needs) *
+         std::chrono::duration<double>(Step.Estimate).count();
+}
+
 namespace {
 
 wall_instant objective(const job_state &Job, int Occurrence) {
@@ -70,6 +74,7 @@
 
 void event_handler::updateWaiting(job_state &Job) {
   Job.Waiting.clear();
+  Job.Open = {};
   Job.IsWaitingKnown = true;
   Job.WaitingUntil = instant::max();
   for (const auto &[Number, Occurrence] : Job.Progress.Occurrences)
@@ -80,8 +85,12 @@
 void event_handler::listWaitingOf(job_state &Job, int Number) {
   const occurrence_progress &Occurrence = Job.Progress.Occurrences.at(Number);
   for (int Step = 0; Step < static_cast<int>(Job.Spec.Steps.size()); ++Step) {
-    if (!isUnblocked(Job.Spec, Occurrence, Step))
+    const step_spec &Spec = Job.Spec.Steps[Step];
+    const double Work = Spec.IsLongRunning ? 0 : workOf(Spec); // of a task
+    if (!isUnblocked(Job.Spec, Occurrence, Step)) {
+      Job.Open.Waiting += Work * Spec.Count;
       continue;
+    }
     const auto &Units = Occurrence.Steps[Step].Units;
     std::vector<int> Ready;
     for (int Unit = 0; Unit < static_cast<int>(Units.size()); ++Unit) {
@@ -89,6 +98,8 @@
         continue;
       const unit_name Name{Job.Spec.Id, Number, Step, Unit};
       unit_state &Known = unitState(Job, Name);
+      (Known.LiveRuns > 0 ? Job.Open.Running : Job.Open.Waiting) +=
+          Work * countTasks(Spec);
       if (Known.LiveRuns > 0 || Now < Known.NotBefore) {
         Known.Ready = {};
         if (Known.LiveRuns == 0)
--- a/core/job/batch/shares.cpp
+++ b/core/job/batch/shares.cpp
@@ -20,6 +20,12 @@
   Accelerators += std::int64_t{Each.Accelerators} * Count;
 }
 
+double weightedCores(const capacity_sum &Sum) {
+  return static_cast<double>(Sum.MilliCpu) * weightedCores(resources{1, 0, 0}) +
+         static_cast<double>(Sum.Accelerators) *
+             weightedCores(resources{0, 0, 1});
+}
+
 double dominantShare(const capacity_sum &Used, const capacity_sum &Total) {
   const auto Share = [](std::int64_t Part, std::int64_t Whole) {
     return Whole > 0 ? static_cast<double>(Part) / static_cast<double>(Whole)
--- a/core/job/batch/shares.hpp
+++ b/core/job/batch/shares.hpp
@@ -29,6 +29,9 @@
   friend bool operator==(const capacity_sum &, const capacity_sum &) = default;
 };
 
+/// Size in cores, as of single resources.
+double weightedCores(const capacity_sum &Sum);
+
 /// The largest of the shares of cores, memory and accelerators. A resource that
 /// Total has none of counts as no share.
 double dominantShare(const capacity_sum &Used, const capacity_sum &Total);
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -255,6 +255,14 @@
     "A changed guarantee no longer covers a job that capacity was being freed "
     "for; the job waits like others.",
     "None."};
+const log_event AdmissionRefused{
+    3332, Warning, "admission-refused",
+    "A job was refused because it can't end within three objectives (limit) "
+    "even by an optimistic estimate (expected), by the backlog of this term "
+    "and age: the work that goes first or beside it, its organisation's part "
+    "of that, and the cores that work on it.",
+    "If many organisations are refused, the service is too small for its "
+    "load."};
 
 const log_event RequestAnswered{
     4001, Info, "request-answered",
@@ -366,6 +374,7 @@
     &events::UnitMoved,
     &events::UrgentReclaimed,
     &events::ReclaimDropped,
+    &events::AdmissionRefused,
     &events::SubmissionRefused,
     &events::SubmissionUnsettled,
     &events::RequestForwarded,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -122,6 +122,7 @@
 // Shares of organisations
 extern const log_event UrgentReclaimed;
 extern const log_event ReclaimDropped;
+extern const log_event AdmissionRefused;
 // 4000: requests
 extern const log_event RequestAnswered;
 extern const log_event SubmissionRefused;
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -41,7 +41,9 @@
       Context, Store, Metrics,
       [this](const deployment_view &View) { Views.push_back(View); }};
   std::optional<endpoint> Leader;
-  front Front{Context, "", Store, Feed, Metrics, [this] { return Leader; }};
+  front Front{Context, "", Store, Feed, Metrics, admission_settings{}, [this] {
+                return Leader;
+              }};
 
   /// Runs the context until the condition holds.
   template <typename Condition> void runUntil(Condition Holds) {
