--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -203,6 +203,7 @@
 void event_handler::apply(const leadership_lost &) { clearLeadership(); }
 
 void event_handler::clearLeadership() {
+  refreshIndex(); // executors that have left must still leave the index
   State.Token = 0;
   State.IsRecovered = false;
   State.Jobs.clear();
@@ -221,7 +222,6 @@
   State.PublishedBacklog = {};
   State.BacklogPublished = {};
   State.BacklogNumber = 0;
-  State.Touched.clear();
   for (auto &[Id, Executor] : State.Executors) {
     executor_state Fresh;
     Fresh.Report = Executor.Report;
