Bound the wait of starved steps and wide gangs

A late step with much work was passed by each later one of its organisation, and small tasks took what became free before a wide gang could use it.

After 20 s the step of an organisation that waits longest goes before its others and counts as due. A gang that fits nowhere for 4 s gets a reservation on the executors whose runs are expected to end first: at most two at a time, for 10 s, and not for an organisation beyond the even share. Work of higher priority and work within a guarantee may use the capacity, other work may not. Event 3333 says for whom, and explainStaleIndex recounts what is reserved.

Each start tells its wait by organisation and priority to the histogram galenastage_unit_wait_seconds, with labels for 32 organisations.

--- a/apps/instance/metrics.cpp
+++ b/apps/instance/metrics.cpp
@@ -8,6 +8,7 @@
 constexpr const char *Orders = "galenastage_executor_orders_total";
 constexpr const char *OrderSeconds = "galenastage_executor_order_seconds";
 constexpr const char *SchedulerEvents = "galenastage_scheduler_events_total";
+constexpr const char *UnitWaits = "galenastage_unit_wait_seconds";
 constexpr const char *Saves = "galenastage_progress_saves_total";
 constexpr const char *SaveSeconds = "galenastage_progress_save_seconds";
 constexpr const char *StoreCallsMade = "galenastage_store_calls";
@@ -31,6 +32,9 @@
                     "Time until an executor answered an order.");
   Registry.describe(SchedulerEvents, "counter",
                     "Log events of the scheduler, by name.");
+  Registry.describe(UnitWaits, "histogram",
+                    "Time from when a task or gang could start until it did, "
+                    "by organisation and priority.");
   Registry.describe(Saves, "counter", "Writes of jobs' progress, by outcome.");
   Registry.describe(SaveSeconds, "histogram",
                     "Time until progress was stored.");
@@ -71,6 +75,18 @@
   Registry.count(SchedulerEvents, {{"event", std::string(Event)}});
 }
 
+void instance_metrics::noteWait(const std::string &Organisation, int Priority,
+                                milliseconds Waited) {
+  const bool IsListed =
+      !Organisation.empty() && (Organisations.contains(Organisation) ||
+                                (Organisations.size() < MaxOrganisations &&
+                                 Organisations.insert(Organisation).second));
+  Registry.observe(UnitWaits,
+                   {{"organisation", IsListed ? Organisation : "other"},
+                    {"priority", std::to_string(Priority)}},
+                   Waited);
+}
+
 void instance_metrics::noteSave(bool IsSaved, milliseconds Took) {
   Registry.count(Saves, {{"outcome", IsSaved ? "saved" : "failed"}});
   Registry.observe(SaveSeconds, {}, Took);
--- a/apps/instance/metrics.hpp
+++ b/apps/instance/metrics.hpp
@@ -3,6 +3,8 @@
 #include "apps/runtime/metric_registry.hpp"
 #include "core/job/batch/scheduler.hpp"
 
+#include <set>
+
 namespace galenastage {
 
 /// Metrics of one instance: client requests and, while it leads, executor
@@ -18,6 +20,10 @@
                  milliseconds Took);
   /// Event: what the scheduler decided or found, as in its log line.
   void noteSchedulerEvent(std::string_view Event);
+  /// How long a unit waited. Beyond MaxOrganisations, or without a name, an
+  /// organisation counts as "other", so that the labels are bounded.
+  void noteWait(const std::string &Organisation, int Priority,
+                milliseconds Waited);
   void noteSave(bool IsSaved, milliseconds Took);
   void noteCalls(std::uint64_t StoreCalls, std::uint64_t ExecutorCalls);
   void noteDroppedLines(std::uint64_t Dropped);
@@ -30,8 +36,11 @@
 
   [[nodiscard]] std::string print() const { return Registry.print(); }
 
+  static constexpr std::size_t MaxOrganisations = 32;
+
 private:
   metric_registry Registry;
+  std::set<std::string> Organisations; // with a label of their own
 };
 
 } // namespace galenastage
--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -58,6 +58,10 @@
             Spawn(publish(std::move(Order)));
           },
           [&](publish_backlog &Order) { Spawn(publish(std::move(Order))); },
+          [&](note_wait &Order) {
+            Metrics.noteWait(Order.Organisation.Value, Order.Priority,
+                             Order.Waited);
+          },
           [&](write_log &Order) {
             Metrics.noteSchedulerEvent(Order.Line.Event->Name);
             writeLog(Order.Line);
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -208,6 +208,8 @@
   State.IsRecovered = false;
   State.Jobs.clear();
   State.Plans.clear();
+  State.Reservations.clear();
+  State.NextReservation = {};
   State.Suspects.clear();
   State.Silences.clear();
   State.SaveQueue.clear();
@@ -331,6 +333,7 @@
       Planned.push_back(Unit);
   for (const unit_name &Unit : Planned)
     dropPlan(Unit);
+  dropReservationsOf(Job.Spec.Id);
   State.NeedsPlacement = true;
   log(events::BatchJobEnded, {{"job", Job.Spec.Id.Value},
                               {"phase", std::string(name(Phase))},
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -244,9 +244,17 @@
   backlog Backlog;
 };
 
+/// A unit that starts after it could have started for this time, for metrics.
+struct note_wait {
+  std::uint64_t Token = 0;
+  organisation_id Organisation;
+  int Priority = 0;
+  milliseconds Waited{0};
+};
+
 using effect =
     std::variant<start_run, stop_run, hold_executor, save_progress, forget_job,
-                 publish_queue_lengths, publish_backlog, write_log>;
+                 publish_queue_lengths, publish_backlog, note_wait, write_log>;
 using effects = std::vector<effect>;
 
 /// The term that an effect was decided in. Nullopt: it belongs to none.
@@ -307,7 +315,7 @@
   bool IsStalled = false; // none of its runs advances
   instant StalledSeen{};  // last report of that
   resources Used;         // by Runs
-  resources Reserved;     // by reclaim plans
+  resources Reserved;     // by reclaim plans and reservations
   bool IsTouched = false; // in Touched, the index may be out of date
   std::map<run_name, run_state> Runs;
   worker_health Health;
@@ -355,6 +363,9 @@
   bool IsMissed = false;      // LatestStart has passed
   wall_instant LatestStart{}; // to meet its objective
   double Work = 0;            // of the job, in weighted core-seconds
+  instant Ready{};            // since when its first unit could start
+  bool IsOldest = false;      // waits longest of its organisation and priority,
+                              // for StarvesAfter or longer
 
   friend bool operator==(const waiting_step &, const waiting_step &) = default;
 };
@@ -411,6 +422,15 @@
   friend bool operator==(const urgent_use &, const urgent_use &) = default;
 };
 
+/// Reserves capacity that is expected to become free for a gang that fits
+/// nowhere now. It stops nothing.
+struct reservation {
+  std::vector<executor_id> Executors; // one for each task
+  resources Needs;                    // of each task
+  instant Until{};                    // given up then
+  bool IsSuspended = false;           // during a pass, for work that precedes
+};
+
 /// When an executor fell silent: at some time between the two.
 struct executor_silence {
   executor_id Executor;
@@ -444,8 +464,10 @@
   bool IsRecovered = false; // all stored jobs have been reported
   std::map<job_id, job_state> Jobs;
   std::map<unit_name, reclaim_plan> Plans;
-  std::set<unit_name> Suspects;          // units with runs on probation
-  std::deque<executor_silence> Silences; // recent ones, oldest first
+  std::map<unit_name, reservation> Reservations; // few, of units that wait
+  instant NextReservation{};                     // earliest time
+  std::set<unit_name> Suspects;                  // units with runs on probation
+  std::deque<executor_silence> Silences;         // recent ones, oldest first
   // Accelerators of runs and plans of priority 0, by organisation.
   std::map<organisation_id, int> GuaranteedUse;
   std::map<organisation_id, urgent_use> UrgentUse; // the same, by unit
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -72,6 +72,15 @@
   [[nodiscard]] const waiting_step &next() const { return *Steps.back(); }
 };
 
+/// Capacity for one task that becomes free.
+struct expected_slot {
+  milliseconds After{0};
+  executor_id Executor;
+
+  friend auto operator<=>(const expected_slot &,
+                          const expected_slot &) = default;
+};
+
 /// Applies one event to the state; created for each call of reduce.
 class event_handler {
 public:
@@ -190,7 +199,7 @@
   /// To be called after each change of a job that may alter what can start.
   static void touch(job_state &Job) { Job.IsWaitingKnown = false; }
   /// The steps that could start, in no order.
-  [[nodiscard]] std::vector<const waiting_step *> listWaiting();
+  [[nodiscard]] std::vector<waiting_step *> listWaiting();
   void updateWaiting(job_state &Job);
   void listWaitingOf(job_state &Job, int Occurrence);
 
@@ -308,6 +317,8 @@
   [[nodiscard]] double shareOf(const organisation_id &Organisation) const;
   /// Mean share of the organisations that use capacity or wait for some.
   [[nodiscard]] double evenShare(const std::vector<share_queue> &Queues) const;
+  /// Marks, for each priority, the step that waits longest if that is too long.
+  void markOldest(const std::vector<waiting_step *> &Steps) const;
   /// Publishes what waits and runs, for the admission of new jobs.
   void publishBacklog();
   [[nodiscard]] backlog countBacklog() const;
@@ -318,6 +329,32 @@
   void addUsage(const organisation_id &Organisation, const resources &Needs,
                 int Count);
 
+  // Reservations (scheduler_reservations.cpp)
+  /// Takes reservations out of the way of work that precedes theirs.
+  void suspendReservations();
+  /// Puts back those that the claim doesn't precede, and starts units whose
+  /// capacity is free.
+  void resumeReservations(const waiting_step *Next, const share_claim &Claim);
+  void suspend(reservation &Reservation, bool IsSuspended);
+  /// Remembers a gang that fits nowhere, for reserveForStarved.
+  void noteUnplaced(const waiting_step &Step, const unit_name &Unit);
+  /// Makes a reservation for the gang of this pass that waits longest, unless
+  /// its organisation has more than the even share.
+  void reserveForStarved();
+  [[nodiscard]] bool mayWaitFor(const unit_name &Unit,
+                                const reservation &Reservation);
+  [[nodiscard]] bool isFree(const reservation &Reservation) const;
+  void dropReservation(const unit_name &Unit);
+  void dropReservationsOf(const job_id &Job);
+  [[nodiscard]] resources countReserved(const executor_id &Id) const;
+  /// When capacity for tasks becomes free in the rack, by the expected ends of
+  /// its runs.
+  [[nodiscard]] std::vector<expected_slot>
+  listSlots(const placement_query &Query, const resources &Needs,
+            const indexed_rack &Rack);
+  [[nodiscard]] std::vector<expected_slot>
+  chooseSlots(const placement_query &Query, const placement_request &Request);
+
   // Speeds of executors (scheduler_speed.cpp)
   /// Sets of speeds that may run the step, the best first.
   [[nodiscard]] std::vector<executor_filter>
@@ -343,14 +380,17 @@
   scheduler_state &State;
   instant Now;
   wall_instant WallNow;
-  std::vector<vain_search> Vain; // of this pass
+  std::vector<vain_search> Vain;    // of this pass
+  std::optional<unit_name> Starved; // gang of this pass that waits longest
+  instant StarvedSince{};
 };
 
 /// What the index should know about the executor.
 indexed_executor describe(const executor_state &Executor, bool IsOpen);
 
-/// Order of the steps of one organisation: by priority, then steps that can
-/// still meet their objective by latest start, then late steps by the work of
+/// Order of the steps of one organisation: by priority, then the one that has
+/// waited too long, then steps that can still meet their objective by latest
+/// start, then late steps by the work of
 /// their job, smallest first.
 bool ranksBefore(const waiting_step *Left, const waiting_step *Right);
 
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -86,6 +86,9 @@
       return "the guaranteed use of " + Organisation.Value + " is stale";
   if (State.Usage != countUsage(State))
     return "the usage of an organisation is stale";
+  for (const auto &[Id, Executor] : State.Executors)
+    if (Executor.Reserved != countReserved(Id))
+      return "what is reserved on " + Id.Value + " is stale";
   if (std::string Stale = explainStaleGuarantees(); !Stale.empty())
     return Stale;
   for (auto &[Id, Job] : State.Jobs) {
@@ -472,6 +475,7 @@
   const step_spec &Step = Job.Spec.Steps[Unit.Step];
   unit_progress &Progress = *findProgress(Unit);
   unit_state &Known = unitState(Job, Unit);
+  dropReservation(Unit);
   ++Progress.Attempts;
   const milliseconds Waited = Now - Known.Ready;
   const bool IsSuspect = Progress.hasSuspect();
@@ -498,6 +502,8 @@
        {"first", Executors.front().Value},
        {"waited_ms", std::to_string(Waited.count())},
        {"priority", std::to_string(Job.Queue.Priority)}});
+  Out.emplace_back(note_wait{State.Token, Job.Spec.Organisation,
+                             Job.Queue.Priority, Waited});
 }
 
 } // namespace detail
--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -3,6 +3,7 @@
 #include "core/job/batch/scheduler_internal.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace galenastage::batch {
 namespace detail {
@@ -33,6 +34,7 @@
     return;
   advancePlans();
   std::vector<share_queue> Queues = listByOrganisation();
+  suspendReservations();
   refreshIndex();
   for (share_queue &Queue : Queues)
     updateClaim(Queue);
@@ -40,6 +42,7 @@
   std::ranges::make_heap(Queues, Order);
   while (!Queues.empty()) {
     std::ranges::pop_heap(Queues, Order);
+    resumeReservations(&Queues.back().next(), Queues.back().Claim);
     const bool IsPlaced = placeNext(Queues.back());
     if (Queues.back().Steps.empty())
       Queues.pop_back();
@@ -53,6 +56,8 @@
       std::ranges::push_heap(Queues, Order);
     }
   }
+  resumeReservations(nullptr, {});
+  reserveForStarved();
 }
 
 /// The units of a step are identical but for suspects: when one doesn't fit,
@@ -61,11 +66,16 @@
   const waiting_step &Step = Queue.next();
   unit_name Unit = Step.First;
   Unit.Unit = Step.Units[Queue.NextUnit];
-  const bool IsSuspect = findProgress(Unit)->hasSuspect();
-  const bool IsPlaced = place(Unit);
+  const unit_progress &Progress = *findProgress(Unit);
+  const bool IsSuspect = Progress.hasSuspect();
+  // A reservation may just have started it.
+  const bool IsWaiting = unitState(State.Jobs.at(Unit.Job), Unit).LiveRuns == 0;
+  const bool IsPlaced = IsWaiting && place(Unit);
+  if (IsWaiting && !IsPlaced)
+    noteUnplaced(Step, Unit);
   ++Queue.NextUnit;
   const bool IsOver = Queue.NextUnit == Step.Units.size();
-  if (IsOver || (!IsPlaced && !IsSuspect)) {
+  if (IsOver || (IsWaiting && !IsPlaced && !IsSuspect)) {
     Queue.Steps.pop_back();
     Queue.NextUnit = 0;
   }
@@ -73,8 +83,8 @@
 }
 
 std::vector<share_queue> event_handler::listByOrganisation() {
-  std::map<organisation_id, std::vector<const waiting_step *>> Waiting;
-  for (const waiting_step *Step : listWaiting()) {
+  std::map<organisation_id, std::vector<waiting_step *>> Waiting;
+  for (waiting_step *Step : listWaiting()) {
     const bool IsShared = State.Settings.Shares.IsEnabled;
     Waiting[IsShared ? State.Jobs.at(Step->First.Job).Spec.Organisation
                      : organisation_id()]
@@ -82,14 +92,28 @@
   }
   std::vector<share_queue> Queues;
   for (auto &[Organisation, Steps] : Waiting) {
+    if (State.Settings.Shares.IsEnabled)
+      markOldest(Steps);
     std::ranges::sort(Steps, [](const auto *Left, const auto *Right) {
       return ranksBefore(Right, Left);
     });
-    Queues.push_back({Organisation, std::move(Steps), 0, {}});
+    Queues.push_back({Organisation, {Steps.begin(), Steps.end()}, 0, {}});
   }
   return Queues;
 }
 
+void event_handler::markOldest(const std::vector<waiting_step *> &Steps) const {
+  std::map<int, waiting_step *> Oldest; // by priority
+  for (waiting_step *Step : Steps) {
+    waiting_step *&Known = Oldest[Step->Priority];
+    if (!Known || std::tie(Step->Ready, Step->First) <
+                      std::tie(Known->Ready, Known->First))
+      Known = Step;
+  }
+  for (const auto &[Priority, Step] : Oldest)
+    Step->IsOldest = Now - Step->Ready >= State.Settings.Shares.StarvesAfter;
+}
+
 void event_handler::updateClaim(share_queue &Queue) const {
   const waiting_step &Step = Queue.next();
   const job_state &Job = State.Jobs.at(Step.First.Job);
--- a/core/job/batch/scheduler_waiting.cpp
+++ b/core/job/batch/scheduler_waiting.cpp
@@ -49,6 +49,8 @@
 bool ranksBefore(const waiting_step *Left, const waiting_step *Right) {
   if (Left->Priority != Right->Priority)
     return Left->Priority < Right->Priority;
+  if (Left->IsOldest != Right->IsOldest)
+    return Left->IsOldest;
   if (Left->IsMissed != Right->IsMissed)
     return Right->IsMissed;
   if (Left->IsMissed && Left->Work != Right->Work)
@@ -57,8 +59,8 @@
          std::tie(Right->LatestStart, Right->First);
 }
 
-std::vector<const waiting_step *> event_handler::listWaiting() {
-  std::vector<const waiting_step *> Waiting;
+std::vector<waiting_step *> event_handler::listWaiting() {
+  std::vector<waiting_step *> Waiting;
   for (auto &[Id, Job] : State.Jobs) {
     if (isFinal(Job.Progress.Phase))
       continue;
@@ -66,6 +68,7 @@
       updateWaiting(Job);
     for (waiting_step &Step : Job.Waiting) {
       Step.IsMissed = WallNow > Step.LatestStart;
+      Step.IsOldest = false;
       Waiting.push_back(&Step);
     }
   }
@@ -116,8 +119,9 @@
     const wall_instant LatestStart =
         objective(Job, Number) - remainingCriticalPath(Job.Spec, &Occurrence);
     const unit_name First{Job.Spec.Id, Number, Step, Ready.front()};
+    const instant Since = unitState(Job, First).Ready;
     Job.Waiting.push_back({First, std::move(Ready), Job.Queue.Priority, false,
-                           LatestStart, Job.Work});
+                           LatestStart, Job.Work, Since, false});
   }
 }
 
--- a/core/job/batch/shares.hpp
+++ b/core/job/batch/shares.hpp
@@ -12,6 +12,13 @@
   // A step is due when it misses its objective unless it starts within this
   // time, about as long as a stop takes.
   milliseconds DueWithin{500};
+  // The step of an organisation that waits longest goes before its others after
+  // this time, and counts as due.
+  milliseconds StarvesAfter{20'000};
+  milliseconds ReserveAfter{4'000};      // of a gang that fits nowhere
+  milliseconds ReservationLimit{10'000}; // longest expected wait, and life
+  milliseconds ReservationInterval{500}; // between searches
+  int MaxReservations = 2;               // at a time
 
   friend bool operator==(const share_settings &,
                          const share_settings &) = default;
@@ -40,7 +47,8 @@
 /// one priority.
 struct share_claim {
   bool IsGuaranteed = false; // its next unit fits the organisation's guarantee
-  bool IsDue = false;        // misses its objective if not started now
+  bool IsDue = false;        // misses its objective if not started now, or has
+                             // waited for StarvesAfter
   double Share = 0;          // dominant share of its organisation
 };
 
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -263,6 +263,11 @@
     "of that, and the cores that work on it.",
     "If many organisations are refused, the service is too small for its "
     "load."};
+const log_event GangReserved{
+    3333, Info, "gang-reserved",
+    "A gang has waited long and fits nowhere; capacity on the executors where "
+    "it is expected to be free first (expected_ms) is kept for it.",
+    "None."};
 
 const log_event RequestAnswered{
     4001, Info, "request-answered",
@@ -375,6 +380,7 @@
     &events::UrgentReclaimed,
     &events::ReclaimDropped,
     &events::AdmissionRefused,
+    &events::GangReserved,
     &events::SubmissionRefused,
     &events::SubmissionUnsettled,
     &events::RequestForwarded,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -123,6 +123,7 @@
 extern const log_event UrgentReclaimed;
 extern const log_event ReclaimDropped;
 extern const log_event AdmissionRefused;
+extern const log_event GangReserved;
 // 4000: requests
 extern const log_event RequestAnswered;
 extern const log_event SubmissionRefused;
--- a/tests/property/batch_shares_load_test.cpp
+++ b/tests/property/batch_shares_load_test.cpp
@@ -100,3 +100,22 @@
   const auto Starts = Report.TimesOf[Modest][0].Starts;
   CHECK(percentile(Starts, 100) < Bound);
 }
+
+// Guards against small tasks that always take what becomes free first. The
+// bound is 4 s until a reservation, and twice the longest run until it is free.
+TEST_CASE("load: gangs of whole executors start within a bound beside a stream "
+          "of small tasks") {
+  world_settings Settings = makeFlood();
+  Settings.Loads[0].PerSecond = 6; // 75 tasks of 2 s a second
+  Settings.Loads[1] = makeGangs(1);
+  Settings.Loads[1].Priority = 2;
+  Settings.Loads[1].PerSecond = 0.3;
+  Settings.Loads[1].MeanWidth = 3;
+  Settings.Loads[1].Accelerators = {8};
+  world_report Report = runWorld(Settings, Seed);
+  for (const std::string &Violation : Report.Violations)
+    CHECK(Violation == "");
+  const milliseconds Bound{8'000};
+  const auto Starts = Report.TimesOf[Modest][2].Starts;
+  CHECK(percentile(Starts, 100) < Bound);
+}
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -522,6 +522,7 @@
   void carryOut(const std::shared_ptr<fake_leader> &, publish_queue_lengths &) {
   }
   void carryOut(const std::shared_ptr<fake_leader> &, publish_backlog &) {}
+  void carryOut(const std::shared_ptr<fake_leader> &, note_wait &) {}
   void carryOut(const std::shared_ptr<fake_leader> &Leader, write_log &Write) {
     std::string Line = "leader " + std::to_string(Leader->Token) + " " +
                        std::string(Write.Line.Event->Name);
