--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -88,12 +88,19 @@
     if (IsRestarted)
       dropAllRuns(Executor, run_loss::Restarted, true);
     if (Report.IsDraining && !Executor.Report.IsDraining)
-      log(events::ExecutorDraining, {{"executor", Report.Id.Value}});
+      log(events::ExecutorDraining,
+          {{"executor", Report.Id.Value},
+           {"remaining_ms", std::to_string(Report.Remaining.count())},
+           {"runs", std::to_string(Executor.Runs.size())}});
+    noteDeparture(Executor, Report);
     if (Executor.Report != Report)
       Executor.IsReplaced = false; // it has come back elsewhere
     const bool IsChanged =
         IsNew || !Executor.IsListed || Executor.Report != Report;
+    const bool IsOther =
+        IsNew || Executor.Report.Incarnation != Report.Incarnation;
     Executor.Report = Report;
+    recallSpeed(Executor, IsOther);
     Executor.IsListed = true;
     if (IsChanged)
       touch(Executor);
@@ -101,6 +108,7 @@
   for (auto &[Id, Executor] : State.Executors)
     if (!Listed.contains(Id) && Executor.IsListed) {
       Executor.IsListed = false;
+      State.Draining.erase(Id);
       touch(Executor);
       log(events::ExecutorUnlisted,
           {{"executor", Id.Value},
@@ -109,6 +117,8 @@
   std::erase_if(State.Executors, [](const auto &Item) {
     return !Item.second.IsListed && Item.second.Runs.empty();
   });
+  forgetOldSpeeds();
+  moveDeparting();
   State.NeedsPlacement = true;
   holdAll();
 }
@@ -210,6 +220,7 @@
   State.Plans.clear();
   State.Reservations.clear();
   State.NextReservation = {};
+  State.DeparturePlans.clear();
   State.Suspects.clear();
   State.Silences.clear();
   State.SaveQueue.clear();
@@ -224,10 +235,13 @@
   State.PublishedBacklog = {};
   State.BacklogPublished = {};
   State.BacklogNumber = 0;
+  State.Speeds.clear();
+  State.SpeedSums.clear();
   for (auto &[Id, Executor] : State.Executors) {
     executor_state Fresh;
     Fresh.Report = Executor.Report;
     Fresh.IsListed = Executor.IsListed;
+    Fresh.LeavesAt = Executor.LeavesAt;
     Executor = std::move(Fresh);
     touch(Executor);
   }
@@ -276,6 +290,7 @@
     moveStalled(Executor);
     hold(Executor);
   }
+  moveDeparting();
   for (auto &[Id, Job] : State.Jobs)
     beginDueOccurrences(Job);
   forgetOldJobs();
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -315,11 +315,14 @@
   bool IsStalled = false; // none of its runs advances
   instant StalledSeen{};  // last report of that
   resources Used;         // by Runs
-  resources Reserved;     // by reclaim plans and reservations
+  resources Reserved;     // by plans and reservations
   bool IsTouched = false; // in Touched, the index may be out of date
   std::map<run_name, run_state> Runs;
   worker_health Health;
-  instant ProvenAt{}; // when a task last succeeded there
+  instant ProvenAt{};      // when a task last succeeded there
+  instant LeavesAt{};      // at the earliest, by its report; not set: unknown
+  milliseconds HoldGap{0}; // without a hold in flight, before the last report
+  speed_class Speed = speed_class::Unknown; // as in scheduler_state::Speeds
 };
 
 /// Identifies a unit of a job.
@@ -353,6 +356,9 @@
   instant Planned{};             // when its last plan since a start was made
   int Moves = 0;                 // to another executor after a stall
   gang_break Break;
+  speed_probe Probe;
+  int Departures = 0; // moves away from executors that were about to go
+  int StayNoted = 0;  // last attempt that was logged as staying there
 };
 
 /// The units of one step that could start now, with their sort keys.
@@ -394,6 +400,7 @@
                                                              // step and unit
   milliseconds CriticalPath{0};         // estimated critical path of its steps
   double Work = 0;                      // estimated, in weighted core-seconds
+  std::map<int, log_estimate> Paces;    // by step, relative to its estimate
   std::map<run_name, executor_id> Runs; // not removed yet
   // What could start, as of the last change of the job.
   std::vector<waiting_step> Waiting;
@@ -439,12 +446,27 @@
   std::set<job_id> Jobs; // that it ran
 };
 
+/// Reserves capacity for a unit until its runs on executors that are about to
+/// go have ended.
+struct departure_plan {
+  std::vector<executor_id> Executors; // one for each task
+  resources Needs;                    // of each task
+  instant CreatedAt{};
+};
+
 /// Reserves capacity for a unit until the runs preempted for it have ended.
 struct reclaim_plan {
   std::vector<executor_id> Executors; // one for each task
   instant CreatedAt{};
 };
 
+/// Tasks that don't fit into a rack together, nor do more or larger ones.
+struct vain_fit {
+  resources Needs; // of each task
+  int Count = 0;
+  executor_filter Allowed = executor_filter::all();
+};
+
 struct scheduler_state {
   explicit scheduler_state(scheduler_settings Settings = {})
       : Settings(Settings) {}
@@ -455,7 +477,10 @@
   std::map<executor_id, executor_state> Executors;
   capacity_index Capacity;          // of the listed executors
   std::vector<executor_id> Touched; // not up to date in Capacity
-  std::uint64_t Examined = 0;       // executors that placements looked at
+  // What didn't fit into a rack since it last changed.
+  std::map<std::pair<service_id, rack_id>, std::vector<vain_fit>> VainFits;
+  std::set<executor_id> Draining; // of the listed executors
+  std::uint64_t Examined = 0;     // executors that placements looked at
 
   // State of one leadership; empty while another instance leads.
   std::uint64_t Token = 0;  // 0: not leading
@@ -464,6 +489,7 @@
   bool IsRecovered = false; // all stored jobs have been reported
   std::map<job_id, job_state> Jobs;
   std::map<unit_name, reclaim_plan> Plans;
+  std::map<unit_name, departure_plan> DeparturePlans;
   std::map<unit_name, reservation> Reservations; // few, of units that wait
   instant NextReservation{};                     // earliest time
   std::set<unit_name> Suspects;                  // units with runs on probation
@@ -476,7 +502,11 @@
   std::map<service_id, work_rate> Rates;
   backlog PublishedBacklog;
   instant BacklogPublished{};
-  std::uint64_t BacklogNumber = 0; // of the last publication
+  std::uint64_t BacklogNumber = 0;              // of the last publication
+  std::map<executor_id, executor_speed> Speeds; // of observed executors
+  std::map<service_id, speed_sums> SpeedSums;   // of these
+  // Open executors of unknown speed without runs, as in Capacity.
+  std::map<service_id, std::set<executor_id>> Unprobed;
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
   std::vector<job_id> Saving;      // in the save in flight
   std::uint64_t SavesQueued = 0;   // entries ever added to SaveQueue
--- a/core/job/batch/scheduler_reservations.cpp
+++ b/core/job/batch/scheduler_reservations.cpp
@@ -62,7 +62,8 @@
     return false;
   const unit_state &Known = unitState(Job, Unit);
   const bool IsWaiting = Now < Reservation.Until && Now >= Known.NotBefore &&
-                         Known.LiveRuns == 0 && !State.Plans.contains(Unit);
+                         Known.LiveRuns == 0 && !State.Plans.contains(Unit) &&
+                         !State.DeparturePlans.contains(Unit);
   return IsWaiting &&
          std::ranges::all_of(Reservation.Executors, [&](const auto &Id) {
            const auto Found = State.Executors.find(Id);
@@ -223,16 +224,4 @@
   return Slots;
 }
 
-resources event_handler::countReserved(const executor_id &Id) const {
-  resources Reserved;
-  for (const auto &[Unit, Plan] : State.Plans)
-    Reserved +=
-        reservedResources(State.Jobs.at(Unit.Job).Spec.Steps[Unit.Step]) *
-        static_cast<int>(std::ranges::count(Plan.Executors, Id));
-  for (const auto &[Unit, Reservation] : State.Reservations)
-    Reserved += Reservation.Needs *
-                static_cast<int>(std::ranges::count(Reservation.Executors, Id));
-  return Reserved;
-}
-
 } // namespace galenastage::batch::detail
--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -33,6 +33,7 @@
   if (!isLeading() || !State.IsRecovered)
     return;
   advancePlans();
+  advanceDepartures();
   std::vector<share_queue> Queues = listByOrganisation();
   suspendReservations();
   refreshIndex();
--- a/core/job/batch/scheduler_waiting.cpp
+++ b/core/job/batch/scheduler_waiting.cpp
@@ -34,9 +34,7 @@
          std::chrono::duration<double>(Step.Estimate).count();
 }
 
-namespace {
-
-wall_instant objective(const job_state &Job, int Occurrence) {
+wall_instant objectiveOf(const job_state &Job, int Occurrence) {
   const double Stretched =
       static_cast<double>(Job.CriticalPath.count()) * Job.Queue.StretchFactor;
   return dueTime(Job.Spec, Occurrence) +
@@ -44,8 +42,6 @@
          Job.Queue.TargetDuration;
 }
 
-} // namespace
-
 bool ranksBefore(const waiting_step *Left, const waiting_step *Right) {
   if (Left->Priority != Right->Priority)
     return Left->Priority < Right->Priority;
@@ -111,13 +107,13 @@
       }
       if (Known.Ready == instant{})
         Known.Ready = Now;
-      if (!State.Plans.contains(Name))
+      if (!State.Plans.contains(Name) && !State.DeparturePlans.contains(Name))
         Ready.push_back(Unit);
     }
     if (Ready.empty())
       continue;
     const wall_instant LatestStart =
-        objective(Job, Number) - remainingCriticalPath(Job.Spec, &Occurrence);
+        objectiveOf(Job, Number) - remainingCriticalPath(Job.Spec, &Occurrence);
     const unit_name First{Job.Spec.Id, Number, Step, Ready.front()};
     const instant Since = unitState(Job, First).Ready;
     Job.Waiting.push_back({First, std::move(Ready), Job.Queue.Priority, false,
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -32,7 +32,10 @@
   milliseconds FailingUntil{0};
   double CrashingJobs = 0; // fraction with a task that crashes its executors
   int Outages = 0;         // crashes of three executors at once
-  int CapacityChanges = 0; // an executor's capacity is halved for 2 to 12 s
+  double LeavingExecutors = 0; // fraction that drains and then goes for good;
+                               // a new one comes 2 s later
+  milliseconds Notice{4'000};  // of those departures
+  int CapacityChanges = 0;     // an executor's capacity is halved for 2 to 12 s
 };
 
 /// A stream of jobs with one step each.
@@ -50,13 +53,16 @@
   double StretchFactor = 3;
   milliseconds TargetDuration{0};
   int MaxAttempts = 3;
-  int Organisation = -1; // number of its sender; -1: all of them in turn
+  int Organisation = -1;    // number of its sender; -1: all of them in turn
+  double EstimateError = 0; // largest deviation of the estimates, a fraction
 };
 
 struct world_settings {
   int Executors = 8;
   int PerRack = 4;
   resources Capacity{32'000, 64'000, 8};
+  std::vector<double> Speeds;    // each executor has one of them; empty: 1
+  double TaskDeviation = 0;      // of the logarithm of a task's work
   int Jobs = 20;                 // of mixed kinds, when there are no Loads
   std::vector<job_load> Loads;   // streams of jobs
   int Organisations = 1;         // that share the jobs evenly
@@ -64,16 +70,17 @@
   milliseconds Arrivals{20'000}; // jobs arrive until then
   milliseconds Faulty{40'000};   // faults occur until then
   milliseconds Length{160'000};  // duration of the run
-  bool ReportsProgress = false;  // else 50%, and runs over 1 s seem stalled
   milliseconds CountedFrom{0};   // runs count for RoomOf between these times
   milliseconds CountedUntil{0};
   world_faults Faults;
+  scheduler_settings Scheduler; // of the leaders
 };
 
 /// Times of the jobs of one priority that have got so far.
 struct job_times {
   std::vector<milliseconds> Starts; // from submission to the first start
   std::vector<milliseconds> Ends;   // from submission to the last end
+  int InTime = 0; // ended within their objective, by their actual work
 };
 
 /// Violations that were found, and the final counts.
@@ -84,7 +91,9 @@
   int Failed = 0;
   int Cancelled = 0;
   int Unfinished = 0;
-  int FailedInnocents = 0; // without a task that crashes executors
+  int FailedInnocents = 0;  // without a task that crashes executors
+  int LostWithExecutor = 0; // runs on executors that left with a notice
+  int LostUnsaved = 0;      // of them, those that can save a checkpoint
   int Starts = 0;
   int Leaders = 0;
   std::map<int, job_times> Times;                              // by priority
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -2,6 +2,8 @@
 
 #include "tests/support/batch_world_internal.hpp"
 
+#include <cmath>
+
 namespace galenastage::batch::test::detail {
 
 std::string world::begin(fake_executor &Executor, const start_run &Order) {
@@ -40,13 +42,15 @@
         crashExecutor(Executors[Id]);
     });
   }
-  fake_run Run{Order.Run, Step.Needs, Now, time_point::max(), false};
+  fake_run Run{Order.Run,         Step.Needs,        Now,
+               time_point::max(), time_point::max(), false};
   Executor.Runs[Order.Run] = Run;
   checkCapacity(Executor);
   const std::int64_t ExpectedIncarnation = Executor.Report.Incarnation;
   const executor_id Id = Executor.Report.Id;
   if (!Step.IsGang) {
-    finishLater(Id, ExpectedIncarnation, Order.Run, Step.Estimate);
+    finishLater(Id, ExpectedIncarnation, Order.Run,
+                durationOn(Id, Order.Run, Step));
     return "";
   }
   after(GangTimeout, [this, Id, ExpectedIncarnation, Name = Order.Run] {
@@ -73,9 +77,15 @@
   const bool FailsSoon = std::ranges::any_of(Members, [&](const auto &Item) {
     return failsAll(Executors[Item.first]);
   });
-  const milliseconds Work = FailsSoon ? FailureDelay : Step.Estimate;
+  milliseconds Work{0}; // of the slowest member
   for (const auto &[Id, Name] : Members)
+    Work = std::max(Work, durationOn(Id, Name, Step));
+  if (FailsSoon)
+    Work = FailureDelay;
+  for (const auto &[Id, Name] : Members) {
     Executors[Id].Runs[Name].EndsAt = Now + Work;
+    Executors[Id].Runs[Name].Works = Now;
+  }
   const bool Fails = chance(Settings.Faults.FailingRuns);
   after(Work, [this, Members, Fails] {
     bool IsWhole = true;
@@ -96,11 +106,31 @@
   });
 }
 
+milliseconds world::durationOn(const executor_id &Id, const run_name &Run,
+                               const step_spec &Step) {
+  double Work = static_cast<double>(Step.Estimate.count()) *
+                Jobs[Run.Task.Job].ActualWork / Executors[Id].Speed;
+  if (Settings.TaskDeviation > 0)
+    Work *= std::exp(
+        std::normal_distribution<double>(0, Settings.TaskDeviation)(Random));
+  return milliseconds(static_cast<std::int64_t>(Work));
+}
+
+int world::percentOf(const fake_run &Run) const {
+  if (Run.EndsAt == time_point::max())
+    return 0;
+  return static_cast<int>(100 * (Now - Run.Works) /
+                          std::max(milliseconds(1), Run.EndsAt - Run.Works));
+}
+
 void world::finishLater(const executor_id &Id, std::int64_t ExpectedIncarnation,
                         const run_name &Name, milliseconds Work) {
   const bool Fails = chance(Settings.Faults.FailingRuns);
   if (failsAll(Executors[Id]))
     Work = FailureDelay;
+  fake_run &Begun = Executors[Id].Runs[Name];
+  Begun.Works = Now;
+  Begun.EndsAt = Now + Work;
   after(Work, [this, Id, ExpectedIncarnation, Name, Fails] {
     fake_executor &Executor = Executors[Id];
     const auto Found = Executor.Runs.find(Name);
@@ -111,21 +141,6 @@
   });
 }
 
-int world::percentOf(const fake_run &Run) {
-  constexpr int WholePercent = 100;
-  if (!Settings.ReportsProgress)
-    return WholePercent / 2;
-  const step_spec &Step =
-      Jobs[Run.Name.Task.Job].Spec.Steps[Run.Name.Task.Step];
-  if (Step.IsGang && Run.EndsAt == time_point::max())
-    return 0;
-  const time_point EndsAt =
-      Step.IsGang ? Run.EndsAt : Run.Begun + Step.Estimate;
-  const auto Left = static_cast<int>((EndsAt - Now) * WholePercent /
-                                     std::max(Step.Estimate, milliseconds(1)));
-  return std::clamp(WholePercent - Left, 1, WholePercent - 1);
-}
-
 bool world::failsAll(const fake_executor &Executor) const {
   return Executor.IsFaulty && Now >= Settings.Faults.FailingFrom &&
          Now < Settings.Faults.FailingUntil;
@@ -225,6 +240,43 @@
   });
 }
 
+void world::drainExecutor(fake_executor &Executor) {
+  trace(Executor.Report.Id.Value + " drains");
+  Executor.Report.IsDraining = true;
+  Executor.DrainedAt = Now;
+  Executor.LeavesAt = Now + Settings.Faults.Notice;
+  at(Executor.LeavesAt,
+     [this, Id = Executor.Report.Id] { removeExecutor(Executors[Id]); });
+}
+
+void world::removeExecutor(fake_executor &Executor) {
+  if (Executor.IsGone)
+    return;
+  trace(Executor.Report.Id.Value + " leaves");
+  for (const auto &[Name, Run] : Executor.Runs) {
+    noteWork(Run, run_end::Lost);
+    ++Report.LostWithExecutor;
+    const stored_job &Job = Jobs[Name.Task.Job];
+    Report.LostUnsaved +=
+        Job.Spec.Steps[Name.Task.Step].IsCheckpointing ? 1 : 0;
+    trace(Executor.Report.Id.Value + " loses " + print(Name));
+  }
+  Executor.IsGone = true;
+  Executor.DownUntil = time_point::max(); // no other one has its address
+  const auto Waiting = std::exchange(Executor.Waiting, {});
+  for (const auto &Reply : Waiting)
+    Reply();
+  restartExecutor(Executor);
+  after(ReplacementDelay, [this, Id = Executor.Report.Id] {
+    fake_executor Next;
+    Next.Report = Executors[Id].Report;
+    Next.Report.Id = executor_id(Id.Value + "'");
+    Next.Report.IsDraining = false;
+    Next.Report.Remaining = milliseconds(0);
+    Executors[Next.Report.Id] = Next;
+  });
+}
+
 void world::expireLeases() {
   for (auto &[Id, Executor] : Executors) {
     if (Executor.Runs.empty() || Now < Executor.LeaseEnd)
