--- a/core/job/batch/admission.cpp
+++ b/core/job/batch/admission.cpp
@@ -93,6 +93,7 @@
     if (Work.size() <= MaxBacklogOrganisations)
       continue;
     std::vector<std::pair<double, organisation_id>> Order;
+    Order.reserve(Work.size());
     for (const auto &[Organisation, Amount] : Work)
       Order.emplace_back(Amount, Organisation);
     std::ranges::sort(Order, std::greater());
