--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -218,6 +218,8 @@
   State.IsRecovered = false;
   State.Jobs.clear();
   State.Plans.clear();
+  State.Reservations.clear();
+  State.NextReservation = {};
   State.DeparturePlans.clear();
   State.Suspects.clear();
   State.Silences.clear();
@@ -231,6 +233,10 @@
   State.UrgentSeen.clear();
   State.UrgentUse.clear();
   State.Usage.clear();
+  State.Rates.clear();
+  State.PublishedBacklog = {};
+  State.BacklogPublished = {};
+  State.BacklogNumber = 0;
   State.Speeds.clear();
   State.SpeedSums.clear();
   for (auto &[Id, Executor] : State.Executors) {
@@ -344,6 +350,7 @@
       Planned.push_back(Unit);
   for (const unit_name &Unit : Planned)
     dropPlan(Unit);
+  dropReservationsOf(Job.Spec.Id);
   State.NeedsPlacement = true;
   log(events::BatchJobEnded, {{"job", Job.Spec.Id.Value},
                               {"phase", std::string(name(Phase))},
@@ -388,6 +395,7 @@
 void event_handler::publishQueueLengths() {
   if (Now < State.NextPublication || !isLeading() || !State.IsRecovered)
     return;
+  publishBacklog();
   std::map<route_id, int> Waiting;
   for (const auto &[Id, Job] : State.Jobs)
     if (Job.Progress.Phase == job_phase::Queued)
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -27,6 +27,7 @@
 // [4] State
 // [5] The reducer
 
+#include "core/job/batch/admission.hpp"
 #include "core/job/batch/capacity_index.hpp"
 #include "core/job/batch/crashes.hpp"
 #include "core/job/batch/departure.hpp"
@@ -238,8 +239,23 @@
   std::vector<queue_length> Queues;
 };
 
-using effect = std::variant<start_run, stop_run, hold_executor, save_progress,
-                            forget_job, publish_queue_lengths, write_log>;
+struct publish_backlog {
+  std::uint64_t Token = 0;
+  std::uint64_t Number = 0; // of the publication in the term, from 1
+  backlog Backlog;
+};
+
+/// A unit that starts after it could have started for this time, for metrics.
+struct note_wait {
+  std::uint64_t Token = 0;
+  organisation_id Organisation;
+  int Priority = 0;
+  milliseconds Waited{0};
+};
+
+using effect =
+    std::variant<start_run, stop_run, hold_executor, save_progress, forget_job,
+                 publish_queue_lengths, publish_backlog, note_wait, write_log>;
 using effects = std::vector<effect>;
 
 /// The term that an effect was decided in. Nullopt: it belongs to none.
@@ -301,7 +317,7 @@
   bool IsStalled = false; // none of its runs advances
   instant StalledSeen{};  // last report of that
   resources Used;         // by Runs
-  resources Reserved;     // by reclaim and departure plans
+  resources Reserved;     // by plans and reservations
   bool IsKept = false;    // for guaranteed work
   bool IsTouched = false; // in Touched, the index may be out of date
   std::map<run_name, run_state> Runs;
@@ -358,10 +374,28 @@
   bool IsMissed = false;      // LatestStart has passed
   wall_instant LatestStart{}; // to meet its objective
   double Work = 0;            // of the job, in weighted core-seconds
+  instant Ready{};            // since when its first unit could start
+  bool IsOldest = false;      // waits longest of its organisation and priority,
+                              // for StarvesAfter or longer
 
   friend bool operator==(const waiting_step &, const waiting_step &) = default;
 };
 
+/// Estimated work of a job that isn't done, in weighted core-seconds, without
+/// long-running steps.
+struct open_work {
+  double Waiting = 0; // of units without a run
+  double Running = 0; // of units with one, from their beginning
+
+  friend bool operator==(const open_work &, const open_work &) = default;
+};
+
+/// How fast the work of a service ends, in weighted core-seconds by estimates.
+struct work_rate {
+  double Done = 0;      // since the last publication
+  double PerSecond = 0; // smoothed
+};
+
 struct job_state {
   job_spec Spec;
   job_progress Progress;
@@ -375,6 +409,7 @@
   std::map<run_name, executor_id> Runs; // not removed yet
   // What could start, as of the last change of the job.
   std::vector<waiting_step> Waiting;
+  open_work Open; // of the same time
   bool IsWaitingKnown = false;
   instant WaitingUntil{}; // a unit's restart delay ends then
 };
@@ -399,6 +434,15 @@
   friend bool operator==(const urgent_use &, const urgent_use &) = default;
 };
 
+/// Reserves capacity that is expected to become free for a gang that fits
+/// nowhere now. It stops nothing.
+struct reservation {
+  std::vector<executor_id> Executors; // one for each task
+  resources Needs;                    // of each task
+  instant Until{};                    // given up then
+  bool IsSuspended = false;           // during a pass, for work that precedes
+};
+
 /// When an executor fell silent: at some time between the two.
 struct executor_silence {
   executor_id Executor;
@@ -465,8 +509,10 @@
   std::map<job_id, job_state> Jobs;
   std::map<unit_name, reclaim_plan> Plans;
   std::map<unit_name, departure_plan> DeparturePlans;
-  std::set<unit_name> Suspects;          // units with runs on probation
-  std::deque<executor_silence> Silences; // recent ones, oldest first
+  std::map<unit_name, reservation> Reservations; // few, of units that wait
+  instant NextReservation{};                     // earliest time
+  std::set<unit_name> Suspects;                  // units with runs on probation
+  std::deque<executor_silence> Silences;         // recent ones, oldest first
   // Accelerators of runs and plans of priority 0, by organisation.
   std::map<organisation_id, int> GuaranteedUse;
   std::map<service_id, service_headroom> Headroom;
@@ -475,6 +521,10 @@
   std::map<organisation_id, urgent_use> UrgentUse; // the same, by unit
   // Needs of runs and plans, by organisation; none without either.
   std::map<organisation_id, capacity_sum> Usage;
+  std::map<service_id, work_rate> Rates;
+  backlog PublishedBacklog;
+  instant BacklogPublished{};
+  std::uint64_t BacklogNumber = 0;              // of the last publication
   std::map<executor_id, executor_speed> Speeds; // of observed executors
   std::map<service_id, speed_sums> SpeedSums;   // of these
   // Open executors of unknown speed without runs, as in Capacity.
--- a/core/job/batch/scheduler_departure.cpp
+++ b/core/job/batch/scheduler_departure.cpp
@@ -431,6 +431,9 @@
   for (const auto &[Unit, Plan] : State.DeparturePlans)
     for (const executor_id &Id : Plan.Executors)
       Reserved[Id] += Plan.Needs;
+  for (const auto &[Unit, Reservation] : State.Reservations)
+    for (const executor_id &Id : Reservation.Executors)
+      Reserved[Id] += Reservation.Needs;
   std::size_t Draining = 0;
   for (const auto &[Id, Executor] : State.Executors) {
     if (Executor.Reserved != Reserved[Id])
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -545,6 +545,7 @@
   const step_spec &Step = Job.Spec.Steps[Unit.Step];
   unit_progress &Progress = *findProgress(Unit);
   unit_state &Known = unitState(Job, Unit);
+  dropReservation(Unit);
   ++Progress.Attempts;
   const milliseconds Waited = Now - Known.Ready;
   const bool IsSuspect = Progress.hasSuspect();
@@ -571,6 +572,8 @@
        {"first", Executors.front().Value},
        {"waited_ms", std::to_string(Waited.count())},
        {"priority", std::to_string(Job.Queue.Priority)}});
+  Out.emplace_back(note_wait{State.Token, Job.Spec.Organisation,
+                             Job.Queue.Priority, Waited});
 }
 
 } // namespace detail
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -279,6 +279,7 @@
     if (Sent)
       measureDone(Executor, Job, Run, *Sent);
     Progress->IsDone = true;
+    noteWorkDone(Job, Unit);
     stopOtherAttempts(Job, Unit, Run.Attempt);
     queueSave(Job);
     noteUnitDone(Job, Unit.Occurrence);
--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -3,6 +3,7 @@
 #include "core/job/batch/scheduler_internal.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace galenastage::batch {
 namespace detail {
@@ -35,6 +36,7 @@
   advancePlans();
   advanceDepartures();
   std::vector<share_queue> Queues = listByOrganisation();
+  suspendReservations();
   refreshIndex();
   for (share_queue &Queue : Queues)
     updateClaim(Queue);
@@ -42,6 +44,7 @@
   std::ranges::make_heap(Queues, Order);
   while (!Queues.empty()) {
     std::ranges::pop_heap(Queues, Order);
+    resumeReservations(&Queues.back().next(), Queues.back().Claim);
     const bool IsPlaced = placeNext(Queues.back());
     if (Queues.back().Steps.empty())
       Queues.pop_back();
@@ -55,6 +58,8 @@
       std::ranges::push_heap(Queues, Order);
     }
   }
+  resumeReservations(nullptr, {});
+  reserveForStarved();
 }
 
 /// The units of a step are identical but for suspects: when one doesn't fit,
@@ -63,12 +68,18 @@
   const waiting_step &Step = Queue.next();
   unit_name Unit = Step.First;
   Unit.Unit = Step.Units[Queue.NextUnit];
-  const bool IsSuspect = findProgress(Unit)->hasSuspect();
-  const bool IsPaused = isPaused(Unit);
-  const bool IsPlaced = !IsPaused && place(Unit);
+  const unit_progress &Progress = *findProgress(Unit);
+  const bool IsSuspect = Progress.hasSuspect();
+  // A reservation may just have started it.
+  const bool IsWaiting = unitState(State.Jobs.at(Unit.Job), Unit).LiveRuns == 0;
+  const bool IsPaused = IsWaiting && isPaused(Unit);
+  const bool MayStart = IsWaiting && !IsPaused;
+  const bool IsPlaced = MayStart && place(Unit);
+  if (MayStart && !IsPlaced)
+    noteUnplaced(Step, Unit);
   ++Queue.NextUnit;
   const bool IsOver = Queue.NextUnit == Step.Units.size();
-  if (IsOver || (!IsPlaced && !IsSuspect && !IsPaused)) {
+  if (IsOver || (MayStart && !IsPlaced && !IsSuspect)) {
     Queue.Steps.pop_back();
     Queue.NextUnit = 0;
   }
@@ -76,8 +87,8 @@
 }
 
 std::vector<share_queue> event_handler::listByOrganisation() {
-  std::map<organisation_id, std::vector<const waiting_step *>> Waiting;
-  for (const waiting_step *Step : listWaiting()) {
+  std::map<organisation_id, std::vector<waiting_step *>> Waiting;
+  for (waiting_step *Step : listWaiting()) {
     const bool IsShared = State.Settings.Shares.IsEnabled;
     Waiting[IsShared ? State.Jobs.at(Step->First.Job).Spec.Organisation
                      : organisation_id()]
@@ -85,14 +96,28 @@
   }
   std::vector<share_queue> Queues;
   for (auto &[Organisation, Steps] : Waiting) {
+    if (State.Settings.Shares.IsEnabled)
+      markOldest(Steps);
     std::ranges::sort(Steps, [](const auto *Left, const auto *Right) {
       return ranksBefore(Right, Left);
     });
-    Queues.push_back({Organisation, std::move(Steps), 0, {}});
+    Queues.push_back({Organisation, {Steps.begin(), Steps.end()}, 0, {}});
   }
   return Queues;
 }
 
+void event_handler::markOldest(const std::vector<waiting_step *> &Steps) const {
+  std::map<int, waiting_step *> Oldest; // by priority
+  for (waiting_step *Step : Steps) {
+    waiting_step *&Known = Oldest[Step->Priority];
+    if (!Known || std::tie(Step->Ready, Step->First) <
+                      std::tie(Known->Ready, Known->First))
+      Known = Step;
+  }
+  for (const auto &[Priority, Step] : Oldest)
+    Step->IsOldest = Now - Step->Ready >= State.Settings.Shares.StarvesAfter;
+}
+
 void event_handler::updateClaim(share_queue &Queue) const {
   const waiting_step &Step = Queue.next();
   const job_state &Job = State.Jobs.at(Step.First.Job);
@@ -122,6 +147,88 @@
   return Count == 0 ? 0 : Sum / static_cast<double>(Count);
 }
 
+// The backlog
+
+void event_handler::noteWorkDone(const job_state &Job, const unit_name &Unit) {
+  const step_spec &Step = Job.Spec.Steps[Unit.Step];
+  if (!Step.IsLongRunning)
+    State.Rates[Job.Queue.Service].Done += workOf(Step) * countTasks(Step);
+}
+
+void event_handler::updateRates() {
+  constexpr double Weight = 0.1; // of half a second, so 5 s on the whole
+  const double Seconds =
+      std::chrono::duration<double>(State.Settings.QueueLengthInterval).count();
+  for (auto &[Service, Rate] : State.Rates) {
+    Rate.PerSecond += Weight * (Rate.Done / Seconds - Rate.PerSecond);
+    Rate.Done = 0;
+  }
+}
+
+void event_handler::publishBacklog() {
+  // While work waits, readers see from the record's age that it is current.
+  constexpr milliseconds RefreshInterval{1'500};
+  if (!State.Settings.Shares.IsEnabled)
+    return;
+  updateRates();
+  for (auto &[Id, Job] : State.Jobs)
+    if (!Job.IsWaitingKnown && !isFinal(Job.Progress.Phase))
+      updateWaiting(Job);
+  backlog Backlog = countBacklog();
+  limitSize(Backlog);
+  const bool HasWork = std::ranges::any_of(
+      Backlog.Services, [](const auto &Item) { return !Item.Entries.empty(); });
+  const bool IsOld = Now - State.BacklogPublished >= RefreshInterval;
+  if (!differsNotably(State.PublishedBacklog, Backlog) && !(HasWork && IsOld))
+    return;
+  State.PublishedBacklog = Backlog;
+  State.BacklogPublished = Now;
+  Out.emplace_back(
+      publish_backlog{State.Token, ++State.BacklogNumber, std::move(Backlog)});
+}
+
+backlog event_handler::countBacklog() const {
+  using key = std::pair<organisation_id, int>; // and priority
+  std::map<service_id, std::map<key, backlog_entry>> Entries;
+  for (const auto &[Id, Job] : State.Jobs) {
+    if (isFinal(Job.Progress.Phase) || Job.Open == open_work{})
+      continue;
+    const int Priority = Job.Queue.Priority;
+    const organisation_id &Organisation = Job.Spec.Organisation;
+    backlog_entry &Entry = Entries[Job.Queue.Service][{Organisation, Priority}];
+    Entry.Organisation = Organisation;
+    Entry.Priority = Priority;
+    Entry.Waiting += Job.Open.Waiting;
+    Entry.Running += Job.Open.Running;
+    if (Priority != 0)
+      continue;
+    if (const auto Used = State.GuaranteedUse.find(Organisation);
+        Entry.Accelerators == 0 && Used != State.GuaranteedUse.end())
+      Entry.Accelerators = Used->second;
+    for (const waiting_step &Step : Job.Waiting) {
+      const step_spec &Spec = Job.Spec.Steps[Step.First.Step];
+      Entry.Accelerators += static_cast<int>(Step.Units.size()) *
+                            countTasks(Spec) * Spec.Needs.Accelerators;
+    }
+  }
+  backlog Backlog;
+  for (const auto &[Service, OfService] : Entries) {
+    const indexed_service *Known = State.Capacity.find(Service);
+    if (!Known)
+      continue;
+    service_backlog Listed;
+    Listed.Service = Service;
+    Listed.Capacity = weightedCores(Known->total());
+    Listed.Accelerators = static_cast<int>(Known->total().Accelerators);
+    if (const auto Rate = State.Rates.find(Service); Rate != State.Rates.end())
+      Listed.Rate = Rate->second.PerSecond;
+    for (const auto &[Key, Entry] : OfService)
+      Listed.Entries.push_back(Entry);
+    Backlog.Services.push_back(std::move(Listed));
+  }
+  return Backlog;
+}
+
 void event_handler::addUsage(const organisation_id &Organisation,
                              const resources &Needs, int Count) {
   capacity_sum &Used = State.Usage[Organisation];
--- a/core/job/batch/scheduler_waiting.cpp
+++ b/core/job/batch/scheduler_waiting.cpp
@@ -25,11 +25,15 @@
 double workOf(const job_spec &Job) {
   double Work = 0;
   for (const step_spec &Step : Job.Steps)
-    Work += weightedCores(Step.Needs) * Step.Count *
-            std::chrono::duration<double>(Step.Estimate).count();
+    Work += workOf(Step) * Step.Count;
   return Work;
 }
 
+double workOf(const step_spec &Step) {
+  return weightedCores(Step.Needs) *
+         std::chrono::duration<double>(Step.Estimate).count();
+}
+
 wall_instant objectiveOf(const job_state &Job, int Occurrence) {
   const double Stretched =
       static_cast<double>(Job.CriticalPath.count()) * Job.Queue.StretchFactor;
@@ -41,6 +45,8 @@
 bool ranksBefore(const waiting_step *Left, const waiting_step *Right) {
   if (Left->Priority != Right->Priority)
     return Left->Priority < Right->Priority;
+  if (Left->IsOldest != Right->IsOldest)
+    return Left->IsOldest;
   if (Left->IsMissed != Right->IsMissed)
     return Right->IsMissed;
   if (Left->IsMissed && Left->Work != Right->Work)
@@ -49,8 +55,8 @@
          std::tie(Right->LatestStart, Right->First);
 }
 
-std::vector<const waiting_step *> event_handler::listWaiting() {
-  std::vector<const waiting_step *> Waiting;
+std::vector<waiting_step *> event_handler::listWaiting() {
+  std::vector<waiting_step *> Waiting;
   for (auto &[Id, Job] : State.Jobs) {
     if (isFinal(Job.Progress.Phase))
       continue;
@@ -58,6 +64,7 @@
       updateWaiting(Job);
     for (waiting_step &Step : Job.Waiting) {
       Step.IsMissed = WallNow > Step.LatestStart;
+      Step.IsOldest = false;
       Waiting.push_back(&Step);
     }
   }
@@ -66,6 +73,7 @@
 
 void event_handler::updateWaiting(job_state &Job) {
   Job.Waiting.clear();
+  Job.Open = {};
   Job.IsWaitingKnown = true;
   Job.WaitingUntil = instant::max();
   for (const auto &[Number, Occurrence] : Job.Progress.Occurrences)
@@ -76,8 +84,12 @@
 void event_handler::listWaitingOf(job_state &Job, int Number) {
   const occurrence_progress &Occurrence = Job.Progress.Occurrences.at(Number);
   for (int Step = 0; Step < static_cast<int>(Job.Spec.Steps.size()); ++Step) {
-    if (!isUnblocked(Job.Spec, Occurrence, Step))
+    const step_spec &Spec = Job.Spec.Steps[Step];
+    const double Work = Spec.IsLongRunning ? 0 : workOf(Spec); // of a task
+    if (!isUnblocked(Job.Spec, Occurrence, Step)) {
+      Job.Open.Waiting += Work * Spec.Count;
       continue;
+    }
     const auto &Units = Occurrence.Steps[Step].Units;
     std::vector<int> Ready;
     for (int Unit = 0; Unit < static_cast<int>(Units.size()); ++Unit) {
@@ -85,6 +97,8 @@
         continue;
       const unit_name Name{Job.Spec.Id, Number, Step, Unit};
       unit_state &Known = unitState(Job, Name);
+      (Known.LiveRuns > 0 ? Job.Open.Running : Job.Open.Waiting) +=
+          Work * countTasks(Spec);
       if (Known.LiveRuns > 0 || Now < Known.NotBefore) {
         Known.Ready = {};
         if (Known.LiveRuns == 0)
@@ -101,8 +115,9 @@
     const wall_instant LatestStart =
         objectiveOf(Job, Number) - remainingCriticalPath(Job.Spec, &Occurrence);
     const unit_name First{Job.Spec.Id, Number, Step, Ready.front()};
+    const instant Since = unitState(Job, First).Ready;
     Job.Waiting.push_back({First, std::move(Ready), Job.Queue.Priority, false,
-                           LatestStart, Job.Work});
+                           LatestStart, Job.Work, Since, false});
   }
 }
 
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -260,6 +260,19 @@
     "A changed guarantee no longer covers a job that capacity was being freed "
     "for; the job waits like others.",
     "None."};
+const log_event AdmissionRefused{
+    3332, Warning, "admission-refused",
+    "A job was refused because it can't end within three objectives (limit) "
+    "even by an optimistic estimate (expected), by the backlog of this term "
+    "and age: the work that goes first or beside it, its organisation's part "
+    "of that, and the cores that work on it.",
+    "If many organisations are refused, the service is too small for its "
+    "load."};
+const log_event GangReserved{
+    3333, Info, "gang-reserved",
+    "A gang has waited long and fits nowhere; capacity on the executors where "
+    "it is expected to be free first (expected_ms) is kept for it.",
+    "None."};
 
 // Headroom
 const log_event UnitStopped{
@@ -410,6 +423,8 @@
     &events::SpeedClassChanged,
     &events::UrgentReclaimed,
     &events::ReclaimDropped,
+    &events::AdmissionRefused,
+    &events::GangReserved,
     &events::UnitStopped,
     &events::KeptChanged,
     &events::UnitMovedAway,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -123,6 +123,8 @@
 // Shares of organisations
 extern const log_event UrgentReclaimed;
 extern const log_event ReclaimDropped;
+extern const log_event AdmissionRefused;
+extern const log_event GangReserved;
 // 3340: headroom
 extern const log_event UnitStopped;
 extern const log_event KeptChanged;
