Remaining time by speed, corrected estimates, reclaims without slow executors

The remaining time of a run follows the pace measured since its first report. Before that it follows the estimate, corrected by the steps of the queue's completed jobs, and the speed of its slowest executor; it was the estimate or an extrapolation that included the time before the run began.

A reclaim for a tight unit tries executors that aren't slow first.

Probes end once 32 executors are known and their speeds are even.

--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -222,6 +222,7 @@
   State.GuaranteedUse.clear();
   State.Speeds.clear();
   State.SpeedSums.clear();
+  State.QueuePaces.clear();
   for (auto &[Id, Executor] : State.Executors) {
     executor_state Fresh;
     Fresh.Report = Executor.Report;
@@ -319,6 +320,8 @@
   Job.Progress.Phase = Phase;
   Job.Progress.Ended = WallNow;
   Job.Units.clear();
+  if (Phase == job_phase::Completed)
+    learnEstimates(Job);
   queueSave(Job);
   const std::map<run_name, executor_id> Runs = Job.Runs;
   for (const auto &[Run, Id] : Runs)
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -416,7 +416,9 @@
   // Accelerators of runs and plans of priority 0, by organisation.
   std::map<organisation_id, int> GuaranteedUse;
   std::map<executor_id, executor_speed> Speeds; // of observed executors
-  std::map<service_id, speed_sums> SpeedSums;   // of these
+  // Pace of the steps of completed jobs, relative to their estimates.
+  std::map<route_id, log_estimate> QueuePaces;
+  std::map<service_id, speed_sums> SpeedSums; // of these
   // Open executors of unknown speed without runs, as in Capacity.
   std::map<service_id, std::set<executor_id>> Unprobed;
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -98,6 +98,12 @@
   /// Runs after every event: places waiting units and saves progress.
   void finish();
 
+  /// Expected time until the run is done: by the pace that was measured, or by
+  /// its estimate, the queue's and its executors' speed.
+  [[nodiscard]] milliseconds remainingTime(const job_state &Job,
+                                           const run_name &Name,
+                                           const run_state &Run) const;
+
 private:
   // Jobs (scheduler.cpp)
   void queueSave(job_state &Job);
@@ -258,6 +264,11 @@
   [[nodiscard]] std::optional<placement_choice>
   chooseReclaim(const placement_query &Query, const placement_request &Request,
                 std::map<unit_name, int> &Groups);
+  /// The same, for a tight unit without slow executors if possible
+  /// (scheduler_speed.cpp).
+  [[nodiscard]] std::optional<placement_choice>
+  chooseFastReclaim(placement_query Query, const placement_request &Request,
+                    std::map<unit_name, int> &Groups);
   void planReclaim(const placement_query &Query,
                    const placement_request &Request,
                    const placement_choice &Choice,
@@ -304,6 +315,13 @@
   /// attempt is slower because of the racks it runs in.
   [[nodiscard]] std::vector<executor_id>
   listMeasured(const job_state &Job, const unit_name &Unit, int Attempt);
+  /// Corrects the queue's estimates by the steps of a completed job.
+  void learnEstimates(const job_state &Job);
+  /// What is known of the pace of a step, relative to its estimate.
+  [[nodiscard]] log_estimate paceOf(const job_state &Job, int Step) const;
+  /// Expected logarithm of the speed of the unit's slowest executor.
+  [[nodiscard]] double speedOf(const job_state &Job,
+                               const unit_name &Unit) const;
   void setSpeed(executor_state &Executor, const log_estimate &Estimate);
   /// Takes over what is known about the executor's id.
   void recallSpeed(executor_state &Executor, bool IsRestarted);
@@ -312,10 +330,6 @@
   void forgetOldSpeeds();
   /// A difference between the speeds and their sums; empty: none.
   [[nodiscard]] std::string explainStaleSpeeds() const;
-  /// Expected time until the run is done, by its progress so far.
-  [[nodiscard]] milliseconds remainingTime(const job_state &Job,
-                                           const run_name &Name,
-                                           const run_state &Run) const;
 
   // Room kept for guaranteed work (scheduler_headroom.cpp)
   /// Whether the executors that are kept may run the step: sets to be tried in
--- a/core/job/batch/scheduler_reclaim.cpp
+++ b/core/job/batch/scheduler_reclaim.cpp
@@ -125,7 +125,7 @@
   if (!MayTry)
     return false;
   std::map<unit_name, int> Groups;
-  const auto Choice = chooseReclaim(Query, Request, Groups);
+  const auto Choice = chooseFastReclaim(Query, Request, Groups);
   if (!Choice) {
     noteVain(search::Reclaim, Query, Request);
     Known.ReclaimAfter = Now + State.Settings.ReclaimRetry;
--- a/core/job/batch/scheduler_speed.cpp
+++ b/core/job/batch/scheduler_speed.cpp
@@ -81,9 +81,14 @@
 event_handler::placeProbing(const placement_query &Query,
                             const placement_request &Request) const {
   const speed_settings &Settings = State.Settings.Speeds;
-  const auto Unprobed = State.Unprobed.find(Query.Job.Queue.Service);
+  const service_id &Service = Query.Job.Queue.Service;
+  const auto Unprobed = State.Unprobed.find(Service);
+  const auto Sums = State.SpeedSums.find(Service);
+  const bool IsEven = Sums != State.SpeedSums.end() &&
+                      Sums->second.known() >= Settings.ProbedIfEven &&
+                      !Sums->second.isUneven(Settings);
   const bool MayProbe =
-      Settings.IsEnabled && Unprobed != State.Unprobed.end() &&
+      Settings.IsEnabled && !IsEven && Unprobed != State.Unprobed.end() &&
       !Query.Step.IsGang && !Query.Step.IsLongRunning &&
       Query.Step.Affinity.isEmpty() && Query.isUnrestricted() &&
       Query.Service->percentInUse() < Settings.ProbeBelowPercent &&
@@ -104,6 +109,26 @@
          });
 }
 
+std::optional<placement_choice>
+event_handler::chooseFastReclaim(placement_query Query,
+                                 const placement_request &Request,
+                                 std::map<unit_name, int> &Groups) {
+  using enum speed_class;
+  const auto Sums = State.SpeedSums.find(Query.Job.Queue.Service);
+  const bool AvoidsSlow = State.Settings.Speeds.IsEnabled &&
+                          Sums != State.SpeedSums.end() &&
+                          Sums->second.of(Slow) > 0 && isTight(Query);
+  const executor_filter Allowed = Query.Allowed;
+  if (AvoidsSlow) {
+    Query.Allowed =
+        Allowed & executor_filter::ofSpeeds({Unknown, Normal, Fast});
+    if (auto Choice = chooseReclaim(Query, Request, Groups))
+      return Choice;
+  }
+  Query.Allowed = Allowed;
+  return chooseReclaim(Query, Request, Groups);
+}
+
 // Observations
 
 void event_handler::measureProgress(const executor_state &Executor,
@@ -190,9 +215,8 @@
                             std::chrono::duration_cast<milliseconds>(
                                 Now - Known->second.LearnedAt)));
   }
-  const log_estimate Unknown{0,
-                             Settings.StepDeviation * Settings.StepDeviation};
-  log_estimate &Pace = Job.Paces.try_emplace(Unit.Step, Unknown).first->second;
+  log_estimate &Pace =
+      Job.Paces.try_emplace(Unit.Step, paceOf(Job, Unit.Step)).first->second;
   learnPace(Settings, Pace, Members, std::log(SharePerSecond * Estimate));
   for (std::size_t I = 0; I < Ids.size(); ++I)
     setSpeed(State.Executors.at(Ids[I]), Members[I]);
@@ -294,18 +318,82 @@
 
 // Durations
 
+log_estimate event_handler::paceOf(const job_state &Job, int Step) const {
+  if (const auto Known = Job.Paces.find(Step); Known != Job.Paces.end())
+    return Known->second;
+  const speed_settings &Settings = State.Settings.Speeds;
+  const auto Queue = State.QueuePaces.find(Job.Queue.Name);
+  return {Queue == State.QueuePaces.end() ? 0 : Queue->second.Mean,
+          Settings.StepDeviation * Settings.StepDeviation};
+}
+
+/// Estimates deviate from those of other jobs; only what jobs have in common is
+/// the queue's.
+void event_handler::learnEstimates(const job_state &Job) {
+  const speed_settings &Settings = State.Settings.Speeds;
+  const double Prior = Settings.StepDeviation * Settings.StepDeviation;
+  const double Least = Settings.LeastDeviation * Settings.LeastDeviation;
+  for (const auto &[Step, Pace] : Job.Paces) {
+    log_estimate &Queue =
+        State.QueuePaces.try_emplace(Job.Queue.Name, log_estimate{0, Prior})
+            .first->second;
+    const double Gain =
+        Queue.Variance / (Queue.Variance + Pace.Variance + Prior);
+    Queue.Mean += Gain * (Pace.Mean - Queue.Mean);
+    Queue.Variance = std::max(Least, Queue.Variance * (1 - Gain));
+  }
+}
+
+double event_handler::speedOf(const job_state &Job,
+                              const unit_name &Unit) const {
+  const auto &Occurrences = Job.Progress.Occurrences;
+  const auto Occurrence = Occurrences.find(Unit.Occurrence);
+  if (Occurrence == Occurrences.end() || Occurrence->second.IsDone)
+    return 0;
+  std::optional<double> Slowest;
+  const unit_progress &Progress =
+      Occurrence->second.Steps[Unit.Step].Units[Unit.Unit];
+  for (const task_placement &Placed : Progress.Placed) {
+    const auto Known = State.Speeds.find(Placed.Executor);
+    const double Log =
+        Known == State.Speeds.end() ? 0 : Known->second.Estimate.Mean;
+    Slowest = std::min(Slowest.value_or(Log), Log);
+  }
+  return Slowest.value_or(0);
+}
+
 milliseconds event_handler::remainingTime(const job_state &Job,
                                           const run_name &Name,
                                           const run_state &Run) const {
   constexpr int WholePercent = 100;
-  constexpr int LeastPercent = 5; // less is too coarse to extrapolate
-  const milliseconds Elapsed = Now - Run.Ordered;
-  const int Percent = Run.Pace.Percent;
-  if (Run.IsCheckpointing || Percent < LeastPercent) {
-    const milliseconds Estimate = Job.Spec.Steps[Name.Task.Step].Estimate;
-    return Estimate * (WholePercent - Percent) / WholePercent;
+  const speed_settings &Settings = State.Settings.Speeds;
+  const unit_name Unit = unitNameOf(Job, Name.Task);
+  const auto Units = Job.Units.find(Unit.Occurrence);
+  const speed_probe Probe = Units == Job.Units.end() || Units->second.empty()
+                                ? speed_probe{}
+                                : Units->second[Unit.Step][Unit.Unit].Probe;
+  const int Percent = std::clamp(Run.Pace.Percent, 0, WholePercent);
+  const int Rest = WholePercent - Percent;
+  const int Advance = Percent - Probe.Percent;
+  const bool IsMeasured = Probe.Attempt == Name.Attempt && Probe.HasBegun &&
+                          Advance >= Settings.LeastPercent &&
+                          Run.Pace.SeenAt > Probe.At;
+  double Seconds = 0; // from the last report
+  if (IsMeasured) {
+    const std::chrono::duration<double> Span = Run.Pace.SeenAt - Probe.At;
+    Seconds = Span.count() * Rest / Advance;
+  } else {
+    const std::chrono::duration<double> Estimate =
+        Job.Spec.Steps[Unit.Step].Estimate;
+    const double Pace = paceOf(Job, Unit.Step).Mean + speedOf(Job, Unit);
+    Seconds = Estimate.count() * Rest / WholePercent / std::exp(Pace);
   }
-  return Elapsed * (WholePercent - Percent) / Percent;
+  const milliseconds Whole(std::llround(1'000 * Seconds));
+  if (Percent == 0)
+    return Whole; // it may not have begun
+  const auto SinceSeen =
+      std::chrono::duration_cast<milliseconds>(Now - Run.Pace.SeenAt);
+  return std::max(milliseconds(0), Whole - SinceSeen);
 }
 
 } // namespace galenastage::batch::detail
--- a/core/job/batch/speed.cpp
+++ b/core/job/batch/speed.cpp
@@ -194,10 +194,12 @@
   return Logs / (Observed + Assumed);
 }
 
+int speed_sums::known() const { return Observed - of(speed_class::Unknown); }
+
 bool speed_sums::isUneven(const speed_settings &Settings) const {
   const int Uneven = of(speed_class::Slow) + of(speed_class::Fast);
-  const int Known = Uneven + of(speed_class::Normal);
-  return Uneven > 0 && Uneven * WholePercent >= Known * Settings.UnevenPercent;
+  return Uneven > 0 &&
+         Uneven * WholePercent >= known() * Settings.UnevenPercent;
 }
 
 speed_class classify(const speed_settings &Settings,
@@ -212,12 +214,11 @@
   const double Fast = std::log(Settings.FastAbove) - Shift(speed_class::Fast);
   // Deviations from a bound at which the other side of it is unlikely enough.
   constexpr double LikelySlow = 0.5;
-  constexpr double LikelyFast = 0.3;
   constexpr double UnlikelySlow = 1.1;
   constexpr double Precise = 0.2; // deviation at which the mean decides
   if (Log < Slow - LikelySlow * Deviation)
     return speed_class::Slow;
-  if (Log > Fast + LikelyFast * Deviation)
+  if (Log > Fast)
     return speed_class::Fast;
   const bool IsPrecise =
       Deviation < Precise + (Before == speed_class::Unknown ? 0.0 : 0.05);
--- a/core/job/batch/speed.hpp
+++ b/core/job/batch/speed.hpp
@@ -43,8 +43,9 @@
   milliseconds LeastSpan{300};   // between two reports
   milliseconds ProbeWait{500};   // longest hold of an unknown executor
   int ProbeBelowPercent = 40;    // accelerators in use; above, no probes
-  int SpreadBelowPercent = 50;   // accelerators in use; above, work with slack
-                                 // doesn't go to empty unknown executors
+  int ProbedIfEven = 32; // known executors after which even speeds end probes
+  int SpreadBelowPercent = 50; // accelerators in use; above, work with slack
+                               // doesn't go to empty unknown executors
 
   friend bool operator==(const speed_settings &,
                          const speed_settings &) = default;
@@ -126,6 +127,8 @@
   }
   /// Logarithm of the mean speed; close to 0 while few were observed.
   [[nodiscard]] double mean() const;
+  /// Executors whose class is known.
+  [[nodiscard]] int known() const;
   /// Whether so many executors are slow or fast that placement prefers some.
   [[nodiscard]] bool isUneven(const speed_settings &Settings) const;
 };
