--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -223,6 +223,7 @@
   State.Speeds.clear();
   State.SpeedSums.clear();
   State.QueuePaces.clear();
+  State.Probing.clear();
   for (auto &[Id, Executor] : State.Executors) {
     executor_state Fresh;
     Fresh.Report = Executor.Report;
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -421,6 +421,7 @@
   std::map<service_id, speed_sums> SpeedSums; // of these
   // Open executors of unknown speed without runs, as in Capacity.
   std::map<service_id, std::set<executor_id>> Unprobed;
+  std::set<executor_id> Probing;   // started there, and not observed yet
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
   std::vector<job_id> Saving;      // in the save in flight
   std::uint64_t SavesQueued = 0;   // entries ever added to SaveQueue
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -296,9 +296,8 @@
   /// Places a single task with slack alone on an executor of unknown speed, so
   /// that it is observed.
   [[nodiscard]] std::optional<placement_choice>
-  placeProbing(const placement_query &Query,
-               const placement_request &Request) const;
-  /// Whether runs on the executor may tell its speed.
+  placeProbing(const placement_query &Query, const placement_request &Request);
+  /// Whether a task was placed there to observe its speed, and wasn't yet.
   [[nodiscard]] bool isProbed(const executor_state &Executor) const;
   [[nodiscard]] bool isTight(const placement_query &Query) const;
   /// Measures the run, or its gang, by a report of the executor.
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -218,6 +218,7 @@
   const bool IsOrphan = Found->second.IsOrphan;
   Executor.Used -= Found->second.Needs;
   Executor.Runs.erase(Found);
+  State.Probing.erase(Executor.Report.Id);
   touch(Executor);
   State.NeedsPlacement = true;
   const auto Job = State.Jobs.find(Run.Task.Job);
--- a/core/job/batch/scheduler_speed.cpp
+++ b/core/job/batch/scheduler_speed.cpp
@@ -79,7 +79,7 @@
 
 std::optional<placement_choice>
 event_handler::placeProbing(const placement_query &Query,
-                            const placement_request &Request) const {
+                            const placement_request &Request) {
   const speed_settings &Settings = State.Settings.Speeds;
   const service_id &Service = Query.Job.Queue.Service;
   const auto Unprobed = State.Unprobed.find(Service);
@@ -88,25 +88,25 @@
                       Sums->second.known() >= Settings.ProbedIfEven &&
                       !Sums->second.isUneven(Settings);
   const bool MayProbe =
-      Settings.IsEnabled && !IsEven && Unprobed != State.Unprobed.end() &&
-      !Query.Step.IsGang && !Query.Step.IsLongRunning &&
-      Query.Step.Affinity.isEmpty() && Query.isUnrestricted() &&
+      Settings.IsEnabled && !IsEven &&
+      std::ssize(State.Probing) < Settings.MostProbes &&
+      Unprobed != State.Unprobed.end() && !Query.Step.IsGang &&
+      !Query.Step.IsLongRunning && Query.Step.Affinity.isEmpty() &&
+      Query.isUnrestricted() &&
       Query.Service->percentInUse() < Settings.ProbeBelowPercent &&
       !isTight(Query);
   if (!MayProbe)
     return std::nullopt;
   for (const executor_id &Id : Unprobed->second)
-    if (State.Executors.at(Id).Report.Capacity.covers(Request.Needs))
+    if (State.Executors.at(Id).Report.Capacity.covers(Request.Needs)) {
+      State.Probing.insert(Id);
       return placement_choice{{Id}, {}};
+    }
   return std::nullopt;
 }
 
 bool event_handler::isProbed(const executor_state &Executor) const {
-  return State.Settings.Speeds.IsEnabled &&
-         Executor.Speed == speed_class::Unknown &&
-         std::ranges::any_of(Executor.Runs, [](const auto &Item) {
-           return !Item.second.IsLongRunning;
-         });
+  return State.Probing.contains(Executor.Report.Id);
 }
 
 std::optional<placement_choice>
@@ -235,6 +235,7 @@
   Known.Estimate = Estimate;
   Known.LearnedAt = Now;
   ++Known.Observations;
+  State.Probing.erase(Report.Id);
   const speed_class Class =
       classify(State.Settings.Speeds, Estimate, Sums.mean(), Known.Class);
   const speed_class Before = std::exchange(Known.Class, Class);
--- a/core/job/batch/speed.hpp
+++ b/core/job/batch/speed.hpp
@@ -27,7 +27,7 @@
   bool IsEnabled = true;
   double SpeedDeviation = 0.4;   // of executors that weren't observed
   double StepDeviation = 0.4;    // of the clients' estimates
-  double TaskDeviation = 0.2;    // of the tasks of a step
+  double TaskDeviation = 0.25;   // of the tasks of a step
   double MeasureDeviation = 0.1; // of whole percents and delayed reports
   double LeastDeviation = 0.12;  // that observations reduce an estimate to
   double OutlierShare = 0.04;    // of the tasks; some take several times longer
@@ -41,8 +41,9 @@
   int UnevenPercent = 10;        // slow and fast ones among the classified
   int LeastPercent = 10;         // progress that is precise enough
   milliseconds LeastSpan{300};   // between two reports
-  milliseconds ProbeWait{500};   // longest hold of an unknown executor
+  milliseconds ProbeWait{500};   // longest hold of a probed executor
   int ProbeBelowPercent = 40;    // accelerators in use; above, no probes
+  int MostProbes = 48;           // at a time; each may split an empty executor
   int ProbedIfEven = 32; // known executors after which even speeds end probes
   int SpreadBelowPercent = 50; // accelerators in use; above, work with slack
                                // doesn't go to empty unknown executors
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -92,6 +92,8 @@
   double CompletedWork = 0; // weighted core-seconds of runs that ended as done
   double LostWork = 0;      // of runs that ended otherwise
   std::uint64_t Examined = 0; // executors that placements looked at
+  std::uint64_t Holds = 0;
+  speed_sums Speeds; // as the last leader knew them
 };
 
 world_report runWorld(const world_settings &Settings, std::uint64_t Seed);
--- a/tests/support/batch_world_checks.cpp
+++ b/tests/support/batch_world_checks.cpp
@@ -72,6 +72,9 @@
 void world::checkOutcome() {
   for (const auto &Leader : Leaders)
     Report.Examined += Leader->State.Examined;
+  if (!Leaders.empty())
+    for (const auto &[Service, Sums] : Leaders.back()->State.SpeedSums)
+      Report.Speeds = Sums;
   for (const auto &[Id, Job] : Jobs) {
     const job_phase Phase = parseSummary(Job.Progress).Record.Phase;
     Report.Completed += Phase == job_phase::Completed ? 1 : 0;
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -383,6 +383,7 @@
   void carryOut(const std::shared_ptr<fake_leader> &Leader,
                 hold_executor &Hold) {
     const hold_executor Order = Hold;
+    ++Report.Holds;
     const instant Sent = now();
     const auto fail = [this, Leader, Order](hold_failure Failure) {
       post(Leader, Order.To.Token,
