--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -220,6 +220,8 @@
   State.SavesFinished = 0;
   State.PublishedLengths.clear();
   State.GuaranteedUse.clear();
+  State.UrgentUse.clear();
+  State.Usage.clear();
   State.Speeds.clear();
   State.SpeedSums.clear();
   State.QueuePaces.clear();
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -247,6 +247,20 @@
     "of its service; work that is short of time prefers faster ones.",
     "If an executor that should be fast is slow, check it."};
 
+// 3330 to 3339: shares of organisations
+const log_event UrgentReclaimed{
+    3330, Info, "urgent-reclaimed",
+    "Runs of priority 0 beyond their organisation's guarantee (from) are "
+    "stopped for a job within another organisation's guarantee. used and "
+    "guaranteed are accelerators of the former.",
+    "If it is frequent, the guarantee of the organisation that is stopped is "
+    "smaller than its urgent work."};
+const log_event ReclaimDropped{
+    3331, Info, "reclaim-dropped",
+    "A changed guarantee no longer covers a job that capacity was being freed "
+    "for; the job waits like others.",
+    "None."};
+
 const log_event RequestAnswered{
     4001, Info, "request-answered",
     "Access log: one request, its route, verdict and duration.", "None."};
@@ -356,6 +370,8 @@
     &events::ExecutorAdvances,
     &events::UnitMoved,
     &events::SpeedClassChanged,
+    &events::UrgentReclaimed,
+    &events::ReclaimDropped,
     &events::SubmissionRefused,
     &events::SubmissionUnsettled,
     &events::RequestForwarded,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -120,6 +120,9 @@
 extern const log_event ExecutorAdvances;
 extern const log_event UnitMoved;
 extern const log_event SpeedClassChanged;
+// Shares of organisations
+extern const log_event UrgentReclaimed;
+extern const log_event ReclaimDropped;
 // 4000: requests
 extern const log_event RequestAnswered;
 extern const log_event SubmissionRefused;
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -556,6 +556,7 @@
   /// How long a task of the step takes there.
   milliseconds durationOn(const executor_id &Id, const run_name &Run,
                           const step_spec &Step);
+  /// Reported progress; 0 for members of a gang that hasn't begun.
   [[nodiscard]] int percentOf(const fake_run &Run) const;
   void finishLater(const executor_id &Id, std::int64_t ExpectedIncarnation,
                    const run_name &Name, milliseconds Work);
