Store speeds for the next leader; no classes where speeds are even

A new leader knew no speeds and was as slow to learn as the first one. The leader stores the estimates in batch/speeds, at most every 5 s after an observation and on condition of its term. The next one reads them before it places work. Unreadable records and other versions are ignored with a log line.

--- a/apps/instance/keys.hpp
+++ b/apps/instance/keys.hpp
@@ -13,6 +13,9 @@
 /// Queue lengths, published by the leader.
 inline constexpr const char *QueueLengths = "batch/queues";
 
+/// Speeds of executors, written by the leader for the next one.
+inline constexpr const char *Speeds = "batch/speeds";
+
 /// Submitted jobs and cancellations. Any instance writes them, once each; the
 /// leader watches them.
 inline constexpr const char *Requests = "batch/asked/";
--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -1,6 +1,7 @@
 #include "apps/instance/leadership.hpp"
 
 #include "apps/instance/keys.hpp"
+#include "apps/instance/speed_record.hpp"
 #include "apps/runtime/logging.hpp"
 #include "apps/runtime/process.hpp"
 #include "core/error.hpp"
@@ -177,6 +178,9 @@
   const platform::range_read Known = co_await Store.readPrefix(keys::Progress);
   if (Known.Error)
     co_return false;
+  const platform::item_read Speeds = co_await Store.read(keys::Speeds);
+  if (!Speeds.Error && Speeds.Item) // without it they are learned again
+    Post(Term, speeds_found{parseSpeeds(Speeds.Item->Value)});
   JobsRevision = Requests.Revision;
   std::map<std::string, const platform::store_item *> Progress;
   for (const platform::store_item &Item : Known.Items)
--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -2,6 +2,7 @@
 
 #include "apps/instance/keys.hpp"
 #include "apps/instance/queue_lengths.hpp"
+#include "apps/instance/speed_record.hpp"
 #include "apps/runtime/logging.hpp"
 #include "apps/runtime/process.hpp"
 #include "core/job/batch/records.hpp"
@@ -46,21 +47,23 @@
   const auto Spawn = [this](task<void> Work) {
     asio::co_spawn(Context, std::move(Work), asio::detached);
   };
-  std::visit(overloaded{
-                 [&](start_run &Order) { Spawn(start(std::move(Order))); },
-                 [&](stop_run &Order) { Spawn(stop(std::move(Order))); },
-                 [&](hold_executor &Order) { Spawn(hold(std::move(Order))); },
-                 [&](save_progress &Order) { Spawn(save(std::move(Order))); },
-                 [&](forget_job &Order) { Spawn(forget(std::move(Order))); },
-                 [&](publish_queue_lengths &Order) {
-                   Spawn(publish(std::move(Order)));
-                 },
-                 [&](write_log &Order) {
-                   Metrics.noteSchedulerEvent(Order.Line.Event->Name);
-                   writeLog(Order.Line);
-                 },
-             },
-             Effect);
+  std::visit(
+      overloaded{
+          [&](start_run &Order) { Spawn(start(std::move(Order))); },
+          [&](stop_run &Order) { Spawn(stop(std::move(Order))); },
+          [&](hold_executor &Order) { Spawn(hold(std::move(Order))); },
+          [&](save_progress &Order) { Spawn(save(std::move(Order))); },
+          [&](forget_job &Order) { Spawn(forget(std::move(Order))); },
+          [&](publish_queue_lengths &Order) {
+            Spawn(publish(std::move(Order)));
+          },
+          [&](save_speeds &Order) { Spawn(saveSpeeds(std::move(Order))); },
+          [&](write_log &Order) {
+            Metrics.noteSchedulerEvent(Order.Line.Event->Name);
+            writeLog(Order.Line);
+          },
+      },
+      Effect);
 }
 
 task<void> orders::start(start_run Start) {
@@ -195,4 +198,15 @@
              {{"record", "queue lengths"}, {"error", Write.Error.message()}});
 }
 
+task<void> orders::saveSpeeds(save_speeds Save) {
+  platform::store_change Change;
+  Change.Conditions.push_back(leadership::fence(Save.Token));
+  Change.Writes.push_back({keys::Speeds, printSpeeds(Save.Speeds), 0});
+  const platform::change_result Write =
+      co_await Store.change(std::move(Change));
+  if (Write.Error) // the next observation stores all again
+    writeLog(events::SaveFailed,
+             {{"record", "speeds"}, {"error", Write.Error.message()}});
+}
+
 } // namespace galenastage
--- a/apps/instance/orders.hpp
+++ b/apps/instance/orders.hpp
@@ -21,6 +21,7 @@
   task<void> hold(batch::hold_executor Hold);
   task<void> save(batch::save_progress Save);
   task<void> forget(batch::forget_job Forget);
+  task<void> saveSpeeds(batch::save_speeds Save);
   task<void> publish(batch::publish_queue_lengths Publish);
   bool refreshRevisions(const batch::save_progress &Save,
                         const std::vector<std::string> &Values,
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -226,6 +226,8 @@
   State.SpeedSums.clear();
   State.QueuePaces.clear();
   State.Probing.clear();
+  State.AreSpeedsUnsaved = false;
+  State.NextSpeedSave = {};
   for (auto &[Id, Executor] : State.Executors) {
     executor_state Fresh;
     Fresh.Report = Executor.Report;
@@ -282,6 +284,7 @@
     beginDueOccurrences(Job);
   forgetOldJobs();
   publishQueueLengths();
+  saveSpeeds();
   State.NeedsPlacement = true;
 }
 
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -168,6 +168,10 @@
 struct progress_saved {
   bool IsSaved = false;
 };
+/// The speeds that an earlier leader stored.
+struct speeds_found {
+  std::vector<stored_speed> Speeds;
+};
 struct time_passed {};
 
 /// Events that belong to no term of leadership.
@@ -181,7 +185,7 @@
                job_found, cancel_requested, leadership_gained,
                recovery_finished, leadership_extended, leadership_lost,
                runs_reported, hold_failed, start_answered, stop_answered,
-               progress_saved, time_passed>
+               progress_saved, speeds_found, time_passed>
       What;
 };
 
@@ -237,8 +241,15 @@
   std::vector<queue_length> Queues;
 };
 
-using effect = std::variant<start_run, stop_run, hold_executor, save_progress,
-                            forget_job, publish_queue_lengths, write_log>;
+/// Stores the speeds of executors. Not answered: the next one has them again.
+struct save_speeds {
+  std::uint64_t Token = 0;
+  std::vector<stored_speed> Speeds;
+};
+
+using effect =
+    std::variant<start_run, stop_run, hold_executor, save_progress, forget_job,
+                 publish_queue_lengths, save_speeds, write_log>;
 using effects = std::vector<effect>;
 
 /// The term that an effect was decided in. Nullopt: it belongs to none.
@@ -446,6 +457,8 @@
   std::map<service_id, speed_sums> SpeedSums; // of these
   // Open executors of unknown speed without runs, as in Capacity.
   std::map<service_id, std::set<executor_id>> Unprobed;
+  bool AreSpeedsUnsaved = false; // changed since the last save_speeds
+  instant NextSpeedSave{};
   std::set<executor_id> Probing;   // started there, and not observed yet
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
   std::vector<job_id> Saving;      // in the save in flight
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -103,6 +103,9 @@
   void apply(const start_answered &Event);
   void apply(const stop_answered &Event);
 
+  // Stored speeds (scheduler_speed.cpp)
+  void apply(const speeds_found &Event);
+
   /// See the function of this name in scheduler.hpp.
   std::string explainStaleIndex();
 
@@ -335,14 +338,16 @@
   /// Sets of speeds that may run the step, the best first.
   [[nodiscard]] std::vector<executor_filter>
   preferredSpeeds(const placement_query &Query) const;
-  /// Whether the unit would miss its objective on slow executors.
+  /// Whether the unit would miss its objective on slow executors if it takes
+  /// Factor times as long as expected.
   /// Places a single task with slack alone on an executor of unknown speed, so
   /// that it is observed.
   [[nodiscard]] std::optional<placement_choice>
   placeProbing(const placement_query &Query, const placement_request &Request);
   /// Whether a task was placed there to observe its speed, and wasn't yet.
   [[nodiscard]] bool isProbed(const executor_state &Executor) const;
-  [[nodiscard]] bool isTight(const placement_query &Query) const;
+  [[nodiscard]] bool isTight(const placement_query &Query,
+                             double Factor = 1) const;
   /// Measures the run, or its gang, by a report of the executor.
   void measureProgress(const executor_state &Executor, job_state &Job,
                        const run_name &Name, const run_state &Run);
@@ -365,6 +370,7 @@
   [[nodiscard]] double speedOf(const job_state &Job,
                                const unit_name &Unit) const;
   void setSpeed(executor_state &Executor, const log_estimate &Estimate);
+  void saveSpeeds();
   /// Takes over what is known about the executor's id.
   void recallSpeed(executor_state &Executor, bool IsRestarted);
   void forgetSpeed(executor_state &Executor);
--- a/core/job/batch/scheduler_speed.cpp
+++ b/core/job/batch/scheduler_speed.cpp
@@ -31,14 +31,14 @@
 
 // Placement
 
-bool event_handler::isTight(const placement_query &Query) const {
+bool event_handler::isTight(const placement_query &Query, double Factor) const {
   const job_state &Job = Query.Job;
   const int Occurrence = Query.Unit.Occurrence;
   const milliseconds Path =
       remainingCriticalPath(Job.Spec, &Job.Progress.Occurrences.at(Occurrence));
   const speed_settings &Settings = State.Settings.Speeds;
   const double OnSlow = static_cast<double>(Path.count()) *
-                        Settings.TightMargin / Settings.SlowSpeed;
+                        Settings.TightMargin * Factor / Settings.SlowSpeed;
   return WallNow + milliseconds(static_cast<std::int64_t>(OnSlow)) >
          objectiveOf(Job, Occurrence);
 }
@@ -52,20 +52,23 @@
   if (IsAny)
     return {executor_filter::all()};
   const bool IsUneven = Sums->second.isUneven(Settings);
-  const bool HasSlow = Sums->second.of(Slow) > 0;
-  if (!IsUneven && !HasSlow)
+  if (!IsUneven)
     return {executor_filter::all()};
-  const bool IsShort = isTight(Query);
-  if (IsShort && !IsUneven)
-    return {executor_filter::ofSpeeds({Unknown, Normal, Fast}),
-            executor_filter::all()};
-  if (IsShort)
+  if (isTight(Query))
     return {executor_filter::ofSpeeds({Fast}),
             executor_filter::ofSpeeds({Fast, Normal}),
             executor_filter::ofSpeeds({Fast, Normal, Unknown}),
             executor_filter::all()};
-  if (!IsUneven)
-    return {executor_filter::all()};
+  // The slowest task of a wide gang takes longer than its mean.
+  const double Spread =
+      Query.Step.IsGang
+          ? std::exp(Settings.TaskDeviation *
+                     std::sqrt(2 * std::log(std::max(1, Query.Step.Count))))
+          : 1;
+  if (isTight(Query, Spread))
+    return {executor_filter::ofSpeeds({Normal, Unknown}),
+            executor_filter::ofSpeeds({Normal, Unknown, Fast}),
+            executor_filter::all()};
   const executor_filter AllButFast =
       executor_filter::ofSpeeds({Unknown, Slow, Normal});
   const bool IsFull =
@@ -115,9 +118,9 @@
                                  std::map<unit_name, int> &Groups) {
   using enum speed_class;
   const auto Sums = State.SpeedSums.find(Query.Job.Queue.Service);
-  const bool AvoidsSlow = State.Settings.Speeds.IsEnabled &&
-                          Sums != State.SpeedSums.end() &&
-                          Sums->second.of(Slow) > 0 && isTight(Query);
+  const bool AvoidsSlow =
+      State.Settings.Speeds.IsEnabled && Sums != State.SpeedSums.end() &&
+      Sums->second.isUneven(State.Settings.Speeds) && isTight(Query);
   const executor_filter Allowed = Query.Allowed;
   if (AvoidsSlow) {
     Query.Allowed =
@@ -236,6 +239,7 @@
   Known.LearnedAt = Now;
   ++Known.Observations;
   State.Probing.erase(Report.Id);
+  State.AreSpeedsUnsaved = true;
   const speed_class Class =
       classify(State.Settings.Speeds, Estimate, Sums.mean(), Known.Class);
   const speed_class Before = std::exchange(Known.Class, Class);
@@ -253,6 +257,63 @@
        {"observations", std::to_string(Known.Observations)}});
 }
 
+// The stored record
+
+/// Estimates are less certain than when they were stored; for how long the
+/// store had them isn't known.
+void event_handler::apply(const speeds_found &Event) {
+  const speed_settings &Settings = State.Settings.Speeds;
+  constexpr milliseconds Assumed{10'000}; // without a leader
+  if (!Settings.IsEnabled)
+    return;
+  for (const stored_speed &Stored : Event.Speeds) {
+    const auto Executor = State.Executors.find(Stored.Executor);
+    executor_speed Known{Stored.Service,
+                         Stored.Kind,
+                         Stored.Capacity,
+                         age(Settings, Stored.Estimate, Assumed),
+                         Now,
+                         1};
+    const bool IsUsable = !State.Speeds.contains(Stored.Executor) &&
+                          (Executor == State.Executors.end() ||
+                           !isOtherMachine(Known, Executor->second.Report));
+    if (!IsUsable)
+      continue;
+    State.SpeedSums[Stored.Service].add(Known);
+    State.Speeds[Stored.Executor] = Known;
+  }
+  // Classes are relative to the mean of all.
+  for (auto &[Id, Known] : State.Speeds) {
+    speed_sums &Sums = State.SpeedSums[Known.Service];
+    const double Mean = Sums.mean();
+    Sums.remove(Known);
+    Known.Class = classify(Settings, Known.Estimate, Mean, Known.Class);
+    Sums.add(Known);
+    const auto Executor = State.Executors.find(Id);
+    if (Executor == State.Executors.end())
+      continue;
+    Executor->second.Speed = Known.Class;
+    touch(Executor->second);
+  }
+  forgetOldSpeeds();
+  log(events::SpeedsRead, {{"executors", std::to_string(State.Speeds.size())},
+                           {"stored", std::to_string(Event.Speeds.size())}});
+}
+
+void event_handler::saveSpeeds() {
+  const bool IsDue = State.AreSpeedsUnsaved && isLeading() &&
+                     State.IsRecovered && Now >= State.NextSpeedSave;
+  if (!IsDue)
+    return;
+  State.AreSpeedsUnsaved = false;
+  State.NextSpeedSave = Now + State.Settings.Speeds.SaveInterval;
+  save_speeds Save{State.Token, {}};
+  for (const auto &[Id, Known] : State.Speeds)
+    Save.Speeds.push_back(
+        {Id, Known.Service, Known.Kind, Known.Capacity, Known.Estimate});
+  Out.emplace_back(std::move(Save));
+}
+
 // Restarts
 
 void event_handler::recallSpeed(executor_state &Executor, bool IsRestarted) {
--- a/core/job/batch/speed.hpp
+++ b/core/job/batch/speed.hpp
@@ -27,7 +27,7 @@
   bool IsEnabled = true;
   double SpeedDeviation = 0.4;   // of executors that weren't observed
   double StepDeviation = 0.4;    // of the clients' estimates
-  double TaskDeviation = 0.25;   // of the tasks of a step
+  double TaskDeviation = 0.2;    // of the tasks of a step
   double MeasureDeviation = 0.1; // of whole percents and delayed reports
   double LeastDeviation = 0.12;  // that observations reduce an estimate to
   double OutlierShare = 0.04;    // of the tasks; some take several times longer
@@ -38,16 +38,18 @@
   double Hysteresis = 0.06;      // logarithm by which a class is left later
   double SlowSpeed = 0.6;        // assumed of slow executors
   double TightMargin = 1.25;     // work that exceeds the estimate by this much
-  int UnevenPercent = 10;        // slow and fast ones among the classified
+  int UnevenPercent = 25;        // slow and fast ones among the classified
   int LeastPercent = 10;         // progress that is precise enough
   milliseconds LeastSpan{300};   // between two reports
   milliseconds ProbeWait{500};   // longest hold of a probed executor
   int ProbeBelowPercent = 40;    // accelerators in use; above, no probes
-  int MostProbes = 48;           // at a time; each may split an empty executor
+  int MostProbes = 128;          // at a time; each may split an empty executor
   int ProbedIfEven = 32; // known executors after which even speeds end probes
   int SpreadBelowPercent = 50; // accelerators in use; above, work with slack
                                // doesn't go to empty unknown executors
 
+  milliseconds SaveInterval{5'000}; // between records in the store
+
   friend bool operator==(const speed_settings &,
                          const speed_settings &) = default;
 };
@@ -76,6 +78,17 @@
                          const executor_speed &) = default;
 };
 
+/// What is stored of one executor.
+struct stored_speed {
+  executor_id Executor;
+  service_id Service;
+  std::string Kind;
+  resources Capacity;
+  log_estimate Estimate;
+
+  friend bool operator==(const stored_speed &, const stored_speed &) = default;
+};
+
 /// Updates the estimates of a step and of the executors that run its task or
 /// its gang by one observation: the logarithm of the pace relative to the
 /// step's estimate. An observation far outside the expected deviation has
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -246,6 +246,10 @@
     "An executor is now known as slow, normal or fast compared with the others "
     "of its service; work that is short of time prefers faster ones.",
     "If an executor that should be fast is slow, check it."};
+const log_event SpeedsRead{
+    3321, Info, "speeds-read",
+    "A new leader has read the speeds of executors that an earlier one stored.",
+    "None."};
 
 // 3330 to 3339: shares of organisations
 const log_event UrgentReclaimed{
@@ -370,6 +374,7 @@
     &events::ExecutorAdvances,
     &events::UnitMoved,
     &events::SpeedClassChanged,
+    &events::SpeedsRead,
     &events::UrgentReclaimed,
     &events::ReclaimDropped,
     &events::SubmissionRefused,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -120,6 +120,7 @@
 extern const log_event ExecutorAdvances;
 extern const log_event UnitMoved;
 extern const log_event SpeedClassChanged;
+extern const log_event SpeedsRead;
 // Shares of organisations
 extern const log_event UrgentReclaimed;
 extern const log_event ReclaimDropped;
--- a/tests/property/batch_load_test.cpp
+++ b/tests/property/batch_load_test.cpp
@@ -190,3 +190,17 @@
   CHECK(Report.Times.at(1).InTime >= Without.Times.at(1).InTime);
   CHECK(Report.Times.at(2).InTime >= Without.Times.at(2).InTime);
 }
+
+// Sizes of tasks vary, and estimates are wrong, but no executor is slow.
+TEST_CASE("load: uneven tasks on executors of even speed make no classes") {
+  for (std::uint64_t Run = Seed; Run < Seed + 3; ++Run) {
+    world_settings Settings = makeUnevenDay(true);
+    Settings.Speeds.clear();
+    Settings.TaskDeviation = 0.3;
+    const world_report Report = runWorld(Settings, Run);
+    CAPTURE(Run, Report.Speeds.known(),
+            Report.Speeds.of(galenastage::batch::speed_class::Slow),
+            Report.Speeds.of(galenastage::batch::speed_class::Fast));
+    CHECK_FALSE(Report.Speeds.isUneven(Settings.Scheduler.Speeds));
+  }
+}
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -210,6 +210,7 @@
       Leader->Known.insert(Id);
       post(Leader, Term, job_found{Job.Spec, Progress.Record});
     }
+    post(Leader, Term, speeds_found{StoredSpeeds});
     Leader->IsLoaded = true;
     informLeaders();
     post(Leader, Term, recovery_finished{});
@@ -536,6 +537,12 @@
   }
 
   void carryOut(const std::shared_ptr<fake_leader> &, forget_job &) {}
+  void carryOut(const std::shared_ptr<fake_leader> &Leader, save_speeds &Save) {
+    const bool IsApplied = !Leader->IsCutOff && Now >= StoreDownUntil &&
+                           CurrentToken == Save.Token;
+    if (IsApplied)
+      StoredSpeeds = Save.Speeds;
+  }
   void carryOut(const std::shared_ptr<fake_leader> &, publish_queue_lengths &) {
   }
   void carryOut(const std::shared_ptr<fake_leader> &Leader, write_log &Write) {
@@ -596,6 +603,7 @@
   std::map<job_id, stored_job> Jobs;
   std::int64_t Revision = 1;
   std::uint64_t Events = 0; // posted to leaders
+  std::vector<stored_speed> StoredSpeeds;
   std::uint64_t CurrentToken = 0;
   time_point LeaderValidUntil{0};
   time_point StoreDownUntil{0};
--- a/tests/unit/batch_speed_test.cpp
+++ b/tests/unit/batch_speed_test.cpp
@@ -1,3 +1,4 @@
+#include "apps/instance/speed_record.hpp"
 #include "core/job/batch/scheduler_internal.hpp"
 #include "tests/support/scheduler_fixture.hpp"
 
@@ -385,6 +386,87 @@
   CHECK(Fixture.State.QueuePaces.empty());
 }
 
+// The record in the store
+
+TEST_CASE("speed: a new leader starts with the stored speeds") {
+  uneven_fixture Fixture;
+  Fixture.pass(milliseconds(10'000));
+  const auto Saves = Fixture.all<save_speeds>();
+  REQUIRE(Saves.size() == 1);
+  CHECK(Saves[0].Token == scheduler_fixture::Token);
+  Fixture.pass(milliseconds(10'000));
+  CHECK(Fixture.all<save_speeds>().empty()); // nothing new
+
+  Fixture.post(leadership_gained{scheduler_fixture::Token + 1,
+                                 Fixture.Now + milliseconds(1'000'000)});
+  Fixture.post(speeds_found{parseSpeeds(printSpeeds(Saves[0].Speeds))});
+  for (const auto &[Id, Executor] : Fixture.State.Executors) {
+    CAPTURE(Id.Value);
+    CHECK((Executor.Speed == speed_class::Slow) == Fixture.isSlow(Id));
+  }
+  CHECK(explainStaleIndex(Fixture.State, Fixture.Now) == "");
+}
+
+TEST_CASE("speed: stored speeds that were read for an earlier term are "
+          "ignored") {
+  uneven_fixture Fixture;
+  Fixture.post(leadership_gained{scheduler_fixture::Token + 1,
+                                 Fixture.Now + milliseconds(1'000'000)});
+  Fixture.postOf(scheduler_fixture::Token, speeds_found{{{executor_id("x100"),
+                                                          service_id("s"),
+                                                          "k",
+                                                          {32'000, 64'000, 8},
+                                                          {-0.5, 0.01}}}});
+  CHECK(Fixture.State.Speeds.empty());
+}
+
+TEST_CASE("speed: a stored speed of another machine isn't used") {
+  uneven_fixture Fixture;
+  Fixture.post(leadership_gained{scheduler_fixture::Token + 1,
+                                 Fixture.Now + milliseconds(1'000'000)});
+  Fixture.post(speeds_found{{{executor_id("x100"),
+                              service_id("s"),
+                              "other",
+                              {32'000, 64'000, 8},
+                              {-0.5, 0.01}}}});
+  CHECK(Fixture.State.Speeds.empty());
+}
+
+TEST_CASE("speed: unreadable records and other versions are ignored") {
+  const stored_speed Speed{executor_id("x"),
+                           service_id("s"),
+                           "k",
+                           {1'000, 2'000, 8},
+                           {0.125, 0.0625}};
+  const std::string Record = printSpeeds({Speed});
+  CHECK(parseSpeeds(Record) == std::vector{Speed});
+  std::string Other = Record;
+  Other.replace(Other.find("\"version\":1"), 11, "\"version\":2");
+  CHECK(parseSpeeds(Other).empty());
+  for (const char *Text : {"", "{", "[]", "{\"version\":1}",
+                           R"({"version":1,"machines":[{"service":4}]})"})
+    CHECK(parseSpeeds(Text).empty());
+  CHECK(parseSpeeds(Record.substr(0, Record.size() / 2)).empty());
+}
+
+TEST_CASE("speed: the record of 5,000 executors fits into one item") {
+  constexpr std::size_t MostBytes = 1'048'576; // of an item
+  const auto Size = [](int Executors) {
+    std::vector<stored_speed> Speeds;
+    for (int I = 0; I < Executors; ++I)
+      Speeds.push_back({executor_id("executor-00000-" + std::to_string(I)),
+                        service_id("service"),
+                        "kind",
+                        {32'000, 65'536, 8},
+                        {-0.512, 0.0144}});
+    return printSpeeds(Speeds).size();
+  };
+  const std::size_t Small = Size(350);
+  const std::size_t Large = Size(5'000);
+  CAPTURE(Small, Large);
+  CHECK(Large < MostBytes / 2);
+}
+
 // Found by a simulation with reported progress.
 TEST_CASE(
     "speed: an executor that left shortly before a change of leader leaves "
