Classes of speed only while the speeds of a service differ

On the deployment of even speeds, uneven tasks made classes, and these moved work. A service now has classes, preferences and unbounded probes only while the variance of true speeds, estimated from the executors with certain estimates and kept up to date with them, is at least 0.2 squared; it ends below 0.15. An executor is fast only with a deviation of 0.25 or less.

Until then probes stop at 40 certain estimates.

Test "load: uneven tasks on executors of even speed make no classes" now asks for none at all.

--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -370,6 +370,8 @@
   [[nodiscard]] double speedOf(const job_state &Job,
                                const unit_name &Unit) const;
   void setSpeed(executor_state &Executor, const log_estimate &Estimate);
+  void setClass(const executor_id &Id, executor_speed &Known, double Mean);
+  void classifyAll(const service_id &Service);
   void saveSpeeds();
   /// Takes over what is known about the executor's id.
   void recallSpeed(executor_state &Executor, bool IsRestarted);
--- a/core/job/batch/scheduler_speed.cpp
+++ b/core/job/batch/scheduler_speed.cpp
@@ -51,8 +51,7 @@
   const bool IsAny = !Settings.IsEnabled || Sums == State.SpeedSums.end();
   if (IsAny)
     return {executor_filter::all()};
-  const bool IsUneven = Sums->second.isUneven(Settings);
-  if (!IsUneven)
+  if (!Sums->second.IsUneven)
     return {executor_filter::all()};
   if (isTight(Query))
     return {executor_filter::ofSpeeds({Fast}),
@@ -87,11 +86,13 @@
   const service_id &Service = Query.Job.Queue.Service;
   const auto Unprobed = State.Unprobed.find(Service);
   const auto Sums = State.SpeedSums.find(Service);
-  const bool IsEven = Sums != State.SpeedSums.end() &&
-                      Sums->second.known() >= Settings.ProbedIfEven &&
-                      !Sums->second.isUneven(Settings);
+  // Some probes are needed to see whether speeds are uneven.
+  constexpr int FirstProbes = 4; // times the executors that tell it
+  const bool IsWanted =
+      Sums == State.SpeedSums.end() || Sums->second.IsUneven ||
+      Sums->second.Certain < FirstProbes * Settings.LeastCertain;
   const bool MayProbe =
-      Settings.IsEnabled && !IsEven &&
+      Settings.IsEnabled && IsWanted &&
       std::ssize(State.Probing) < Settings.MostProbes &&
       Unprobed != State.Unprobed.end() && !Query.Step.IsGang &&
       !Query.Step.IsLongRunning && Query.Step.Affinity.isEmpty() &&
@@ -118,9 +119,9 @@
                                  std::map<unit_name, int> &Groups) {
   using enum speed_class;
   const auto Sums = State.SpeedSums.find(Query.Job.Queue.Service);
-  const bool AvoidsSlow =
-      State.Settings.Speeds.IsEnabled && Sums != State.SpeedSums.end() &&
-      Sums->second.isUneven(State.Settings.Speeds) && isTight(Query);
+  const bool AvoidsSlow = State.Settings.Speeds.IsEnabled &&
+                          Sums != State.SpeedSums.end() &&
+                          Sums->second.IsUneven && isTight(Query);
   const executor_filter Allowed = Query.Allowed;
   if (AvoidsSlow) {
     Query.Allowed =
@@ -240,23 +241,48 @@
   ++Known.Observations;
   State.Probing.erase(Report.Id);
   State.AreSpeedsUnsaved = true;
+  const double Mean = Sums.mean();
+  Sums.add(Known);
+  if (Sums.updateUneven(State.Settings.Speeds))
+    classifyAll(Report.Service);
+  else
+    setClass(Report.Id, Known, Mean);
+}
+
+/// Executors have classes only while the speeds of their service are uneven.
+void event_handler::setClass(const executor_id &Id, executor_speed &Known,
+                             double Mean) {
+  speed_sums &Sums = State.SpeedSums.at(Known.Service);
   const speed_class Class =
-      classify(State.Settings.Speeds, Estimate, Sums.mean(), Known.Class);
+      Sums.IsUneven
+          ? classify(State.Settings.Speeds, Known.Estimate, Mean, Known.Class)
+          : speed_class::Unknown;
+  if (Class == Known.Class)
+    return;
+  Sums.remove(Known);
   const speed_class Before = std::exchange(Known.Class, Class);
   Sums.add(Known);
-  if (Class == Before)
-    return;
-  Executor.Speed = Class;
-  touch(Executor);
+  if (const auto Executor = State.Executors.find(Id);
+      Executor != State.Executors.end()) {
+    Executor->second.Speed = Class;
+    touch(Executor->second);
+  }
   log(events::SpeedClassChanged,
-      {{"executor", Report.Id.Value},
+      {{"executor", Id.Value},
        {"class", std::string(name(Class))},
        {"before", std::string(name(Before))},
-       {"speed", printHundredths(std::exp(Estimate.Mean - Sums.mean()))},
-       {"deviation", printHundredths(std::sqrt(Estimate.Variance))},
+       {"speed", printHundredths(std::exp(Known.Estimate.Mean - Mean))},
+       {"deviation", printHundredths(std::sqrt(Known.Estimate.Variance))},
        {"observations", std::to_string(Known.Observations)}});
 }
 
+void event_handler::classifyAll(const service_id &Service) {
+  const double Mean = State.SpeedSums.at(Service).mean();
+  for (auto &[Id, Known] : State.Speeds)
+    if (Known.Service == Service)
+      setClass(Id, Known, Mean);
+}
+
 // The stored record
 
 /// Estimates are less certain than when they were stored; for how long the
@@ -273,7 +299,7 @@
                          Stored.Capacity,
                          age(Settings, Stored.Estimate, Assumed),
                          Now,
-                         1};
+                         2};
     const bool IsUsable = !State.Speeds.contains(Stored.Executor) &&
                           (Executor == State.Executors.end() ||
                            !isOtherMachine(Known, Executor->second.Report));
@@ -282,18 +308,9 @@
     State.SpeedSums[Stored.Service].add(Known);
     State.Speeds[Stored.Executor] = Known;
   }
-  // Classes are relative to the mean of all.
-  for (auto &[Id, Known] : State.Speeds) {
-    speed_sums &Sums = State.SpeedSums[Known.Service];
-    const double Mean = Sums.mean();
-    Sums.remove(Known);
-    Known.Class = classify(Settings, Known.Estimate, Mean, Known.Class);
-    Sums.add(Known);
-    const auto Executor = State.Executors.find(Id);
-    if (Executor == State.Executors.end())
-      continue;
-    Executor->second.Speed = Known.Class;
-    touch(Executor->second);
+  for (auto &[Service, Sums] : State.SpeedSums) {
+    Sums.updateUneven(Settings);
+    classifyAll(Service);
   }
   forgetOldSpeeds();
   log(events::SpeedsRead, {{"executors", std::to_string(State.Speeds.size())},
@@ -364,7 +381,10 @@
   constexpr double Rounding = 1e-6; // of sums that change often
   for (const auto &[Service, Sums] : State.SpeedSums) {
     const speed_sums &Fresh = Recount[Service];
-    if (Fresh.Observed != Sums.Observed || Fresh.Classes != Sums.Classes ||
+    if (Fresh.Observed != Sums.Observed || Fresh.Certain != Sums.Certain ||
+        Fresh.Classes != Sums.Classes ||
+        std::abs(Fresh.Squares - Sums.Squares) > Rounding ||
+        std::abs(Fresh.Variances - Sums.Variances) > Rounding ||
         std::abs(Fresh.Logs - Sums.Logs) > Rounding)
       return "the speeds of " + Service.Value + " differ from a recount";
   }
--- a/core/job/batch/speed.cpp
+++ b/core/job/batch/speed.cpp
@@ -177,16 +177,47 @@
   return finish(Probe, Settings, WholePercent, Now);
 }
 
-void speed_sums::add(const executor_speed &Speed) {
-  Logs += Speed.Estimate.Mean;
-  ++Observed;
-  ++Classes[static_cast<std::size_t>(Speed.Class)];
+namespace {
+
+void addTo(speed_sums &Sums, const executor_speed &Speed, int Sign) {
+  constexpr double MostVariance = 0.0729; // deviation of 0.27
+  const log_estimate &Estimate = Speed.Estimate;
+  Sums.Logs += Sign * Estimate.Mean;
+  Sums.Observed += Sign;
+  Sums.Classes[static_cast<std::size_t>(Speed.Class)] += Sign;
+  if (Estimate.Variance > MostVariance)
+    return;
+  // An estimate lies between the assumed mean and what was observed.
+  constexpr double Unobserved = 0.16; // variance, as by SpeedDeviation
+  constexpr double LeastWeight = 0.2;
+  const double Weight =
+      std::max(LeastWeight, 1 - Estimate.Variance / Unobserved);
+  const double Observed = Estimate.Mean / Weight;
+  Sums.CertainLogs += Sign * Observed;
+  Sums.Squares += Sign * square(Observed);
+  Sums.Variances += Sign * Estimate.Variance / Weight;
+  Sums.Certain += Sign;
 }
 
+} // namespace
+
+void speed_sums::add(const executor_speed &Speed) { addTo(*this, Speed, 1); }
+
 void speed_sums::remove(const executor_speed &Speed) {
-  Logs -= Speed.Estimate.Mean;
-  --Observed;
-  --Classes[static_cast<std::size_t>(Speed.Class)];
+  addTo(*this, Speed, -1);
+}
+
+int speed_sums::known() const { return Observed - of(speed_class::Unknown); }
+
+bool speed_sums::updateUneven(const speed_settings &Settings) {
+  const bool Before = IsUneven;
+  const double Least = Before ? Settings.UnevenUntil : Settings.UnevenFrom;
+  const double True = Certain == 0
+                          ? 0
+                          : Squares / Certain - square(CertainLogs / Certain) -
+                                Variances / Certain;
+  IsUneven = Certain >= Settings.LeastCertain && True >= square(Least);
+  return IsUneven != Before;
 }
 
 double speed_sums::mean() const {
@@ -194,14 +225,6 @@
   return Logs / (Observed + Assumed);
 }
 
-int speed_sums::known() const { return Observed - of(speed_class::Unknown); }
-
-bool speed_sums::isUneven(const speed_settings &Settings) const {
-  const int Uneven = of(speed_class::Slow) + of(speed_class::Fast);
-  return Uneven > 0 &&
-         Uneven * WholePercent >= known() * Settings.UnevenPercent;
-}
-
 speed_class classify(const speed_settings &Settings,
                      const log_estimate &Estimate, double Mean,
                      speed_class Before) {
@@ -216,9 +239,11 @@
   constexpr double LikelySlow = 0.5;
   constexpr double UnlikelySlow = 1.1;
   constexpr double Precise = 0.2; // deviation at which the mean decides
+  const bool IsCertain =
+      Deviation <= Settings.MostUncertain || Before != speed_class::Unknown;
   if (Log < Slow - LikelySlow * Deviation)
     return speed_class::Slow;
-  if (Log > Fast)
+  if (IsCertain && Log > Fast)
     return speed_class::Fast;
   const bool IsPrecise =
       Deviation < Precise + (Before == speed_class::Unknown ? 0.0 : 0.05);
--- a/core/job/batch/speed.hpp
+++ b/core/job/batch/speed.hpp
@@ -38,13 +38,15 @@
   double Hysteresis = 0.06;      // logarithm by which a class is left later
   double SlowSpeed = 0.6;        // assumed of slow executors
   double TightMargin = 1.25;     // work that exceeds the estimate by this much
-  int UnevenPercent = 25;        // slow and fast ones among the classified
-  int LeastPercent = 10;         // progress that is precise enough
-  milliseconds LeastSpan{300};   // between two reports
-  milliseconds ProbeWait{500};   // longest hold of a probed executor
-  int ProbeBelowPercent = 40;    // accelerators in use; above, no probes
-  int MostProbes = 128;          // at a time; each may split an empty executor
-  int ProbedIfEven = 32; // known executors after which even speeds end probes
+  double UnevenFrom = 0.2;     // deviation of true speeds that counts as uneven
+  double UnevenUntil = 0.15;   // below, they are even again
+  int LeastCertain = 10;       // executors that tell whether speeds are uneven
+  double MostUncertain = 0.25; // deviation at which one is slow or fast
+  int LeastPercent = 10;       // progress that is precise enough
+  milliseconds LeastSpan{300}; // between two reports
+  milliseconds ProbeWait{500}; // longest hold of a probed executor
+  int ProbeBelowPercent = 40;  // accelerators in use; above, no probes
+  int MostProbes = 128;        // at a time; each may split an empty executor
   int SpreadBelowPercent = 50; // accelerators in use; above, work with slack
                                // doesn't go to empty unknown executors
 
@@ -134,17 +136,24 @@
   int Observed = 0;
   std::array<int, 4> Classes{}; // executors by speed_class
 
+  double CertainLogs = 0; // sums over executors whose estimate is certain
+  double Squares = 0;     // of their logarithms
+  double Variances = 0;
+  int Certain = 0;
+  bool IsUneven = false; // placement prefers some speeds
+
   void add(const executor_speed &Speed);
   void remove(const executor_speed &Speed);
   [[nodiscard]] int of(speed_class Class) const {
     return Classes[static_cast<std::size_t>(Class)];
   }
-  /// Logarithm of the mean speed; close to 0 while few were observed.
-  [[nodiscard]] double mean() const;
   /// Executors whose class is known.
   [[nodiscard]] int known() const;
-  /// Whether so many executors are slow or fast that placement prefers some.
-  [[nodiscard]] bool isUneven(const speed_settings &Settings) const;
+  /// Logarithm of the mean speed; close to 0 while few were observed.
+  [[nodiscard]] double mean() const;
+  /// Decides anew, with hysteresis, whether speeds are uneven: by the deviation
+  /// of the estimates less what their uncertainty explains. True if it changed.
+  bool updateUneven(const speed_settings &Settings);
 };
 
 /// The class of an estimate relative to Mean, with hysteresis.
--- a/tests/property/batch_load_test.cpp
+++ b/tests/property/batch_load_test.cpp
@@ -201,6 +201,7 @@
     CAPTURE(Run, Report.Speeds.known(),
             Report.Speeds.of(galenastage::batch::speed_class::Slow),
             Report.Speeds.of(galenastage::batch::speed_class::Fast));
-    CHECK_FALSE(Report.Speeds.isUneven(Settings.Scheduler.Speeds));
+    CHECK_FALSE(Report.Speeds.IsUneven);
+    CHECK(Report.Speeds.known() == 0);
   }
 }
