--- a/apps/instance/keys.hpp
+++ b/apps/instance/keys.hpp
@@ -19,6 +19,9 @@
 /// Work that waits and runs, published by the leader.
 inline constexpr const char *Backlog = "batch/backlog";
 
+/// Speeds of executors, written by the leader for the next one.
+inline constexpr const char *Speeds = "batch/speeds";
+
 /// Submitted jobs and cancellations. Any instance writes them, once each; the
 /// leader watches them.
 inline constexpr const char *Requests = "batch/asked/";
--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -3,6 +3,7 @@
 #include "apps/instance/backlog_record.hpp"
 #include "apps/instance/keys.hpp"
 #include "apps/instance/queue_lengths.hpp"
+#include "apps/instance/speed_record.hpp"
 #include "apps/runtime/logging.hpp"
 #include "apps/runtime/process.hpp"
 #include "core/job/batch/records.hpp"
@@ -62,6 +63,7 @@
             Metrics.noteWait(Order.Organisation.Value, Order.Priority,
                              Order.Waited);
           },
+          [&](save_speeds &Order) { Spawn(saveSpeeds(std::move(Order))); },
           [&](write_log &Order) {
             Metrics.noteSchedulerEvent(Order.Line.Event->Name);
             writeLog(Order.Line);
@@ -215,4 +217,15 @@
              {{"record", "backlog"}, {"error", Write.Error.message()}});
 }
 
+task<void> orders::saveSpeeds(save_speeds Save) {
+  platform::store_change Change;
+  Change.Conditions.push_back(leadership::fence(Save.Token));
+  Change.Writes.push_back({keys::Speeds, printSpeeds(Save.Speeds), 0});
+  const platform::change_result Write =
+      co_await Store.change(std::move(Change));
+  if (Write.Error) // the next observation stores all again
+    writeLog(events::SaveFailed,
+             {{"record", "speeds"}, {"error", Write.Error.message()}});
+}
+
 } // namespace galenastage
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -239,6 +239,10 @@
   State.BacklogNumber = 0;
   State.Speeds.clear();
   State.SpeedSums.clear();
+  State.QueuePaces.clear();
+  State.Probing.clear();
+  State.AreSpeedsUnsaved = false;
+  State.NextSpeedSave = {};
   for (auto &[Id, Executor] : State.Executors) {
     executor_state Fresh;
     Fresh.Report = Executor.Report;
@@ -297,6 +301,7 @@
     beginDueOccurrences(Job);
   forgetOldJobs();
   publishQueueLengths();
+  saveSpeeds();
   State.NeedsPlacement = true;
 }
 
@@ -338,6 +343,8 @@
   Job.Progress.Phase = Phase;
   Job.Progress.Ended = WallNow;
   Job.Units.clear();
+  if (Phase == job_phase::Completed)
+    learnEstimates(Job);
   queueSave(Job);
   const std::map<run_name, executor_id> Runs = Job.Runs;
   for (const auto &[Run, Id] : Runs)
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -123,12 +123,21 @@
   void apply(const start_answered &Event);
   void apply(const stop_answered &Event);
 
+  // Stored speeds (scheduler_speed.cpp)
+  void apply(const speeds_found &Event);
+
   /// See the function of this name in scheduler.hpp.
   std::string explainStaleIndex();
 
   /// Runs after every event: places waiting units and saves progress.
   void finish();
 
+  /// Expected time until the run is done: by the pace that was measured, or by
+  /// its estimate, the queue's and its executors' speed.
+  [[nodiscard]] milliseconds remainingTime(const job_state &Job,
+                                           const run_name &Name,
+                                           const run_state &Run) const;
+
 private:
   // Jobs (scheduler.cpp)
   void queueSave(job_state &Job);
@@ -299,6 +308,11 @@
                                const placement_request &Request,
                                const placement_choice &Choice,
                                const std::map<unit_name, int> &Groups) const;
+  /// The same, for a tight unit without slow executors if possible
+  /// (scheduler_speed.cpp).
+  [[nodiscard]] std::optional<placement_choice>
+  chooseFastReclaim(placement_query Query, const placement_request &Request,
+                    std::map<unit_name, int> &Groups);
   void planReclaim(const placement_query &Query,
                    const placement_request &Request,
                    const placement_choice &Choice,
@@ -446,15 +460,16 @@
   /// Sets of speeds that may run the step, the best first.
   [[nodiscard]] std::vector<executor_filter>
   preferredSpeeds(const placement_query &Query) const;
-  /// Whether the unit would miss its objective on slow executors.
+  /// Whether the unit would miss its objective on slow executors if it takes
+  /// Factor times as long as expected.
   /// Places a single task with slack alone on an executor of unknown speed, so
   /// that it is observed.
   [[nodiscard]] std::optional<placement_choice>
-  placeProbing(const placement_query &Query,
-               const placement_request &Request) const;
-  /// Whether runs on the executor may tell its speed.
+  placeProbing(const placement_query &Query, const placement_request &Request);
+  /// Whether a task was placed there to observe its speed, and wasn't yet.
   [[nodiscard]] bool isProbed(const executor_state &Executor) const;
-  [[nodiscard]] bool isTight(const placement_query &Query) const;
+  [[nodiscard]] bool isTight(const placement_query &Query,
+                             double Factor = 1) const;
   /// Measures the run, or its gang, by a report of the executor.
   void measureProgress(const executor_state &Executor, job_state &Job,
                        const run_name &Name, const run_state &Run);
@@ -469,7 +484,17 @@
   /// attempt is slower because of the racks it runs in.
   [[nodiscard]] std::vector<executor_id>
   listMeasured(const job_state &Job, const unit_name &Unit, int Attempt);
+  /// Corrects the queue's estimates by the steps of a completed job.
+  void learnEstimates(const job_state &Job);
+  /// What is known of the pace of a step, relative to its estimate.
+  [[nodiscard]] log_estimate paceOf(const job_state &Job, int Step) const;
+  /// Expected logarithm of the speed of the unit's slowest executor.
+  [[nodiscard]] double speedOf(const job_state &Job,
+                               const unit_name &Unit) const;
   void setSpeed(executor_state &Executor, const log_estimate &Estimate);
+  void setClass(const executor_id &Id, executor_speed &Known, double Mean);
+  void classifyAll(const service_id &Service);
+  void saveSpeeds();
   /// Takes over what is known about the executor's id.
   void recallSpeed(executor_state &Executor, bool IsRestarted);
   void forgetSpeed(executor_state &Executor);
@@ -477,10 +502,6 @@
   void forgetOldSpeeds();
   /// A difference between the speeds and their sums; empty: none.
   [[nodiscard]] std::string explainStaleSpeeds() const;
-  /// Expected time until the run is done, by its progress so far.
-  [[nodiscard]] milliseconds remainingTime(const job_state &Job,
-                                           const run_name &Name,
-                                           const run_state &Run) const;
 
   // Room kept for guaranteed work (scheduler_headroom.cpp)
   /// Records that Count tasks of the urgent job were added, or dropped.
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -224,6 +224,7 @@
   const resources Needs = Found->second.Needs;
   Executor.Used -= Needs;
   Executor.Runs.erase(Found);
+  State.Probing.erase(Executor.Report.Id);
   touch(Executor);
   State.NeedsPlacement = true;
   const auto Job = State.Jobs.find(Run.Task.Job);
--- a/core/job/batch/scheduler_speed.cpp
+++ b/core/job/batch/scheduler_speed.cpp
@@ -31,14 +31,14 @@
 
 // Placement
 
-bool event_handler::isTight(const placement_query &Query) const {
+bool event_handler::isTight(const placement_query &Query, double Factor) const {
   const job_state &Job = Query.Job;
   const int Occurrence = Query.Unit.Occurrence;
   const milliseconds Path =
       remainingCriticalPath(Job.Spec, &Job.Progress.Occurrences.at(Occurrence));
   const speed_settings &Settings = State.Settings.Speeds;
   const double OnSlow = static_cast<double>(Path.count()) *
-                        Settings.TightMargin / Settings.SlowSpeed;
+                        Settings.TightMargin * Factor / Settings.SlowSpeed;
   return WallNow + milliseconds(static_cast<std::int64_t>(OnSlow)) >
          objectiveOf(Job, Occurrence);
 }
@@ -51,21 +51,23 @@
   const bool IsAny = !Settings.IsEnabled || Sums == State.SpeedSums.end();
   if (IsAny)
     return {executor_filter::all()};
-  const bool IsUneven = Sums->second.isUneven(Settings);
-  const bool HasSlow = Sums->second.of(Slow) > 0;
-  if (!IsUneven && !HasSlow)
+  if (!Sums->second.IsUneven)
     return {executor_filter::all()};
-  const bool IsShort = isTight(Query);
-  if (IsShort && !IsUneven)
-    return {executor_filter::ofSpeeds({Unknown, Normal, Fast}),
-            executor_filter::all()};
-  if (IsShort)
+  if (isTight(Query))
     return {executor_filter::ofSpeeds({Fast}),
             executor_filter::ofSpeeds({Fast, Normal}),
             executor_filter::ofSpeeds({Fast, Normal, Unknown}),
             executor_filter::all()};
-  if (!IsUneven)
-    return {executor_filter::all()};
+  // The slowest task of a wide gang takes longer than its mean.
+  const double Spread =
+      Query.Step.IsGang
+          ? std::exp(Settings.TaskDeviation *
+                     std::sqrt(2 * std::log(std::max(1, Query.Step.Count))))
+          : 1;
+  if (isTight(Query, Spread))
+    return {executor_filter::ofSpeeds({Normal, Unknown}),
+            executor_filter::ofSpeeds({Normal, Unknown, Fast}),
+            executor_filter::all()};
   const executor_filter AllButFast =
       executor_filter::ofSpeeds({Unknown, Slow, Normal});
   const bool IsFull =
@@ -79,29 +81,56 @@
 
 std::optional<placement_choice>
 event_handler::placeProbing(const placement_query &Query,
-                            const placement_request &Request) const {
+                            const placement_request &Request) {
   const speed_settings &Settings = State.Settings.Speeds;
-  const auto Unprobed = State.Unprobed.find(Query.Job.Queue.Service);
+  const service_id &Service = Query.Job.Queue.Service;
+  const auto Unprobed = State.Unprobed.find(Service);
+  const auto Sums = State.SpeedSums.find(Service);
+  // Some probes are needed to see whether speeds are uneven.
+  constexpr int FirstProbes = 4; // times the executors that tell it
+  const bool IsWanted =
+      Sums == State.SpeedSums.end() || Sums->second.IsUneven ||
+      Sums->second.Certain < FirstProbes * Settings.LeastCertain;
   const bool MayProbe =
-      Settings.IsEnabled && Unprobed != State.Unprobed.end() &&
-      !Query.Step.IsGang && !Query.Step.IsLongRunning &&
-      Query.Step.Affinity.isEmpty() && Query.isUnrestricted() &&
+      Settings.IsEnabled && IsWanted &&
+      std::ssize(State.Probing) < Settings.MostProbes &&
+      Unprobed != State.Unprobed.end() && !Query.Step.IsGang &&
+      !Query.Step.IsLongRunning && Query.Step.Affinity.isEmpty() &&
+      Query.isUnrestricted() &&
       Query.Service->percentInUse() < Settings.ProbeBelowPercent &&
       !isTight(Query);
   if (!MayProbe)
     return std::nullopt;
   for (const executor_id &Id : Unprobed->second)
-    if (State.Executors.at(Id).Report.Capacity.covers(Request.Needs))
+    if (State.Executors.at(Id).Report.Capacity.covers(Request.Needs)) {
+      State.Probing.insert(Id);
       return placement_choice{{Id}, {}};
+    }
   return std::nullopt;
 }
 
 bool event_handler::isProbed(const executor_state &Executor) const {
-  return State.Settings.Speeds.IsEnabled &&
-         Executor.Speed == speed_class::Unknown &&
-         std::ranges::any_of(Executor.Runs, [](const auto &Item) {
-           return !Item.second.IsLongRunning;
-         });
+  return State.Probing.contains(Executor.Report.Id);
+}
+
+std::optional<placement_choice>
+event_handler::chooseFastReclaim(placement_query Query,
+                                 const placement_request &Request,
+                                 std::map<unit_name, int> &Groups) {
+  using enum speed_class;
+  const auto Sums = State.SpeedSums.find(Query.Job.Queue.Service);
+  const bool AvoidsSlow = State.Settings.Speeds.IsEnabled &&
+                          Sums != State.SpeedSums.end() &&
+                          Sums->second.IsUneven && isTight(Query);
+  const executor_filter Allowed = Query.Allowed;
+  if (AvoidsSlow) {
+    Query.Allowed =
+        Allowed & executor_filter::ofSpeeds({Unknown, Normal, Fast});
+    if (auto Choice = chooseReclaim(Query, Request, Groups))
+      return Choice;
+  }
+  Query.Allowed = Allowed;
+  return chooseReclaim(Query, Request, Groups);
 }
 
 // Observations
@@ -190,9 +219,8 @@
                             std::chrono::duration_cast<milliseconds>(
                                 Now - Known->second.LearnedAt)));
   }
-  const log_estimate Unknown{0,
-                             Settings.StepDeviation * Settings.StepDeviation};
-  log_estimate &Pace = Job.Paces.try_emplace(Unit.Step, Unknown).first->second;
+  log_estimate &Pace =
+      Job.Paces.try_emplace(Unit.Step, paceOf(Job, Unit.Step)).first->second;
   learnPace(Settings, Pace, Members, std::log(SharePerSecond * Estimate));
   for (std::size_t I = 0; I < Ids.size(); ++I)
     setSpeed(State.Executors.at(Ids[I]), Members[I]);
@@ -211,23 +239,98 @@
   Known.Estimate = Estimate;
   Known.LearnedAt = Now;
   ++Known.Observations;
+  State.Probing.erase(Report.Id);
+  State.AreSpeedsUnsaved = true;
+  const double Mean = Sums.mean();
+  Sums.add(Known);
+  if (Sums.updateUneven(State.Settings.Speeds))
+    classifyAll(Report.Service);
+  else
+    setClass(Report.Id, Known, Mean);
+}
+
+/// Executors have classes only while the speeds of their service are uneven.
+void event_handler::setClass(const executor_id &Id, executor_speed &Known,
+                             double Mean) {
+  speed_sums &Sums = State.SpeedSums.at(Known.Service);
   const speed_class Class =
-      classify(State.Settings.Speeds, Estimate, Sums.mean(), Known.Class);
+      Sums.IsUneven
+          ? classify(State.Settings.Speeds, Known.Estimate, Mean, Known.Class)
+          : speed_class::Unknown;
+  if (Class == Known.Class)
+    return;
+  Sums.remove(Known);
   const speed_class Before = std::exchange(Known.Class, Class);
   Sums.add(Known);
-  if (Class == Before)
-    return;
-  Executor.Speed = Class;
-  touch(Executor);
+  if (const auto Executor = State.Executors.find(Id);
+      Executor != State.Executors.end()) {
+    Executor->second.Speed = Class;
+    touch(Executor->second);
+  }
   log(events::SpeedClassChanged,
-      {{"executor", Report.Id.Value},
+      {{"executor", Id.Value},
        {"class", std::string(name(Class))},
        {"before", std::string(name(Before))},
-       {"speed", printHundredths(std::exp(Estimate.Mean - Sums.mean()))},
-       {"deviation", printHundredths(std::sqrt(Estimate.Variance))},
+       {"speed", printHundredths(std::exp(Known.Estimate.Mean - Mean))},
+       {"deviation", printHundredths(std::sqrt(Known.Estimate.Variance))},
        {"observations", std::to_string(Known.Observations)}});
 }
 
+void event_handler::classifyAll(const service_id &Service) {
+  const double Mean = State.SpeedSums.at(Service).mean();
+  for (auto &[Id, Known] : State.Speeds)
+    if (Known.Service == Service)
+      setClass(Id, Known, Mean);
+}
+
+// The stored record
+
+/// Estimates are less certain than when they were stored; for how long the
+/// store had them isn't known.
+void event_handler::apply(const speeds_found &Event) {
+  const speed_settings &Settings = State.Settings.Speeds;
+  constexpr milliseconds Assumed{10'000}; // without a leader
+  if (!Settings.IsEnabled)
+    return;
+  for (const stored_speed &Stored : Event.Speeds) {
+    const auto Executor = State.Executors.find(Stored.Executor);
+    executor_speed Known{Stored.Service,
+                         Stored.Kind,
+                         Stored.Capacity,
+                         age(Settings, Stored.Estimate, Assumed),
+                         Now,
+                         2};
+    const bool IsUsable = !State.Speeds.contains(Stored.Executor) &&
+                          (Executor == State.Executors.end() ||
+                           !isOtherMachine(Known, Executor->second.Report));
+    if (!IsUsable)
+      continue;
+    State.SpeedSums[Stored.Service].add(Known);
+    State.Speeds[Stored.Executor] = Known;
+  }
+  for (auto &[Service, Sums] : State.SpeedSums) {
+    Sums.updateUneven(Settings);
+    classifyAll(Service);
+  }
+  forgetOldSpeeds();
+  log(events::SpeedsRead, {{"executors", std::to_string(State.Speeds.size())},
+                           {"stored", std::to_string(Event.Speeds.size())}});
+}
+
+void event_handler::saveSpeeds() {
+  const bool IsDue = State.AreSpeedsUnsaved && isLeading() &&
+                     State.IsRecovered && Now >= State.NextSpeedSave;
+  if (!IsDue)
+    return;
+  State.AreSpeedsUnsaved = false;
+  State.NextSpeedSave = Now + State.Settings.Speeds.SaveInterval;
+  save_speeds Save{State.Token, {}};
+  for (const auto &[Id, Known] : State.Speeds)
+    Save.Speeds.push_back(
+        {Id, Known.Service, Known.Kind, Known.Capacity, Known.Estimate});
+  Out.emplace_back(std::move(Save));
+}
+
 // Restarts
 
 void event_handler::recallSpeed(executor_state &Executor, bool IsRestarted) {
@@ -278,7 +381,10 @@
   constexpr double Rounding = 1e-6; // of sums that change often
   for (const auto &[Service, Sums] : State.SpeedSums) {
     const speed_sums &Fresh = Recount[Service];
-    if (Fresh.Observed != Sums.Observed || Fresh.Classes != Sums.Classes ||
+    if (Fresh.Observed != Sums.Observed || Fresh.Certain != Sums.Certain ||
+        Fresh.Classes != Sums.Classes ||
+        std::abs(Fresh.Squares - Sums.Squares) > Rounding ||
+        std::abs(Fresh.Variances - Sums.Variances) > Rounding ||
         std::abs(Fresh.Logs - Sums.Logs) > Rounding)
       return "the speeds of " + Service.Value + " differ from a recount";
   }
@@ -294,18 +400,82 @@
 
 // Durations
 
+log_estimate event_handler::paceOf(const job_state &Job, int Step) const {
+  if (const auto Known = Job.Paces.find(Step); Known != Job.Paces.end())
+    return Known->second;
+  const speed_settings &Settings = State.Settings.Speeds;
+  const auto Queue = State.QueuePaces.find(Job.Queue.Name);
+  return {Queue == State.QueuePaces.end() ? 0 : Queue->second.Mean,
+          Settings.StepDeviation * Settings.StepDeviation};
+}
+
+/// Estimates deviate from those of other jobs; only what jobs have in common is
+/// the queue's.
+void event_handler::learnEstimates(const job_state &Job) {
+  const speed_settings &Settings = State.Settings.Speeds;
+  const double Prior = Settings.StepDeviation * Settings.StepDeviation;
+  const double Least = Settings.LeastDeviation * Settings.LeastDeviation;
+  for (const auto &[Step, Pace] : Job.Paces) {
+    log_estimate &Queue =
+        State.QueuePaces.try_emplace(Job.Queue.Name, log_estimate{0, Prior})
+            .first->second;
+    const double Gain =
+        Queue.Variance / (Queue.Variance + Pace.Variance + Prior);
+    Queue.Mean += Gain * (Pace.Mean - Queue.Mean);
+    Queue.Variance = std::max(Least, Queue.Variance * (1 - Gain));
+  }
+}
+
+double event_handler::speedOf(const job_state &Job,
+                              const unit_name &Unit) const {
+  const auto &Occurrences = Job.Progress.Occurrences;
+  const auto Occurrence = Occurrences.find(Unit.Occurrence);
+  if (Occurrence == Occurrences.end() || Occurrence->second.IsDone)
+    return 0;
+  std::optional<double> Slowest;
+  const unit_progress &Progress =
+      Occurrence->second.Steps[Unit.Step].Units[Unit.Unit];
+  for (const task_placement &Placed : Progress.Placed) {
+    const auto Known = State.Speeds.find(Placed.Executor);
+    const double Log =
+        Known == State.Speeds.end() ? 0 : Known->second.Estimate.Mean;
+    Slowest = std::min(Slowest.value_or(Log), Log);
+  }
+  return Slowest.value_or(0);
+}
+
 milliseconds event_handler::remainingTime(const job_state &Job,
                                           const run_name &Name,
                                           const run_state &Run) const {
   constexpr int WholePercent = 100;
-  constexpr int LeastPercent = 5; // less is too coarse to extrapolate
-  const milliseconds Elapsed = Now - Run.Ordered;
-  const int Percent = Run.Pace.Percent;
-  if (Run.IsCheckpointing || Percent < LeastPercent) {
-    const milliseconds Estimate = Job.Spec.Steps[Name.Task.Step].Estimate;
-    return Estimate * (WholePercent - Percent) / WholePercent;
+  const speed_settings &Settings = State.Settings.Speeds;
+  const unit_name Unit = unitNameOf(Job, Name.Task);
+  const auto Units = Job.Units.find(Unit.Occurrence);
+  const speed_probe Probe = Units == Job.Units.end() || Units->second.empty()
+                                ? speed_probe{}
+                                : Units->second[Unit.Step][Unit.Unit].Probe;
+  const int Percent = std::clamp(Run.Pace.Percent, 0, WholePercent);
+  const int Rest = WholePercent - Percent;
+  const int Advance = Percent - Probe.Percent;
+  const bool IsMeasured = Probe.Attempt == Name.Attempt && Probe.HasBegun &&
+                          Advance >= Settings.LeastPercent &&
+                          Run.Pace.SeenAt > Probe.At;
+  double Seconds = 0; // from the last report
+  if (IsMeasured) {
+    const std::chrono::duration<double> Span = Run.Pace.SeenAt - Probe.At;
+    Seconds = Span.count() * Rest / Advance;
+  } else {
+    const std::chrono::duration<double> Estimate =
+        Job.Spec.Steps[Unit.Step].Estimate;
+    const double Pace = paceOf(Job, Unit.Step).Mean + speedOf(Job, Unit);
+    Seconds = Estimate.count() * Rest / WholePercent / std::exp(Pace);
   }
-  return Elapsed * (WholePercent - Percent) / Percent;
+  const milliseconds Whole(std::llround(1'000 * Seconds));
+  if (Percent == 0)
+    return Whole; // it may not have begun
+  const auto SinceSeen =
+      std::chrono::duration_cast<milliseconds>(Now - Run.Pace.SeenAt);
+  return std::max(milliseconds(0), Whole - SinceSeen);
 }
 
 } // namespace galenastage::batch::detail
--- a/tests/property/batch_load_test.cpp
+++ b/tests/property/batch_load_test.cpp
@@ -219,3 +219,18 @@
   CHECK(LostBefore > 0);
   CHECK(Lost * MostLost <= LostBefore);
 }
+
+// Sizes of tasks vary, and estimates are wrong, but no executor is slow.
+TEST_CASE("load: uneven tasks on executors of even speed make no classes") {
+  for (std::uint64_t Run = Seed; Run < Seed + 3; ++Run) {
+    world_settings Settings = makeUnevenDay(true);
+    Settings.Speeds.clear();
+    Settings.TaskDeviation = 0.3;
+    const world_report Report = runWorld(Settings, Run);
+    CAPTURE(Run, Report.Speeds.known(),
+            Report.Speeds.of(galenastage::batch::speed_class::Slow),
+            Report.Speeds.of(galenastage::batch::speed_class::Fast));
+    CHECK_FALSE(Report.Speeds.IsUneven);
+    CHECK(Report.Speeds.known() == 0);
+  }
+}
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -216,6 +216,7 @@
       Leader->Known.insert(Id);
       post(Leader, Term, job_found{Job.Spec, Progress.Record});
     }
+    post(Leader, Term, speeds_found{StoredSpeeds});
     Leader->IsLoaded = true;
     informLeaders();
     post(Leader, Term, recovery_finished{});
@@ -394,6 +395,7 @@
   void carryOut(const std::shared_ptr<fake_leader> &Leader,
                 hold_executor &Hold) {
     const hold_executor Order = Hold;
+    ++Report.Holds;
     const instant Sent = now();
     const auto fail = [this, Leader, Order](hold_failure Failure) {
       post(Leader, Order.To.Token,
@@ -547,6 +549,12 @@
   }
 
   void carryOut(const std::shared_ptr<fake_leader> &, forget_job &) {}
+  void carryOut(const std::shared_ptr<fake_leader> &Leader, save_speeds &Save) {
+    const bool IsApplied = !Leader->IsCutOff && Now >= StoreDownUntil &&
+                           CurrentToken == Save.Token;
+    if (IsApplied)
+      StoredSpeeds = Save.Speeds;
+  }
   void carryOut(const std::shared_ptr<fake_leader> &, publish_queue_lengths &) {
   }
   void carryOut(const std::shared_ptr<fake_leader> &, publish_backlog &) {}
@@ -620,6 +628,7 @@
   std::map<job_id, stored_job> Jobs;
   std::int64_t Revision = 1;
   std::uint64_t Events = 0; // posted to leaders
+  std::vector<stored_speed> StoredSpeeds;
   std::uint64_t CurrentToken = 0;
   time_point LeaderValidUntil{0};
   time_point StoreDownUntil{0};
--- a/tests/unit/batch_speed_test.cpp
+++ b/tests/unit/batch_speed_test.cpp
@@ -1,4 +1,5 @@
-#include "core/job/batch/speed.hpp"
+#include "apps/instance/speed_record.hpp"
+#include "core/job/batch/scheduler_internal.hpp"
 #include "tests/support/scheduler_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -210,7 +211,7 @@
   }
   static job_spec patient(const std::string &Id, int Tasks) {
     job_spec Job = job(Id, 2, Tasks, 8, "none");
-    Job.Queue.StretchFactor = 30;
+    Job.Steps[0].Estimate = milliseconds(8'000);
     return Job;
   }
   /// Runs a task on each executor; reports at 20% and at 60%, then its end.
@@ -308,6 +309,164 @@
   CHECK(Fixture.State.Speeds.empty());
 }
 
+// A gang that reclaims slow executors would stop others and end late.
+TEST_CASE("speed: a reclaim for urgent work leaves out slow executors") {
+  uneven_fixture Fixture;
+  Fixture.run(Fixture.patient("fill", Wide));
+  job_spec Gang = Fixture.job("gang", 0, 4, 1);
+  Gang.Steps[0].IsGang = true;
+  Fixture.submit(Gang);
+  const auto Stops = Fixture.all<stop_run>();
+  REQUIRE_FALSE(Stops.empty());
+  for (const stop_run &Stop : Stops)
+    CHECK_FALSE(Fixture.isSlow(Stop.To.Id));
+}
+
+TEST_CASE("speed: a reclaim uses slow executors if there are no others") {
+  uneven_fixture Fixture;
+  Fixture.run(Fixture.patient("fill", Wide));
+  for (int I = 0; I < Wide; ++I)
+    if (!Fixture.isSlow(executor_id(Fixture.id(I))))
+      Fixture.post(
+          hold_failed{executor_id(Fixture.id(I)), 1, hold_failure::NoAnswer});
+  job_spec Gang = Fixture.job("gang", 0, 4, 1);
+  Gang.Steps[0].IsGang = true;
+  Fixture.submit(Gang);
+  CHECK_FALSE(Fixture.all<stop_run>().empty());
+}
+
+// Durations
+
+namespace {
+
+milliseconds remainingOf(scheduler_fixture &Fixture, const start_run &Start) {
+  const detail::event_handler Handler(
+      Fixture.State, {Fixture.Now, Fixture.Wall, NoTerm, time_passed{}});
+  return Handler.remainingTime(
+      Fixture.State.Jobs.at(Start.Run.Task.Job), Start.Run,
+      Fixture.State.Executors.at(Start.To.Id).Runs.at(Start.Run));
+}
+
+} // namespace
+
+TEST_CASE("speed: the remaining time follows the measured pace") {
+  uneven_fixture Fixture;
+  const auto Starts = Fixture.run(Fixture.patient("long", 1));
+  REQUIRE(Starts.size() == 1);
+  const std::string Id = Starts[0].To.Id.Value;
+  Fixture.answer(Id, {{Starts[0].Run, "", 10}});
+  Fixture.pass(milliseconds(1'980));
+  Fixture.answer(Id, {{Starts[0].Run, "", 30}}); // 20% in 2 s
+  CHECK(remainingOf(Fixture, Starts[0]) == milliseconds(7'000));
+  Fixture.pass(milliseconds(1'000));
+  CHECK(remainingOf(Fixture, Starts[0]) == milliseconds(6'000));
+}
+
+TEST_CASE("speed: before the first reports the remaining time is that of the "
+          "executor's speed") {
+  uneven_fixture Fixture;
+  const auto Starts = Fixture.run(Fixture.patient("next", Wide));
+  milliseconds OnSlow{0};
+  milliseconds OnOther{0};
+  for (const start_run &Start : Starts)
+    (Fixture.isSlow(Start.To.Id) ? OnSlow : OnOther) =
+        remainingOf(Fixture, Start);
+  CHECK(OnSlow > 1.4 * OnOther);
+}
+
+// By the reports, tasks of these jobs take 3.7 s on two thirds of the executors
+// and 7.4 s on the others; the estimate is 8 s.
+TEST_CASE("speed: the estimates of a queue are corrected by its completed "
+          "jobs") {
+  uneven_fixture Fixture;
+  const log_estimate Learned = Fixture.State.QueuePaces.at(route_id("q2"));
+  CHECK(Learned.Mean > 0.2);
+  CHECK(Learned.Mean < 0.7);
+  Fixture.post(leadership_lost{});
+  CHECK(Fixture.State.QueuePaces.empty());
+}
+
+// The record in the store
+
+TEST_CASE("speed: a new leader starts with the stored speeds") {
+  uneven_fixture Fixture;
+  Fixture.pass(milliseconds(10'000));
+  const auto Saves = Fixture.all<save_speeds>();
+  REQUIRE(Saves.size() == 1);
+  CHECK(Saves[0].Token == scheduler_fixture::Token);
+  Fixture.pass(milliseconds(10'000));
+  CHECK(Fixture.all<save_speeds>().empty()); // nothing new
+
+  Fixture.post(leadership_gained{scheduler_fixture::Token + 1,
+                                 Fixture.Now + milliseconds(1'000'000)});
+  Fixture.post(speeds_found{parseSpeeds(printSpeeds(Saves[0].Speeds))});
+  for (const auto &[Id, Executor] : Fixture.State.Executors) {
+    CAPTURE(Id.Value);
+    CHECK((Executor.Speed == speed_class::Slow) == Fixture.isSlow(Id));
+  }
+  CHECK(explainStaleIndex(Fixture.State, Fixture.Now) == "");
+}
+
+TEST_CASE("speed: stored speeds that were read for an earlier term are "
+          "ignored") {
+  uneven_fixture Fixture;
+  Fixture.post(leadership_gained{scheduler_fixture::Token + 1,
+                                 Fixture.Now + milliseconds(1'000'000)});
+  Fixture.postOf(scheduler_fixture::Token, speeds_found{{{executor_id("x100"),
+                                                          service_id("s"),
+                                                          "k",
+                                                          {32'000, 64'000, 8},
+                                                          {-0.5, 0.01}}}});
+  CHECK(Fixture.State.Speeds.empty());
+}
+
+TEST_CASE("speed: a stored speed of another machine isn't used") {
+  uneven_fixture Fixture;
+  Fixture.post(leadership_gained{scheduler_fixture::Token + 1,
+                                 Fixture.Now + milliseconds(1'000'000)});
+  Fixture.post(speeds_found{{{executor_id("x100"),
+                              service_id("s"),
+                              "other",
+                              {32'000, 64'000, 8},
+                              {-0.5, 0.01}}}});
+  CHECK(Fixture.State.Speeds.empty());
+}
+
+TEST_CASE("speed: unreadable records and other versions are ignored") {
+  const stored_speed Speed{executor_id("x"),
+                           service_id("s"),
+                           "k",
+                           {1'000, 2'000, 8},
+                           {0.125, 0.0625}};
+  const std::string Record = printSpeeds({Speed});
+  CHECK(parseSpeeds(Record) == std::vector{Speed});
+  std::string Other = Record;
+  Other.replace(Other.find("\"version\":1"), 11, "\"version\":2");
+  CHECK(parseSpeeds(Other).empty());
+  for (const char *Text : {"", "{", "[]", "{\"version\":1}",
+                           R"({"version":1,"machines":[{"service":4}]})"})
+    CHECK(parseSpeeds(Text).empty());
+  CHECK(parseSpeeds(Record.substr(0, Record.size() / 2)).empty());
+}
+
+TEST_CASE("speed: the record of 5,000 executors fits into one item") {
+  constexpr std::size_t MostBytes = 1'048'576; // of an item
+  const auto Size = [](int Executors) {
+    std::vector<stored_speed> Speeds;
+    for (int I = 0; I < Executors; ++I)
+      Speeds.push_back({executor_id("executor-00000-" + std::to_string(I)),
+                        service_id("service"),
+                        "kind",
+                        {32'000, 65'536, 8},
+                        {-0.512, 0.0144}});
+    return printSpeeds(Speeds).size();
+  };
+  const std::size_t Small = Size(350);
+  const std::size_t Large = Size(5'000);
+  CAPTURE(Small, Large);
+  CHECK(Large < MostBytes / 2);
+}
+
 // Found by a simulation with reported progress.
 TEST_CASE(
     "speed: an executor that left shortly before a change of leader leaves "
