Faults found by review: starved steps, reservations, old backlogs, departures

Cause, found by reading: a step that had waited 20 s counted as due within its organisation only; a starved gang that can't get a reservation kept all others from one; an executor that left and came back could be given back capacity that a plan had reserved on its former entry; a backlog record of long ago refused jobs for 3 s after its first read; a moved unit that had become a suspect started beside others; a reclaim for a departure didn't count its stops; a long-running gang could never leave; probes never ended in a service of fewer than 40 executors; an executor that changed its service stayed among those to be probed.

Change: each in its place.

--- a/apps/instance/backlog_record.cpp
+++ b/apps/instance/backlog_record.cpp
@@ -94,13 +94,21 @@
   const bool IsKnown = Record && Parsed.Record &&
                        Record->Term == Parsed.Record->Term &&
                        Record->Number == Parsed.Record->Number;
-  if (!IsKnown)
+  // The first one read may have been there for long: its successor tells that
+  // the leader still publishes.
+  const bool IsNext = Record && Parsed.Record && !IsKnown &&
+                      Record->Term == Parsed.Record->Term &&
+                      Now - FirstRead <= MaxAge;
+  if (!IsKnown) {
     FirstRead = Now;
+    IsLive = IsNext;
+  }
   Record = std::move(Parsed.Record);
 }
 
 const backlog_record *backlog_view::current(instant Now) const {
-  return Record && Now - FirstRead <= MaxAge ? &*Record : nullptr;
+  const bool IsUsable = Record && IsLive && Now - FirstRead <= MaxAge;
+  return IsUsable ? &*Record : nullptr;
 }
 
 } // namespace galenastage
--- a/apps/instance/backlog_record.hpp
+++ b/apps/instance/backlog_record.hpp
@@ -38,7 +38,8 @@
   /// Takes over what was read; nullopt: there is no record. Logs a record that
   /// can't be used, once for each text.
   void note(const std::optional<std::string> &Text, instant Now);
-  /// Null when there is none or it is older than MaxAge.
+  /// Null when there is none, it is older than MaxAge, or no other one of its
+  /// term was read within MaxAge before it.
   [[nodiscard]] const backlog_record *current(instant Now) const;
   [[nodiscard]] milliseconds age(instant Now) const { return Now - FirstRead; }
 
@@ -46,6 +47,7 @@
   std::optional<backlog_record> Record;
   std::string Unusable; // text that was logged last
   instant FirstRead{};
+  bool IsLive = false; // it followed another one within MaxAge
   instant LastBegun{};
 };
 
--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -204,7 +204,10 @@
   if (Known.Error)
     co_return false;
   const platform::item_read Speeds = co_await Store.read(keys::Speeds);
-  if (!Speeds.Error && Speeds.Item) // without it they are learned again
+  if (Speeds.Error) // they are learned again
+    writeLog(events::StoreUnreachable, {{"call", "read of executor speeds"},
+                                        {"error", Speeds.Error.message()}});
+  else if (Speeds.Item)
     Post(Term, speeds_found{parseSpeeds(Speeds.Item->Value)});
   JobsRevision = Requests.Revision;
   std::map<std::string, const platform::store_item *> Progress;
--- a/core/job/batch/capacity_index.hpp
+++ b/core/job/batch/capacity_index.hpp
@@ -173,6 +173,8 @@
   /// Capacity of all its listed executors, open or not.
   [[nodiscard]] const capacity_sum &total() const { return Total; }
 
+  /// Number of listed executors.
+  [[nodiscard]] int executors() const { return Listed; }
   [[nodiscard]] bool isEmpty() const { return Listed == 0; }
 
   void add(const executor_id &Id, const indexed_executor &Executor);
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -114,8 +114,10 @@
           {{"executor", Id.Value},
            {"runs", std::to_string(Executor.Runs.size())}});
     }
+  // What plans have reserved there must be given back to the same entry.
   std::erase_if(State.Executors, [](const auto &Item) {
-    return !Item.second.IsListed && Item.second.Runs.empty();
+    return !Item.second.IsListed && Item.second.Runs.empty() &&
+           Item.second.Reserved == resources{};
   });
   forgetOldSpeeds();
   moveDeparting();
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -366,6 +366,7 @@
   instant NotBefore{};           // earliest restart after a failure
   std::set<executor_id> Avoided; // where it failed or stalled
   instant ReclaimAfter{};        // earliest next reclaim after a vain one
+  instant ReserveAfter{};        // earliest next search for a reservation
   instant Planned{};             // when its last plan since a start was made
   int Moves = 0;                 // to another executor after a stall
   gang_break Break;
--- a/core/job/batch/scheduler_departure.cpp
+++ b/core/job/batch/scheduler_departure.cpp
@@ -125,6 +125,9 @@
 }
 
 void event_handler::depart(const departure &Departure) {
+  // An earlier unit may have had it stopped to make room.
+  if (!describeDeparture(Departure.Unit))
+    return;
   job_state &Job = State.Jobs.at(Departure.Unit.Job);
   unit_state &Known = unitState(Job, Departure.Unit);
   const departure_action Action =
@@ -191,8 +194,10 @@
 bool event_handler::mayBeMissing(const job_state &Job,
                                  const unit_name &Unit) const {
   const step_spec &Step = Job.Spec.Steps[Unit.Step];
-  const int Limit =
-      Step.IsLongRunning ? std::max(1, Step.MaxMissing) : Step.MaxMissing;
+  // A long-running step without a limit misses one unit at a time.
+  const int Limit = Step.IsLongRunning && Step.MaxMissing == 0
+                        ? countTasks(Step)
+                        : Step.MaxMissing;
   if (Limit == 0)
     return true;
   int Missing = 0;
@@ -316,7 +321,7 @@
   }
   for (const auto &[Victim, Number] : Groups)
     if (std::ranges::count(Choice->PreemptedGroups, Number) > 0)
-      stopUnit(State.Jobs.at(Victim.Job), Victim);
+      stopVictim(Victim, Query.Unit);
   noteUrgentVictims(Query.Unit, *Choice, Groups);
   log(events::RoomReclaimed,
       {{"job", Query.Unit.Job.Value},
@@ -398,9 +403,12 @@
 /// Why the unit can't start where its room is reserved; empty when it can.
 std::string_view
 event_handler::explainLostRoom(const job_state &Job, const unit_name &Unit,
-                               const departure_plan &Plan) const {
+                               const departure_plan &Plan) {
   if (Now - Plan.CreatedAt >= State.Settings.PlanTimeout)
     return "timed out";
+  const unit_progress *Progress = findProgress(Unit);
+  if (Progress && Progress->hasSuspect())
+    return "it may crash its executor";
   for (const executor_id &Id : Plan.Executors) {
     const auto Found = State.Executors.find(Id);
     if (Found == State.Executors.end() ||
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -377,7 +377,7 @@
   void advanceDepartures();
   [[nodiscard]] std::string_view
   explainLostRoom(const job_state &Job, const unit_name &Unit,
-                  const departure_plan &Plan) const;
+                  const departure_plan &Plan);
   [[nodiscard]] bool isFree(const departure_plan &Plan) const;
   /// Compares what departures keep up to date with a recount, as
   /// explainStaleIndex does.
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -74,10 +74,10 @@
           describe(Found->second, isOpen(Found->second));
       State.Capacity.update(Id, Known);
       State.VainFits.erase({Known.Service, Known.Rack});
+      for (auto &[Service, Executors] : State.Unprobed)
+        Executors.erase(Id); // it may have belonged to another service
       if (isUnprobed(Known))
         State.Unprobed[Known.Service].insert(Id);
-      else
-        State.Unprobed[Known.Service].erase(Id);
     }
     if (Found != State.Executors.end())
       Found->second.IsTouched = false;
--- a/core/job/batch/scheduler_reservations.cpp
+++ b/core/job/batch/scheduler_reservations.cpp
@@ -58,7 +58,7 @@
                                const reservation &Reservation) {
   job_state &Job = State.Jobs.at(Unit.Job);
   const unit_progress *Progress = findProgress(Unit);
-  if (!Progress || Progress->IsDone)
+  if (!Progress || Progress->IsDone || Progress->hasSuspect())
     return false;
   const unit_state &Known = unitState(Job, Unit);
   const bool IsWaiting = Now < Reservation.Until && Now >= Known.NotBefore &&
@@ -114,7 +114,8 @@
       Now - Step.Ready >= State.Settings.Shares.ReserveAfter &&
       countTasks(Job.Spec.Steps[Unit.Step]) > 1 &&
       !State.Reservations.contains(Unit) && !State.Plans.contains(Unit) &&
-      !findProgress(Unit)->hasSuspect();
+      !findProgress(Unit)->hasSuspect() &&
+      Now >= unitState(State.Jobs.at(Unit.Job), Unit).ReserveAfter;
   // Higher priorities come first in a pass.
   const bool IsPreceded =
       Starved && (State.Jobs.at(Starved->Job).Queue.Priority < Step.Priority ||
@@ -133,6 +134,9 @@
   if (!MayReserve)
     return;
   State.NextReservation = Now + Settings.ReservationInterval;
+  // While this unit can't get one, the next pass tries others.
+  unitState(State.Jobs.at(Starved->Job), *Starved).ReserveAfter =
+      Now + Settings.ReserveAfter;
   refreshIndex();
   const placement_query Query = queryFor(*Starved);
   const bool HasMore = shareOf(Query.Job.Spec.Organisation) > evenShare({});
--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -124,8 +124,10 @@
   const step_spec &Spec = Job.Spec.Steps[Step.First.Step];
   Queue.Claim.IsGuaranteed =
       mayReclaim(Job, {reservedResources(Spec), countTasks(Spec), false, {}});
-  Queue.Claim.IsDue = !Step.IsMissed && Step.LatestStart - WallNow <=
-                                            State.Settings.Shares.DueWithin;
+  const bool IsAboutToMiss =
+      !Step.IsMissed &&
+      Step.LatestStart - WallNow <= State.Settings.Shares.DueWithin;
+  Queue.Claim.IsDue = Step.IsOldest || IsAboutToMiss;
   Queue.Claim.Share = shareOf(Queue.Organisation);
 }
 
--- a/core/job/batch/scheduler_speed.cpp
+++ b/core/job/batch/scheduler_speed.cpp
@@ -86,11 +86,15 @@
   const service_id &Service = Query.Job.Queue.Service;
   const auto Unprobed = State.Unprobed.find(Service);
   const auto Sums = State.SpeedSums.find(Service);
-  // Some probes are needed to see whether speeds are uneven.
+  // Some probes are needed to see whether speeds are uneven, in a small service
+  // of a part of its executors.
   constexpr int FirstProbes = 4; // times the executors that tell it
-  const bool IsWanted =
-      Sums == State.SpeedSums.end() || Sums->second.IsUneven ||
-      Sums->second.Certain < FirstProbes * Settings.LeastCertain;
+  constexpr int ProbedPart = 4;  // one of so many executors
+  const int Wanted = std::min(
+      FirstProbes * Settings.LeastCertain,
+      std::max(Settings.LeastCertain, Query.Service->executors() / ProbedPart));
+  const bool IsWanted = Sums == State.SpeedSums.end() ||
+                        Sums->second.IsUneven || Sums->second.Certain < Wanted;
   const bool MayProbe =
       Settings.IsEnabled && IsWanted &&
       std::ssize(State.Probing) < Settings.MostProbes &&
--- a/tests/unit/batch_reservation_test.cpp
+++ b/tests/unit/batch_reservation_test.cpp
@@ -167,6 +167,24 @@
   CHECK(State.Reservations.empty());
 }
 
+// Guards against a gang that never gets one and keeps all others from it.
+TEST_CASE_METHOD(reservation_fixture,
+                 "reservation: a gang that can't get one doesn't keep others "
+                 "from it") {
+  settle({"x", "y"});
+  for (const start_run &Start : run(job("a", 1, 12, 1, "small")))
+    Running[Start.To.Id.Value].push_back(Start.Run);
+  for (const start_run &Start : run(job("b", 1, 4, 1, "none")))
+    Running[Start.To.Id.Value].push_back(Start.Run);
+  submit(gang("gang")); // of the organisation with more than the even share
+  job_spec Other = gang("other");
+  Other.Organisation = organisation_id("none");
+  submit(Other);
+  wait(milliseconds(6'500));
+  REQUIRE(State.Reservations.size() == 1);
+  CHECK(State.Reservations.begin()->first.Job == job_id("other"));
+}
+
 // Guards against a late step with much work, which each later one passes.
 TEST_CASE_METHOD(reservation_fixture,
                  "shares: after 20 s the step that waits longest goes before "
--- a/tests/unit/batch_shares_test.cpp
+++ b/tests/unit/batch_shares_test.cpp
@@ -118,6 +118,23 @@
   CHECK(State.Jobs.at(job_id("c")).Runs.empty());
 }
 
+// Guards against a stream of due steps of others that is never interrupted.
+TEST_CASE_METHOD(shares_fixture,
+                 "shares: after 20 s a late step precedes due steps of another "
+                 "organisation within its even share") {
+  settle({"x"});
+  const auto Starts = run(job("a", 1, 5, 1, "third"));
+  run(job("b", 1, 2, 1, "small"));
+  run(job("c", 1, 1, 1, "none"));
+  submit(jobWithSlack("late", 1, milliseconds(10), "none"));
+  Now += State.Settings.Shares.StarvesAfter;
+  Wall += State.Settings.Shares.StarvesAfter;
+  submit(jobWithSlack("due", 1, milliseconds(200), "small"));
+  endOne(Starts);
+  CHECK(countRuns("none") == 2);
+  CHECK(countRuns("small") == 2);
+}
+
 // Guards against a division by the capacity of what a service doesn't have.
 TEST_CASE("shares: the dominant share is the largest of the resources that "
           "exist") {
