--- a/core/job/batch/scheduler_departure.cpp
+++ b/core/job/batch/scheduler_departure.cpp
@@ -401,9 +401,9 @@
 }
 
 /// Why the unit can't start where its room is reserved; empty when it can.
-std::string_view
-event_handler::explainLostRoom(const job_state &Job, const unit_name &Unit,
-                               const departure_plan &Plan) {
+std::string_view event_handler::explainLostRoom(const job_state &Job,
+                                                const unit_name &Unit,
+                                                const departure_plan &Plan) {
   if (Now - Plan.CreatedAt >= State.Settings.PlanTimeout)
     return "timed out";
   const unit_progress *Progress = findProgress(Unit);
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -375,9 +375,9 @@
                    const std::vector<executor_id> &Executors);
   void dropDeparturePlan(const unit_name &Unit);
   void advanceDepartures();
-  [[nodiscard]] std::string_view
-  explainLostRoom(const job_state &Job, const unit_name &Unit,
-                  const departure_plan &Plan);
+  [[nodiscard]] std::string_view explainLostRoom(const job_state &Job,
+                                                 const unit_name &Unit,
+                                                 const departure_plan &Plan);
   [[nodiscard]] bool isFree(const departure_plan &Plan) const;
   /// Compares what departures keep up to date with a recount, as
   /// explainStaleIndex does.
