Don't start planned units that became done, nor pause guaranteed ones

Cause, found by review: only the end of a job dropped its reclaim plans. A run taken for lost could be reported as done while capacity was being freed for its unit; the plan then started the unit again, or read the steps of an occurrence that had ended. A unit that was stopped while beyond its guarantee waited out its pause after it had come within it.

Change: a plan of a unit that is done or runs is dropped; no pause within a guarantee.

--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -335,7 +335,7 @@
   void addPlan(const unit_name &Unit, reclaim_plan Plan);
   /// Starts a planned unit in capacity that became free elsewhere.
   bool startElsewhere(const unit_name &Unit);
-  [[nodiscard]] bool isPlanPossible(const unit_name &Unit) const;
+  [[nodiscard]] bool isPlanPossible(const unit_name &Unit);
   /// Whether the unit was stopped a short time ago and capacity is scarce.
   [[nodiscard]] bool isPaused(const unit_name &Unit);
   [[nodiscard]] std::vector<const indexed_rack *>
--- a/core/job/batch/scheduler_reclaim.cpp
+++ b/core/job/batch/scheduler_reclaim.cpp
@@ -378,10 +378,14 @@
   State.Plans.erase(Plan);
 }
 
-bool event_handler::isPlanPossible(const unit_name &Unit) const {
+bool event_handler::isPlanPossible(const unit_name &Unit) {
   const reclaim_plan &Plan = State.Plans.at(Unit);
-  const job_state &Job = State.Jobs.at(Unit.Job);
-  return Now < Plan.Until &&
+  job_state &Job = State.Jobs.at(Unit.Job);
+  // The end of a run that was taken for lost may have been reported since.
+  const unit_progress *Progress = findProgress(Unit);
+  const bool IsWaiting =
+      Progress && !Progress->IsDone && unitState(Job, Unit).LiveRuns == 0;
+  return IsWaiting && Now < Plan.Until &&
          std::ranges::all_of(Plan.Executors, [&](const executor_id &Id) {
            const auto Found = State.Executors.find(Id);
            return Found != State.Executors.end() &&
--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -72,7 +72,8 @@
   const bool IsSuspect = Progress.hasSuspect();
   // A reservation may just have started it.
   const bool IsWaiting = unitState(State.Jobs.at(Unit.Job), Unit).LiveRuns == 0;
-  const bool IsPaused = IsWaiting && isPaused(Unit);
+  const bool IsPaused =
+      IsWaiting && !Queue.Claim.IsGuaranteed && isPaused(Unit);
   const bool MayStart = IsWaiting && !IsPaused;
   const bool IsPlaced = MayStart && place(Unit);
   if (MayStart && !IsPlaced)
--- a/tests/unit/batch_victims_test.cpp
+++ b/tests/unit/batch_victims_test.cpp
@@ -220,6 +220,27 @@
   CHECK(State.Plans.size() == 2);
 }
 
+// Guards against a second run of a task whose first one, taken for lost, turns
+// out to be done while capacity is being freed for it.
+TEST_CASE_METHOD(victims_fixture,
+                 "victims: a planned unit that becomes done doesn't start") {
+  settle({"x", "y"});
+  run(gang("old", 1, 1, 8));
+  Now += milliseconds(1'000);
+  const auto Young = run(gang("young", 1, 1, 8));
+  submit(job("urgent", 0, 2, 2));
+  REQUIRE(State.Plans.size() == 2);
+  const run_name First{{job_id("urgent"), 0, 0, 0}, 1};
+  const std::string Where = Young[0].To.Id.Value;
+  answer(Where, {{Young[0].Run, "", 10}}, {end(First, run_end::Done)});
+  answer(Where, {}, {end(Young[0].Run, run_end::Stopped)});
+  pass(milliseconds(100));
+  const job_state &Job = State.Jobs.at(job_id("urgent"));
+  REQUIRE(Job.Runs.size() == 1);
+  CHECK(Job.Runs.begin()->first.Task.Index == 1);
+  CHECK(explainStaleIndex(State, Now).empty());
+}
+
 // Guards against a wait for stops while capacity is free elsewhere.
 TEST_CASE_METHOD(victims_fixture,
                  "victims: a planned unit starts where capacity becomes free "
