--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,82 +1,71 @@
-// The store turns calls away for a moment, just after jobs were accepted that
-// have to wait.
+// One executor crashes once under a task that then has to wait for room, and
+// the leading instance is killed four times.
 
 #include "review/standin/world.hpp"
 
+#include <algorithm>
+#include <csignal>
+
 using namespace review;
 
 namespace {
 
-constexpr int Rounds = 4; // each with a queue of its own
-constexpr int Waiting = 12;
-constexpr milliseconds Outage = 600ms;
-constexpr milliseconds Settle = 6'000ms; // visible_ms + 2 s, and contact_ms
-constexpr milliseconds Watched = 6'000ms;
-
-/// Whether an instance gives less than half of the queue's waiting jobs.
-bool isTooFew(world &World, const std::string &Prefix) {
-  bool IsTooFew = false;
-  const moment Until = std::chrono::steady_clock::now() + Watched;
-  while (std::chrono::steady_clock::now() < Until) {
-    for (int Instance = 0; Instance < 2; ++Instance) {
-      const http_reply Reply = World.call(Instance, "GET", Prefix);
-      if (Reply.Status != 200)
-        continue;
-      const int Pending =
-          nlohmann::json::parse(Reply.Body).at("pending").get<int>();
-      IsTooFew = IsTooFew || Pending * 2 < Waiting;
-    }
-    std::this_thread::sleep_for(1'000ms);
-  }
-  return IsTooFew;
-}
+constexpr int Machines = 7; // the crash takes a seventh of them
+constexpr int Kills = 4;
+constexpr milliseconds Down = 1'500ms;
+constexpr milliseconds Restart = 1'000ms; // until the process is back
+constexpr milliseconds Gap = 5'000ms;     // between two kills
+constexpr capacity Whole{16'000, 32'768, 8};
 
 bool run(world &World) {
-  std::vector<route> Routes{{"long", "/long/"}};
-  for (int I = 0; I < Rounds; ++I)
-    Routes.push_back(
-        {"queue-" + std::to_string(I), "/queue-" + std::to_string(I) + "/"});
-  World.configure(Routes);
+  World.configure({{"index", "/index/"}, {"tiles", "/tiles/", 0}});
   World.Plan = [](const std::string &, const std::string &, int) {
     return task_plan{110'000ms};
   };
-  executor &Executor = World.addExecutor();
-  World.startInstances(2);
-  const nlohmann::json Job = jobOf(1, {4'000, 8'000, 1}, 1'000ms);
-  World.submit("/long/00000000000000a0",
-               jobOf(8, {4'000, 8'000, 1}, 110'000ms));
-  const bool IsFull =
-      World.eventually(10'000ms, [&] { return Executor.runs() == 8; });
-  if (!IsFull)
-    throw cannot_run("the executor isn't full");
-  bool IsBroken = false;
-  for (int Round = 0; Round < Rounds && !IsBroken; ++Round) {
-    const std::string Prefix = Routes[Round + 1].Prefix;
-    std::vector<std::thread> Clients;
-    Clients.reserve(Waiting);
-    for (int I = 0; I < Waiting; ++I)
-      Clients.emplace_back([&, I] {
-        World.submit(Prefix + "00000000000" +
-                         std::to_string(10'000 + Round * 100 + I),
-                     Job);
-      });
-    for (std::thread &Client : Clients)
-      Client.join();
-    World.record("all are accepted");
-    std::this_thread::sleep_for(100ms);
+  std::vector<executor *> Executors;
+  Executors.reserve(Machines);
+  for (int I = 0; I < Machines; ++I)
+    Executors.push_back(&World.addExecutor());
+  World.startInstances(3);
+  const std::string Path = "/index/00000000000000a1";
+  World.submit(Path, jobOf(Machines, Whole, 110'000ms));
+  const bool IsRunning = World.eventually(10'000ms, [&] {
+    return std::ranges::all_of(
+        Executors, [](executor *Each) { return Each->runs() == 1; });
+  });
+  if (!IsRunning)
+    throw cannot_run("not all tasks have started");
+  std::this_thread::sleep_for(3'000ms);
+  executor &Crashing = *Executors.front();
+  if (World.hasTrouble())
+    Crashing.crash();
+  // Urgent work takes the room when the executor is back.
+  World.submit("/tiles/00000000000000b1", jobOf(1, Whole, 110'000ms));
+  std::this_thread::sleep_for(Down);
+  if (World.hasTrouble())
+    Crashing.boot("a");
+  std::this_thread::sleep_for(5'000ms);
+  for (int I = 0; I < Kills; ++I) {
     if (World.hasTrouble()) {
-      World.record("the store answers 503");
-      World.store().setBusy(true);
-      std::this_thread::sleep_for(Outage);
-      World.store().setBusy(false);
-      World.record("the store serves again");
+      const int Leader = World.lastWriter();
+      World.endInstance(Leader, SIGKILL);
+      std::this_thread::sleep_for(Restart);
+      World.restartInstance(Leader);
     }
-    std::this_thread::sleep_for(Settle);
-    IsBroken = isTooFew(World, Prefix);
+    std::this_thread::sleep_for(Gap);
+    World.state(0, Path);
+  }
+  int Failed = 0;
+  int Crashed = 0;
+  for (const executor_event &Event : World.events()) {
+    Failed += Event.How == "failed" ? 1 : 0;
+    Crashed += Event.What == executor_event::kind::Crashed ? 1 : 0;
   }
-  if (Executor.runs() != 8)
-    throw cannot_run("a waiting job has begun");
-  return IsBroken;
+  const std::string State = World.state(1, Path);
+  World.record("the job is " + State + " after " + std::to_string(Failed) +
+               " runs that ended failed and " + std::to_string(Crashed) +
+               " crashes of executors");
+  return State == "failed";
 }
 
 } // namespace
--- a/review/standin/http.cpp
+++ b/review/standin/http.cpp
@@ -19,6 +19,15 @@
   return Result;
 }
 
+std::string peerAddress(int Socket) {
+  sockaddr_in Remote{};
+  socklen_t Size = sizeof Remote;
+  ::getpeername(Socket, reinterpret_cast<sockaddr *>(&Remote), &Size);
+  char Text[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &Remote.sin_addr, Text, sizeof Text);
+  return Text;
+}
+
 std::string lower(std::string Text) {
   std::ranges::transform(Text, Text.begin(), [](unsigned char Letter) {
     return static_cast<char>(std::tolower(Letter));
@@ -188,6 +197,7 @@
   std::string Buffer;
   std::string Head;
   http_request Request;
+  Request.Peer = peerAddress(Connection);
   while (receive(Connection, Buffer, Head, Request.Body)) {
     const std::size_t First = Head.find(' ');
     const std::size_t Second = Head.find(' ', First + 1);
--- a/review/standin/http.hpp
+++ b/review/standin/http.hpp
@@ -25,6 +25,7 @@
   std::string Target;
   std::map<std::string, std::string> Headers; // names in lower case
   std::string Body;
+  std::string Peer; // address of the client
 
   [[nodiscard]] std::string path() const;
   /// Decoded value of a query parameter; empty when absent.
--- a/review/standin/store.cpp
+++ b/review/standin/store.cpp
@@ -110,6 +110,11 @@
   HasChanged.notify_all();
 }
 
+std::string metadata_store::lastWriter() {
+  const std::lock_guard Lock(Mutex);
+  return LastWriter;
+}
+
 std::optional<http_reply> metadata_store::handle(const http_request &Request) {
   constexpr int BitsPerByte = 8;
   std::this_thread::sleep_for(AnswerTime.load());
@@ -237,6 +242,10 @@
     if (Lease != 0 && !Leases.contains(Lease))
       return {404, "{}"};
   }
+  // Clients' instances only create items.
+  for (const json &Row : Body.at("precondition"))
+    if (Row.at("revision").get<std::int64_t>() != 0)
+      LastWriter = Request.Peer;
   ++Revision;
   for (const json &Row : Body.at("write"))
     write(Row.at("key").get<std::string>(),
--- a/review/standin/store.hpp
+++ b/review/standin/store.hpp
@@ -33,6 +33,9 @@
   void setLink(int Mbps) { LinkMbps = Mbps; }
   void setAnswerTime(milliseconds Time) { AnswerTime = Time; }
 
+  /// Address of the machine that last wrote something again under a condition.
+  [[nodiscard]] std::string lastWriter();
+
   [[nodiscard]] std::uint16_t port() const { return Server.port(); }
 
 private:
@@ -82,6 +85,7 @@
   bool IsSilent = false;
   std::int64_t Forgotten = 0; // the history begins after this revision
   int Cuts = 0;               // of the watches
+  std::string LastWriter;
   std::atomic<milliseconds> AnswerTime{4ms};
   std::atomic<int> LinkMbps{1'000};
   std::thread Expirer;
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -316,6 +316,14 @@
   record("instance " + std::to_string(Instance) + " has ended");
 }
 
+int world::lastWriter() {
+  const std::string Writer = Store->lastWriter();
+  for (int I = 0; I < static_cast<int>(Processes.size()); ++I)
+    if (address(FirstInstanceHost + I) == Writer)
+      return I;
+  throw cannot_run("no instance has written to the store");
+}
+
 void world::restartInstance(int Instance) { launch(Instance); }
 
 http_reply world::call(int Instance, const std::string &Method,
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -42,6 +42,8 @@
   void startInstances(int Count);
   /// Sends the signal to the instance, and waits until it has ended.
   void endInstance(int Instance, int Signal);
+  /// The instance that last wrote to the store under a condition.
+  int lastWriter();
   /// Starts the instance again with its settings.
   void restartInstance(int Instance);
 
