Log stored cancellations, cancellations without a job, and lost history

The record of the incident can't tell a cancellation that was lost from one that came late or was never passed on: a DELETE that is answered 200 left no line, nor did the loss of the history of jobs, nor a cancellation that finds no job. Now 4006 names the job and the revision, 2208 and 2209 the changes that were skipped and how long reading them took, 3213 the job that isn't known. The logic is unchanged.

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -357,8 +357,16 @@
       {{keys::cancelKey(Job), 0}}, {{keys::cancelKey(Job), "{}", 0}}, {}};
   for (int Try = 0; Try < WriteRetries; ++Try) {
     const platform::change_result Write = co_await Store.change(Change);
-    if (!Write.Error) // applied now, or by an earlier request
+    if (!Write.Error) { // applied now, or by an earlier request
+      const std::int64_t Earlier =
+          Write.Current.empty() ? 0 : Write.Current.front().Revision;
+      const std::int64_t Revision = Write.IsApplied ? Write.Revision : Earlier;
+      writeLog(events::CancellationStored,
+               {{"job", Job.Value},
+                {"revision", std::to_string(Revision)},
+                {"repeated", Write.IsApplied ? "no" : "yes"}});
       co_return jsonResponse(200, platform::printPhase(job_phase::Cancelled));
+    }
     if (readClock() + WriteRetryDelay >= Admitted.Deadline)
       break;
     co_await sleepFor(Context, WriteRetryDelay);
--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -332,12 +332,16 @@
   if (!IsCatchingUp) {
     IsCatchingUp = true;
     GapFrom = JobsRevision;
+    writeLog(events::HistorySkipped, {{"from", std::to_string(JobsRevision)},
+                                      {"to", std::to_string(Key.Revision)}});
     asio::co_spawn(Context, catchUp(Term), asio::detached);
   }
   JobsRevision = Key.Revision;
 }
 
 task<void> leadership::catchUp(std::uint64_t Term) {
+  const instant Begun = readClock();
+  std::size_t Items = 0;
   while (isCurrent(Term) && IsHistoryMissing) {
     IsHistoryMissing = false; // set again if more is lost during the read
     const platform::range_read Range =
@@ -346,16 +350,24 @@
       break;
     // Older items were posted before. One of them may have been forgotten
     // since this range was read, and must not look like a new job.
-    for (const platform::store_item &Item : Range.Items)
-      if (Item.Revision > GapFrom)
-        postNewItem(Term, Item);
+    for (const platform::store_item &Item : Range.Items) {
+      if (Item.Revision <= GapFrom)
+        continue;
+      ++Items;
+      postNewItem(Term, Item);
+    }
     if (!Range.Error)
       continue;
     IsHistoryMissing = true;
     co_await sleepFor(Context, RetryDelay);
   }
-  if (isCurrent(Term)) // a later term has a read of its own
-    IsCatchingUp = false;
+  if (!isCurrent(Term)) // a later term has a read of its own
+    co_return;
+  IsCatchingUp = false;
+  writeLog(events::HistoryRead,
+           {{"from", std::to_string(GapFrom)},
+            {"items", std::to_string(Items)},
+            {"took_ms", std::to_string((readClock() - Begun).count())}});
 }
 
 /// Posts a job that was stored since this term began, or a cancellation.
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -188,7 +188,11 @@
 
 void event_handler::apply(const cancel_requested &Event) {
   const auto Found = State.Jobs.find(Event.Job);
-  if (Found == State.Jobs.end() || isFinal(Found->second.Progress.Phase))
+  if (Found == State.Jobs.end()) {
+    log(events::CancellationUnmatched, {{"job", Event.Job.Value}});
+    return;
+  }
+  if (isFinal(Found->second.Progress.Phase))
     return;
   endJob(Found->second, job_phase::Cancelled, "cancelled by its client");
 }
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -86,6 +86,17 @@
     "named revision aren't known here until it has been repeated.",
     "If it repeats, check the link to the platform's store."};
 
+const log_event HistorySkipped{
+    2208, Warning, "history-skipped",
+    "The platform's store has discarded changes of jobs that the leader hadn't "
+    "read. The watch continues from the later revision, and the stored jobs "
+    "are read again for what lies between the two.",
+    "None. 2209 follows when they have been read."};
+const log_event HistoryRead{
+    2209, Info, "history-read",
+    "The leader has read the changes of jobs whose history was discarded.",
+    "If took_ms is long, compare the link and the processor of the leader."};
+
 const log_event JobAccepted{3001, Info, "job-accepted",
                             "The job is stored durably.", "None."};
 const log_event JobPlaced{3002, Info, "job-placed",
@@ -203,6 +214,11 @@
     "blamed_for are its counts so far.",
     "If 3203 says that the job failed for it, check the job's payload."};
 
+const log_event CancellationUnmatched{
+    3213, Warning, "cancellation-unmatched",
+    "The leader read the cancellation of a job that it doesn't know.",
+    "If a task of the job starts later, keep the logs of this instance."};
+
 const log_event ExecutorSilent{
     3301, Warning, "executor-silent",
     "An executor didn't answer; nothing new is started there, and its runs may "
@@ -343,6 +359,12 @@
     "answered its watch.",
     "If the route or key exists, look for 2202 and 2207 on this instance."};
 
+const log_event CancellationStored{
+    4006, Info, "cancellation-stored",
+    "The cancellation of a job is stored and its client gets a confirmation. "
+    "repeated: an earlier request had stored it.",
+    "None. 3203 on the leader follows at once; its tasks stop then."};
+
 const log_event LeadershipGained{
     5001, Info, "leadership-gained",
     "This process now leads: one data centre, or the whole deployment on the "
@@ -404,6 +426,8 @@
     &events::SettingsReloaded,
     &events::LinesDropped,
     &events::WatchFailed,
+    &events::HistorySkipped,
+    &events::HistoryRead,
     &events::BatchJobStored,
     &events::BatchJobFound,
     &events::BatchJobEnded,
@@ -416,6 +440,7 @@
     &events::AnswerOutdated,
     &events::StartWithdrawn,
     &events::CrashCounted,
+    &events::CancellationUnmatched,
     &events::ExecutorSilent,
     &events::ExecutorLost,
     &events::ExecutorUnlisted,
@@ -439,6 +464,7 @@
     &events::SubmissionUnsettled,
     &events::RequestForwarded,
     &events::RequestDenied,
+    &events::CancellationStored,
 };
 
 } // namespace
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -79,7 +79,8 @@
 extern const log_event SettingsReloaded;
 extern const log_event LinesDropped;
 extern const log_event WatchFailed;
-extern const log_event WatchFailed;
+extern const log_event HistorySkipped;
+extern const log_event HistoryRead;
 // 3000: jobs
 extern const log_event JobAccepted;
 extern const log_event JobPlaced;
@@ -109,6 +110,7 @@
 extern const log_event SaveFailed;
 extern const log_event AnswerOutdated;
 // 3300: executors
+extern const log_event CancellationUnmatched;
 extern const log_event StartWithdrawn;
 extern const log_event CrashCounted;
 extern const log_event ExecutorSilent;
@@ -138,7 +140,7 @@
 extern const log_event SubmissionUnsettled;
 extern const log_event RequestForwarded;
 extern const log_event RequestDenied;
-extern const log_event RequestDenied;
+extern const log_event CancellationStored;
 // 5000: ownership
 extern const log_event LeadershipGained;
 extern const log_event LeadershipLost;
