--- a/standin/metadata_service.cpp
+++ b/standin/metadata_service.cpp
@@ -148,6 +148,9 @@
       Response = status(400);
     }
   }
+  PagesRead += IsRange ? 1 : 0;
+  while (IsRange && Faults.HoldsRanges)
+    co_await sleepFor(Context, WatchPoll);
   if (Faults.LosesAnswers)
     Response.Status = 0;
   co_return Response;
--- a/standin/metadata_service.hpp
+++ b/standin/metadata_service.hpp
@@ -21,6 +21,7 @@
   bool IsSilent = false;       // accepts requests and never responds
   bool IgnoresWatches = false; // never responds to watches
   std::size_t PageItems = 500; // items in one page of a range
+  bool HoldsRanges = false;    // reads ranges, and responds once this is off
 
   friend bool operator==(const metadata_faults &,
                          const metadata_faults &) = default;
@@ -36,6 +37,8 @@
     return Server.localEndpoint();
   }
   [[nodiscard]] std::uint64_t calls() const { return Calls; }
+  /// Pages of ranges that were read, also those not responded yet.
+  [[nodiscard]] std::uint64_t pagesRead() const { return PagesRead; }
 
   /// Writes unconditionally, as the operator or an executor does.
   void put(const std::string &Key, const std::string &Value);
@@ -96,6 +99,7 @@
   std::int64_t Forgotten = 0; // changes up to this revision are discarded
   std::int64_t NextLease = 100;
   std::uint64_t Calls = 0;
+  std::uint64_t PagesRead = 0;
   http_server Server;
 };
 
