Pass a cancellation on after its job, in whatever order both are read

What callers saw: a job ran on, or began, after its cancellation had been answered with 200. Cause: after a loss of the store's history the leader's watch goes on while the lost part is read; a cancellation that the watch brought before the job was posted to the reducer, which didn't know the job and dropped it for the rest of the term.

What the store says is now taken in by a state machine without I/O (job_feed). News of a job that isn't known yet is kept until the job is, or until a read of a later revision shows that it doesn't exist; at the limit of what is kept all jobs are read again. Pages are read and tried again one by one instead of the whole range. An empty answer to the read of the present revision no longer makes the watch begin at 0. The feed also says as of when it knows all changes (requests_current); the scheduler notes it and doesn't use it yet.

Tests changed: the leader's fixtures pass the metrics; the scheduler's fixture and the worlds say how current the leader's knowledge is.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -5,13 +5,13 @@
 #include "apps/runtime/logging.hpp"
 #include "apps/runtime/process.hpp"
 #include "core/error.hpp"
-#include "core/job/batch/records.hpp"
 #include "platform/wire.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <cassert>
 #include <cmath>
 #include <utility>
 
@@ -26,7 +26,6 @@
 // A standby detects the key's removal by its watch. This timeout bounds the
 // delay when the watch's connection has stalled.
 constexpr milliseconds StandbyWatchTimeout{2'000};
-constexpr milliseconds JobsWatchTimeout{2'000};
 // Less than the 2 s after which no run may start on a draining executor.
 constexpr milliseconds ListInterval{700};
 
@@ -46,6 +45,43 @@
   return Parsed ? std::optional(Parsed->CampaignDelay) : std::nullopt;
 }
 
+std::string_view nameIn(const std::string &Key, std::string_view Prefix) {
+  return std::string_view(Key).substr(Prefix.size());
+}
+
+stored_request toRequest(platform::store_item Item) {
+  std::string_view Name = nameIn(Item.Key, keys::Requests);
+  const bool IsCancellation = Name.ends_with(keys::CancelSuffix);
+  if (IsCancellation)
+    Name.remove_suffix(keys::CancelSuffix.size());
+  return {job_id(std::string(Name)), IsCancellation, Item.Revision,
+          std::move(Item.Value)};
+}
+
+requests_read toRequestsRead(platform::page_read Page, instant Sent) {
+  requests_read Read{Sent, Page.Revision, {}, std::move(Page.Next)};
+  for (platform::store_item &Item : Page.Items)
+    Read.Requests.push_back(toRequest(std::move(Item)));
+  return Read;
+}
+
+progress_read toProgressRead(platform::page_read Page) {
+  progress_read Read{{}, std::move(Page.Next)};
+  for (platform::store_item &Item : Page.Items)
+    Read.Records.push_back(
+        {job_id(std::string(nameIn(Item.Key, keys::Progress))), Item.Revision,
+         std::move(Item.Value)});
+  return Read;
+}
+
+requests_watched toRequestsWatched(platform::watch_result Watch, instant Sent) {
+  requests_watched Watched{Sent, Watch.Revision, {}};
+  for (platform::item_change &Change : Watch.Changes)
+    if (!Change.IsRemoved)
+      Watched.Requests.push_back(toRequest(std::move(Change.Item)));
+  return Watched;
+}
+
 } // namespace
 
 milliseconds campaignDelay(double Cores, double LinkMbps) {
@@ -64,13 +100,15 @@
 leadership::leadership(asio::io_context &Context,
                        platform::metadata_store &Store, std::string Instance,
                        endpoint Forward, milliseconds LeaseLife,
-                       milliseconds CampaignDelay, post_event Post,
-                       handover_settings NewHandover)
+                       milliseconds CampaignDelay, instance_metrics &Metrics,
+                       post_event Post, handover_settings NewHandover,
+                       job_feed_settings FeedSettings)
     : Context(Context), Store(Store), Instance(std::move(Instance)),
       Forward(std::move(Forward)), LeaseLife(LeaseLife),
-      CampaignDelay(CampaignDelay), Post(std::move(Post)),
+      CampaignDelay(CampaignDelay), Metrics(Metrics), Post(std::move(Post)),
       Handover(NewHandover),
-      Candidacy(Context, Store, {this->Instance, CampaignDelay}, Handover) {}
+      Candidacy(Context, Store, {this->Instance, CampaignDelay}, Handover),
+      Feed(FeedSettings) {}
 
 platform::key_condition leadership::fence(std::uint64_t Term) {
   return {keys::Leader, static_cast<std::int64_t>(Term)};
@@ -81,13 +119,15 @@
 }
 
 std::int64_t leadership::progressRevision(const job_id &Job) const {
-  const auto Found = ProgressRevisions.find(Job);
-  return Found == ProgressRevisions.end() ? 0 : Found->second;
+  const auto Found = Feed.Known.find(Job);
+  return Found == Feed.Known.end() ? 0 : Found->second;
 }
 
 void leadership::noteProgressRevision(const job_id &Job,
                                       std::int64_t Revision) {
-  ProgressRevisions[Job] = Revision;
+  const auto Found = Feed.Known.find(Job);
+  if (Found != Feed.Known.end()) // not forgotten meanwhile
+    Found->second = Revision;
 }
 
 task<void> leadership::run() {
@@ -169,92 +209,83 @@
 task<void> leadership::lead() {
   const std::uint64_t Term = Token;
   writeLog(events::LeadershipGained, {{"token", std::to_string(Term)}});
-  ProgressRevisions.clear();
-  IsHistoryMissing = false;
-  IsCatchingUp = false;
   LeadsSince = readClock();
   LastJobAt = LeadsSince;
   Post(Term, leadership_gained{Term, ValidUntil});
+  advance(Term, feed_begun{});
   asio::co_spawn(Context, renew(Term), asio::detached);
-  bool IsLoaded = false;
-  while (isCurrent(Term) && !IsLoaded) {
-    IsLoaded = co_await loadJobs(Term);
-    if (!IsLoaded)
+  bool IsPrepared = false;
+  while (isCurrent(Term) && !IsPrepared) {
+    IsPrepared = co_await prepareTerm(Term);
+    if (!IsPrepared)
       co_await sleepFor(Context, RetryDelay);
   }
+  co_await readPages(Term);
   if (!isCurrent(Term))
     co_return;
-  Post(Term, recovery_finished{});
   asio::co_spawn(Context, listExecutors(Term), asio::detached);
   asio::co_spawn(Context, watchCandidate(Term), asio::detached);
   co_await watchJobs(Term);
 }
 
-/// Posts every stored job and cancellation; false when the store couldn't be
-/// read.
-task<bool> leadership::loadJobs(std::uint64_t Term) {
+/// Reads the executors and their speeds before the jobs; false when the store
+/// couldn't be read.
+task<bool> leadership::prepareTerm(std::uint64_t Term) {
   const bool IsListed = co_await listExecutorsOnce(Term);
   if (!IsListed)
     co_return false;
-  const platform::range_read Requests =
-      co_await Store.readPrefix(keys::Requests);
-  if (Requests.Error)
-    co_return false;
-  const platform::range_read Known = co_await Store.readPrefix(keys::Progress);
-  if (Known.Error)
-    co_return false;
   const platform::item_read Speeds = co_await Store.read(keys::Speeds);
   if (Speeds.Error) // they are learned again
     writeLog(events::StoreUnreachable, {{"call", "read of executor speeds"},
                                         {"error", Speeds.Error.message()}});
   else if (Speeds.Item)
     Post(Term, speeds_found{parseSpeeds(Speeds.Item->Value)});
-  JobsRevision = Requests.Revision;
-  std::map<std::string, const platform::store_item *> Progress;
-  for (const platform::store_item &Item : Known.Items)
-    Progress[Item.Key] = &Item;
-  for (const platform::store_item &Item : Requests.Items) {
-    if (Item.Key.ends_with(keys::CancelSuffix))
-      continue;
-    const job_id Job(Item.Key.substr(std::string_view(keys::Requests).size()));
-    const auto Found = Progress.find(keys::progressKey(Job));
-    if (Found != Progress.end())
-      ProgressRevisions.try_emplace(Job, Found->second->Revision);
-    postStoredItem(Term, Item,
-                   Found == Progress.end() ? "" : Found->second->Value);
-  }
-  for (const platform::store_item &Item : Requests.Items)
-    if (Item.Key.ends_with(keys::CancelSuffix))
-      postStoredItem(Term, Item, "");
   co_return true;
 }
 
-/// Posts a stored job or cancellation to the reducer.
-void leadership::postStoredItem(std::uint64_t Term,
-                                const platform::store_item &Item,
-                                const std::string &Progress) {
-  std::string Name = Item.Key.substr(std::string_view(keys::Requests).size());
-  if (Name.ends_with(keys::CancelSuffix)) {
-    Name.resize(Name.size() - keys::CancelSuffix.size());
-    Post(Term, cancel_requested{job_id(Name)});
-    return;
+/// Passes an answer of the store to the feed, and what follows to the
+/// scheduler.
+void leadership::advance(std::uint64_t Term, decltype(feed_event::What) What) {
+  feed_output Output = reduce(Feed, {readClock(), std::move(What)});
+  for (const log_line &Line : Output.Lines) {
+    Metrics.noteSchedulerEvent(Line.Event->Name);
+    writeLog(Line);
   }
-  auto Spec = parseSpec(Item.Value);
-  if (Spec.Error) {
-    writeLog(events::JobUnreadable, {{"job", Name}, {"reason", Spec.Reason}});
-    return;
-  }
-  job_found Found{std::move(Spec.Record), {}};
-  if (!Progress.empty()) {
-    auto Parsed = parseProgress(Progress, Found.Spec);
-    if (Parsed.Error) {
-      writeLog(events::JobUnreadable,
-               {{"job", Name}, {"reason", Parsed.Reason}});
-      return;
+  for (auto &Event : Output.Events)
+    Post(Term, std::move(Event));
+}
+
+/// Reads pages for as long as the feed asks for one.
+task<void> leadership::readPages(std::uint64_t Term) {
+  while (isCurrent(Term)) {
+    const std::optional<page_request> Next = nextPage(Feed);
+    if (!Next)
+      co_return;
+    const instant Sent = readClock();
+    const char *Prefix = Next->IsProgress ? keys::Progress : keys::Requests;
+    platform::page_read Page = co_await Store.readPage(Prefix, Next->After);
+    if (!isCurrent(Term))
+      co_return;
+    if (Page.Error) {
+      noteFailedRead("read", Page.Error, Sent);
+      co_await sleepFor(Context, RetryDelay);
+      continue;
     }
-    Found.Progress = std::move(Parsed.Record);
+    if (Next->IsProgress)
+      advance(Term, toProgressRead(std::move(Page)));
+    else
+      advance(Term, toRequestsRead(std::move(Page), Sent));
   }
-  Post(Term, std::move(Found));
+}
+
+void leadership::noteFailedRead(std::string_view Call,
+                                const std::error_code &Error, instant Sent) {
+  writeLog(events::WatchFailed,
+           {{"watch", "jobs"},
+            {"call", std::string(Call)},
+            {"error", Error.message()},
+            {"took_ms", std::to_string((readClock() - Sent).count())},
+            {"revision", std::to_string(Feed.WatchAfter)}});
 }
 
 /// Sends renewals at a fixed interval without waiting for the answers, because
@@ -289,9 +320,11 @@
 
 task<void> leadership::watchJobs(std::uint64_t Term) {
   while (isCurrent(Term)) {
+    const std::optional<watch_request> Next = nextWatch(Feed);
+    assert(Next && "the stored jobs aren't loaded yet");
     const instant Sent = readClock();
-    const platform::watch_result Watch =
-        co_await Store.watch(keys::Requests, JobsRevision, JobsWatchTimeout);
+    platform::watch_result Watch =
+        co_await Store.watch(keys::Requests, Next->After, Next->Wait);
     if (!isCurrent(Term))
       co_return;
     if (Watch.Error == errc::NotFound) {
@@ -299,23 +332,16 @@
       continue;
     }
     if (Watch.Error) {
-      writeLog(events::WatchFailed,
-               {{"watch", "jobs"},
-                {"call", "watch"},
-                {"error", Watch.Error.message()},
-                {"took_ms", std::to_string((readClock() - Sent).count())},
-                {"revision", std::to_string(JobsRevision)}});
+      noteFailedRead("watch", Watch.Error, Sent);
+      advance(Term, watch_failed{});
       const bool HasWaited = Watch.Error == errc::DeadlineExceeded;
       if (!HasWaited)
         co_await sleepFor(Context, RetryDelay);
       continue;
     }
-    JobsRevision = Watch.Revision;
     if (!Watch.Changes.empty())
       LastJobAt = readClock();
-    for (const platform::item_change &Change : Watch.Changes)
-      if (!Change.IsRemoved)
-        postNewItem(Term, Change.Item);
+    advance(Term, toRequestsWatched(std::move(Watch), Sent));
   }
 }
 
@@ -324,65 +350,17 @@
 /// arrive meanwhile must not wait for it.
 task<void> leadership::skipLostHistory(std::uint64_t Term) {
   const platform::item_read Key = co_await Store.read(keys::Leader);
-  if (Key.Error || !isCurrent(Term)) {
-    co_await sleepFor(Context, RetryDelay);
+  if (!isCurrent(Term))
     co_return;
-  }
-  IsHistoryMissing = true;
-  if (!IsCatchingUp) {
-    IsCatchingUp = true;
-    GapFrom = JobsRevision;
-    writeLog(events::HistorySkipped, {{"from", std::to_string(JobsRevision)},
-                                      {"to", std::to_string(Key.Revision)}});
-    asio::co_spawn(Context, catchUp(Term), asio::detached);
-  }
-  JobsRevision = Key.Revision;
-}
-
-task<void> leadership::catchUp(std::uint64_t Term) {
-  const instant Begun = readClock();
-  std::size_t Items = 0;
-  while (isCurrent(Term) && IsHistoryMissing) {
-    IsHistoryMissing = false; // set again if more is lost during the read
-    const platform::range_read Range =
-        co_await Store.readPrefix(keys::Requests);
-    if (!isCurrent(Term))
-      break;
-    // Older items were posted before. One of them may have been forgotten
-    // since this range was read, and must not look like a new job.
-    for (const platform::store_item &Item : Range.Items) {
-      if (Item.Revision <= GapFrom)
-        continue;
-      ++Items;
-      postNewItem(Term, Item);
-    }
-    if (!Range.Error)
-      continue;
-    IsHistoryMissing = true;
+  const bool IsRead = !Key.Error && Key.Item; // without the key, no revision
+  if (!IsRead) {
     co_await sleepFor(Context, RetryDelay);
-  }
-  if (!isCurrent(Term)) // a later term has a read of its own
     co_return;
-  IsCatchingUp = false;
-  writeLog(events::HistoryRead,
-           {{"from", std::to_string(GapFrom)},
-            {"items", std::to_string(Items)},
-            {"took_ms", std::to_string((readClock() - Begun).count())}});
-}
-
-/// Posts a job that was stored since this term began, or a cancellation.
-void leadership::postNewItem(std::uint64_t Term,
-                             const platform::store_item &Item) {
-  if (Item.Key.ends_with(keys::CancelSuffix)) {
-    postStoredItem(Term, Item, "");
-    return;
   }
-  const job_id Job(Item.Key.substr(std::string_view(keys::Requests).size()));
-  // The job and its progress record have the same revision: both are written
-  // in one transaction.
-  const bool IsNew = ProgressRevisions.try_emplace(Job, Item.Revision).second;
-  if (IsNew)
-    postStoredItem(Term, Item, "");
+  const bool IsReading = nextPage(Feed).has_value();
+  advance(Term, history_lost{Key.Revision});
+  if (!IsReading)
+    asio::co_spawn(Context, readPages(Term), asio::detached);
 }
 
 task<bool> leadership::listExecutorsOnce(std::uint64_t Term) {
--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "apps/instance/handover.hpp"
-#include "core/job/batch/scheduler.hpp"
+#include "apps/instance/metrics.hpp"
+#include "core/job/batch/job_feed.hpp"
 #include "platform/metadata_store.hpp"
 
 #include <functional>
@@ -17,8 +18,9 @@
 /// the store; the key's revision is the fencing token, so each leader's token
 /// is higher than its predecessor's. A leader that restarts takes its own key
 /// over at once instead of waiting for the old lease to expire. While leading,
-/// this class feeds the reducer: it posts the stored jobs, watches for new jobs
-/// and cancellations, and polls the list of executors.
+/// this class feeds the reducer: it reads the stored jobs and watches for new
+/// ones and for cancellations as the job_feed asks for them, and polls the list
+/// of executors.
 class leadership {
 public:
   /// Posts an event of a term, or of none (0).
@@ -29,8 +31,9 @@
   /// leader. CampaignDelay: wait before it campaigns for a free leadership.
   leadership(asio::io_context &Context, platform::metadata_store &Store,
              std::string Instance, endpoint Forward, milliseconds LeaseLife,
-             milliseconds CampaignDelay, post_event Post,
-             handover_settings Handover = {});
+             milliseconds CampaignDelay, instance_metrics &Metrics,
+             post_event Post, handover_settings Handover = {},
+             batch::job_feed_settings FeedSettings = {});
 
   /// Campaigns and leads until resign is called.
   task<void> run();
@@ -62,24 +65,24 @@
   /// there is none.
   [[nodiscard]] std::int64_t progressRevision(const job_id &Job) const;
   void noteProgressRevision(const job_id &Job, std::int64_t Revision);
-  void forget(const job_id &Job) { ProgressRevisions.erase(Job); }
+  void forget(const job_id &Job) { Feed.Known.erase(Job); }
 
 private:
   void noteLeaderKey(const std::optional<platform::store_item> &Key);
   [[nodiscard]] bool isOwnKey(const std::string &Value) const;
   task<bool> tryAcquireKey(std::int64_t KeyRevision);
   task<void> lead();
-  task<bool> loadJobs(std::uint64_t Term);
+  task<bool> prepareTerm(std::uint64_t Term);
+  void advance(std::uint64_t Term, decltype(batch::feed_event::What) What);
+  task<void> readPages(std::uint64_t Term);
+  void noteFailedRead(std::string_view Call, const std::error_code &Error,
+                      instant Sent);
   task<void> renew(std::uint64_t Term);
   task<void> renewOnce(std::uint64_t Term);
   task<void> watchJobs(std::uint64_t Term);
   task<void> skipLostHistory(std::uint64_t Term);
-  task<void> catchUp(std::uint64_t Term);
-  void postNewItem(std::uint64_t Term, const platform::store_item &Item);
   task<void> listExecutors(std::uint64_t Term);
   task<bool> listExecutorsOnce(std::uint64_t Term);
-  void postStoredItem(std::uint64_t Term, const platform::store_item &Item,
-                      const std::string &Progress);
   task<void> watchCandidate(std::uint64_t Term);
   task<void> handOver(std::string Candidate);
   task<void> endLease(std::int64_t Ended);
@@ -95,6 +98,7 @@
   std::optional<endpoint> Leader; // another instance, as last read
   milliseconds LeaseLife;
   milliseconds CampaignDelay;
+  instance_metrics &Metrics;
   post_event Post;
   handover_settings Handover;
   candidacy Candidacy;
@@ -103,11 +107,7 @@
   std::int64_t Lease = 0;
   std::uint64_t Token = 0; // 0: not leading
   instant ValidUntil{};
-  std::int64_t JobsRevision = 0; // of the last job change read
-  bool IsHistoryMissing = false; // job changes that the watch skipped
-  bool IsCatchingUp = false;     // a read of these is under way
-  std::int64_t GapFrom = 0;      // of the last change before them
-  std::map<job_id, std::int64_t> ProgressRevisions;
+  batch::job_feed Feed;
   std::set<std::string> IgnoredEntries; // executor entries already logged
   bool IsResigning = false;
 };
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -27,6 +27,8 @@
 // The load balancer probes once a second and removes an instance after two
 // failed probes.
 constexpr milliseconds BalancerDelay{2'500};
+constexpr milliseconds OrderMargin{500}; // from the decision to the start
+constexpr milliseconds MinRequestAge{150};
 constexpr milliseconds DrainPoll{20};
 constexpr milliseconds StopMargin{700}; // before the platform kills the process
 
@@ -55,8 +57,8 @@
              [this](const deployment_view &View) { applyView(View); }),
         Leadership(Context, Store, Settings.Name.Value, forwardEndpoint(),
                    std::max(LeaderLease, Settings.MinStoreLease),
-                   campaignDelay(Settings.Cores, Settings.LinkMbps),
-                   eventPoster()),
+                   campaignDelay(Settings.Cores, Settings.LinkMbps), Metrics,
+                   eventPoster(), {}, feedSettings(Settings)),
         Orders(Context, Store, Executors, Leadership, Metrics, eventPoster()),
         Front(Context, Settings.Address, Store, Feed, Metrics,
               admissionSettings(Features),
@@ -106,6 +108,20 @@
   }
 
 private:
+  /// An order to start takes part of the time that cancellations may take.
+  static milliseconds
+  maxRequestAge(const platform::instance_settings &Settings) {
+    return std::max(Settings.CancelBound - OrderMargin, MinRequestAge);
+  }
+
+  /// Two waits of a watch pass before the scheduler knows of the second one.
+  static batch::job_feed_settings
+  feedSettings(const platform::instance_settings &Settings) {
+    batch::job_feed_settings Feed;
+    Feed.WatchWait = std::min(Feed.WatchWait, maxRequestAge(Settings) / 3);
+    return Feed;
+  }
+
   static batch::scheduler_settings
   schedulerSettings(const platform::instance_settings &Settings,
                     const features &Features) {
@@ -113,6 +129,7 @@
     Scheduler.MaxLease = Settings.MaxRunLease;
     Scheduler.Lease = std::min(Scheduler.Lease, Settings.MaxRunLease);
     Scheduler.StopTimeout = Settings.RunStopTimeout;
+    Scheduler.MaxRequestAge = maxRequestAge(Settings);
     Scheduler.CheckpointInterval = Settings.CheckpointInterval;
     Scheduler.RestoreTime = Settings.RestoreTime;
     Scheduler.Speeds.IsEnabled = Features.Speeds == On;
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -197,6 +197,28 @@
   endJob(Found->second, job_phase::Cancelled, "cancelled by its client");
 }
 
+void event_handler::apply(const requests_current &Event) {
+  State.RequestsAsOf = std::max(State.RequestsAsOf, Event.AsOf);
+  if (State.PausedSince == instant{} || !areRequestsCurrent())
+    return;
+  log(events::StartsResumed,
+      {{"after_ms", std::to_string((Now - State.PausedSince).count())}});
+  State.PausedSince = {};
+  State.NeedsPlacement = true;
+}
+
+bool event_handler::areRequestsCurrent() const {
+  return Now - State.RequestsAsOf <= State.Settings.MaxRequestAge;
+}
+
+void event_handler::noteStartsPaused() {
+  if (State.PausedSince != instant{})
+    return;
+  State.PausedSince = Now;
+  log(events::StartsPaused,
+      {{"age_ms", std::to_string((Now - State.RequestsAsOf).count())}});
+}
+
 void event_handler::apply(const leadership_gained &Event) {
   clearLeadership();
   State.Token = Event.Token;
@@ -222,6 +244,8 @@
   refreshIndex(); // executors that have left must still leave the index
   State.Token = 0;
   State.IsRecovered = false;
+  State.RequestsAsOf = {};
+  State.PausedSince = {};
   State.Jobs.clear();
   State.Plans.clear();
   State.Reservations.clear();
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -16,6 +16,8 @@
 // - An end is stored before it is acknowledged to the executor.
 // - After the leader's own lease has expired, it starts no run and extends no
 //   lease.
+// - No start is ordered while a cancellation that was acknowledged longer than
+//   MaxRequestAge ago may be unknown.
 // - What was read or ordered for one term of leadership has no effect on
 //   another one, also of the same instance. Both carry their term, the fencing
 //   token.
@@ -68,6 +70,8 @@
   milliseconds Retention{150'000}; // of ended jobs
   milliseconds QueueLengthInterval{500}; // between publications
   milliseconds PlacementInterval{15};    // batches changes into one pass
+  // Of the leader's knowledge of cancellations; older, nothing starts.
+  milliseconds MaxRequestAge{2'500};
   int SpreadBelowPercent = 60; // accelerators in use; above, no spreading
   int MaxJobsPerSave = 15;     // fits a store transaction of 32 entries
   quarantine_settings Quarantine{2, 10, milliseconds(6'000),
@@ -114,6 +118,10 @@
 };
 /// Every stored job has been reported with job_found.
 struct recovery_finished {};
+/// No job or cancellation that was stored before AsOf is unknown.
+struct requests_current {
+  instant AsOf{};
+};
 struct leadership_extended {
   instant ValidUntil{};
 };
@@ -184,7 +192,7 @@
   wall_instant WallNow{};
   std::uint64_t Term = NoTerm; // that What was read or ordered for
   std::variant<configuration_changed, evacuations_changed, executors_listed,
-               job_found, cancel_requested, leadership_gained,
+               job_found, cancel_requested, requests_current, leadership_gained,
                recovery_finished, leadership_extended, leadership_lost,
                runs_reported, hold_failed, start_answered, stop_answered,
                progress_saved, speeds_found, time_passed>
@@ -517,6 +525,8 @@
   instant ValidUntil{};     // end of the leader's own lease
   instant RecoveryUntil{};  // leases of earlier leaders have expired by then
   bool IsRecovered = false; // all stored jobs have been reported
+  instant RequestsAsOf{};   // no earlier job or cancellation is unknown
+  instant PausedSince{};    // no start since, for want of that; not set: none
   std::map<job_id, job_state> Jobs;
   std::map<unit_name, reclaim_plan> Plans;
   std::map<unit_name, departure_plan> DeparturePlans;
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -110,6 +110,7 @@
   void apply(const executors_listed &Event);
   void apply(const job_found &Event);
   void apply(const cancel_requested &Event);
+  void apply(const requests_current &Event);
   void apply(const leadership_gained &Event);
   void apply(const recovery_finished &Event);
   void apply(const leadership_extended &Event);
@@ -529,6 +530,9 @@
   void log(const log_event &Event, std::vector<log_field> Fields) {
     Out.emplace_back(write_log{{&Event, std::move(Fields)}});
   }
+  /// Whether the leader's knowledge of cancellations allows starts.
+  [[nodiscard]] bool areRequestsCurrent() const;
+  void noteStartsPaused();
   [[nodiscard]] bool isLeading() const {
     return State.Token != 0 && Now < State.ValidUntil;
   }
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -219,6 +219,27 @@
     "The leader read the cancellation of a job that it doesn't know.",
     "If a task of the job starts later, keep the logs of this instance."};
 
+const log_event CancellationKept{
+    3214, Info, "cancellation-kept",
+    "The leader read the cancellation of a job that it doesn't know yet, while "
+    "it reads discarded changes. It is kept until the job is known; at the "
+    "limit it is read again with all jobs.",
+    "None. 3215 or 3216 follows."};
+const log_event CancellationMatched{
+    3215, Info, "cancellation-matched",
+    "The job of a kept cancellation was read, and is cancelled.", "None."};
+const log_event CancellationDropped{
+    3216, Info, "cancellation-dropped",
+    "A cancellation was dropped: its job doesn't exist any more.", "None."};
+const log_event StartsPaused{
+    3217, Warning, "starts-paused",
+    "The leader starts nothing, because it may not know of cancellations of "
+    "the last age_ms. Running tasks go on.",
+    "Look for 2207 and 2208 before it; 3218 follows."};
+const log_event StartsResumed{
+    3218, Info, "starts-resumed",
+    "The leader knows of all cancellations again and starts tasks.", "None."};
+
 const log_event ExecutorSilent{
     3301, Warning, "executor-silent",
     "An executor didn't answer; nothing new is started there, and its runs may "
@@ -441,6 +462,11 @@
     &events::StartWithdrawn,
     &events::CrashCounted,
     &events::CancellationUnmatched,
+    &events::CancellationKept,
+    &events::CancellationMatched,
+    &events::CancellationDropped,
+    &events::StartsPaused,
+    &events::StartsResumed,
     &events::ExecutorSilent,
     &events::ExecutorLost,
     &events::ExecutorUnlisted,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -111,6 +111,11 @@
 extern const log_event AnswerOutdated;
 // 3300: executors
 extern const log_event CancellationUnmatched;
+extern const log_event CancellationKept;
+extern const log_event CancellationMatched;
+extern const log_event CancellationDropped;
+extern const log_event StartsPaused;
+extern const log_event StartsResumed;
 extern const log_event StartWithdrawn;
 extern const log_event CrashCounted;
 extern const log_event ExecutorSilent;
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -299,11 +299,11 @@
       Tokens.push_back(Gained->Token);
   };
   leadership First(Context, Store, "first", {"127.0.0.1", 7},
-                   milliseconds(60'000), milliseconds(0), Post);
+                   milliseconds(60'000), milliseconds(0), Metrics, Post);
   asio::co_spawn(Context, First.run(), asio::detached);
   runUntil([&] { return First.isLeading(); });
   leadership Second(Context, Store, "second", {"127.0.0.1", 8},
-                    milliseconds(60'000), milliseconds(0), Post);
+                    milliseconds(60'000), milliseconds(0), Metrics, Post);
   asio::co_spawn(Context, Second.run(), asio::detached);
   runUntil([&] { return Second.knownLeader().has_value(); });
   CHECK(Second.knownLeader() == endpoint{"127.0.0.1", 7});
@@ -327,20 +327,20 @@
   };
   constexpr milliseconds LongLease{60'000};
   leadership Killed(Context, Store, "one", {"127.0.0.1", 7}, LongLease,
-                    milliseconds(0), Post);
+                    milliseconds(0), Metrics, Post);
   asio::co_spawn(Context, Killed.run(), asio::detached);
   runUntil([&] { return Killed.isLeading(); });
   // Neither another instance nor one of the same name at another address may
   // take the key over. "on" is a prefix of "one".
   leadership Other(Context, Store, "on", {"127.0.0.1", 8}, LongLease,
-                   milliseconds(0), Post);
+                   milliseconds(0), Metrics, Post);
   asio::co_spawn(Context, Other.run(), asio::detached);
   leadership Moved(Context, Store, "one", {"127.0.0.1", 9}, LongLease,
-                   milliseconds(0), Post);
+                   milliseconds(0), Metrics, Post);
   asio::co_spawn(Context, Moved.run(), asio::detached);
   runUntil([&] { return Other.knownLeader() && Moved.knownLeader(); });
   leadership Restarted(Context, Store, "one", {"127.0.0.1", 7}, LongLease,
-                       milliseconds(0), Post);
+                       milliseconds(0), Metrics, Post);
   asio::co_spawn(Context, Restarted.run(), asio::detached);
   runUntil([&] { return Restarted.isLeading(); });
   REQUIRE(Tokens.size() == 2);
@@ -362,7 +362,7 @@
     return std::ranges::count(Found, job_id(Name)) == 1;
   };
   leadership Leader(Context, Store, "one", {"127.0.0.1", 7},
-                    milliseconds(60'000), milliseconds(0), Post);
+                    milliseconds(60'000), milliseconds(0), Metrics, Post);
   CHECK(call("POST", "/open/" + Id, Job).Status == 200);
   asio::co_spawn(Context, Leader.run(), asio::detached);
   runUntil([&] { return HasFound(Id); });
@@ -467,12 +467,14 @@
                  "leadership: a small leader hands over to a larger standby") {
   const auto Post = [](std::uint64_t, const decltype(event::What) &) {};
   leadership Small(Context, Store, "small", {"127.0.0.1", 7},
-                   milliseconds(60'000), SmallDelay, Post, fastHandover());
+                   milliseconds(60'000), SmallDelay, Metrics, Post,
+                   fastHandover());
   asio::co_spawn(Context, Small.run(), asio::detached);
   runUntil([&] { return Small.isLeading(); });
   const std::uint64_t Token = Small.token();
   leadership Large(Context, Store, "large", {"127.0.0.1", 8},
-                   milliseconds(60'000), milliseconds(0), Post, fastHandover());
+                   milliseconds(60'000), milliseconds(0), Metrics, Post,
+                   fastHandover());
   asio::co_spawn(Context, Large.run(), asio::detached);
   runUntil([&] { return Large.isLeading(); });
   CHECK_FALSE(Small.isLeading());
@@ -492,7 +494,8 @@
       Tokens.push_back(Gained->Token);
   };
   leadership Small(Context, Store, "small", {"127.0.0.1", 7},
-                   milliseconds(60'000), SmallDelay, Post, fastHandover());
+                   milliseconds(60'000), SmallDelay, Metrics, Post,
+                   fastHandover());
   Service.put(keys::Candidate, "gone 0");
   asio::co_spawn(Context, Small.run(), asio::detached);
   runUntil([&] { return Tokens.size() == 2; });
--- a/tests/contract/leadership_requests_test.cpp
+++ b/tests/contract/leadership_requests_test.cpp
@@ -24,6 +24,7 @@
   asio::io_context Context{1};
   standin::metadata_service Service{Context, {"127.0.0.1", 0}};
   platform::metadata_store Store{Context, Service.localEndpoint(), ""};
+  instance_metrics Metrics;
   std::vector<std::string> Posted; // jobs as ID, their cancellations as -ID
   leadership Leader{
       Context,
@@ -32,6 +33,7 @@
       {"127.0.0.1", 7},
       milliseconds(60'000),
       milliseconds(0),
+      Metrics,
       [this](std::uint64_t, decltype(event::What) What) { note(What); }};
 
   void note(const decltype(event::What) &What) {
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -36,6 +36,7 @@
                                // a new one comes 2 s later
   milliseconds Notice{4'000};  // of those departures
   int CapacityChanges = 0;     // an executor's capacity is halved for 2 to 12 s
+  int SilentWatches = 0; // leaders hear of no job or cancellation for 1 to 8 s
 };
 
 /// A stream of jobs with one step each.
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -258,8 +258,9 @@
        [this] { elect(); });
   }
 
+  /// The leader hears of changes, unless its watch is silent.
   void informLeaders() {
-    if (!Current || !Current->IsLoaded)
+    if (!Current || !Current->IsLoaded || Now < SilentUntil)
       return;
     for (const auto &[Id, Job] : Jobs) {
       if (Current->Known.insert(Id).second) {
@@ -269,6 +270,7 @@
       if (Job.IsCancelled && Current->CancelsKnown.insert(Id).second)
         post(Current, Current->Token, cancel_requested{Id});
     }
+    post(Current, Current->Token, requests_current{now()});
   }
 
   void tick() {
@@ -276,8 +278,10 @@
     if (Current && Now >= StoreDownUntil) {
       LeaderValidUntil = Now + LeaderLease;
       post(Current, Current->Token, leadership_extended{now() + LeaderLease});
-      if (Current->IsLoaded && Now.count() % 700 < Tick.count())
+      if (Current->IsLoaded && Now.count() % 700 < Tick.count()) {
         listExecutors(Current);
+        informLeaders();
+      }
     } else if (Current && Now >= LeaderValidUntil) {
       endTerm();
     }
@@ -632,6 +636,7 @@
   std::uint64_t CurrentToken = 0;
   time_point LeaderValidUntil{0};
   time_point StoreDownUntil{0};
+  time_point SilentUntil{0}; // of the watch of jobs
   std::shared_ptr<fake_leader> Current;
   std::shared_ptr<fake_leader> Previous; // led until the store was away
   std::vector<std::shared_ptr<fake_leader>> Leaders;
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -164,6 +164,11 @@
     at(faultTime(), [this, Id] { drainExecutor(Executors[Id]); });
   for (int I = 0; I < Faults.CapacityChanges; ++I)
     at(faultTime(), [this] { changeCapacity(anyExecutor()); });
+  for (int I = 0; I < Faults.SilentWatches; ++I)
+    at(faultTime(), [this] {
+      SilentUntil = Now + milliseconds(draw(1'000, 8'000));
+      at(SilentUntil, [this] { informLeaders(); });
+    });
   for (int I = 0; I < Faults.StoreOutages; ++I)
     at(faultTime(), [this] {
       const auto Longest = static_cast<int>(3 * LeaderLease.count());
--- a/tests/support/scheduler_fixture.hpp
+++ b/tests/support/scheduler_fixture.hpp
@@ -34,10 +34,17 @@
     post(leadership_gained{Token, Now + milliseconds(1'000'000)});
   }
 
-  /// Posts an event of the present term.
+  /// Posts an event of the present term. A new term knows of all cancellations
+  /// for long.
   void post(decltype(event::What) What) {
     const auto *Gained = std::get_if<leadership_gained>(&What);
-    postOf(Gained ? Gained->Token : State.Token, std::move(What));
+    if (Gained) {
+      const std::uint64_t Term = Gained->Token;
+      postOf(Term, std::move(What));
+      postOf(Term, requests_current{Now + milliseconds(1'000'000)});
+      return;
+    }
+    postOf(State.Token, std::move(What));
   }
   void postOf(std::uint64_t Term, decltype(event::What) What) {
     Last.clear();
