Start nothing while recent cancellations may be unknown

What callers saw: tasks that began long after the cancellation of their job was acknowledged, and were stopped soon after. Cause: nothing tied a start to the age of the leader's knowledge. While lost history is read, from the end of loading to the first answer of the watch, and while a watch hangs, it started what it didn't know to be cancelled, for as long as that took.

--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -32,6 +32,10 @@
 void event_handler::placeWaiting() {
   if (!isLeading() || !State.IsRecovered)
     return;
+  if (!areRequestsCurrent()) {
+    noteStartsPaused();
+    return;
+  }
   updateKept();
   advancePlans();
   advanceDepartures();
--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -85,6 +85,14 @@
   checkWorlds(Settings);
 }
 
+// Guards against starts of tasks whose cancellation the leader hasn't heard of.
+TEST_CASE("batch: leaders hear late of jobs and of cancellations") {
+  world_settings Settings;
+  Settings.Jobs = 60;
+  Settings.Faults.SilentWatches = 8;
+  checkWorlds(Settings);
+}
+
 // Guards against a task that crashes executor after executor without end.
 TEST_CASE("batch: jobs crash the executors that start them") {
   world_settings Settings;
