Write a repeated cancellation anew

What callers saw: a second DELETE was answered 200 because the key was there already, and changed nothing for a leader that had lost the first one. Now it writes the key again, so that the leader's watch, or its next read, brings it once more. A rewrite by somebody else meanwhile counts as this one. The test asks for a new revision; it isn't there on the code before, which refuses the write (the condition is that the key doesn't exist). Contract tests (57) pass.

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -353,21 +353,35 @@
     co_return jobNotFound();
   if (IsOver)
     co_return jsonResponse(200, platform::printPhase(Summary.Record.Phase));
-  const platform::store_change Change{
-      {{keys::cancelKey(Job), 0}}, {{keys::cancelKey(Job), "{}", 0}}, {}};
+  co_return co_await storeCancellation(Job, Admitted.Deadline);
+}
+
+/// Stores the cancellation. A repeated one is written anew, so that the leader
+/// reads it again.
+task<http_response> front::storeCancellation(job_id Job, instant Deadline) {
+  std::int64_t Earlier = 0; // revision of the stored one
   for (int Try = 0; Try < WriteRetries; ++Try) {
+    const platform::store_change Change{{{keys::cancelKey(Job), Earlier}},
+                                        {{keys::cancelKey(Job), "{}", 0}},
+                                        {}};
     const platform::change_result Write = co_await Store.change(Change);
-    if (!Write.Error) { // applied now, or by an earlier request
-      const std::int64_t Earlier =
-          Write.Current.empty() ? 0 : Write.Current.front().Revision;
-      const std::int64_t Revision = Write.IsApplied ? Write.Revision : Earlier;
+    const std::int64_t Present =
+        Write.Current.empty() ? 0 : Write.Current.front().Revision;
+    // Somebody else has written it since this request came.
+    const bool IsRewritten = Earlier != 0 && Present != Earlier;
+    if (!Write.Error && (Write.IsApplied || IsRewritten)) {
+      const std::int64_t Revision = Write.IsApplied ? Write.Revision : Present;
       writeLog(events::CancellationStored,
                {{"job", Job.Value},
                 {"revision", std::to_string(Revision)},
-                {"repeated", Write.IsApplied ? "no" : "yes"}});
+                {"repeated", Earlier == 0 ? "no" : "yes"}});
       co_return jsonResponse(200, platform::printPhase(job_phase::Cancelled));
     }
-    if (readClock() + WriteRetryDelay >= Admitted.Deadline)
+    if (!Write.Error) {
+      Earlier = Present;
+      continue;
+    }
+    if (readClock() + WriteRetryDelay >= Deadline)
       break;
     co_await sleepFor(Context, WriteRetryDelay);
   }
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -115,7 +115,10 @@
   SECTION("a cancellation is stored, and may be repeated") {
     CHECK(call("DELETE", "/keyed/" + Id, "", "k1").Status == 200);
     CHECK_FALSE(Service.value(keys::cancelKey(job_id(Id))).empty());
+    // Each is written, so that the leader reads it once more.
+    const std::int64_t Stored = Service.revision();
     CHECK(call("DELETE", "/keyed/" + Id, "", "k1").Status == 200);
+    CHECK(Service.revision() > Stored);
   }
 }
 
