Answer a repeated cancellation with 200 though its rewrite fails

A review of the change before found by reading: a repeated DELETE was answered 504 when the store refused or lost the rewrite, although the cancellation was known to be stored already; before the rewrite was added it was 200. Now it is 200 again, and the deadline is checked before each try. Contract tests (57) pass; none asks for this case yet.

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -377,14 +377,15 @@
                 {"repeated", Earlier == 0 ? "no" : "yes"}});
       co_return jsonResponse(200, platform::printPhase(job_phase::Cancelled));
     }
-    if (!Write.Error) {
+    if (!Write.Error)
       Earlier = Present;
-      continue;
-    }
     if (readClock() + WriteRetryDelay >= Deadline)
       break;
-    co_await sleepFor(Context, WriteRetryDelay);
+    if (Write.Error)
+      co_await sleepFor(Context, WriteRetryDelay);
   }
+  if (Earlier != 0) // stored already; the leader has been told once
+    co_return jsonResponse(200, platform::printPhase(job_phase::Cancelled));
   co_return outcomeUnknown();
 }
 
