Check the age of the leader's knowledge when a start is sent, and end vain terms

A check of a pause test that couldn't fail passes 100 ms first now.

The resignation and the check at sending have no test of their own.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds ValidityMargin{200}; // network delay, late timers
 constexpr milliseconds RenewInterval{200};  // five tries before ValidUntil
 constexpr milliseconds RetryDelay{200};     // after a failed call
+// A leader that knows of no change for that long resigns; starts pause before.
+constexpr milliseconds MaxOutdated{15'000};
 // A standby detects the key's removal by its watch. This timeout bounds the
 // delay when the watch's connection has stalled.
 constexpr milliseconds StandbyWatchTimeout{2'000};
@@ -75,7 +77,7 @@
 }
 
 requests_watched toRequestsWatched(platform::watch_result Watch, instant Sent) {
-  requests_watched Watched{Sent, Watch.Revision, {}};
+  requests_watched Watched{Sent, Watch.Revision, Watch.Changes.size(), {}};
   for (platform::item_change &Change : Watch.Changes)
     if (!Change.IsRemoved)
       Watched.Requests.push_back(toRequest(std::move(Change.Item)));
@@ -115,7 +117,8 @@
 }
 
 bool leadership::mayOrder(std::uint64_t Term) const {
-  return isCurrent(Term) && readClock() < ValidUntil;
+  const instant Now = readClock();
+  return isCurrent(Term) && Now < ValidUntil && batch::isCurrent(Feed, Now);
 }
 
 std::int64_t leadership::progressRevision(const job_id &Job) const {
@@ -299,6 +302,12 @@
       endTerm("the lease could not be renewed in time");
       co_return;
     }
+    if (readClock() - std::max(Feed.AsOf, LeadsSince) >= MaxOutdated) {
+      const std::int64_t Ended = Lease;
+      endTerm("the stored jobs can't be read in time");
+      co_await endLease(Ended);
+      co_return;
+    }
     asio::co_spawn(Context, renewOnce(Term), asio::detached);
   }
 }
@@ -349,11 +358,13 @@
 /// the lost history contained: a range of all jobs takes long, and jobs that
 /// arrive meanwhile must not wait for it.
 task<void> leadership::skipLostHistory(std::uint64_t Term) {
+  const instant Sent = readClock();
   const platform::item_read Key = co_await Store.read(keys::Leader);
   if (!isCurrent(Term))
     co_return;
   const bool IsRead = !Key.Error && Key.Item; // without the key, no revision
   if (!IsRead) {
+    noteFailedRead("read of the revision", Key.Error, Sent);
     co_await sleepFor(Context, RetryDelay);
     co_return;
   }
--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -55,7 +55,7 @@
     return isLeading() ? std::nullopt : Leader;
   }
 
-  /// Whether an order of that term may be sent now.
+  /// Whether a start of that term may be ordered now.
   [[nodiscard]] bool mayOrder(std::uint64_t Term) const;
 
   /// Condition of every write of a term: fails once another term has begun.
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -118,7 +118,8 @@
   static batch::job_feed_settings
   feedSettings(const platform::instance_settings &Settings) {
     batch::job_feed_settings Feed;
-    Feed.WatchWait = std::min(Feed.WatchWait, maxRequestAge(Settings) / 3);
+    Feed.MaxAge = maxRequestAge(Settings);
+    Feed.WatchWait = std::min(Feed.WatchWait, Feed.MaxAge / 3);
     return Feed;
   }
 
--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -76,7 +76,7 @@
   const std::uint64_t Term = Start.To.Token;
   if (!Leadership.mayOrder(Term)) { // paused since it was decided
     Post(Term, start_answered{Start.To.Id, Start.Run, order_outcome::Refused,
-                              "the leader's lease has run out"});
+                              "the leader's lease or knowledge has run out"});
     co_return;
   }
   const instant Sent = readClock();
--- a/core/job/batch/job_feed.cpp
+++ b/core/job/batch/job_feed.cpp
@@ -34,7 +34,7 @@
   }
 
   void apply(requests_watched &Watched) {
-    const bool IsWhole = Watched.Requests.size() < Feed.Settings.MaxWatched;
+    const bool IsWhole = Watched.Changes < Feed.Settings.MaxWatched;
     Feed.WatchAfter = Watched.Revision;
     Feed.IsConfirmDue = !IsWhole;
     for (stored_request &Request : Watched.Requests)
@@ -96,8 +96,8 @@
       if (Job.IsCancelled)
         Out.Events.emplace_back(cancel_requested{Id});
     Feed.Loaded.clear();
-    Out.Events.emplace_back(recovery_finished{});
     advance(Feed.LoadSent);
+    Out.Events.emplace_back(recovery_finished{});
   }
 
   /// A request that isn't newer than the gap was reported before. Its job may
@@ -108,11 +108,19 @@
       Gap.Sent = Page.Sent;
       Gap.Revision = Page.Revision;
     }
-    for (stored_request &Request : Page.Requests)
-      if (Request.Revision > Gap.From) {
-        ++Gap.Items;
+    for (stored_request &Request : Page.Requests) {
+      if (Request.Revision <= Gap.From)
+        continue;
+      ++Gap.Items;
+      // A job sorts before its cancellation; one that isn't known by then
+      // doesn't exist, or is still to be watched.
+      const bool IsUnmatched =
+          Request.IsCancellation && !Feed.Known.contains(Request.Job);
+      if (IsUnmatched)
+        logDropped(Request.Job, Request.Revision);
+      else
         takeIn(Request);
-      }
+    }
     Feed.After = Page.Next;
     if (Feed.After.empty())
       finishPass();
@@ -259,6 +267,11 @@
   return std::nullopt;
 }
 
+bool isCurrent(const job_feed &Feed, instant Now) {
+  return Feed.Phase == feed_phase::Following &&
+         Now - Feed.AsOf <= Feed.Settings.MaxAge;
+}
+
 std::optional<watch_request> nextWatch(const job_feed &Feed) {
   if (Feed.Phase != feed_phase::Following)
     return std::nullopt;
--- a/core/job/batch/job_feed.hpp
+++ b/core/job/batch/job_feed.hpp
@@ -71,6 +71,7 @@
 struct requests_watched {
   instant Sent{};            // when the watch was asked for
   std::int64_t Revision = 0; // where the next watch begins
+  std::size_t Changes = 0;   // in the answer, with removals
   std::vector<stored_request> Requests;
 };
 
@@ -92,6 +93,7 @@
 // [3] State
 
 struct job_feed_settings {
+  milliseconds MaxAge{2'500};   // of what is known; older, nothing may start
   milliseconds WatchWait{700};  // longest wait for a change
   std::size_t MaxKept = 1'000;  // cancellations of unknown jobs
   std::size_t MaxWatched = 500; // an answer of more may not be all there is
@@ -186,6 +188,9 @@
 /// The page to read next; nullopt: none.
 std::optional<page_request> nextPage(const job_feed &Feed);
 
+/// Whether no change is unknown that is older than MaxAge.
+bool isCurrent(const job_feed &Feed, instant Now);
+
 /// The watch to ask for next; nullopt: while the records are loaded.
 std::optional<watch_request> nextWatch(const job_feed &Feed);
 
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -571,7 +571,9 @@
        {"executors", std::to_string(Executors.size())},
        {"first", Executors.front().Value},
        {"waited_ms", std::to_string(Waited.count())},
-       {"priority", std::to_string(Job.Queue.Priority)}});
+       {"priority", std::to_string(Job.Queue.Priority)},
+       {"requests_age_ms",
+        std::to_string((Now - State.RequestsAsOf).count())}});
   Out.emplace_back(note_wait{State.Token, Job.Spec.Organisation,
                              Job.Queue.Priority, Waited});
 }
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -170,7 +170,9 @@
     "If it failed, check the 3206 lines of the task named."};
 const log_event UnitStarted{
     3204, Info, "unit-started",
-    "A task, or all tasks of a gang, were ordered to start.", "None."};
+    "A task, or all tasks of a gang, were ordered to start. requests_age_ms: "
+    "how old the leader's knowledge of cancellations was.",
+    "None."};
 const log_event StartNotAccepted{
     3205, Warning, "start-not-accepted",
     "An executor refused a start, or didn't answer; without an answer the run "
--- a/tests/property/job_feed_test.cpp
+++ b/tests/property/job_feed_test.cpp
@@ -267,7 +267,7 @@
   void watch() {
     if (!Watch) {
       const std::int64_t After = nextWatch(Feed)->After;
-      Watch = {After < Compacted, {now(), Revision, {}}};
+      Watch = {After < Compacted, {now(), Revision, 0, {}}};
       for (const stored_request &Change : History)
         if (Change.Revision > After)
           Watch->Watched.Requests.push_back(Change);
--- a/tests/unit/batch_job_feed_test.cpp
+++ b/tests/unit/batch_job_feed_test.cpp
@@ -57,7 +57,8 @@
     apply(progress_read{});
   }
   void watch(std::int64_t Revision, std::vector<stored_request> Requests) {
-    apply(requests_watched{Now, Revision, std::move(Requests)});
+    const std::size_t Changes = Requests.size();
+    apply(requests_watched{Now, Revision, Changes, std::move(Requests)});
   }
   [[nodiscard]] bool hasLogged(std::string_view Name) const {
     return std::ranges::count(Lines, Name) > 0;
@@ -168,6 +169,38 @@
   CHECK(nextWatch(Feed) == watch_request{11, milliseconds(0)});
   watch(11, {});
   CHECK(AsOf == Now);
+  pass(milliseconds(100)); // removals count as well
+  apply(requests_watched{Now, 12, Feed.Settings.MaxWatched, {}});
+  CHECK_FALSE(AsOf);
+}
+
+// Guards against a leader that never starts anything, or warns for nothing.
+TEST_CASE_METHOD(feed_fixture,
+                 "job feed: a loaded term is current before it is recovered, "
+                 "and for a limited time") {
+  CHECK_FALSE(isCurrent(Feed, Now));
+  Posted.clear();
+  apply(requests_read{Now, 10, {}, ""});
+  const feed_output Output = reduce(Feed, {Now, progress_read{}});
+  REQUIRE(Output.Events.size() == 2);
+  CHECK(std::holds_alternative<requests_current>(Output.Events[0]));
+  CHECK(std::holds_alternative<recovery_finished>(Output.Events[1]));
+  CHECK(isCurrent(Feed, Now + Feed.Settings.MaxAge));
+  CHECK_FALSE(isCurrent(Feed, Now + Feed.Settings.MaxAge + milliseconds(1)));
+}
+
+// Guards against reads of all jobs without end.
+TEST_CASE("job feed: cancellations without a job that a read brings aren't "
+          "kept") {
+  job_feed_settings Settings;
+  Settings.MaxKept = 0;
+  feed_fixture Fixture(Settings);
+  Fixture.load();
+  Fixture.apply(history_lost{30});
+  Fixture.apply(
+      requests_read{Fixture.Now, 30, {Fixture.cancellation("a", 20)}, ""});
+  CHECK_FALSE(nextPage(Fixture.Feed));
+  CHECK(Fixture.hasLogged("cancellation-dropped"));
 }
 
 TEST_CASE_METHOD(feed_fixture,
--- a/tests/unit/batch_pause_test.cpp
+++ b/tests/unit/batch_pause_test.cpp
@@ -45,6 +45,7 @@
   post(cancel_requested{job_id("b")});
   post(progress_saved{true});
   post(requests_current{Now});
+  pass(milliseconds(100));
   CHECK(save().empty());
   submit(job("c", 1, 1, 1));
   CHECK(save().size() == 1);
