Refuse JSON that nests too deeply before it is parsed

What callers saw: one entry under servers/ ended each leader in turn. A client could end any instance with one POST.

Cause: the JSON library parses without recursion, but it prints and copies values recursively. The error message of readWhole printed the value that it refused, and value("after", ...), value("fill_ratio", ...) and value("tenants", ...) copied it. 100,000 brackets overflow the stack.

Change: one function, parseJson, limits the nesting (MaxJsonDepth, 64 levels, counted outside of strings) and the size (MaxJsonBytes, 2 MiB; an executor's entry 16 KiB) before it parses, and every reader of the platform's list and of stored records uses it. Error messages name an array or an object by its type and are at most 256 bytes long.

--- a/apps/entry/tables_api.cpp
+++ b/apps/entry/tables_api.cpp
@@ -2,6 +2,7 @@
 #include "apps/runtime/logging.hpp"
 #include "apps/runtime/process.hpp"
 #include "core/config/tables_diff.hpp"
+#include "core/json_text.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -189,6 +190,8 @@
   json Document = Base.Tables.value_or(tables{});
   std::optional<json> Row;
   if (Request.Method == "PUT") {
+    if (std::string Reason = explainTooComplex(Request.Body); !Reason.empty())
+      co_return invalidResponse("invalid row", {{"", std::move(Reason)}});
     Row = json::parse(Request.Body, nullptr, false);
     if (!Row->is_object())
       co_return invalidResponse("invalid row", {{"", "must be a JSON object"}});
--- a/core/config/tables_json.cpp
+++ b/core/config/tables_json.cpp
@@ -124,7 +124,10 @@
   parsed_tables Result;
   json Document;
   try {
-    Document = json::parse(Text);
+    Document = parseJson(Text);
+  } catch (const std::length_error &Error) {
+    Result.Problems.push_back({"", Error.what()});
+    return Result;
   } catch (const json::parse_error &Error) {
     Result.Problems.push_back(
         {"", "is not valid JSON, line " +
--- a/core/job/batch/records.cpp
+++ b/core/job/batch/records.cpp
@@ -90,10 +90,10 @@
 }
 
 json readVersioned(std::string_view Text) {
-  json Record = json::parse(Text);
+  json Record = parseJson(Text);
   if (readWhole<int>(Record.at("version"), "version") != RecordVersion)
     throw std::out_of_range(
-        "the record has version " + Record.at("version").dump() +
+        "the record has version " + describe(Record.at("version")) +
         ", this program reads version " + std::to_string(RecordVersion));
   return Record;
 }
@@ -106,7 +106,7 @@
     Result.Record = Read();
   } catch (const std::exception &Error) {
     Result.Error = make_error_code(errc::InvalidJob);
-    Result.Reason = Error.what();
+    Result.Reason = reasonOf(Error);
   }
   return Result;
 }
@@ -193,7 +193,7 @@
 job_phase readPhase(const json &Record) {
   const auto Phase = parseJobPhase(Record.at("phase").get<std::string>());
   if (!Phase)
-    throw std::out_of_range("unknown phase " + Record.at("phase").dump());
+    throw std::out_of_range("unknown phase " + describe(Record.at("phase")));
   return *Phase;
 }
 
--- a/core/job/job.cpp
+++ b/core/job/job.cpp
@@ -55,6 +55,19 @@
   return wall_instant(milliseconds(Milliseconds));
 }
 
+/// Discarded, with a problem, when the text can't be read.
+json parseDocument(std::string_view Text,
+                   std::vector<table_problem> &Problems) {
+  if (std::string Reason = explainTooComplex(Text); !Reason.empty()) {
+    Problems.push_back({"", std::move(Reason)});
+    return json::value_t::discarded;
+  }
+  json Document = json::parse(Text, nullptr, false);
+  if (Document.is_discarded())
+    Problems.push_back({"", "is not valid JSON"});
+  return Document;
+}
+
 } // namespace
 
 std::string_view name(job_phase Phase) {
@@ -81,11 +94,9 @@
 
 parsed_job<job_spec> parseJobSpec(std::string_view Text) {
   parsed_job<job_spec> Result;
-  const json Document = json::parse(Text, nullptr, false);
-  if (Document.is_discarded()) {
-    Result.Problems.push_back({"", "is not valid JSON"});
+  const json Document = parseDocument(Text, Result.Problems);
+  if (Document.is_discarded())
     return Result;
-  }
   detail::object_reader Reader(Document, "", Result.Problems);
   job_spec Spec = readSpec(Reader);
   Reader.rejectUnknown();
@@ -96,11 +107,9 @@
 
 parsed_job<job_record> parseJobRecord(std::string_view Text) {
   parsed_job<job_record> Result;
-  const json Document = json::parse(Text, nullptr, false);
-  if (Document.is_discarded()) {
-    Result.Problems.push_back({"", "is not valid JSON"});
+  const json Document = parseDocument(Text, Result.Problems);
+  if (Document.is_discarded())
     return Result;
-  }
   detail::object_reader Reader(Document, "", Result.Problems);
   job_record Record;
   Record.Spec = readSpec(Reader);
--- a/core/job/worker_protocol.cpp
+++ b/core/job/worker_protocol.cpp
@@ -169,7 +169,8 @@
   Report.Worker = worker_id(Json.at("worker").get<std::string>());
   Report.DataCentre = data_centre_id(Json.at("data_centre").get<std::string>());
   Report.Rack = rack_id(Json.at("rack").get<std::string>());
-  Report.Accelerators = readWhole<int>(Json.at("accelerators"), "accelerators");
+  Report.Accelerators =
+      readWhole<int>(Json.at("accelerators"), "accelerators");
   Report.HighestEpoch =
       readWhole<epoch>(Json.at("highest_epoch"), "highest_epoch");
   for (const json &Item : Json.at("tasks"))
@@ -183,10 +184,8 @@
 template <typename Message>
 std::optional<Message> parseWorkerMessage(std::string_view Text) {
   try {
-    return json::parse(Text).get<Message>();
-  } catch (const json::exception &) {
-    return std::nullopt;
-  } catch (const std::out_of_range &) { // of readWhole
+    return parseJson(Text).get<Message>();
+  } catch (const std::exception &) { // also of readWhole
     return std::nullopt;
   }
 }
--- a/core/request/dispatch_record.cpp
+++ b/core/request/dispatch_record.cpp
@@ -1,5 +1,7 @@
 #include "core/request/dispatch_record.hpp"
 
+#include "core/json_number.hpp"
+
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
@@ -78,7 +80,7 @@
 
 std::optional<dispatch_record> parseDispatchRecord(const std::string &Text) {
   try {
-    const json Json = json::parse(Text);
+    const json Json = parseJson(Text);
     dispatch_record Record;
     Record.RequestId = Json.at("request_id").get<std::string>();
     Record.ContentHash = Json.at("content_hash").get<std::string>();
@@ -89,11 +91,12 @@
     if (!Json.contains("answer"))
       return Record;
     const json &Answer = Json.at("answer");
-    Record.Answer = kept_answer{Answer.at("status").get<unsigned>(),
-                                Answer.at("content_type").get<std::string>(),
-                                Answer.at("body").get<std::string>()};
+    Record.Answer =
+        kept_answer{readWhole<unsigned>(Answer.at("status"), "status"),
+                    Answer.at("content_type").get<std::string>(),
+                    Answer.at("body").get<std::string>()};
     return Record;
-  } catch (const json::exception &) {
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
--- a/net/store.cpp
+++ b/net/store.cpp
@@ -1,6 +1,7 @@
 #include "net/store.hpp"
 
 #include "core/error.hpp"
+#include "core/json_text.hpp"
 #include "net/base64.hpp"
 
 #include <nlohmann/json.hpp>
@@ -15,6 +16,7 @@
 // taken for broken.
 constexpr milliseconds WatchIdleTimeout{30'000};
 constexpr int PageSize = 500; // keys per range call
+constexpr std::size_t MaxAnswerBytes = 64 * 1'024 * 1'024; // as of the client
 
 std::int64_t integerOf(const json &Value) {
   // The JSON API sends 64-bit integers as strings, but small ones may be
@@ -99,7 +101,7 @@
   if (Result.Response.Status != 200)
     return errc::StoreUnavailable;
   try {
-    ReadJson(json::parse(Result.Response.Body));
+    ReadJson(parseJson(Result.Response.Body, MaxAnswerBytes));
     return {};
   } catch (const std::exception &) {
     return errc::MalformedAnswer;
@@ -263,7 +265,7 @@
     if (Callbacks.ShouldContinue && !Callbacks.ShouldContinue())
       return false;
     try {
-      const json Result = json::parse(Line).at("result");
+      const json Result = parseJson(Line, MaxAnswerBytes).at("result");
       if (integerAt(Result, "compact_revision") > 0) {
         Outcome = errc::NotFound;
         return false;
--- /dev/null
+++ b/tests/contract/foreign_entries_test.cpp
@@ -0,0 +1,75 @@
+// Lists to which other programs write: an entry that can't be used is left out,
+// and the others hold.
+
+#include "apps/instance/keys.hpp"
+#include "apps/instance/leadership.hpp"
+#include "standin/metadata_service.hpp"
+#include "tests/support/nested_text.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+using namespace galenastage::batch;
+using test::nest;
+
+namespace {
+
+std::string executor(const std::string &Port, const std::string &Cpu = "16000",
+                     const std::string &More = "") {
+  return R"({"service":"s","address":"127.0.0.1:)" + Port +
+         R"(","zone":"a","state":"ready","capacity":{"cpu":)" + Cpu +
+         R"(,"mem_mb":32768,"gpu":8},"labels":["k","r"],"born":5)" + More + "}";
+}
+
+/// The ids in the first list of executors that a new leader posts.
+std::vector<std::string>
+listExecutors(const std::map<std::string, std::string> &Entries) {
+  asio::io_context Context{1};
+  standin::metadata_service Service(Context, {"127.0.0.1", 0});
+  for (const auto &[Id, Text] : Entries)
+    Service.put("servers/" + Id, Text);
+  platform::metadata_store Store(Context, Service.localEndpoint(), "");
+  std::optional<std::vector<std::string>> Ids;
+  const auto Post = [&](std::uint64_t, decltype(event::What) What) {
+    const auto *Listed = std::get_if<executors_listed>(&What);
+    if (!Listed)
+      return;
+    Ids.emplace();
+    for (const executor_report &Report : Listed->Executors)
+      Ids->push_back(Report.Id.Value);
+  };
+  leadership Leader(Context, Store, "one", {"127.0.0.1", 7},
+                    milliseconds(60'000), milliseconds(0), Post);
+  asio::co_spawn(Context, Leader.run(), asio::detached);
+  while (!Ids)
+    Context.run_one();
+  return *Ids;
+}
+
+} // namespace
+
+// Guards against a leader that ends, or no longer follows the list, because of
+// one entry that another program wrote.
+TEST_CASE("leadership: one odd entry doesn't hide the executors") {
+  const std::vector<std::string> Odd = {
+      executor("8002", nest(50)),
+      executor("8002", nest(100'000)),
+      executor("8002", nest(500'000)),
+      executor("8002", nest(150'000, "{\"a\":", "}")),
+      executor("8002", "16000", ",\"new\":" + nest(400'000)),
+      std::string(1'000'000, '['),
+      "\xff\xfe",
+      "",
+      "null"};
+  std::map<std::string, std::string> Entries = {{"i-1", executor("8001")},
+                                                {"i-3", executor("8003")}};
+  for (const std::string &Text : Odd) {
+    CAPTURE(Text.substr(0, 200));
+    Entries["i-2"] = Text;
+    CHECK(listExecutors(Entries) == std::vector<std::string>{"i-1", "i-3"});
+  }
+  Entries["i-2"] = executor("8002");
+  CHECK(listExecutors(Entries).size() == 3);
+}
--- a/tests/unit/batch_records_test.cpp
+++ b/tests/unit/batch_records_test.cpp
@@ -1,4 +1,5 @@
 #include "core/job/batch/records.hpp"
+#include "tests/support/nested_text.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -84,3 +85,17 @@
   Progress.Occurrences[0].Steps.pop_back();
   CHECK(parseProgress(printProgress(Progress), Job).Error);
 }
+
+TEST_CASE("records: a deeply nested record is an error with a reason") {
+  const job_spec Job = makeJob();
+  for (const int Depth : {100, 100'000, 500'000})
+    for (const std::string &Text :
+         {test::nest(Depth), R"({"version":)" + test::nest(Depth) + "}",
+          R"({"version":1,"phase":)" + test::nest(Depth) +
+              R"(,"organisation":"o"})"}) {
+      CHECK(parseSpec(Text).Error);
+      CHECK(parseProgress(Text, Job).Error);
+      CHECK(parseSummary(Text).Error);
+      CHECK(parseSummary(Text).Reason.find("nested") != std::string::npos);
+    }
+}
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -1,14 +1,36 @@
+#include "core/json_text.hpp"
 #include "platform/settings.hpp"
 #include "platform/wire.hpp"
+#include "tests/support/nested_text.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace galenastage;
 using namespace galenastage::batch;
 using namespace galenastage::platform;
+using test::nest;
 
 namespace {
 
+/// The text with its first From replaced.
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
+  return Text.replace(Text.find(From), From.size(), To);
+}
+
+const std::string GoodExecutor =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"a","state":"draining",)"
+    R"("remaining_ms":3500,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},)"
+    R"("labels":["k","r1-3"],"born":5,"cold_left_ms":0})";
+
+void checkRefused(const std::string &Text) {
+  CAPTURE(Text.substr(0, 400));
+  const auto Parsed = parseExecutor("i-1", Text);
+  CHECK_FALSE(Parsed.Result);
+  CHECK_FALSE(Parsed.Reason.empty());
+  CHECK(Parsed.Reason.size() < 300); // it is logged
+}
+
 const char *const Settings = R"({
   "node_name": "edge-1", "zone": "a", "ip": "10.1.0.19",
   "listen_addrs": {"frontend": "10.1.0.19:8521", "ready": "10.1.0.19:8523"},
@@ -167,3 +189,58 @@
   CHECK(parseJob(R"({"spec":"","steps":[{"count":4000},{"count":4000}]})")
             .Result);
 }
+
+// Guards against an entry of another writer that ends each leader in turn: its
+// error message printed the nested value, recursively.
+TEST_CASE(
+    "wire: a deeply nested executor entry is refused, wherever it nests") {
+  REQUIRE(parseExecutor("i-1", GoodExecutor).Result);
+  // A level of nesting is that of the entry itself.
+  const auto Unknown = [](int Depth) {
+    return replaced(GoodExecutor, "\"cold_left_ms\":0",
+                    "\"new\":" + nest(Depth));
+  };
+  CHECK(parseExecutor("i-1", Unknown(MaxJsonDepth - 1)).Result);
+  for (const int Depth : {MaxJsonDepth, 2'000, 100'000, 500'000})
+    checkRefused(Unknown(Depth));
+  for (const int Depth : {50, 100'000, 500'000})
+    for (const std::string From :
+         {"16000", "32768", "3500", "5,", "\"s\"", "\"10.0.0.9:8080\"",
+          "\"draining\"", "\"k\"", "{\"cpu\""}) {
+      const std::string Rest = From == "5," ? "," : "";
+      const std::string Key = From == "{\"cpu\"" ? ",\"x\":{\"cpu\"" : "";
+      checkRefused(replaced(GoodExecutor, From, nest(Depth) + Rest + Key));
+      // An object of unknown fields is a capacity of nothing.
+      if (Depth > MaxJsonDepth || Key.empty())
+        checkRefused(replaced(GoodExecutor, From,
+                              nest(Depth, "{\"a\":", "}") + Rest + Key));
+    }
+  for (const int Depth : {100'000, 500'000, 1'000'000}) {
+    checkRefused(nest(Depth));
+    checkRefused(std::string(static_cast<std::size_t>(Depth), '['));
+  }
+  checkRefused(replaced(GoodExecutor, "\"k\"",
+                        "\"" + std::string(1'000'000, 'k') + "\""));
+}
+
+// Guards against a request that ends the instance: the values of some fields
+// were copied, recursively.
+TEST_CASE("wire: deeply nested jobs, configurations and answers are refused") {
+  const std::string Deep = nest(100'000);
+  for (const std::string Field :
+       {"after", "fill_ratio", "count", "cpu", "image", "estimate_ms", "new"}) {
+    CAPTURE(Field);
+    const std::string Text =
+        R"({"spec":"","steps":[{"count":1,")" + Field + "\":" + Deep + "}]}";
+    CHECK_FALSE(parseJob(Text).Result);
+    CHECK(parseJob(Text).Reason.find("nested") != std::string::npos);
+  }
+  const std::string Config = R"({"version":7,"routes":[],"services":[])";
+  CHECK(parseConfig(Config + "}").Result);
+  for (const std::string Field : {"tenants", "limits", "new"})
+    CHECK_FALSE(
+        parseConfig(Config + ",\"" + Field + "\":" + Deep + "}").Result);
+  CHECK_FALSE(parseConfig(R"({"version":)" + Deep + "}").Result);
+  CHECK_FALSE(parseHoldAnswer(R"({"clock_ms":)" + Deep + "}").Result);
+  CHECK(parseReason(R"({"reason":"fence","new":)" + Deep + "}").empty());
+}
--- a/tests/unit/worker_protocol_test.cpp
+++ b/tests/unit/worker_protocol_test.cpp
@@ -1,6 +1,7 @@
 // Messages between schedulers and workers: what a reader rejects.
 
 #include "core/job/worker_protocol.hpp"
+#include "tests/support/nested_text.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -34,3 +35,12 @@
   }
   CHECK_FALSE(parseStart("7", "4294967296")); // an attempt has 32 bits
 }
+
+// Guards against a message that ends its reader: the error printed the value.
+TEST_CASE("worker protocol: a deeply nested message is rejected") {
+  for (const int Depth : {100, 100'000, 500'000}) {
+    CHECK_FALSE(parseStart(test::nest(Depth), "2"));
+    CHECK_FALSE(parseStart("7", test::nest(Depth, "{\"a\":", "}")));
+    CHECK_FALSE(parseStart("7", R"(2,"new":)" + test::nest(Depth)));
+  }
+}
