Refuse numbers that later arithmetic can't hold

Records of the leader were read with conversions that wrap silently, or are undefined for 1e300.

Cause: the one function that reads numbers checked the range of the type, not the range in which sums stay within it, and some readers didn't use it.

Change: readWhole takes a range. Records of jobs that an earlier program accepted stay readable: their times are read as the nearest in range. A candidate's delay is at most an hour.

--- a/apps/instance/backlog_record.cpp
+++ b/apps/instance/backlog_record.cpp
@@ -1,6 +1,7 @@
 #include "apps/instance/backlog_record.hpp"
 
 #include "apps/runtime/logging.hpp"
+#include "core/json_number.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -29,8 +30,9 @@
   std::vector<batch::backlog_entry> Entries;
   for (const json &Entry : Printed)
     Entries.push_back({organisation_id(Entry.at(0).get<std::string>()),
-                       Entry.at(1).get<int>(), Entry.at(2).get<double>(),
-                       Entry.at(3).get<double>(), Entry.at(4).get<int>()});
+                       readWhole<int>(Entry.at(1), "priority"),
+                       Entry.at(2).get<double>(), Entry.at(3).get<double>(),
+                       readWhole<int>(Entry.at(4), "accelerators")});
   return Entries;
 }
 
@@ -54,23 +56,24 @@
 
 parsed_backlog parseBacklog(const std::string &Text) {
   try {
-    const json Printed = json::parse(Text);
-    if (const int Found = Printed.at("version").get<int>(); Found != Version)
+    const json Printed = parseJson(Text);
+    const int Found = readWhole<int>(Printed.at("version"), "version");
+    if (Found != Version)
       return {std::nullopt, "its version is " + std::to_string(Found)};
     backlog_record Record;
-    Record.Term = Printed.at("term").get<std::uint64_t>();
-    Record.Number = Printed.at("number").get<std::uint64_t>();
+    Record.Term = readWhole<std::uint64_t>(Printed.at("term"), "term");
+    Record.Number = readWhole<std::uint64_t>(Printed.at("number"), "number");
     for (const json &Service : Printed.at("services"))
       Record.Backlog.Services.push_back(
           {service_id(Service.at("service").get<std::string>()),
            Service.at("capacity").get<double>(),
-           Service.at("accelerators").get<int>(),
+           readWhole<int>(Service.at("accelerators"), "accelerators"),
            Service.at("rate").get<double>(),
            parseEntries(Service.at("entries")),
            parseEntries(Service.at("others"))});
     return {std::move(Record), {}};
-  } catch (const json::exception &Error) {
-    return {std::nullopt, Error.what()};
+  } catch (const std::exception &Error) {
+    return {std::nullopt, reasonOf(Error)};
   }
 }
 
--- a/apps/instance/handover.cpp
+++ b/apps/instance/handover.cpp
@@ -8,6 +8,12 @@
 #include <utility>
 
 namespace galenastage {
+namespace {
+
+// Longer than any delay of a campaign.
+constexpr std::int64_t MaxDelayMs = 3'600'000;
+
+} // namespace
 
 std::string printCandidate(const leader_candidate &Candidate) {
   return Candidate.Name + " " + std::to_string(Candidate.CampaignDelay.count());
@@ -23,7 +29,7 @@
       std::from_chars(Number.data(), Number.data() + Number.size(), Delay);
   const bool IsWhole =
       Read.ec == std::errc() && Read.ptr == Number.data() + Number.size();
-  if (!IsWhole || Delay < 0)
+  if (!IsWhole || Delay < 0 || Delay > MaxDelayMs)
     return std::nullopt;
   return leader_candidate{std::string(Text.substr(0, Space)),
                           milliseconds(Delay)};
--- a/apps/instance/queue_lengths.cpp
+++ b/apps/instance/queue_lengths.cpp
@@ -1,6 +1,7 @@
 #include "apps/instance/queue_lengths.hpp"
 
 #include "apps/runtime/logging.hpp"
+#include "core/json_number.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -16,12 +17,12 @@
 std::map<route_id, int> parseQueueLengths(const std::string &Text) {
   std::map<route_id, int> Lengths;
   try {
-    const auto Record = nlohmann::json::parse(Text);
+    const nlohmann::json Record = parseJson(Text);
     for (const auto &Item : Record.items())
-      Lengths[route_id(Item.key())] = Item.value().get<int>();
-  } catch (const nlohmann::json::exception &Error) {
+      Lengths[route_id(Item.key())] = readWhole<int>(Item.value(), Item.key());
+  } catch (const std::exception &Error) {
     writeLog(events::EntryIgnored,
-             {{"entry", "queue lengths"}, {"reason", Error.what()}});
+             {{"entry", "queue lengths"}, {"reason", reasonOf(Error)}});
   }
   return Lengths;
 }
--- a/apps/instance/speed_record.cpp
+++ b/apps/instance/speed_record.cpp
@@ -1,6 +1,7 @@
 #include "apps/instance/speed_record.hpp"
 
 #include "apps/runtime/logging.hpp"
+#include "core/json_number.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -23,15 +24,18 @@
   stored_speed Speed;
   Speed.Service = service_id(Group.at("service").get<std::string>());
   Speed.Kind = Group.at("kind").get<std::string>();
-  const auto Capacity = Group.at("capacity").get<std::array<int, 3>>();
-  Speed.Capacity = {Capacity[0], Capacity[1], Capacity[2]};
+  const nlohmann::json &Capacity = Group.at("capacity");
+  Speed.Capacity = {readWhole<int>(Capacity.at(0), "capacity"),
+                    readWhole<int>(Capacity.at(1), "capacity"),
+                    readWhole<int>(Capacity.at(2), "capacity")};
   for (const auto &Item : Group.at("speeds").items()) {
-    const auto Numbers = Item.value().get<std::array<int, 2>>();
-    const double Deviation = Numbers[1] / Scale;
+    const double Mean = readWhole<int>(Item.value().at(0), "mean") / Scale;
+    const double Deviation =
+        readWhole<int>(Item.value().at(1), "deviation") / Scale;
     Speed.Executor = executor_id(Item.key());
-    Speed.Estimate = {Numbers[0] / Scale, Deviation * Deviation};
-    const bool IsPossible = std::abs(Speed.Estimate.Mean) <= MostLog &&
-                            Deviation > 0 && Deviation <= MostLog;
+    Speed.Estimate = {Mean, Deviation * Deviation};
+    const bool IsPossible =
+        std::abs(Mean) <= MostLog && Deviation > 0 && Deviation <= MostLog;
     if (IsPossible)
       Speeds.push_back(Speed);
   }
@@ -67,8 +71,8 @@
 std::vector<stored_speed> parseSpeeds(const std::string &Text) {
   std::vector<stored_speed> Speeds;
   try {
-    const auto Record = nlohmann::json::parse(Text);
-    const int Found = Record.at("version").get<int>();
+    const nlohmann::json Record = parseJson(Text);
+    const int Found = readWhole<int>(Record.at("version"), "version");
     if (Found != Version) {
       writeLog(events::EntryIgnored,
                {{"entry", std::string(Name)},
@@ -78,9 +82,9 @@
     for (const auto &Group : Record.at("machines"))
       for (stored_speed &Speed : parseGroup(Group))
         Speeds.push_back(std::move(Speed));
-  } catch (const nlohmann::json::exception &Error) {
+  } catch (const std::exception &Error) {
     writeLog(events::EntryIgnored,
-             {{"entry", std::string(Name)}, {"reason", Error.what()}});
+             {{"entry", std::string(Name)}, {"reason", reasonOf(Error)}});
     return {};
   }
   return Speeds;
--- a/core/job/batch/records.cpp
+++ b/core/job/batch/records.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace galenastage::batch {
 namespace {
 
@@ -32,14 +34,24 @@
           {"max_missing", Step.MaxMissing}};
 }
 
+/// Earlier programs stored any number; sums must not overflow.
+std::int64_t readClamped(const json &Value, const std::string &Field,
+                         number_range<std::int64_t> Range) {
+  return std::clamp(readWhole<std::int64_t>(Value, Field), Range.Min,
+                    Range.Max);
+}
+
+milliseconds readDuration(const json &Record, const char *Field) {
+  return milliseconds(readClamped(Record.at(Field), Field, DurationRange));
+}
+
 step_spec readStep(const json &Record) {
   step_spec Step;
   Step.Count = readWhole<int>(Record.at("count"), "count");
   Step.Needs = {readWhole<int>(Record.at("millicpu"), "millicpu"),
                 readWhole<int>(Record.at("memory_mb"), "memory_mb"),
                 readWhole<int>(Record.at("accelerators"), "accelerators")};
-  Step.Estimate = milliseconds(
-      readWhole<std::int64_t>(Record.at("estimate_ms"), "estimate_ms"));
+  Step.Estimate = readDuration(Record, "estimate_ms");
   Step.After = readWholeList(Record.at("after"), "after");
   Step.IsCheckpointing = Record.at("checkpointing").get<bool>();
   Step.IsGang = Record.at("gang").get<bool>();
@@ -51,8 +63,7 @@
   Step.IsSpeculative = Record.at("speculative").get<bool>();
   Step.IsLongRunning = Record.at("long_running").get<bool>();
   Step.Image = Record.at("image").get<std::string>();
-  Step.LatencyTarget = milliseconds(readWhole<std::int64_t>(
-      Record.at("latency_target_ms"), "latency_target_ms"));
+  Step.LatencyTarget = readDuration(Record, "latency_target_ms");
   Step.FillsIdleCpu = Record.at("fills_idle_cpu").get<bool>();
   Step.MaxMissing = readWhole<int>(Record.at("max_missing"), "max_missing");
   return Step;
@@ -76,8 +87,7 @@
   Queue.Priority = readWhole<int>(Record.at("priority"), "priority");
   Queue.MaxAttempts = readWhole<int>(Record.at("max_attempts"), "max_attempts");
   Queue.StretchFactor = Record.at("stretch_factor").get<double>();
-  Queue.TargetDuration = milliseconds(
-      readWhole<std::int64_t>(Record.at("target_ms"), "target_ms"));
+  Queue.TargetDuration = readDuration(Record, "target_ms");
   return Queue;
 }
 
@@ -86,7 +96,7 @@
 }
 
 wall_instant toWallInstant(const json &Value) {
-  return wall_instant(milliseconds(readWhole<std::int64_t>(Value, "moment")));
+  return wall_instant(milliseconds(readClamped(Value, "moment", MomentRange)));
 }
 
 json readVersioned(std::string_view Text) {
@@ -228,8 +238,7 @@
       Job.Steps.push_back(readStep(Step));
     Job.Schedule = {readWhole<int>(Record.at("repetitions"), "repetitions"),
                     toWallInstant(Record.at("start_ms")),
-                    milliseconds(readWhole<std::int64_t>(
-                        Record.at("interval_ms"), "interval_ms"))};
+                    readDuration(Record, "interval_ms")};
     Job.Submitted = toWallInstant(Record.at("submitted_ms"));
     if (std::string Reason = explainInvalid(Job); !Reason.empty())
       throw std::out_of_range(Reason);
--- a/core/job/worker_protocol.cpp
+++ b/core/job/worker_protocol.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr number_range<int> AcceleratorRange{0, 1'024}; // of one worker
+
 void writeAttempt(json &Json, const attempt_id &Attempt) {
   Json["job"] = Attempt.Job.Value;
   Json["attempt"] = Attempt.Attempt;
@@ -21,7 +23,8 @@
 }
 
 milliseconds readMilliseconds(const json &Json, const char *Field) {
-  return milliseconds(readWhole<std::int64_t>(Json.at(Field), Field));
+  return milliseconds(
+      readWhole<std::int64_t>(Json.at(Field), Field, DurationRange));
 }
 
 task_state readState(const json &Json) {
@@ -170,7 +173,7 @@
   Report.DataCentre = data_centre_id(Json.at("data_centre").get<std::string>());
   Report.Rack = rack_id(Json.at("rack").get<std::string>());
   Report.Accelerators =
-      readWhole<int>(Json.at("accelerators"), "accelerators");
+      readWhole<int>(Json.at("accelerators"), "accelerators", AcceleratorRange);
   Report.HighestEpoch =
       readWhole<epoch>(Json.at("highest_epoch"), "highest_epoch");
   for (const json &Item : Json.at("tasks"))
--- a/tests/contract/foreign_entries_test.cpp
+++ b/tests/contract/foreign_entries_test.cpp
@@ -1,8 +1,11 @@
 // Lists to which other programs write: an entry that can't be used is left out,
 // and the others hold.
 
+#include "apps/instance/backlog_record.hpp"
 #include "apps/instance/keys.hpp"
 #include "apps/instance/leadership.hpp"
+#include "apps/instance/queue_lengths.hpp"
+#include "apps/instance/speed_record.hpp"
 #include "standin/metadata_service.hpp"
 #include "tests/support/nested_text.hpp"
 
@@ -60,6 +63,11 @@
       executor("8002", nest(150'000, "{\"a\":", "}")),
       executor("8002", "16000", ",\"new\":" + nest(400'000)),
       std::string(1'000'000, '['),
+      executor("8002", "1e999"),
+      executor("8002", "99999999999999999999"),
+      executor("8002", "2147483648"),
+      executor("8002", "2147483647"),
+      executor("8002", "-1"),
       "\xff\xfe",
       "",
       "null"};
@@ -73,3 +81,30 @@
   Entries["i-2"] = executor("8002");
   CHECK(listExecutors(Entries).size() == 3);
 }
+
+TEST_CASE("records of the leader: odd values are ignored") {
+  for (const std::string &Odd :
+       {nest(100), nest(100'000), nest(500'000), std::string("1e999"),
+        std::string("1e300"), std::string("99999999999999999999"),
+        std::string("2147483648"), std::string("0.5")}) {
+    CAPTURE(Odd.substr(0, 100));
+    CHECK(parseQueueLengths("{\"q\":" + Odd + "}").empty());
+    CHECK(parseSpeeds("{\"version\":" + Odd + "}").empty());
+    CHECK(parseSpeeds(R"({"version":1,"machines":[{"service":"s","kind":"k",)"
+                      R"("capacity":[1,1,)" +
+                      Odd + R"(],"speeds":{"i":[0,100]}}]})")
+              .empty());
+    CHECK(parseSpeeds(R"({"version":1,"machines":[{"service":"s","kind":"k",)"
+                      R"("capacity":[1,1,1],"speeds":{"i":[)" +
+                      Odd + ",100]}}]}")
+              .empty());
+    CHECK_FALSE(parseBacklog("{\"version\":" + Odd + "}").Record);
+    CHECK_FALSE(parseBacklog(R"({"version":1,"term":1,"number":1,"services":[)"
+                             R"({"service":"s","capacity":1,"accelerators":)" +
+                             Odd + R"(,"rate":1,"entries":[],"others":[]}]})")
+                    .Record);
+  }
+  CHECK(parseQueueLengths(R"({"q":3})").size() == 1);
+  CHECK_FALSE(parseCandidate("n-1 9223372036854775807"));
+  CHECK_FALSE(parseCandidate("n-1 4900000000000000000"));
+}
--- a/tests/unit/batch_records_test.cpp
+++ b/tests/unit/batch_records_test.cpp
@@ -1,4 +1,5 @@
 #include "core/job/batch/records.hpp"
+#include "core/json_number.hpp"
 #include "tests/support/nested_text.hpp"
 
 #include <catch2/catch.hpp>
@@ -99,3 +100,18 @@
       CHECK(parseSummary(Text).Reason.find("nested") != std::string::npos);
     }
 }
+
+// Guards against sums of times that overflow. The record stays readable: an
+// earlier program accepted the job.
+TEST_CASE("records: a time out of range is read as the nearest in range") {
+  job_spec Job = makeJob();
+  Job.Steps[0].Estimate = milliseconds(4'900'000'000'000'000'000);
+  Job.Steps[1].Estimate = milliseconds(-4'900'000'000'000'000'000);
+  Job.Schedule.Start = wall_instant(milliseconds(4'900'000'000'000'000'000));
+  const auto Parsed = parseSpec(printSpec(Job));
+  REQUIRE_FALSE(Parsed.Error);
+  CHECK(Parsed.Record.Steps[0].Estimate.count() == DurationRange.Max);
+  CHECK(Parsed.Record.Steps[1].Estimate.count() == DurationRange.Min);
+  CHECK(Parsed.Record.Schedule.Start.time_since_epoch().count() ==
+        MomentRange.Max);
+}
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -223,6 +223,28 @@
                         "\"" + std::string(1'000'000, 'k') + "\""));
 }
 
+TEST_CASE("wire: an executor entry with a number out of range is refused") {
+  for (const std::string Number :
+       {"1e999", "-1e999", "99999999999999999999", "-1", "2147483648",
+        "2147483647", "-2147483649", "16777217", "0.5", "1e300", "null",
+        "\"x\""})
+    for (const std::string From : {"16000", "32768", ":8}"}) {
+      const std::string To = From == ":8}" ? ":" + Number + "}" : Number;
+      checkRefused(replaced(GoodExecutor, From, To));
+    }
+  for (const std::string Number :
+       {"1e999", "99999999999999999999", "4900000000000000000",
+        "-4900000000000000000", "9223372036854775807", "0.5"})
+    checkRefused(replaced(GoodExecutor, "3500", Number));
+  for (const std::string Number :
+       {"1e999", "99999999999999999999", "9223372036854775808", "0.5"})
+    checkRefused(replaced(GoodExecutor, ":5,", ":" + Number + ","));
+  // An unknown field may hold any number that can be read.
+  CHECK(parseExecutor("i-1", replaced(GoodExecutor, "cold_left_ms\":0",
+                                      "cold_left_ms\":-1e300"))
+            .Result);
+}
+
 // Guards against a request that ends the instance: the values of some fields
 // were copied, recursively.
 TEST_CASE("wire: deeply nested jobs, configurations and answers are refused") {
@@ -244,3 +266,25 @@
   CHECK_FALSE(parseHoldAnswer(R"({"clock_ms":)" + Deep + "}").Result);
   CHECK(parseReason(R"({"reason":"fence","new":)" + Deep + "}").empty());
 }
+
+// Guards against sums of times and counts of attempts that overflow.
+TEST_CASE("wire: numbers that later sums can't hold are refused") {
+  for (const std::string Field : {"estimate_ms", "target_ms"})
+    CHECK_FALSE(parseJob(R"({"spec":"","steps":[{"count":1,")" + Field +
+                         R"(":4900000000000000000}]})")
+                    .Result);
+  CHECK_FALSE(parseJob(R"({"spec":"","steps":[{"count":1}],)"
+                       R"("start_at_ms":9223372036854775807})")
+                  .Result);
+  const auto Answer = [](const std::string &Clock, const std::string &Attempt) {
+    return parseHoldAnswer(R"({"ended":[],"clock_ms":)" + Clock +
+                           R"(,"active":[["0123456789abcdef.0.0.1",)" +
+                           Attempt + R"(,"",41]]})");
+  };
+  CHECK(Answer("482113", "2").Result);
+  for (const std::string Number :
+       {"4900000000000000000", "9223372036854775807", "1e999"})
+    CHECK_FALSE(Answer(Number, "2").Result);
+  for (const std::string Number : {"2147483647", "-1", "2147483648"})
+    CHECK_FALSE(Answer("482113", Number).Result);
+}
--- a/tests/unit/worker_protocol_test.cpp
+++ b/tests/unit/worker_protocol_test.cpp
@@ -44,3 +44,24 @@
     CHECK_FALSE(parseStart("7", R"(2,"new":)" + test::nest(Depth)));
   }
 }
+
+// Guards against sums of capacity and of times that overflow.
+TEST_CASE("worker protocol: a report with an amount out of range is rejected") {
+  const auto Parse = [](const std::string &Accelerators,
+                        const std::string &Progress) {
+    return parseWorkerMessage<worker_report>(
+        R"({"worker":"w","data_centre":"a","rack":"r","highest_epoch":1,)"
+        R"("accelerators":)" +
+        Accelerators +
+        R"(,"tasks":[{"job":"j","attempt":1,"state":"running","tasks":1,)"
+        R"("accelerators":8,"progress_ms":)" +
+        Progress + "}]}");
+  };
+  REQUIRE(Parse("8", "1000"));
+  for (const std::string Number :
+       {"-1", "1025", "2147483647", "2147483648", "1e999"})
+    CHECK_FALSE(Parse(Number, "1000"));
+  for (const std::string Number :
+       {"4900000000000000000", "-4900000000000000000", "1e999", "0.5"})
+    CHECK_FALSE(Parse("8", Number));
+}
