Refuse executor entries whose address can't be used

What callers would see: an entry with the port "12x" was used as port 12, and "::1", "[::1]", ":80", "host:80" and "10.0.0.256:80" as addresses that no connection can use; the leader listed such an executor and tried to hold it again and again. Ports out of range (0, 65536, , -1) were refused before.

Cause: a parser of its own, which ignored what follows the digits and didn't look at the address.

--- a/tests/contract/foreign_entries_test.cpp
+++ b/tests/contract/foreign_entries_test.cpp
@@ -68,6 +68,11 @@
       executor("8002", "2147483648"),
       executor("8002", "2147483647"),
       executor("8002", "-1"),
+      executor("0"),
+      executor("65536"),
+      executor("99999999999"),
+      executor("-1"),
+      executor("12x"),
       "\xff\xfe",
       "",
       "null"};
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -245,6 +245,21 @@
             .Result);
 }
 
+TEST_CASE("wire: an executor entry without a usable address is refused") {
+  for (const std::string Address :
+       {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1",
+        "10.0.0.9:12x", "10.0.0.9: 12", "10.0.0.9:+12", "10.0.0.9:", "10.0.0.9",
+        "10.0.0.9:1:2", "10.0.0.256:80", "::1", "[::1]", "[::1:80", "host:80",
+        ":80", ""})
+    checkRefused(replaced(GoodExecutor, "10.0.0.9:8080", Address));
+  checkRefused(replaced(GoodExecutor, "10.0.0.9:8080",
+                        std::string(10'000, '1') + ":80"));
+  const auto Six =
+      parseExecutor("i-1", replaced(GoodExecutor, "10.0.0.9:", "[fd00::1]:"));
+  REQUIRE(Six.Result);
+  CHECK(Six.Result->Address == endpoint{"fd00::1", 8080});
+}
+
 // Guards against a request that ends the instance: the values of some fields
 // were copied, recursively.
 TEST_CASE("wire: deeply nested jobs, configurations and answers are refused") {
