Leave out an odd instance instead of the whole instance list

What callers would see: on the platform of our own, one entry with a port of 65536 made the list unreadable for every program. They kept the last list, and logged nothing.

Cause: the list was read as one value, and an exception for one entry failed it.

Change: each entry is read by itself. The log of the last read is replaced by each read, so it holds no more than the list does. A number such as 1e999 in the text still fails the whole answer; the last list then stays in use.

The test "instance list: one odd entry doesn't hide the others" passes. It uses a field that the former code doesn't have, so it wasn't run on it; the former failure is from reading.

--- a/apps/runtime/platform_feed.cpp
+++ b/apps/runtime/platform_feed.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace galenastage {
 namespace {
 
@@ -290,10 +292,17 @@
               instance_kind Kind, data_centre_id DataCentre,
               milliseconds Interval,
               std::function<void(std::vector<instance>)> OnInstances) {
+  std::vector<ignored_instance> Logged;
   for (;;) {
     instance_read Read = co_await List.read(Kind, DataCentre);
-    if (!Read.Error)
+    if (!Read.Error) {
+      for (const ignored_instance &Entry : Read.Ignored)
+        if (std::ranges::find(Logged, Entry) == Logged.end())
+          writeLog(events::EntryIgnored, {{"entry", "instance " + Entry.Name},
+                                          {"reason", Entry.Reason}});
+      Logged = std::move(Read.Ignored);
       OnInstances(std::move(Read.Instances));
+    }
     co_await sleepFor(Context, Interval);
   }
 }
--- a/apps/runtime/platform_feed.hpp
+++ b/apps/runtime/platform_feed.hpp
@@ -72,7 +72,7 @@
 // [2] Instances
 
 /// Polls the instances of one kind. A failed read isn't reported, so the caller
-/// keeps the last list.
+/// keeps the last list. Entries that can't be read are logged and left out.
 task<void>
 pollInstances(asio::io_context &Context, instance_list_client &List,
               instance_kind Kind, data_centre_id DataCentre,
--- a/net/instance_list.hpp
+++ b/net/instance_list.hpp
@@ -28,9 +28,19 @@
 void to_json(nlohmann::json &Json, const instance &Instance);
 void from_json(const nlohmann::json &Json, instance &Instance);
 
+/// An entry that can't be read; the others hold.
+struct ignored_instance {
+  std::string Name; // or its place in the list
+  std::string Reason;
+
+  friend bool operator==(const ignored_instance &,
+                         const ignored_instance &) = default;
+};
+
 struct instance_read {
   std::error_code Error;
   std::vector<instance> Instances;
+  std::vector<ignored_instance> Ignored;
 };
 
 /// Client of the platform's instance list.
--- a/tests/contract/foreign_entries_test.cpp
+++ b/tests/contract/foreign_entries_test.cpp
@@ -6,8 +6,10 @@
 #include "apps/instance/leadership.hpp"
 #include "apps/instance/queue_lengths.hpp"
 #include "apps/instance/speed_record.hpp"
+#include "net/instance_list.hpp"
 #include "standin/metadata_service.hpp"
 #include "tests/support/nested_text.hpp"
+#include "tests/support/run_task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -51,6 +53,16 @@
   return *Ids;
 }
 
+/// Answers every request with the same body.
+struct canned_fixture {
+  asio::io_context Context{1};
+  std::string Body;
+  http_server Server{
+      Context, {"127.0.0.1", 0}, [this](http_request) -> task<http_response> {
+        co_return jsonResponse(200, Body);
+      }};
+};
+
 } // namespace
 
 // Guards against a leader that ends, or no longer follows the list, because of
@@ -87,6 +99,44 @@
   CHECK(listExecutors(Entries).size() == 3);
 }
 
+// Guards against a list of instances that is no longer followed because of one
+// entry.
+TEST_CASE_METHOD(canned_fixture,
+                 "instance list: one odd entry doesn't hide the others") {
+  const auto Entry = [](const std::string &Name, const std::string &Address,
+                        const std::string &Accelerators = "8") {
+    return R"({"name":")" + Name +
+           R"(","kind":"executor","data_centre":"a","address":")" + Address +
+           R"(","accelerators":)" + Accelerators + "}";
+  };
+  instance_list_client List(Context, Server.localEndpoint());
+  for (const std::string &Odd :
+       {Entry("x", "127.0.0.1:65536"), Entry("x", "127.0.0.1:0"),
+        Entry("x", "127.0.0.1:99999999999"), Entry("x", "127.0.0.1:-1"),
+        Entry("x", "127.0.0.1:12x"), Entry("x", "127.0.0.1"),
+        Entry("x", "127.0.0.1:80", "99999999999999999999"),
+        Entry("x", "127.0.0.1:80", "2147483648"),
+        Entry("x", "127.0.0.1:80", "1e300"), Entry("x", "127.0.0.1:80", "-1"),
+        Entry("x", "127.0.0.1:80", nest(30)), std::string("{}"),
+        std::string("7"), nest(40), nest(100), nest(500'000),
+        Entry("x", "127.0.0.1:80", nest(100)),
+        Entry("x", "127.0.0.1:80", nest(100'000, "{\"a\":", "}")),
+        Entry("x", "127.0.0.1:80", R"(8,"new":)" + nest(500'000))}) {
+    CAPTURE(Odd.substr(0, 200));
+    Body = R"({"instances":[)" + Entry("a", "127.0.0.1:80") + "," + Odd + "," +
+           Entry("b", "127.0.0.1:81") + "]}";
+    const instance_read Read = test::runTask(
+        Context, List.read(instance_kind::Executor, data_centre_id("a")));
+    REQUIRE_FALSE(Read.Error);
+    REQUIRE(Read.Instances.size() == 2);
+    CHECK(Read.Instances[0].Name == "a");
+    CHECK(Read.Instances[1].Name == "b");
+    REQUIRE(Read.Ignored.size() == 1);
+    CHECK_FALSE(Read.Ignored[0].Reason.empty());
+    CHECK(Read.Ignored[0].Reason.size() < 300);
+  }
+}
+
 TEST_CASE("records of the leader: odd values are ignored") {
   for (const std::string &Odd :
        {nest(100), nest(100'000), nest(500'000), std::string("1e999"),
