--- a/tests/contract/peer_test.cpp
+++ b/tests/contract/peer_test.cpp
@@ -1,5 +1,6 @@
 #include "peer/connection.hpp"
 #include "peer/message.hpp"
+#include "tests/support/nested_text.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -104,6 +105,39 @@
     }
 }
 
+// Guards against a message that overflows the stack of its reader: the library
+// reads CBOR recursively.
+TEST_CASE("peer messages of nested items or unknown length are rejected") {
+  const std::vector<std::string> Openings = {
+      "\x81",      // array
+      "\xa1\x61z", // map
+      "\x9f",      // array of unknown length
+      "\xbf\x61z", // map of unknown length
+      "\x7f",      // text of unknown length
+      "\x5f",      // bytes of unknown length
+      "\xc0"};     // tag
+  // The field "y" of a valid message.
+  const auto WithField = [](const std::string &Value) {
+    std::string Message = printPeerMessage(sample());
+    ++Message[0]; // fields
+    return Message + "\x61y" + Value;
+  };
+  for (const std::string &Opening : Openings)
+    for (const int Count : {65, 100'000, 1'000'000}) {
+      const std::string Nested = test::nest(Count, Opening, "");
+      CHECK_FALSE(parsePeerMessage(Nested));
+      CHECK_FALSE(parsePeerMessage(WithField(Nested)));
+    }
+  const std::string Allowed(50, '\x81');
+  CHECK_FALSE(parsePeerMessage(WithField(Allowed))); // ends too early
+  CHECK(parsePeerMessage(WithField(Allowed + "\x01")) == sample());
+  CHECK_FALSE(parsePeerMessage(WithField(Allowed + "\x01\x01")));
+  // Lengths beyond the end of the message.
+  for (const unsigned char Major : {0x9b, 0xbb, 0x5b, 0x7b})
+    CHECK_FALSE(parsePeerMessage(std::string(1, static_cast<char>(Major)) +
+                                 std::string(8, '\xff')));
+}
+
 TEST_CASE_METHOD(peer_fixture,
                  "messages arrive complete and in order, both ways") {
   connect();
