Skip an executor's entry that can't be decoded, and log it once

What callers would see: if the value of one item isn't base64, the page, and with it the list of executors, failed on every read. An ignored entry was logged once in the life of a process even if it became wrong in another way, and the names of ignored entries were kept for ever.

What is remembered is replaced by each list, so it is bounded by the list.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -374,23 +374,30 @@
 }
 
 task<bool> leadership::listExecutorsOnce(std::uint64_t Term) {
-  const platform::range_read Range =
-      co_await Store.readPrefix(platform::ExecutorPrefix);
+  const platform::range_read Range = co_await Store.readPrefix(
+      platform::ExecutorPrefix, platform::unreadable_items::AreSkipped);
   if (Range.Error)
     co_return false;
   executors_listed Listed;
+  std::map<std::string, std::string> Ignored; // by key
+  const auto Ignore = [&](const std::string &Key, const std::string &Reason) {
+    const auto Known = IgnoredEntries.find(Key);
+    if (Known == IgnoredEntries.end() || Known->second != Reason)
+      writeLog(events::EntryIgnored, {{"entry", Key}, {"reason", Reason}});
+    Ignored.emplace(Key, Reason);
+  };
+  for (const std::string &Key : Range.Skipped)
+    Ignore(Key, "the value can't be decoded");
   for (const platform::store_item &Item : Range.Items) {
     const std::string Id =
         Item.Key.substr(std::string_view(platform::ExecutorPrefix).size());
     auto Parsed = platform::parseExecutor(Id, Item.Value);
-    if (Parsed.Result) {
+    if (Parsed.Result)
       Listed.Executors.push_back(std::move(*Parsed.Result));
-      continue;
-    }
-    if (IgnoredEntries.insert(Id).second)
-      writeLog(events::EntryIgnored,
-               {{"entry", "executor " + Id}, {"reason", Parsed.Reason}});
+    else
+      Ignore(Item.Key, Parsed.Reason);
   }
+  IgnoredEntries = std::move(Ignored);
   Post(Term, std::move(Listed));
   co_return true;
 }
--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -108,7 +108,7 @@
   bool IsCatchingUp = false;     // a read of these is under way
   std::int64_t GapFrom = 0;      // of the last change before them
   std::map<job_id, std::int64_t> ProgressRevisions;
-  std::set<std::string> IgnoredEntries; // executor entries already logged
+  std::map<std::string, std::string> IgnoredEntries; // reasons, by key
   bool IsResigning = false;
 };
 
--- a/tests/contract/foreign_entries_test.cpp
+++ b/tests/contract/foreign_entries_test.cpp
@@ -99,6 +99,26 @@
   CHECK(listExecutors(Entries).size() == 3);
 }
 
+TEST_CASE_METHOD(canned_fixture,
+                 "metadata: an item that can't be decoded fails a range, or is "
+                 "skipped on request") {
+  Body = R"({"items":[{"key":"r/1","value":"YQ==","revision":3},)"
+         R"({"key":"r/2","value":"?","revision":4},)"
+         R"({"key":"r/3","value":"Yg==","revision":1e300},)"
+         R"({"key":"r/4","value":"Yg==","revision":5}],)"
+         R"("has_more":false,"at_revision":9})";
+  platform::metadata_store Store(Context, Server.localEndpoint(), "");
+  CHECK(test::runTask(Context, Store.readPrefix("r/")).Error);
+  const platform::range_read Range = test::runTask(
+      Context, Store.readPrefix("r/", platform::unreadable_items::AreSkipped));
+  REQUIRE_FALSE(Range.Error);
+  CHECK(Range.Skipped == std::vector<std::string>{"r/2", "r/3"});
+  REQUIRE(Range.Items.size() == 2);
+  CHECK(Range.Items[0].Value == "a");
+  CHECK(Range.Items[1].Value == "b");
+  CHECK(Range.Revision == 9);
+}
+
 // Guards against a list of instances that is no longer followed because of one
 // entry.
 TEST_CASE_METHOD(canned_fixture,
