--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -108,7 +108,7 @@
   std::uint64_t Token = 0; // 0: not leading
   instant ValidUntil{};
   batch::job_feed Feed;
-  std::set<std::string> IgnoredEntries; // executor entries already logged
+  std::map<std::string, std::string> IgnoredEntries; // reasons, by key
   bool IsResigning = false;
 };
 
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -1,14 +1,36 @@
+#include "core/json_text.hpp"
 #include "platform/settings.hpp"
 #include "platform/wire.hpp"
+#include "tests/support/nested_text.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace galenastage;
 using namespace galenastage::batch;
 using namespace galenastage::platform;
+using test::nest;
 
 namespace {
 
+/// The text with its first From replaced.
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
+  return Text.replace(Text.find(From), From.size(), To);
+}
+
+const std::string GoodExecutor =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"a","state":"draining",)"
+    R"("remaining_ms":3500,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":8},)"
+    R"("labels":["k","r1-3"],"born":5,"cold_left_ms":0})";
+
+void checkRefused(const std::string &Text) {
+  CAPTURE(Text.substr(0, 400));
+  const auto Parsed = parseExecutor("i-1", Text);
+  CHECK_FALSE(Parsed.Result);
+  CHECK_FALSE(Parsed.Reason.empty());
+  CHECK(Parsed.Reason.size() < 300); // it is logged
+}
+
 const char *const Settings = R"({
   "node_name": "edge-1", "zone": "a", "ip": "10.1.0.19",
   "listen_addrs": {"frontend": "10.1.0.19:8521", "ready": "10.1.0.19:8523"},
@@ -167,3 +189,117 @@
   CHECK(parseJob(R"({"spec":"","steps":[{"count":4000},{"count":4000}]})")
             .Result);
 }
+
+// Guards against an entry of another writer that ends each leader in turn: its
+// error message printed the nested value, recursively.
+TEST_CASE(
+    "wire: a deeply nested executor entry is refused, wherever it nests") {
+  REQUIRE(parseExecutor("i-1", GoodExecutor).Result);
+  // A level of nesting is that of the entry itself.
+  const auto Unknown = [](int Depth) {
+    return replaced(GoodExecutor, "\"cold_left_ms\":0",
+                    "\"new\":" + nest(Depth));
+  };
+  CHECK(parseExecutor("i-1", Unknown(MaxJsonDepth - 1)).Result);
+  for (const int Depth : {MaxJsonDepth, 2'000, 100'000, 500'000})
+    checkRefused(Unknown(Depth));
+  for (const int Depth : {50, 100'000, 500'000})
+    for (const std::string From :
+         {"16000", "32768", "3500", "5,", "\"s\"", "\"10.0.0.9:8080\"",
+          "\"draining\"", "\"k\"", "{\"cpu\""}) {
+      const std::string Rest = From == "5," ? "," : "";
+      const std::string Key = From == "{\"cpu\"" ? ",\"x\":{\"cpu\"" : "";
+      checkRefused(replaced(GoodExecutor, From, nest(Depth) + Rest + Key));
+      // An object of unknown fields is a capacity of nothing.
+      if (Depth > MaxJsonDepth || Key.empty())
+        checkRefused(replaced(GoodExecutor, From,
+                              nest(Depth, "{\"a\":", "}") + Rest + Key));
+    }
+  for (const int Depth : {100'000, 500'000, 1'000'000}) {
+    checkRefused(nest(Depth));
+    checkRefused(std::string(static_cast<std::size_t>(Depth), '['));
+  }
+  checkRefused(replaced(GoodExecutor, "\"k\"",
+                        "\"" + std::string(1'000'000, 'k') + "\""));
+}
+
+TEST_CASE("wire: an executor entry with a number out of range is refused") {
+  for (const std::string Number :
+       {"1e999", "-1e999", "99999999999999999999", "-1", "2147483648",
+        "2147483647", "-2147483649", "16777217", "0.5", "1e300", "null",
+        "\"x\""})
+    for (const std::string From : {"16000", "32768", ":8}"}) {
+      const std::string To = From == ":8}" ? ":" + Number + "}" : Number;
+      checkRefused(replaced(GoodExecutor, From, To));
+    }
+  for (const std::string Number :
+       {"1e999", "99999999999999999999", "4900000000000000000",
+        "-4900000000000000000", "9223372036854775807", "0.5"})
+    checkRefused(replaced(GoodExecutor, "3500", Number));
+  for (const std::string Number :
+       {"1e999", "99999999999999999999", "9223372036854775808", "0.5"})
+    checkRefused(replaced(GoodExecutor, ":5,", ":" + Number + ","));
+  // An unknown field may hold any number that can be read.
+  CHECK(parseExecutor("i-1", replaced(GoodExecutor, "cold_left_ms\":0",
+                                      "cold_left_ms\":-1e300"))
+            .Result);
+}
+
+TEST_CASE("wire: an executor entry without a usable address is refused") {
+  for (const std::string Address :
+       {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1",
+        "10.0.0.9:12x", "10.0.0.9: 12", "10.0.0.9:+12", "10.0.0.9:", "10.0.0.9",
+        "10.0.0.9:1:2", "10.0.0.256:80", "::1", "[::1]", "[::1:80", "host:80",
+        ":80", ""})
+    checkRefused(replaced(GoodExecutor, "10.0.0.9:8080", Address));
+  checkRefused(replaced(GoodExecutor, "10.0.0.9:8080",
+                        std::string(10'000, '1') + ":80"));
+  const auto Six =
+      parseExecutor("i-1", replaced(GoodExecutor, "10.0.0.9:", "[fd00::1]:"));
+  REQUIRE(Six.Result);
+  CHECK(Six.Result->Address == endpoint{"fd00::1", 8080});
+}
+
+// Guards against a request that ends the instance: the values of some fields
+// were copied, recursively.
+TEST_CASE("wire: deeply nested jobs, configurations and answers are refused") {
+  const std::string Deep = nest(100'000);
+  for (const std::string Field :
+       {"after", "fill_ratio", "count", "cpu", "image", "estimate_ms", "new"}) {
+    CAPTURE(Field);
+    const std::string Text =
+        R"({"spec":"","steps":[{"count":1,")" + Field + "\":" + Deep + "}]}";
+    CHECK_FALSE(parseJob(Text).Result);
+    CHECK(parseJob(Text).Reason.find("nested") != std::string::npos);
+  }
+  const std::string Config = R"({"version":7,"routes":[],"services":[])";
+  CHECK(parseConfig(Config + "}").Result);
+  for (const std::string Field : {"tenants", "limits", "new"})
+    CHECK_FALSE(
+        parseConfig(Config + ",\"" + Field + "\":" + Deep + "}").Result);
+  CHECK_FALSE(parseConfig(R"({"version":)" + Deep + "}").Result);
+  CHECK_FALSE(parseHoldAnswer(R"({"clock_ms":)" + Deep + "}").Result);
+  CHECK(parseReason(R"({"reason":"fence","new":)" + Deep + "}").empty());
+}
+
+// Guards against sums of times and counts of attempts that overflow.
+TEST_CASE("wire: numbers that later sums can't hold are refused") {
+  for (const std::string Field : {"estimate_ms", "target_ms"})
+    CHECK_FALSE(parseJob(R"({"spec":"","steps":[{"count":1,")" + Field +
+                         R"(":4900000000000000000}]})")
+                    .Result);
+  CHECK_FALSE(parseJob(R"({"spec":"","steps":[{"count":1}],)"
+                       R"("start_at_ms":9223372036854775807})")
+                  .Result);
+  const auto Answer = [](const std::string &Clock, const std::string &Attempt) {
+    return parseHoldAnswer(R"({"ended":[],"clock_ms":)" + Clock +
+                           R"(,"active":[["0123456789abcdef.0.0.1",)" +
+                           Attempt + R"(,"",41]]})");
+  };
+  CHECK(Answer("482113", "2").Result);
+  for (const std::string Number :
+       {"4900000000000000000", "9223372036854775807", "1e999"})
+    CHECK_FALSE(Answer(Number, "2").Result);
+  for (const std::string Number : {"2147483647", "-1", "2147483648"})
+    CHECK_FALSE(Answer("482113", Number).Result);
+}
