Hold executors again after a trouble, and wait for whole reports of ends

Three causes with one state behind them, what a leader knows of an executor; tests and fix are in one commit, since the worlds find them together.

Log event 3311.

An executor that is listed and silent is now held every second while it is idle, and as before (300 ms) with runs; such holds don't wait for an end, so that contact returns within 3 s. Idle executors that answer aren't held. Log event 3310. Of the same class: a stored start that was confirmed while the leader lease had run out for a moment was never ordered; a last end of a new life was never acknowledged if the life before had more ends.

Lives under one id: an order names the id only, so a start without an answer may be carried out after a restart. Its stop is repeated in the new life, also if it was accepted and the run dropped before (kept for 10 s, at most 64 for each executor). An answer of the life before to a stop or a hold isn't used, and a silent executor is acknowledged nothing. Log event 3312. A late start that comes before the leader has heard of the restart can't be prevented; it is stopped as soon as the leader hears of it.

The worlds: reports list a part of the ends, the store is slow, executors refuse calls as a start is ordered, some jobs need one executor, late orders reach the next life.

--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -49,23 +49,26 @@
 
 /// Defaults, which the platform's settings override.
 struct scheduler_settings {
-  milliseconds MaxLease{10'000};    // executors cap longer leases
-  milliseconds Lease{8'000};        // of runs; survives an outage of 5 s
-  milliseconds HoldWait{2'000};     // longest wait of an executor for an end
-  milliseconds UrgentHoldWait{700}; // while runs of priority 0 are there
-  milliseconds HoldRetry{300};      // after a failed hold
+  milliseconds MaxLease{10'000};     // executors cap longer leases
+  milliseconds Lease{8'000};         // of runs; survives an outage of 5 s
+  milliseconds HoldWait{2'000};      // longest wait of an executor for an end
+  milliseconds UrgentHoldWait{700};  // while runs of priority 0 are there
+  milliseconds HoldRetry{300};       // after a failed hold
+  milliseconds IdleHoldRetry{1'000}; // the same, of an idle executor
   milliseconds UnsavedHoldInterval{500}; // hold interval while ends are unsaved
   milliseconds ConfirmInterval{100};     // hold interval for unconfirmed runs
-  milliseconds StopRetry{500};     // until an unanswered stop is sent again
-  milliseconds SpreadDelay{1'500}; // wait for the preferred rack before that
-  milliseconds PlanTimeout{3'000}; // of a reservation after a preemption
-  milliseconds PlanGrace{500};     // for orders, beyond the stops it waits for
-  milliseconds ReclaimRetry{100};  // after a reclaim that found no room
-  int MaxReclaimRacks = 24;        // that one reclaim considers
-  milliseconds RestartDelay{200};  // before a failed unit restarts
-  milliseconds ProvenFor{4'000};   // after a success on an executor
-  milliseconds ProvenWait{2'000};  // of a last attempt for proven executors
-  milliseconds Retention{150'000}; // of ended jobs
+  milliseconds StopRetry{500};      // until an unanswered stop is sent again
+  milliseconds LateStarts{10'000};  // longest delay of an unanswered start
+  std::size_t MaxClosedStarts = 64; // that are remembered of an executor
+  milliseconds SpreadDelay{1'500};  // wait for the preferred rack before that
+  milliseconds PlanTimeout{3'000};  // of a reservation after a preemption
+  milliseconds PlanGrace{500};      // for orders, beyond the stops it waits for
+  milliseconds ReclaimRetry{100};   // after a reclaim that found no room
+  int MaxReclaimRacks = 24;         // that one reclaim considers
+  milliseconds RestartDelay{200};   // before a failed unit restarts
+  milliseconds ProvenFor{4'000};    // after a success on an executor
+  milliseconds ProvenWait{2'000};   // of a last attempt for proven executors
+  milliseconds Retention{150'000};  // of ended jobs
   milliseconds QueueLengthInterval{500}; // between publications
   milliseconds PlacementInterval{15};    // batches changes into one pass
   int SpreadBelowPercent = 60; // accelerators in use; above, no spreading
@@ -130,7 +133,9 @@
   run_end End = run_end::Done;
   std::string Checkpoint; // empty: none
 };
-/// The answer to a hold: all active runs and unacknowledged ends.
+/// The answer to a hold: all active runs and the unacknowledged ends, the
+/// earliest first. If there are too many ends, the rest of them follows once
+/// these are acknowledged.
 struct runs_reported {
   executor_id Executor;
   std::int64_t Incarnation = 0;
@@ -138,6 +143,7 @@
   instant Sent{};           // when the hold was sent
   std::vector<active_run> Active;
   std::vector<ended_run> Ended;
+  bool IsWhole = true; // lists all unacknowledged ends
 };
 enum class hold_failure {
   NoAnswer,       // in time; the executor may still be running
@@ -164,7 +170,8 @@
 struct stop_answered {
   executor_id Executor;
   run_name Run;
-  bool IsAccepted = false; // a late start is now ineffective
+  bool IsAccepted = false;      // a late start is now ineffective
+  std::int64_t Incarnation = 0; // that the stop was sent to; 0: unknown
 };
 /// The outcome of save_progress. The scheduler retries a failed save.
 struct progress_saved {
@@ -292,6 +299,7 @@
   bool IsInSave = false;       // its executor is part of the current save
   bool IsInherited = false;    // an earlier leader may have started it
   bool IsListed = false;       // in a report of the executor
+  bool IsMissing = false;      // from the last report
   bool IsAccepted = false;     // the executor accepted the start
   bool IsUrgent = false;       // of priority 0
   bool IsBeyond = false;       // urgent, beyond its organisation's guarantee
@@ -318,7 +326,9 @@
   std::int64_t LastSeenSaved = 0;        // highest end stored
   std::int64_t LastSeenAcknowledged = 0; // highest end acknowledged
   std::uint64_t SaveNeeded = 0;  // SavesFinished that covers LastSeenProcessed
+  bool HasMoreEnds = false;      // the last report wasn't whole
   bool IsHolding = false;        // a hold is in flight
+  bool IsHoldOutdated = false;   // and was sent to an earlier incarnation
   bool IsUnresponsive = false;   // the last hold failed
   bool IsReplaced = false;       // another executor answers at its address
   instant LastAlive{};           // last sign of life
@@ -331,6 +341,9 @@
   bool IsKept = false;    // for guaranteed work
   bool IsTouched = false; // in Touched, the index may be out of date
   std::map<run_name, run_state> Runs;
+  // When starts were ordered that got no answer, and that a stop has closed.
+  // After a restart the executor may accept them once more.
+  std::map<run_name, instant> ClosedStarts;
   worker_health Health;
   instant ProvenAt{};      // when a task last succeeded there
   instant LeavesAt{};      // at the earliest, by its report; not set: unknown
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -186,6 +186,10 @@
   /// Applies the end of a run that its executor didn't report.
   void applyLoss(executor_state &Executor, const run_name &Run, run_loss Cause);
   void handleUnlisted(executor_state &Executor, const runs_reported &Report);
+  /// Remembers a start without an answer that a stop has closed.
+  void noteClosedStart(executor_state &Executor, const run_name &Name);
+  /// Closes such starts in the new incarnation as well.
+  void stopLateStarts(executor_state &Executor);
   /// HasNewIncarnation: the restarted executor may still accept late orders.
   void dropAllRuns(executor_state &Executor, run_loss Cause,
                    bool HasNewIncarnation);
--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -2,6 +2,8 @@
 
 #include "core/job/batch/scheduler_internal.hpp"
 
+#include <algorithm>
+
 namespace galenastage::batch::detail {
 
 std::string_view name(run_loss Cause) {
@@ -35,7 +37,8 @@
   applyEnd(Executor, Run, run_end::Lost, {});
 }
 
-/// Handles runs that the report lists neither as active nor as ended.
+/// Handles runs that the report lists neither as active nor as ended. If the
+/// report isn't whole, they may have ended in any way.
 void event_handler::handleUnlisted(executor_state &Executor,
                                    const runs_reported &Report) {
   std::set<run_name> Listed;
@@ -44,7 +47,8 @@
   std::vector<run_name> Gone;
   std::vector<run_name> MayStartLater;
   for (auto &[Name, Run] : Executor.Runs) {
-    if (Listed.contains(Name))
+    Run.IsMissing = !Listed.contains(Name);
+    if (!Run.IsMissing || !Report.IsWhole)
       continue;
     // Orders of earlier leaders can no longer take effect.
     const bool IsOver = Run.IsListed || Run.IsInherited ||
@@ -70,6 +74,9 @@
         HasCrashed ? run_loss::Restarted : run_loss::NotListed;
     if (HasCrashed && countCrash(Executor, Name, Cause, false))
       GivenUp.push_back(Name.Task);
+    if (Run.IsStopAccepted && !Run.IsListed && !Run.IsAccepted &&
+        !Run.IsInherited)
+      noteClosedStart(Executor, Name);
     applyLoss(Executor, Name, Cause);
   }
   giveUp(GivenUp);
@@ -77,6 +84,36 @@
     orderStop(Executor, Name);
 }
 
+void event_handler::noteClosedStart(executor_state &Executor,
+                                    const run_name &Name) {
+  std::map<run_name, instant> &Closed = Executor.ClosedStarts;
+  std::erase_if(Closed, [&](const auto &Item) {
+    return Now - Item.second >= State.Settings.LateStarts;
+  });
+  // At the limit the start that is least likely to be late is forgotten.
+  if (Closed.size() >= State.Settings.MaxClosedStarts)
+    Closed.erase(std::ranges::min_element(
+        Closed, {}, &std::map<run_name, instant>::value_type::second));
+  Closed[Name] = Executor.Runs.at(Name).Ordered;
+}
+
+void event_handler::stopLateStarts(executor_state &Executor) {
+  for (const auto &[Name, Ordered] : std::exchange(Executor.ClosedStarts, {})) {
+    const auto Job = State.Jobs.find(Name.Task.Job);
+    const bool MayCome = Now - Ordered < State.Settings.LateStarts &&
+                         Job != State.Jobs.end() &&
+                         !Executor.Runs.contains(Name);
+    if (!MayCome)
+      continue;
+    log(events::LateStartStopped, {{"task", printTask(Name.Task)},
+                                   {"attempt", std::to_string(Name.Attempt)},
+                                   {"executor", Executor.Report.Id.Value}});
+    addRun(Executor, Job->second, Name, run_phase::Unconfirmed);
+    Executor.Runs.at(Name).Ordered = Ordered;
+    orderStop(Executor, Name);
+  }
+}
+
 void event_handler::dropAllRuns(executor_state &Executor, run_loss Cause,
                                 bool HasNewIncarnation) {
   log(events::ExecutorLost, {{"executor", Executor.Report.Id.Value},
@@ -93,10 +130,13 @@
     const auto Found = Executor.Runs.find(Name);
     if (Found == Executor.Runs.end())
       continue; // the loss of another member of its gang has ended it
-    if (MayRunInNewIncarnation)
-      Found->second.Phase = run_phase::Unconfirmed;
-    else
+    if (!MayRunInNewIncarnation) {
       applyLoss(Executor, Name, Cause);
+      continue;
+    }
+    // The new incarnation knows of no stop.
+    Found->second.Phase = run_phase::Unconfirmed;
+    Found->second.IsStopAccepted = false;
   }
   Executor.HasAnsweredHold = false;
   Executor.ProvenAt = {};
@@ -105,10 +145,15 @@
   Executor.LastSeenSaved = 0;
   Executor.LastSeenAcknowledged = 0;
   Executor.SaveNeeded = 0;
+  Executor.HoldLastSeen = 0;
+  Executor.IsHoldOutdated = Executor.IsHolding;
+  Executor.HasMoreEnds = false;
   Executor.NextHold = Now;
   touch(Executor);
   State.NeedsPlacement = true;
   giveUp(GivenUp);
+  if (HasNewIncarnation)
+    stopLateStarts(Executor);
 }
 
 } // namespace galenastage::batch::detail
--- a/core/job/batch/scheduler_pace.cpp
+++ b/core/job/batch/scheduler_pace.cpp
@@ -10,8 +10,8 @@
 /// Whether the run should be advancing. A gang member stays at 0% until all
 /// members have started, and at 100% until all are done.
 bool isWorking(const run_state &Run) {
-  return Run.Phase == run_phase::Active && Run.IsListed && !Run.IsLongRunning &&
-         Run.Pace.Percent < WholePercent &&
+  return Run.Phase == run_phase::Active && Run.IsListed && !Run.IsMissing &&
+         !Run.IsLongRunning && Run.Pace.Percent < WholePercent &&
          (!Run.IsOfGang || Run.Pace.Percent > 0);
 }
 
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -73,11 +73,17 @@
   });
   const bool HasUnacknowledged =
       Executor.LastSeenProcessed > Executor.LastSeenAcknowledged;
-  const bool IsWanted = HasRuns || HasUnacknowledged ||
-                        (!Executor.HasAnsweredHold && Executor.IsListed);
+  // Nothing else brings back an executor without runs.
+  const bool IsOutOfContact = Executor.IsListed && (!Executor.HasAnsweredHold ||
+                                                    Executor.IsUnresponsive);
+  const bool IsWanted = HasRuns || HasUnacknowledged || IsOutOfContact;
   if (!IsWanted)
     return;
-  hold_executor Hold{targetOf(Executor), Executor.LastSeenSaved, {}, {}};
+  // A silent executor may have restarted under its id, which is all that the
+  // hold names. The new incarnation would forget ends that nobody has seen.
+  const std::int64_t LastSeen =
+      Executor.IsUnresponsive ? 0 : Executor.LastSeenSaved;
+  hold_executor Hold{targetOf(Executor), LastSeen, {}, {}};
   const bool IsUnsaved = Executor.LastSeenProcessed > Executor.LastSeenSaved;
   const bool HasUnconfirmed =
       std::ranges::any_of(Executor.Runs, [](const auto &Item) {
@@ -85,7 +91,10 @@
       });
   const bool HasUrgent = std::ranges::any_of(
       Executor.Runs, [](const auto &Item) { return Item.second.IsUrgent; });
-  if (HasRuns && Executor.HasAnsweredHold && !IsUnsaved && !HasUnconfirmed)
+  const bool MayWait = HasRuns && Executor.HasAnsweredHold &&
+                       !Executor.IsUnresponsive && !IsUnsaved &&
+                       !HasUnconfirmed;
+  if (MayWait)
     Hold.Wait =
         HasUrgent ? State.Settings.UrgentHoldWait : State.Settings.HoldWait;
   if (isProbed(Executor))
@@ -95,7 +104,7 @@
   if (Executor.HasAnsweredHold && !Executor.IsUnresponsive)
     Hold.LeaseEndMs = leaseEnd(Executor);
   Executor.IsHolding = true;
-  Executor.HoldLastSeen = Executor.LastSeenSaved;
+  Executor.HoldLastSeen = LastSeen;
   Out.emplace_back(std::move(Hold));
 }
 
@@ -105,9 +114,22 @@
     return;
   executor_state &Executor = Found->second;
   Executor.IsHolding = false;
+  if (std::exchange(Executor.IsHoldOutdated, false)) {
+    // It may tell of the incarnation before.
+    Executor.NextHold = Now;
+    hold(Executor);
+    return;
+  }
   if (Executor.IsUnresponsive || !Executor.HasAnsweredHold)
     touch(Executor);
-  Executor.IsUnresponsive = false;
+  if (std::exchange(Executor.IsUnresponsive, false))
+    log(events::ExecutorAnswers,
+        {{"executor", Event.Executor.Value},
+         {"silent_ms",
+          Executor.LastAlive == instant{}
+              ? "unknown"
+              : std::to_string((Now - Executor.LastAlive).count())},
+         {"runs", std::to_string(Event.Active.size())}});
   Executor.IsReplaced = false;
   const bool IsRestarted =
       Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation;
@@ -135,6 +157,12 @@
   for (const active_run &Active : Event.Active)
     adopt(Executor, Active);
   handleUnlisted(Executor, Event);
+  if (!Event.IsWhole && !Executor.HasMoreEnds)
+    log(events::ReportNotWhole,
+        {{"executor", Event.Executor.Value},
+         {"ends", std::to_string(Event.Ended.size())},
+         {"runs", std::to_string(Executor.Runs.size())}});
+  Executor.HasMoreEnds = !Event.IsWhole;
   updateStalled(Executor);
 
   if (State.SavesFinished >= Executor.SaveNeeded)
@@ -158,7 +186,10 @@
     return;
   executor_state &Executor = Found->second;
   Executor.IsHolding = false;
-  Executor.NextHold = Now + State.Settings.HoldRetry;
+  Executor.IsHoldOutdated = false;
+  const bool IsIdle = Executor.HasAnsweredHold && Executor.Runs.empty();
+  Executor.NextHold =
+      Now + (IsIdle ? State.Settings.IdleHoldRetry : State.Settings.HoldRetry);
   if (Event.Failure == hold_failure::Replaced) {
     // No order reaches the executor any more: each call names it.
     if (!std::exchange(Executor.IsReplaced, true))
@@ -433,8 +464,10 @@
 /// Orders the starts of runs whose executors have been stored. Units with an
 /// executor that can't take its task any more are placed again.
 void event_handler::startRecorded(job_state &Job) {
-  if (!isLeading())
+  if (!isLeading()) {
+    queueSave(Job); // once the leader lease is renewed; its starts follow then
     return;
+  }
   const std::map<run_name, executor_id> Runs = Job.Runs;
   std::vector<run_name> Recorded;
   std::set<unit_name> Withdrawn;
@@ -478,6 +511,7 @@
     return;
   }
   Found->second.Phase = run_phase::Stopping;
+  Found->second.IsStopAccepted = false;
   Found->second.StopOrdered = Now;
   touch(Executor);
   if (!isLeading())
@@ -574,6 +608,10 @@
   const auto Run = Executor.Runs.find(Event.Run);
   if (Run == Executor.Runs.end() || !Event.IsAccepted)
     return; // already ended, or retryStops sends it again
+  const bool IsOfIncarnation =
+      Event.Incarnation == 0 || Event.Incarnation == Executor.Incarnation;
+  if (!IsOfIncarnation || Run->second.Phase != run_phase::Stopping)
+    return; // the present incarnation may not know of the stop
   Run->second.IsStopAccepted = true;
   Run->second.Confirmed = Now;
   Executor.NextHold = std::min(Executor.NextHold, Now);
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -241,6 +241,24 @@
     "A task, or a gang, made no progress on an executor and is restarted "
     "elsewhere.",
     "If one job moves repeatedly, its own tasks are stalling."};
+const log_event ExecutorAnswers{
+    3310, Info, "executor-answers",
+    "An executor that was silent answers again and gets work. silent_ms counts "
+    "from its last sign of life.",
+    "None. An executor of 3301 without this line and without 3303 is still "
+    "listed but unreachable."};
+const log_event ReportNotWhole{
+    3311, Info, "report-not-whole",
+    "An executor has more ends than one answer lists. Runs that it doesn't "
+    "list stay as they are until all ends are known. Once for each such time.",
+    "None. If it stays so, check whether the store is slow (saves of ends come "
+    "before their acknowledgement)."};
+const log_event LateStartStopped{
+    3312, Warning, "late-start-stopped",
+    "An executor restarted while a start without an answer may have been on "
+    "its "
+    "way; it is stopped in the new incarnation as well.",
+    "None."};
 const log_event SpeedClassChanged{
     3320, Info, "speed-class-changed",
     "An executor is now known as slow, normal or fast compared with the others "
@@ -424,6 +442,9 @@
     &events::ExecutorStalled,
     &events::ExecutorAdvances,
     &events::UnitMoved,
+    &events::ExecutorAnswers,
+    &events::ReportNotWhole,
+    &events::LateStartStopped,
     &events::SpeedClassChanged,
     &events::SpeedsRead,
     &events::UrgentReclaimed,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -119,6 +119,9 @@
 extern const log_event ExecutorStalled;
 extern const log_event ExecutorAdvances;
 extern const log_event UnitMoved;
+extern const log_event ExecutorAnswers;
+extern const log_event ReportNotWhole;
+extern const log_event LateStartStopped;
 extern const log_event SpeedClassChanged;
 extern const log_event SpeedsRead;
 // Shares of organisations
--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -151,10 +151,56 @@
   checkWorlds(Settings);
 }
 
+// Guards against second starts of tasks whose end wasn't in a report that was
+// full.
+TEST_CASE("batch: reports list a part of the ends, and the store is slow") {
+  world_settings Settings;
+  Settings.EndsPerReport = 3;
+  Settings.Faults.SlowStores = 4;
+  checkWorlds(Settings);
+}
+
+TEST_CASE("batch: reports list a part of the ends while orders lose their "
+          "answers, executors restart and leaders change") {
+  world_settings Settings;
+  Settings.EndsPerReport = 3;
+  Settings.Faults.SlowStores = 4;
+  Settings.Faults.LostOrders = 0.1;
+  Settings.Faults.LateOrders = 0.5;
+  Settings.Faults.ExecutorRestarts = 4;
+  Settings.Faults.ExecutorCuts = 3;
+  Settings.Faults.LeaderLosses = 3;
+  checkWorlds(Settings);
+}
+
+// Guards against executors that get no work after a short cut, since they had
+// no run when it began.
+TEST_CASE("batch: idle executors refuse calls when a start is ordered there") {
+  world_settings Settings;
+  Settings.Executors = 3;
+  Settings.RareJobs = 0.5;
+  Settings.Faults.IdleCuts = 12;
+  checkWorlds(Settings);
+}
+
+// Guards against an order of the life before that an executor carries out after
+// its restart, while nobody asks it what it runs.
+TEST_CASE("batch: executors restart under their id while late orders are on "
+          "their way") {
+  world_settings Settings;
+  Settings.Faults.ExecutorRestarts = 30;
+  Settings.Faults.LostOrders = 0.3;
+  Settings.Faults.LateOrders = 0.8;
+  checkWorlds(Settings);
+}
+
 TEST_CASE("batch: all faults at once") {
   world_settings Settings;
   Settings.Faults = {0.1, 0.5, 0.1, 0.1, 3, 4, 4, 2, true};
   Settings.Faults.CrashingJobs = 0.1;
   Settings.Faults.CapacityChanges = 4;
+  Settings.Faults.IdleCuts = 4;
+  Settings.Faults.SlowStores = 2;
+  Settings.EndsPerReport = 3;
   checkWorlds(Settings);
 }
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -36,6 +36,9 @@
                                // a new one comes 2 s later
   milliseconds Notice{4'000};  // of those departures
   int CapacityChanges = 0;     // an executor's capacity is halved for 2 to 12 s
+  int IdleCuts = 0; // begin when a start is ordered on an idle executor, which
+                    // then refuses all calls for 0.5 to 4 s
+  int SlowStores = 0; // for 4 s each write takes 60 times as long
 };
 
 /// A stream of jobs with one step each.
@@ -63,18 +66,21 @@
   int Executors = 8;
   int PerRack = 4;
   resources Capacity{32'000, 64'000, 8};
-  std::vector<double> Speeds;    // each executor has one of them; empty: 1
-  double TaskDeviation = 0;      // of the logarithm of a task's work
-  int Jobs = 20;                 // of mixed kinds, when there are no Loads
-  std::vector<job_load> Loads;   // streams of jobs
-  int Organisations = 1;         // that share the jobs evenly
-  int Guaranteed = 32;           // accelerators of each of them
+  std::vector<double> Speeds;  // each executor has one of them; empty: 1
+  double TaskDeviation = 0;    // of the logarithm of a task's work
+  int Jobs = 20;               // of mixed kinds, when there are no Loads
+  std::vector<job_load> Loads; // streams of jobs
+  double RareJobs = 0;         // fraction of the Jobs for the kind of the last
+                               // executor, which no other one has
+  int Organisations = 1;       // that share the jobs evenly
+  int Guaranteed = 32;         // accelerators of each of them
   milliseconds Arrivals{20'000}; // jobs arrive until then
   milliseconds Faulty{40'000};   // faults occur until then
   milliseconds Length{160'000};  // duration of the run
   milliseconds CountedFrom{0};   // runs count for RoomOf between these times
   milliseconds CountedUntil{0};
-  milliseconds StopTime{300}; // from the order to stop to the end
+  milliseconds StopTime{300};      // from the order to stop to the end
+  std::size_t EndsPerReport = 500; // that an executor lists at most
   world_faults Faults;
   scheduler_settings Scheduler; // of the leaders; the executors use its
                                 // RestoreTime and CheckpointInterval
--- /dev/null
+++ b/tests/unit/batch_contact_test.cpp
@@ -0,0 +1,231 @@
+// Contact with executors: each one that is listed is held again soon after a
+// trouble, and nothing of the life before is taken for the present one.
+
+#include "tests/support/scheduler_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+using namespace galenastage::batch;
+
+namespace {
+
+const executor_id X("x");
+
+struct contact_fixture : test::scheduler_fixture {
+  executor_state &x() { return State.Executors.at(X); }
+
+  /// Starts a job on x whose start and hold fail before they are sent.
+  void failToStart() {
+    settle({"x"});
+    submit(job("a", 1, 1, 1));
+    const start_run Start = save().at(0);
+    REQUIRE(all<hold_executor>().size() == 1);
+    post(start_answered{X, Start.Run, order_outcome::Refused, "refused"});
+    post(hold_failed{X, 1, hold_failure::ConnectionLost});
+    REQUIRE(x().Runs.empty());
+  }
+  /// Starts a job on x whose start gets no answer, until its stop is ordered.
+  run_name startUnanswered() {
+    settle({"x"});
+    submit(job("a", 1, 1, 1));
+    const start_run Start = save().at(0);
+    post(start_answered{X, Start.Run, order_outcome::Unknown, ""});
+    answer("x");
+    REQUIRE(all<stop_run>().size() == 1);
+    return Start.Run;
+  }
+  /// The answer of another life of x to a hold.
+  void answerAs(std::int64_t Incarnation, std::vector<active_run> Active = {},
+                std::vector<ended_run> Ended = {}) {
+    Now += milliseconds(20);
+    post(runs_reported{X, Incarnation, Now.time_since_epoch().count(), Now,
+                       std::move(Active), std::move(Ended)});
+  }
+  void listAs(std::int64_t Incarnation) {
+    executor_report Report = report("x");
+    Report.Incarnation = Incarnation;
+    list({Report});
+  }
+};
+
+} // namespace
+
+// Guards against an executor that gets no work any more after a short cut.
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: an idle executor that didn't answer is held again "
+                 "within 3 s, and gets work") {
+  failToStart();
+  int Holds = 0;
+  const instant Failed = Now;
+  while (Now - Failed < milliseconds(10'000)) {
+    pass(milliseconds(100));
+    if (all<hold_executor>().empty())
+      continue;
+    ++Holds;
+    CHECK(all<hold_executor>().front().Wait == milliseconds(0));
+    post(hold_failed{X, 1, hold_failure::ConnectionLost});
+  }
+  CHECK(Holds >= 4);
+  CHECK(Holds <= 10); // each of them costs a call
+  const instant Healed = Now;
+  while (all<hold_executor>().empty() && Now - Healed < milliseconds(3'000))
+    pass(milliseconds(100));
+  REQUIRE(all<hold_executor>().size() == 1);
+  answer("x");
+  pass(milliseconds(100));
+  REQUIRE(all<save_progress>().size() == 1);
+  CHECK(save().size() == 1);
+}
+
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: idle executors that answer aren't held") {
+  settle({"x", "y"});
+  std::size_t Holds = 0;
+  for (int I = 0; I < 600; ++I) {
+    pass(milliseconds(100));
+    Holds += all<hold_executor>().size();
+  }
+  CHECK(Holds == 0);
+}
+
+// Guards against a hold that is waiting for an end when the executor is back:
+// with its wait, contact takes longer than 3 s.
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: a silent executor with runs answers at once") {
+  settle({"x"});
+  const run_name Run = run(job("a", 1, 1, 1)).at(0).Run;
+  answer("x", {{Run, "", 10}});
+  pass(milliseconds(100));
+  post(hold_failed{X, 1, hold_failure::NoAnswer});
+  pass(milliseconds(300));
+  REQUIRE(all<hold_executor>().size() == 1);
+  CHECK(all<hold_executor>().front().Wait == milliseconds(0));
+}
+
+// Guards against ends of a new life that a hold for the life before forgets.
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: a hold acknowledges nothing while the executor is "
+                 "silent") {
+  settle({"x"});
+  const auto Starts = run(job("a", 1, 2, 1));
+  answer("x", {{Starts[1].Run, "", 10}}, {end(Starts[0].Run, run_end::Done)});
+  post(progress_saved{true});
+  REQUIRE(all<hold_executor>().front().LastSeen == 1);
+  post(hold_failed{X, 1, hold_failure::ConnectionLost});
+  pass(milliseconds(300));
+  REQUIRE(all<hold_executor>().size() == 1);
+  CHECK(all<hold_executor>().front().LastSeen == 0);
+  answer("x", {{Starts[1].Run, "", 10}},
+         {{1, Starts[0].Run, run_end::Done, ""}});
+  pass(milliseconds(100));
+  REQUIRE(all<hold_executor>().size() == 1);
+  CHECK(all<hold_executor>().front().LastSeen == 1);
+}
+
+// Guards against a last end that is never acknowledged, since the life before
+// had more ends.
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: ends of a new life are acknowledged by their own "
+                 "numbers") {
+  settle({"x"});
+  const auto Starts = run(job("a", 1, 2, 1));
+  answer("x", {{Starts[1].Run, "", 10}},
+         {{57, Starts[0].Run, run_end::Done, ""}});
+  post(progress_saved{true});
+  answer("x", {{Starts[1].Run, "", 10}});
+  pass(milliseconds(100));
+  REQUIRE(all<hold_executor>().size() == 1);
+  answerAs(2);
+  const auto Again = save();
+  REQUIRE(Again.size() == 1);
+  post(start_answered{X, Again[0].Run, order_outcome::Accepted, ""});
+  answerAs(2, {}, {{1, Again[0].Run, run_end::Done, ""}});
+  post(progress_saved{true});
+  REQUIRE(all<hold_executor>().size() == 1);
+  CHECK(all<hold_executor>().front().LastSeen == 1);
+}
+
+// Guards against a run that nobody knows of: the life before had accepted its
+// stop, the new one may still accept its late start.
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: a stop that the life before accepted is repeated "
+                 "after a restart") {
+  const run_name Run = startUnanswered();
+  Now += milliseconds(20);
+  post(stop_answered{X, Run, true, 1});
+  answerAs(2);
+  REQUIRE(x().Runs.contains(Run));
+  REQUIRE(all<stop_run>().size() == 1);
+  post(stop_answered{X, Run, true, 1}); // late, of the life before
+  CHECK_FALSE(x().Runs.at(Run).IsStopAccepted);
+  Now += milliseconds(20);
+  post(stop_answered{X, Run, true, 2});
+  answerAs(2);
+  CHECK_FALSE(x().Runs.contains(Run));
+  CHECK(save().size() + save().size() == 1); // the task is started again
+}
+
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: a start that was closed before a restart is closed "
+                 "in the new life as well") {
+  const run_name Run = startUnanswered();
+  Now += milliseconds(20);
+  post(stop_answered{X, Run, true, 1});
+  answer("x");
+  REQUIRE_FALSE(x().Runs.contains(Run));
+  SECTION("seen by the list") { listAs(2); }
+  SECTION("seen by a hold") { answerAs(2); }
+  REQUIRE(all<stop_run>().size() == 1);
+  CHECK(all<stop_run>().front().Run == Run);
+  const std::int64_t SentTo = all<stop_run>().front().To.Incarnation;
+  REQUIRE(x().Runs.contains(Run));
+  Now += milliseconds(20);
+  post(stop_answered{X, Run, true, SentTo});
+  answerAs(2);
+  CHECK_FALSE(x().Runs.contains(Run));
+}
+
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: closed starts are forgotten once they can't come") {
+  const run_name Run = startUnanswered();
+  Now += milliseconds(20);
+  post(stop_answered{X, Run, true, 1});
+  answer("x");
+  post(cancel_requested{job_id("a")});
+  pass(State.Settings.LateStarts);
+  listAs(2);
+  CHECK(all<stop_run>().empty());
+  CHECK(x().Runs.empty());
+}
+
+// Guards against what the life before answers after the list told of the next.
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: the answer to a hold of the life before isn't "
+                 "used") {
+  settle({"x"});
+  const auto Starts = run(job("a", 1, 1, 1));
+  answer("x", {{Starts[0].Run, "", 10}});
+  pass(milliseconds(100));
+  REQUIRE(x().IsHolding);
+  listAs(2);
+  answerAs(1, {}, {{57, Starts[0].Run, run_end::Failed, ""}});
+  CHECK(x().LastSeenProcessed == 0);
+  CHECK_FALSE(x().HasAnsweredHold);
+  REQUIRE(all<hold_executor>().size() == 1);
+  CHECK(all<hold_executor>().front().LastSeen == 0);
+}
+
+// Guards against a task that waits for good: its choice was stored while the
+// leader lease had run out, and the lease was renewed after that.
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: a start that was stored without a leader lease is "
+                 "ordered once it is renewed") {
+  settle({"x"});
+  submit(job("a", 1, 1, 1));
+  State.ValidUntil = Now;
+  CHECK(save().empty());
+  post(leadership_extended{Now + milliseconds(10'000)});
+  REQUIRE(all<save_progress>().size() == 1);
+  CHECK(save().size() == 1);
+}
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -167,3 +167,19 @@
   CHECK(parseJob(R"({"spec":"","steps":[{"count":4000},{"count":4000}]})")
             .Result);
 }
+
+// Guards against a full report that is taken for a whole one.
+TEST_CASE("wire: a report of as many ends as an executor lists isn't whole") {
+  const auto Report = [](std::size_t Ends) {
+    std::string Rows;
+    for (std::size_t I = 1; I <= Ends; ++I)
+      Rows += (Rows.empty() ? "" : ",") + ("[" + std::to_string(I)) +
+              R"(,"a.0.0.)" + std::to_string(I) + R"(",1,"done",""])";
+    return parseHoldAnswer(R"({"clock_ms":1,"born":1,"active":[],"ended":[)" +
+                           Rows + "]}");
+  };
+  REQUIRE(Report(499).Result);
+  CHECK(Report(499).Result->IsWhole);
+  CHECK_FALSE(Report(500).Result->IsWhole);
+  CHECK_FALSE(Report(501).Result->IsWhole);
+}
