Store which attempts the counts of failures and crashes include

The progress of a unit held how often its task had failed and crashed executors, and of the failures only the last attempt. A leader that was told of an older one again had no way to know that it was in the count.

Each count now comes with a set of attempts, counted_attempts. An attempt is one start order, so it runs in at most one life of an executor and names the life as well.

In the record the sets follow the crashes and are left out while both are empty, so that most records stay as they were. A record without them is taken to have counted each attempt that it can have: a failure or crash in doubt isn't counted a second time.

--- a/core/job/batch/progress.hpp
+++ b/core/job/batch/progress.hpp
@@ -3,6 +3,7 @@
 // Stored progress of a job. The leader stores it before it acknowledges an end
 // to an executor, so that the next leader continues from there.
 
+#include "core/job/batch/counted_attempts.hpp"
 #include "core/job/batch/crashes.hpp"
 #include "core/job/batch/model.hpp"
 
@@ -29,13 +30,17 @@
 /// or all tasks of a gang.
 struct unit_progress {
   bool IsDone = false;
-  int Attempts = 0;       // highest attempt started
-  int Failures = 0;       // failed attempts
-  int FailedAttempt = 0;  // last counted; gang members report the same one
-  std::string Checkpoint; // for the next run; empty: none
+  int Attempts = 0;                   // highest attempt started
+  int Failures = 0;                   // failed attempts
+  int FailedAttempt = 0;              // last counted, for earlier programs
+  std::string Checkpoint;             // for the next run; empty: none
   std::vector<task_placement> Placed; // of that attempt, one for each task;
                                       // stored before any of its runs starts
   std::vector<crash_record> Crashes;  // of each task; empty: none
+  // Attempts whose executor crashed, of each task; empty: none. Crashes leaves
+  // out those that are no fault of the task.
+  std::vector<counted_attempts> Crashed;
+  counted_attempts Failed; // in Failures; gang members report the same ones
 
   /// The crashes under one task, by its number in the unit.
   [[nodiscard]] crash_record crashesOf(int Task) const;
--- a/core/job/batch/records.cpp
+++ b/core/job/batch/records.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace galenastage::batch {
 namespace {
 
@@ -111,8 +113,25 @@
   return Result;
 }
 
+/// [first, others...] in one list.
+json printAttempts(const counted_attempts &Attempts) {
+  json Record = json::array({Attempts.UpTo});
+  for (const int Attempt : Attempts.Later)
+    Record.push_back(Attempt);
+  return Record;
+}
+
+counted_attempts readAttempts(const json &Record) {
+  counted_attempts Attempts{readWhole<int>(Record.at(0), "attempts"), {}};
+  for (std::size_t I = 1; I < Record.size(); ++I)
+    Attempts.add(readWhole<int>(Record[I], "attempts"));
+  return Attempts;
+}
+
 /// [done, attempts, failures, failed attempt, checkpoint, executors,
-/// incarnations, crashes]. Earlier programs wrote and read the first six.
+/// incarnations, crashes, crashed attempts, failed attempts]. Earlier programs
+/// wrote and read the first six or eight. The last two are left out when both
+/// are empty.
 json printUnit(const unit_progress &Unit) {
   json Executors = json::array();
   json Incarnations = json::array();
@@ -123,9 +142,29 @@
   json Crashes = json::array();
   for (const crash_record &Record : Unit.Crashes)
     Crashes.push_back({Record.Crashes, Record.Blamed});
-  return json::array({Unit.IsDone ? 1 : 0, Unit.Attempts, Unit.Failures,
-                      Unit.FailedAttempt, Unit.Checkpoint, std::move(Executors),
-                      std::move(Incarnations), std::move(Crashes)});
+  json Record =
+      json::array({Unit.IsDone ? 1 : 0, Unit.Attempts, Unit.Failures,
+                   Unit.FailedAttempt, Unit.Checkpoint, std::move(Executors),
+                   std::move(Incarnations), std::move(Crashes)});
+  if (Unit.Crashed.empty() && Unit.Failed.isEmpty())
+    return Record;
+  json Crashed = json::array();
+  for (const counted_attempts &Attempts : Unit.Crashed)
+    Crashed.push_back(printAttempts(Attempts));
+  Record.push_back(std::move(Crashed));
+  Record.push_back(printAttempts(Unit.Failed));
+  return Record;
+}
+
+/// Earlier programs stored counts without their attempts. Each attempt that may
+/// be in them is taken to be: one more start harms less than a second count.
+void assumeCounted(unit_progress &Unit) {
+  for (const crash_record &Crash : Unit.Crashes)
+    Unit.Crashed.push_back({Crash.Crashes > 0 ? Unit.Attempts : 0, {}});
+  if (Unit.Failures == 1)
+    Unit.Failed.add(Unit.FailedAttempt);
+  else if (Unit.Failures > 1)
+    Unit.Failed.UpTo = std::max(Unit.FailedAttempt, Unit.Attempts - 1);
 }
 
 unit_progress readUnit(const json &Record) {
@@ -135,12 +174,16 @@
                      readWhole<int>(Record.at(3), "unit"),
                      Record.at(4).get<std::string>(),
                      {},
+                     {},
+                     {},
                      {}};
   for (const json &Id : Record.at(5))
     Unit.Placed.push_back({executor_id(Id.get<std::string>()), 0});
   const bool HasCrashes = Record.size() > 6;
-  if (!HasCrashes)
+  if (!HasCrashes) {
+    assumeCounted(Unit);
     return Unit;
+  }
   const json &Incarnations = Record.at(6);
   if (Incarnations.size() != Unit.Placed.size())
     throw std::out_of_range("executors and incarnations differ in number");
@@ -150,6 +193,14 @@
   for (const json &Crash : Record.at(7))
     Unit.Crashes.push_back({readWhole<int>(Crash.at(0), "crashes"),
                             readWhole<int>(Crash.at(1), "crashes")});
+  const bool HasAttempts = Record.size() > 8;
+  if (!HasAttempts) {
+    assumeCounted(Unit);
+    return Unit;
+  }
+  for (const json &Attempts : Record.at(8))
+    Unit.Crashed.push_back(readAttempts(Attempts));
+  Unit.Failed = readAttempts(Record.at(9));
   return Unit;
 }
 
