Count the crash under an attempt once, whoever leads

A job was shown as failed after one crash of an executor and no failed run: the record still named the lost attempt's executor and life while the task waited for room, and each new leader counted the crash again. Five counts give a job up. In one term a start without an answer was counted at each restart of its executor.

countCrash now counts an attempt of a task once and stores it with the count. A crash that is no fault of the task (an outage, a departure that was announced) is stored as well, without a count, since the next leader doesn't know of the circumstances and counted it.

--- a/core/job/batch/scheduler_crashes.cpp
+++ b/core/job/batch/scheduler_crashes.cpp
@@ -5,6 +5,14 @@
 #include <algorithm>
 
 namespace galenastage::batch::detail {
+namespace {
+
+/// The task's place in what is stored for each task of its unit.
+std::size_t numberInUnit(const step_spec &Step, const task_name &Task) {
+  return Step.IsGang ? static_cast<std::size_t>(Task.Index) : 0;
+}
+
+} // namespace
 
 bool event_handler::hasOutlived(const executor_state &Executor,
                                 const run_state &Run, milliseconds Life) const {
@@ -45,8 +53,6 @@
 std::vector<task_name> event_handler::noteCrash(executor_state &Executor,
                                                 run_loss Cause) {
   std::vector<task_name> GivenUp;
-  if (Executor.Report.IsDraining)
-    return GivenUp; // it has left as announced
   for (const auto &[Name, Run] : Executor.Runs) {
     if (Run.Phase == run_phase::Recording)
       continue; // its start was never ordered
@@ -55,8 +61,11 @@
     const bool IsOutlived =
         hasOutlived(Executor, Run, State.Settings.Crashes.Probation);
     const bool IsPartOfOutage = isOutage(Executor, Name.Task.Job);
-    if (IsOutlived && IsPartOfOutage)
+    const bool HasLeft = Executor.Report.IsDraining; // as announced
+    if (HasLeft || (IsOutlived && IsPartOfOutage)) {
+      noteCrashOf(Name);
       continue;
+    }
     const bool IsBlamed = Cause != run_loss::LeaseExpired && !Run.IsInherited &&
                           !IsOutlived && !IsPartOfOutage;
     if (countCrash(Executor, Name, Cause, IsBlamed))
@@ -65,25 +74,34 @@
   return GivenUp;
 }
 
-bool event_handler::countCrash(const executor_state &Executor,
-                               const run_name &Run, run_loss Cause,
-                               bool IsBlamed) {
+bool event_handler::noteCrashOf(const run_name &Run) {
   const auto Found = State.Jobs.find(Run.Task.Job);
   if (Found == State.Jobs.end() || isFinal(Found->second.Progress.Phase))
     return false;
   job_state &Job = Found->second;
-  const unit_name Unit = unitNameOf(Job, Run.Task);
-  unit_progress *Progress = findProgress(Unit);
+  unit_progress *Progress = findProgress(unitNameOf(Job, Run.Task));
   if (!Progress || Progress->IsDone)
     return false;
-  const step_spec &Step = Job.Spec.Steps[Unit.Step];
+  const step_spec &Step = Job.Spec.Steps[Run.Task.Step];
+  Progress->Crashed.resize(static_cast<std::size_t>(countTasks(Step)));
+  if (!Progress->Crashed[numberInUnit(Step, Run.Task)].add(Run.Attempt))
+    return false;
+  queueSave(Job);
+  return true;
+}
+
+bool event_handler::countCrash(const executor_state &Executor,
+                               const run_name &Run, run_loss Cause,
+                               bool IsBlamed) {
+  if (!noteCrashOf(Run))
+    return false;
+  const job_state &Job = State.Jobs.at(Run.Task.Job);
+  unit_progress *Progress = findProgress(unitNameOf(Job, Run.Task));
+  const step_spec &Step = Job.Spec.Steps[Run.Task.Step];
   Progress->Crashes.resize(static_cast<std::size_t>(countTasks(Step)));
-  crash_record &Record =
-      Progress
-          ->Crashes[Step.IsGang ? static_cast<std::size_t>(Run.Task.Index) : 0];
+  crash_record &Record = Progress->Crashes[numberInUnit(Step, Run.Task)];
   ++Record.Crashes;
   Record.Blamed += IsBlamed ? 1 : 0;
-  queueSave(Job);
   log(events::CrashCounted, {{"task", printTask(Run.Task)},
                              {"attempt", std::to_string(Run.Attempt)},
                              {"executor", Executor.Report.Id.Value},
@@ -126,6 +144,7 @@
   if (!IsOver)
     return;
   Progress->Crashes.clear();
+  Progress->Crashed.clear();
   queueSave(Job);
 }
 
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -195,7 +195,11 @@
   /// that had run for a while when it fell silent together with others. Returns
   /// the tasks that are given up for it.
   std::vector<task_name> noteCrash(executor_state &Executor, run_loss Cause);
-  /// Counts one crash of the task's executor. True when it is given up.
+  /// Notes that the executor of the run crashed. Returns false if that is known
+  /// or doesn't matter any more. Counts nothing.
+  bool noteCrashOf(const run_name &Run);
+  /// Counts one crash of the task's executor, once for each attempt. True when
+  /// it is given up.
   bool countCrash(const executor_state &Executor, const run_name &Run,
                   run_loss Cause, bool IsBlamed);
   void giveUp(const std::vector<task_name> &Tasks);
--- a/tests/support/scheduler_fixture.hpp
+++ b/tests/support/scheduler_fixture.hpp
@@ -3,6 +3,7 @@
 // Drives the batch scheduler's reducer, with executors whose answers the test
 // posts.
 
+#include "core/job/batch/records.hpp"
 #include "core/job/batch/scheduler.hpp"
 
 namespace galenastage::batch::test {
@@ -15,9 +16,12 @@
   wall_instant Wall{milliseconds(1'000'000)};
   effects Last; // of the last event, without log lines
   std::int64_t Ends = 0;
+  deployment_config Config;
+  std::map<job_id, job_spec> Specs;     // of all jobs found
+  std::vector<saved_job> Saving;        // in the save in flight
+  std::map<job_id, std::string> Stored; // progress records
 
   scheduler_fixture() {
-    deployment_config Config;
     Config.Version = 1;
     for (int Priority = 0; Priority < 3; ++Priority) {
       queue_config Queue;
@@ -41,9 +45,37 @@
   }
   void postOf(std::uint64_t Term, decltype(event::What) What) {
     Last.clear();
-    for (effect &Effect : reduce(State, {Now, Wall, Term, std::move(What)}))
+    if (const auto *Found = std::get_if<job_found>(&What))
+      Specs[Found->Spec.Id] = Found->Spec;
+    if (const auto *Saved = std::get_if<progress_saved>(&What))
+      for (const saved_job &Job : std::exchange(Saving, {}))
+        if (Saved->IsSaved)
+          Stored[Job.Job] = printProgress(Job.Progress);
+    for (effect &Effect : reduce(State, {Now, Wall, Term, std::move(What)})) {
+      if (const auto *Save = std::get_if<save_progress>(&Effect))
+        Saving = Save->Jobs;
       if (!std::holds_alternative<write_log>(Effect))
         Last.push_back(std::move(Effect));
+    }
+  }
+  /// Another instance leads from now on. It knows what was stored.
+  void changeLeader(std::vector<executor_report> Reports) {
+    const std::uint64_t Next = State.Token + 1;
+    const std::set<data_centre_id> Evacuated = State.Evacuated;
+    State = scheduler_state(State.Settings);
+    Saving.clear();
+    post(configuration_changed{Config});
+    post(evacuations_changed{Evacuated});
+    post(leadership_gained{Next, Now + milliseconds(1'000'000)});
+    list(std::move(Reports));
+    for (const auto &[Id, Text] : std::map(Stored))
+      post(job_found{Specs.at(Id), parseProgress(Text, Specs.at(Id)).Record});
+    post(recovery_finished{});
+  }
+  /// Confirms saves until none is in flight.
+  void saveAll() {
+    while (!State.Saving.empty())
+      post(progress_saved{true});
   }
   void pass(milliseconds Time) {
     Now += Time;
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -126,6 +126,101 @@
   CHECK(unit("a").crashesOf(0) == crash_record{2, 1});
 }
 
+// Guards against a job that is given up after one crash: each leader counted it
+// again while the task waited for room.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a crash counts once, however many leaders find it") {
+  settle({"x"});
+  const start_run Start = run(job("a", 1, 1, 8)).at(0);
+  keepAlive(Start, milliseconds(2'000));
+  saveAll();
+  post(evacuations_changed{{data_centre_id("a")}}); // nothing starts any more
+  executor_report Report = report("x");
+  const bool ComesBack = GENERATE(true, false);
+  crash_record Expected{1, 0};
+  const auto find = [&] {
+    Now += milliseconds(20);
+    if (ComesBack) {
+      ++Report.Incarnation;
+      post(runs_reported{executor_id("x"), Report.Incarnation, 1, Now, {}, {}});
+    } else {
+      pass(milliseconds(20'000)); // its leases expire
+    }
+    saveAll();
+  };
+  if (!ComesBack) {
+    post(hold_failed{executor_id("x"), 1, hold_failure::NoAnswer});
+    list({});
+  }
+  find();
+  CHECK(unit("a").crashesOf(0) == Expected);
+  for (int Leader = 0; Leader < 6; ++Leader) {
+    changeLeader(ComesBack ? std::vector{Report}
+                           : std::vector<executor_report>{});
+    find();
+    CHECK(unit("a").crashesOf(0) == Expected);
+  }
+  CHECK(progress("a").Phase == job_phase::Running);
+  // A crash under the next attempt counts.
+  post(evacuations_changed{{}});
+  list({report("y")});
+  answer("y");
+  const auto Starts = nextStarts();
+  REQUIRE(Starts.size() == 1);
+  keepAlive(Starts[0], milliseconds(2'000));
+  crash(Starts[0].To.Id);
+  Expected.Crashes = 2;
+  CHECK(unit("a").crashesOf(0) == Expected);
+}
+
+// Guards against a second count in one term: the run of an unanswered start is
+// kept over a restart of its executor.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: an unanswered start counts one crash, however often "
+                 "its executor restarts") {
+  settle({"x"});
+  submit(job("a", 1, 1, 8));
+  const start_run Start = save().at(0);
+  post(start_answered{Start.To.Id, Start.Run, order_outcome::Unknown, ""});
+  for (std::int64_t Incarnation = 2; Incarnation < 9; ++Incarnation) {
+    Now += milliseconds(20);
+    post(runs_reported{Start.To.Id, Incarnation, 1, Now, {}, {}});
+    CHECK(unit("a").crashesOf(0).Crashes == 1);
+  }
+  CHECK(progress("a").Phase == job_phase::Running);
+}
+
+// Guards against a crash that one leader holds against no task and the next one
+// counts.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a crash that is no fault of a task stays so for the "
+                 "next leader") {
+  settle({"x1", "x2", "x3"});
+  std::vector<start_run> Starts;
+  for (const char *Id : {"a", "b", "c"})
+    Starts.push_back(run(job(Id, 1, 1, 8)).at(0));
+  Now += milliseconds(2'000);
+  for (const start_run &Start : Starts)
+    answer(Start.To.Id.Value, {{Start.Run, "", 10}});
+  saveAll();
+  const bool IsAnnounced = GENERATE(true, false);
+  std::vector<executor_report> Reports{report("x1"), report("x2"),
+                                       report("x3")};
+  for (executor_report &Report : Reports)
+    Report.IsDraining = IsAnnounced;
+  post(evacuations_changed{{data_centre_id("a")}});
+  list(Reports);
+  for (const start_run &Start : Starts)
+    post(hold_failed{Start.To.Id, 1, hold_failure::ConnectionLost});
+  for (const start_run &Start : Starts)
+    post(hold_failed{Start.To.Id, 1, hold_failure::Replaced});
+  saveAll();
+  changeLeader({});
+  pass(milliseconds(20'000)); // leases expire
+  for (const char *Id : {"a", "b", "c"})
+    CHECK(unit(Id).crashesOf(0) == crash_record{});
+}
+
 TEST_CASE_METHOD(crash_fixture,
                  "batch: a run that an earlier leader ordered to this life of "
                  "an executor, and that it doesn't list, is no crash") {
