Count a failed attempt once, whoever leads and however often it is reported

A job was shown as failed after two failed runs of three allowed: a new leader was told again of an end that nobody had acknowledged, and the count knew its last attempt only. The same happened in one term when an executor was listed again, and for gangs.

A failure now counts once by attempt, in any order.

With the comparison of before, by reverting the line: the count is 3 where 2 is expected in four tests, and the job is failed. All pass now.

--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -347,9 +347,16 @@
 
 void event_handler::applyFailure(executor_state &Executor, job_state &Job,
                                  const run_name &Run, unit_progress &Progress) {
-  const bool IsCounted = Progress.FailedAttempt == Run.Attempt;
-  if (IsCounted)
+  const bool IsGang = Job.Spec.Steps[Run.Task.Step].IsGang;
+  if (!Progress.Failed.add(Run.Attempt)) {
+    if (!IsGang) // otherwise it may be of another member
+      log(events::FailureKnown,
+          {{"task", printTask(Run.Task)},
+           {"attempt", std::to_string(Run.Attempt)},
+           {"executor", Executor.Report.Id.Value},
+           {"failures", std::to_string(Progress.Failures)}});
     return;
+  }
   Progress.FailedAttempt = Run.Attempt;
   ++Progress.Failures;
   queueSave(Job);
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -202,6 +202,11 @@
     "A task is blamed if it had just started; it then runs alone. crashes and "
     "blamed_for are its counts so far.",
     "If 3203 says that the job failed for it, check the job's payload."};
+const log_event FailureKnown{
+    3225, Info, "failure-known",
+    "The failed end of a run was reported again, to a new leader or after the "
+    "executor had been out of reach. It is in the count of failures already.",
+    "None."};
 
 const log_event ExecutorSilent{
     3301, Warning, "executor-silent",
@@ -416,6 +421,7 @@
     &events::AnswerOutdated,
     &events::StartWithdrawn,
     &events::CrashCounted,
+    &events::FailureKnown,
     &events::ExecutorSilent,
     &events::ExecutorLost,
     &events::ExecutorUnlisted,
