Acknowledge the last end of an executor that started again

The end was never taken note of, so that each new leader was told of it again: the number that the hold in flight named was of the life before, and its answer raised LastSeenAcknowledged beyond the ends of the present one. An executor without runs isn't held again then.

A restart resets the number.

--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -104,6 +104,7 @@
   Executor.LastSeenProcessed = 0;
   Executor.LastSeenSaved = 0;
   Executor.LastSeenAcknowledged = 0;
+  Executor.HoldLastSeen = 0; // a hold in flight names an end of that life
   Executor.SaveNeeded = 0;
   Executor.NextHold = Now;
   touch(Executor);
--- a/tests/unit/batch_term_test.cpp
+++ b/tests/unit/batch_term_test.cpp
@@ -241,3 +241,39 @@
   REQUIRE(Starts.size() == 1);
   CHECK(Starts[0].To.Id == executor_id("y"));
 }
+
+// Guards against a last end that no hold acknowledges: the number that the hold
+// in flight named was of the life before, and looked like one of the present.
+TEST_CASE_METHOD(term_fixture,
+                 "batch: the last end of an executor that started again is "
+                 "acknowledged") {
+  std::vector<ended_run> Before; // of the first life
+  Before.push_back(end(Run, run_end::Done));
+  answer("x", {}, Before);
+  saveAll();
+  REQUIRE(all<hold_executor>().size() == 1);
+  CHECK(all<hold_executor>()[0].LastSeen == 1);
+  REQUIRE(x().IsHolding); // the executor restarts, and answers it then
+  const bool IsListedFirst = GENERATE(true, false);
+  executor_report Report = report("x");
+  Report.Incarnation = 2;
+  if (IsListedFirst)
+    list({Report});
+  const auto answerAnew = [&](std::vector<ended_run> Ended) {
+    Now += milliseconds(20);
+    post(runs_reported{executor_id("x"), 2, 1, Now, {}, std::move(Ended)});
+  };
+  answerAnew({});
+  list({Report});
+  const auto Starts = run(job("b", 1, 1, 1));
+  REQUIRE(Starts.size() == 1);
+  answerAnew({{1, Starts[0].Run, run_end::Done, ""}});
+  saveAll();
+  CHECK(x().LastSeenSaved == 1);
+  CHECK(x().LastSeenAcknowledged == 0);
+  pass(milliseconds(1'000));
+  REQUIRE(x().IsHolding);
+  CHECK(x().HoldLastSeen == 1);
+  answerAnew({});
+  CHECK(x().LastSeenAcknowledged == 1);
+}
