Count each executor once towards an outage

An outage that excuses tasks needs two other executors that fell silent at the same time. One that fell silent twice counted as two, and the crash of a task's executor was no longer counted. Without the change the test sees 0 crashes where 1 is expected.

--- a/core/job/batch/scheduler_crashes.cpp
+++ b/core/job/batch/scheduler_crashes.cpp
@@ -41,13 +41,15 @@
   if (Own == State.Silences.rend())
     return false;
   const milliseconds Window = State.Settings.Crashes.OutageWindow;
-  const auto IsTogether = [&](const executor_silence &Other) {
-    return Other.Executor != Own->Executor && !Other.Jobs.contains(Job) &&
-           Other.From <= Own->Until + Window &&
-           Own->From <= Other.Until + Window;
-  };
-  return std::ranges::count_if(State.Silences, IsTogether) >=
-         State.Settings.Crashes.OutageExecutors;
+  std::set<executor_id> Others; // one may have fallen silent several times
+  for (const executor_silence &Other : State.Silences) {
+    const bool IsTogether =
+        Other.From <= Own->Until + Window && Own->From <= Other.Until + Window;
+    if (Other.Executor != Own->Executor && !Other.Jobs.contains(Job) &&
+        IsTogether)
+      Others.insert(Other.Executor);
+  }
+  return std::ssize(Others) >= State.Settings.Crashes.OutageExecutors;
 }
 
 std::vector<task_name> event_handler::noteCrash(executor_state &Executor,
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -332,6 +332,27 @@
   }
 }
 
+// Guards against an outage that is one other executor, which falls silent
+// twice.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: an executor that falls silent twice counts once "
+                 "towards an outage") {
+  settle({"x1", "x2", "x3"});
+  std::vector<start_run> Starts;
+  for (const char *Id : {"a", "b", "c"})
+    Starts.push_back(run(job(Id, 1, 1, 8)).at(0));
+  Now += milliseconds(2'000);
+  for (const start_run &Start : Starts)
+    answer(Start.To.Id.Value, {{Start.Run, "", 10}});
+  const bool IsThird = GENERATE(true, false);
+  post(hold_failed{Starts[0].To.Id, 1, hold_failure::NoAnswer});
+  post(hold_failed{Starts[1].To.Id, 1, hold_failure::NoAnswer});
+  answer(Starts[1].To.Id.Value, {{Starts[1].Run, "", 10}});
+  post(hold_failed{Starts[IsThird ? 2 : 1].To.Id, 1, hold_failure::NoAnswer});
+  post(hold_failed{Starts[0].To.Id, 1, hold_failure::Replaced});
+  CHECK(unit("a").crashesOf(0).Crashes == (IsThird ? 0 : 1));
+}
+
 TEST_CASE_METHOD(crash_fixture,
                  "batch: a task that has run for long isn't blamed for a "
                  "crash, however often, before the fifth") {
