Let ends wait in the simulated worlds while leaders and executors change

New faults: executors that restart under their id, and leaders that are lost, while an end waits for its acknowledgement; leaders that are lost one after the other after a crash. New check, in all worlds: a job is given up only once a task, or gang, has failed as often as allowed or may have crashed four executors.

--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -151,6 +151,32 @@
   checkWorlds(Settings);
 }
 
+// Guards against jobs that fail too early: an end that no leader had
+// acknowledged was counted again by the next one.
+TEST_CASE("batch: runs fail, leaders are lost and executors restart while ends "
+          "wait") {
+  world_settings Settings;
+  Settings.Faults.FailingRuns = 0.25;
+  Settings.Faults.LossesWithEnds = 8;
+  Settings.Faults.RestartsWithEnds = 8;
+  Settings.Faults.ExecutorRestarts = 4;
+  checkWorlds(Settings);
+}
+
+// Guards against jobs that are given up after one crash: each new leader
+// counted it again while the task waited for room.
+TEST_CASE(
+    "batch: leaders are lost, one after the other, while tasks of crashed "
+    "executors wait") {
+  world_settings Settings;
+  Settings.Executors = 6;
+  Settings.Jobs = 60;
+  Settings.Arrivals = milliseconds(10'000);
+  Settings.Faults.Outages = 2;
+  Settings.Faults.LossesPerOutage = 8;
+  checkWorlds(Settings);
+}
+
 TEST_CASE("batch: all faults at once") {
   world_settings Settings;
   Settings.Faults = {0.1, 0.5, 0.1, 0.1, 3, 4, 4, 2, true};
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -36,6 +36,11 @@
                                // a new one comes 2 s later
   milliseconds Notice{4'000};  // of those departures
   int CapacityChanges = 0;     // an executor's capacity is halved for 2 to 12 s
+  int RestartsWithEnds = 0;    // like ExecutorRestarts, with an end that isn't
+                               // acknowledged yet
+  int LossesWithEnds = 0;      // like LeaderLosses, while there is such an end
+  int LossesPerOutage = 0; // of leaders, 3 s apart, after one more crash for
+                           // each of Outages
 };
 
 /// A stream of jobs with one step each.
--- a/tests/support/batch_world_checks.cpp
+++ b/tests/support/batch_world_checks.cpp
@@ -71,6 +71,26 @@
   }
 }
 
+void world::noteCompletion(const saved_job &Saved) {
+  const stored_job &Job = Jobs[Saved.Job];
+  const bool IsNew =
+      Saved.Progress.Phase == job_phase::Completed &&
+      parseSummary(Job.Progress).Record.Phase != job_phase::Completed;
+  if (!IsNew)
+    return;
+  job_times &Times = Report.Times[Job.Spec.Queue.Priority];
+  const milliseconds Took = Now - Job.Spec.Submitted.time_since_epoch();
+  Times.Ends.push_back(Took);
+  const queue_config &Queue = Job.Spec.Queue;
+  double Work = 0; // of one step after the other
+  for (const step_spec &Step : Job.Spec.Steps)
+    Work += static_cast<double>(Step.Estimate.count()) * Job.ActualWork;
+  const bool IsInTime =
+      static_cast<double>((Took - Queue.TargetDuration).count()) <=
+      Work * Queue.StretchFactor;
+  Times.InTime += IsInTime ? 1 : 0;
+}
+
 void world::checkOutcome() {
   for (const auto &Leader : Leaders)
     Report.Examined += Leader->State.Examined;
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -168,6 +168,7 @@
         std::string(name(End)));
   int &Closed = Executor.Closed[Name.Task];
   Closed = std::max(Closed, Name.Attempt);
+  History.noteEnd(Name, End);
   Executor.Ends.push_back({++Executor.LastNumber, Name, End, Now, Checkpoint});
   if (End == run_end::Done)
     DoneEnds[Name.Task].push_back(
@@ -241,6 +242,8 @@
 void world::restartExecutor(fake_executor &Executor) {
   trace(Executor.Report.Id.Value + " restarts");
   ++Executor.Report.Incarnation;
+  for (const fake_end &End : Executor.Ends)
+    History.noteLostEnd(End.Name);
   Executor.Token = 0;
   Executor.LeaseEnd = time_point(0);
   Executor.Runs.clear();
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -5,6 +5,7 @@
 #include "tests/support/batch_world.hpp"
 
 #include "core/job/batch/records.hpp"
+#include "tests/support/batch_world_counts.hpp"
 
 #include <algorithm>
 #include <cstdlib>
@@ -169,6 +170,10 @@
   [[nodiscard]] organisation_id organisationOf(int Number) const;
   time_point faultTime();
   void makeFaults();
+  /// Faults while executors wait for the acknowledgement of ends
+  /// (batch_world_counts.cpp).
+  void makeCountFaults();
+  void whenEndsWait(std::function<void(fake_executor &)> Fault, int Tries = 0);
 
   fake_executor &anyExecutor() {
     auto Found = Executors.begin();
@@ -340,6 +345,7 @@
 
   void carryOut(const std::shared_ptr<fake_leader> &Leader, start_run &Start) {
     const start_run Order = Start;
+    History.noteOrder(Order.Run);
     const auto answer = [this, Leader, Order](order_outcome Outcome,
                                               const std::string &Reason) {
       after(Latency, [=, this] {
@@ -351,6 +357,8 @@
         Leader, Order.To,
         [this, Order, answer](fake_executor &Executor, bool IsAnswered) {
           const std::string Refusal = begin(Executor, Order);
+          if (IsAnswered && !Refusal.empty())
+            History.noteRefusal(Order.Run);
           if (IsAnswered)
             answer(Refusal.empty() ? order_outcome::Accepted
                                    : order_outcome::Refused,
@@ -512,6 +520,8 @@
         for (const saved_job &Job : Order.Jobs) {
           noteCompletion(Job);
           checkCompletion(Job);
+          if (History.isGivenUpTooEarly(Job, Jobs[Job.Job].Spec))
+            violate(Job.Job.Value + " is given up too early");
           Jobs[Job.Job].Progress = printProgress(Job.Progress);
           Jobs[Job.Job].Revision = Revision;
           if (!IsLost)
@@ -528,26 +538,6 @@
     });
   }
 
-  void noteCompletion(const saved_job &Saved) {
-    const stored_job &Job = Jobs[Saved.Job];
-    const bool IsNew =
-        Saved.Progress.Phase == job_phase::Completed &&
-        parseSummary(Job.Progress).Record.Phase != job_phase::Completed;
-    if (!IsNew)
-      return;
-    job_times &Times = Report.Times[Job.Spec.Queue.Priority];
-    const milliseconds Took = Now - Job.Spec.Submitted.time_since_epoch();
-    Times.Ends.push_back(Took);
-    const queue_config &Queue = Job.Spec.Queue;
-    double Work = 0; // of one step after the other
-    for (const step_spec &Step : Job.Spec.Steps)
-      Work += static_cast<double>(Step.Estimate.count()) * Job.ActualWork;
-    const bool IsInTime =
-        static_cast<double>((Took - Queue.TargetDuration).count()) <=
-        Work * Queue.StretchFactor;
-    Times.InTime += IsInTime ? 1 : 0;
-  }
-
   void carryOut(const std::shared_ptr<fake_leader> &, forget_job &) {}
   void carryOut(const std::shared_ptr<fake_leader> &Leader, save_speeds &Save) {
     const bool IsApplied = !Leader->IsCutOff && Now >= StoreDownUntil &&
@@ -608,6 +598,8 @@
   void checkCapacity(const fake_executor &Executor);
   /// What a leader keeps up to date must equal a full recount.
   void checkIndex(const scheduler_state &State);
+  /// Records the times of a job that is saved as completed for the first time.
+  void noteCompletion(const saved_job &Saved);
   /// A job must not be saved as completed before all its tasks are done.
   void checkCompletion(const saved_job &Saved);
   void checkOutcome();
@@ -637,6 +629,7 @@
   std::vector<std::shared_ptr<fake_leader>> Leaders;
   std::set<task_name> Acknowledged; // tasks whose end as done was acknowledged
   std::map<task_name, std::vector<done_end>> DoneEnds;
+  run_history History;
   world_report Report;
 };
 
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -169,6 +169,7 @@
       const auto Longest = static_cast<int>(3 * LeaderLease.count());
       StoreDownUntil = Now + milliseconds(draw(Longest / 30, Longest));
     });
+  makeCountFaults();
 }
 
 } // namespace galenastage::batch::test::detail
