Leave ended runs out of what the next leader inherits

The record named the executors of the last attempt until the next one started, also after its runs had ended. The next leader reserved room for them, waited for an answer or the end of the leases, and counted a crash if the executor had started again meanwhile, under a run that had failed or been stopped before.

Once all runs of a unit have ended, its executors are removed from the record, which is one more save for a run that was stopped or lost. The cost wasn't measured.

--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -161,6 +161,7 @@
   void applyEnd(executor_state &Executor, const run_name &Run, run_end End,
                 const std::string &Checkpoint,
                 std::optional<instant> Sent = std::nullopt);
+  void forgetPlacement(job_state &Job, const unit_name &Unit);
   void logEnd(const executor_state &Executor, const run_name &Run,
               std::vector<log_field> Outcome);
   void noteGangEnd(job_state &Job, const run_name &Run, run_end End);
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -288,12 +288,27 @@
   }
   if (End == run_end::Failed)
     applyFailure(Executor, Job, Run, *Progress);
-  if (isFinal(Job.Progress.Phase) || !Job.Spec.Steps[Unit.Step].IsGang)
+  if (isFinal(Job.Progress.Phase))
+    return;
+  forgetPlacement(Job, Unit);
+  if (!Job.Spec.Steps[Unit.Step].IsGang)
     return;
   stopUnit(Job, Unit, Run.Attempt + 1); // spares later attempts
   resolveBrokenGang(Job, Unit);
 }
 
+/// Once all runs of the unit have ended, the next leader has none to inherit.
+/// It would take their executors' later restarts for crashes.
+void event_handler::forgetPlacement(job_state &Job, const unit_name &Unit) {
+  unit_progress *Progress = findProgress(Unit);
+  const bool IsOver = Progress && !Progress->Placed.empty() &&
+                      unitState(Job, Unit).LiveRuns == 0;
+  if (!IsOver)
+    return;
+  Progress->Placed.clear();
+  queueSave(Job);
+}
+
 void event_handler::logEnd(const executor_state &Executor, const run_name &Run,
                            std::vector<log_field> Outcome) {
   std::vector<log_field> Fields{{"task", printTask(Run.Task)},
@@ -569,6 +584,7 @@
   Known.NotBefore = Now + State.Settings.RestartDelay;
   touch(Job->second);
   Known.Avoided.insert(Event.Executor);
+  forgetPlacement(Job->second, Unit);
   if (Job->second.Spec.Steps[Unit.Step].IsGang)
     stopUnit(Job->second, Unit);
 }
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -173,6 +173,27 @@
   CHECK(unit("a").crashesOf(0) == Expected);
 }
 
+// Guards against a crash that is counted for a run that had ended before: the
+// next leader still found its executor in the record.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: the restart of an executor is no crash under a run "
+                 "that had ended there") {
+  settle({"x"});
+  const start_run Start = run(job("a", 1, 1, 8)).at(0);
+  post(evacuations_changed{{data_centre_id("a")}});
+  answer("x", {{Start.Run, "", 10}});
+  const run_end End =
+      GENERATE(run_end::Stopped, run_end::Failed, run_end::Lapsed);
+  answer("x", {}, {end(Start.Run, End)});
+  saveAll();
+  executor_report Report = report("x");
+  Report.Incarnation = 2;
+  changeLeader({Report});
+  Now += milliseconds(20);
+  post(runs_reported{executor_id("x"), 2, 1, Now, {}, {}});
+  CHECK(unit("a").crashesOf(0) == crash_record{});
+}
+
 // Guards against a second count in one term: the run of an unanswered start is
 // kept over a restart of its executor.
 TEST_CASE_METHOD(crash_fixture,
