--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -162,6 +162,7 @@
   void applyEnd(executor_state &Executor, const run_name &Run, run_end End,
                 const std::string &Checkpoint,
                 std::optional<instant> Sent = std::nullopt);
+  void forgetPlacement(job_state &Job, const unit_name &Unit);
   void logEnd(const executor_state &Executor, const run_name &Run,
               std::vector<log_field> Outcome);
   void noteGangEnd(job_state &Job, const run_name &Run, run_end End);
@@ -200,7 +201,11 @@
   /// that had run for a while when it fell silent together with others. Returns
   /// the tasks that are given up for it.
   std::vector<task_name> noteCrash(executor_state &Executor, run_loss Cause);
-  /// Counts one crash of the task's executor. True when it is given up.
+  /// Notes that the executor of the run crashed. Returns false if that is known
+  /// or doesn't matter any more. Counts nothing.
+  bool noteCrashOf(const run_name &Run);
+  /// Counts one crash of the task's executor, once for each attempt. True when
+  /// it is given up.
   bool countCrash(const executor_state &Executor, const run_name &Run,
                   run_loss Cause, bool IsBlamed);
   void giveUp(const std::vector<task_name> &Tasks);
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -319,12 +319,27 @@
   }
   if (End == run_end::Failed)
     applyFailure(Executor, Job, Run, *Progress);
-  if (isFinal(Job.Progress.Phase) || !Job.Spec.Steps[Unit.Step].IsGang)
+  if (isFinal(Job.Progress.Phase))
+    return;
+  forgetPlacement(Job, Unit);
+  if (!Job.Spec.Steps[Unit.Step].IsGang)
     return;
   stopUnit(Job, Unit, Run.Attempt + 1); // spares later attempts
   resolveBrokenGang(Job, Unit);
 }
 
+/// Once all runs of the unit have ended, the next leader has none to inherit.
+/// It would take their executors' later restarts for crashes.
+void event_handler::forgetPlacement(job_state &Job, const unit_name &Unit) {
+  unit_progress *Progress = findProgress(Unit);
+  const bool IsOver = Progress && !Progress->Placed.empty() &&
+                      unitState(Job, Unit).LiveRuns == 0;
+  if (!IsOver)
+    return;
+  Progress->Placed.clear();
+  queueSave(Job);
+}
+
 void event_handler::logEnd(const executor_state &Executor, const run_name &Run,
                            std::vector<log_field> Outcome) {
   std::vector<log_field> Fields{{"task", printTask(Run.Task)},
@@ -378,9 +393,16 @@
 
 void event_handler::applyFailure(executor_state &Executor, job_state &Job,
                                  const run_name &Run, unit_progress &Progress) {
-  const bool IsCounted = Progress.FailedAttempt == Run.Attempt;
-  if (IsCounted)
+  const bool IsGang = Job.Spec.Steps[Run.Task.Step].IsGang;
+  if (!Progress.Failed.add(Run.Attempt)) {
+    if (!IsGang) // otherwise it may be of another member
+      log(events::FailureKnown,
+          {{"task", printTask(Run.Task)},
+           {"attempt", std::to_string(Run.Attempt)},
+           {"executor", Executor.Report.Id.Value},
+           {"failures", std::to_string(Progress.Failures)}});
     return;
+  }
   Progress.FailedAttempt = Run.Attempt;
   ++Progress.Failures;
   queueSave(Job);
@@ -596,6 +618,7 @@
   Known.NotBefore = Now + State.Settings.RestartDelay;
   touch(Job->second);
   Known.Avoided.insert(Event.Executor);
+  forgetPlacement(Job->second, Unit);
   if (Job->second.Spec.Steps[Unit.Step].IsGang)
     stopUnit(Job->second, Unit);
 }
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -39,7 +39,12 @@
   int SilentWatches = 0; // leaders hear of no job or cancellation for 1 to 8 s
   int IdleCuts = 0; // begin when a start is ordered on an idle executor, which
                     // then refuses all calls for 0.5 to 4 s
-  int SlowStores = 0; // for 4 s each write takes 60 times as long
+  int SlowStores = 0;       // for 4 s each write takes 60 times as long
+  int RestartsWithEnds = 0; // like ExecutorRestarts, with an end that isn't
+                            // acknowledged yet
+  int LossesWithEnds = 0;   // like LeaderLosses, while there is such an end
+  int LossesPerOutage = 0;  // of leaders, 3 s apart, after one more crash for
+                            // each of Outages
 };
 
 /// A stream of jobs with one step each.
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -173,6 +173,7 @@
         std::string(name(End)));
   int &Closed = Executor.Closed[Name.Task];
   Closed = std::max(Closed, Name.Attempt);
+  History.noteEnd(Name, End);
   Executor.Ends.push_back({++Executor.LastNumber, Name, End, Now, Checkpoint});
   if (End == run_end::Done)
     DoneEnds[Name.Task].push_back(
@@ -247,6 +248,8 @@
   trace(Executor.Report.Id.Value + " restarts");
   ++Executor.Report.Incarnation;
   Executor.BornAt = Now;
+  for (const fake_end &End : Executor.Ends)
+    History.noteLostEnd(End.Name);
   Executor.Token = 0;
   Executor.LeaseEnd = time_point(0);
   Executor.Runs.clear();
--- a/tests/support/batch_world_orders.cpp
+++ b/tests/support/batch_world_orders.cpp
@@ -41,6 +41,7 @@
 void world::carryOut(const std::shared_ptr<fake_leader> &Leader,
                      start_run &Start) {
   const start_run Order = Start;
+  History.noteOrder(Order.Run, Now);
   cutIdle(Executors[Order.To.Id]);
   const auto Answer = [this, Leader, Order](order_outcome Outcome,
                                             const std::string &Reason) {
@@ -54,6 +55,8 @@
       [this, Order, Answer](fake_executor &Executor, bool IsAnswered,
                             bool IsStray) {
         const std::string Refusal = begin(Executor, Order, IsStray);
+        if (IsAnswered && !Refusal.empty())
+          History.noteRefusal(Order.Run);
         if (IsAnswered)
           Answer(Refusal.empty() ? order_outcome::Accepted
                                  : order_outcome::Refused,
