Note a record as published once the store has confirmed it

Callers saw a `pending` of 0 for twelve waiting jobs, for as long as no length changed: the leader noted the queue lengths as published when it ordered the write, and a write that failed was never tried again.

The write of queue lengths, backlog and speeds is answered with record_published. After a failure what the store holds counts as unknown, also if the lengths return to the last confirmed ones. A new leader writes the lengths once, so that those of the leader before don't stay.

A publication has the record's last seen revision among its conditions: of two writes whose order isn't known one can't be applied any more, so that a late write doesn't replace a newer value. A failed condition shows the present revision, or that another instance leads; that ends the term.

Tests: with failures taken as stored, 3 unit cases failed (lengths, tries while the store is away, speeds), and without the condition "orders: a late publication doesn't replace a newer one". The world "the store refuses all writes for a second" checks the stored lengths; it and the others passed.

The test fixture confirms writes of these records at once, so that the existing tests see what they saw.

--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -20,6 +20,7 @@
 
 constexpr milliseconds SaveRetryDelay{50}; // store rejects: rate limit
 constexpr int SaveTries = 3;               // then the reducer retries
+constexpr int PublishTries = 2;            // the second with a read revision
 
 std::string_view name(order_outcome Outcome) {
   switch (Outcome) {
@@ -56,14 +57,22 @@
           [&](save_progress &Order) { Spawn(save(std::move(Order))); },
           [&](forget_job &Order) { Spawn(forget(std::move(Order))); },
           [&](publish_queue_lengths &Order) {
-            Spawn(publish(std::move(Order)));
+            Spawn(publish(Order.Token, published_record::QueueLengths,
+                          keys::QueueLengths, printQueueLengths(Order.Queues)));
+          },
+          [&](publish_backlog &Order) {
+            Spawn(publish(
+                Order.Token, published_record::Backlog, keys::Backlog,
+                printBacklog({Order.Token, Order.Number, Order.Backlog})));
           },
-          [&](publish_backlog &Order) { Spawn(publish(std::move(Order))); },
           [&](note_wait &Order) {
             Metrics.noteWait(Order.Organisation.Value, Order.Priority,
                              Order.Waited);
           },
-          [&](save_speeds &Order) { Spawn(saveSpeeds(std::move(Order))); },
+          [&](save_speeds &Order) {
+            Spawn(publish(Order.Token, published_record::Speeds, keys::Speeds,
+                          printSpeeds(Order.Speeds)));
+          },
           [&](write_log &Order) {
             Metrics.noteSchedulerEvent(Order.Line.Event->Name);
             writeLog(Order.Line);
@@ -160,6 +169,20 @@
     Post(Term, progress_saved{IsSaved});
 }
 
+/// After a failed condition: false, and the term has ended, if another instance
+/// leads.
+bool orders::stillLeads(std::uint64_t Term,
+                        const std::vector<platform::store_item> &Current) {
+  const bool StillLeads =
+      std::ranges::any_of(Current, [&](const platform::store_item &Item) {
+        return Item.Key == keys::Leader &&
+               Item.Revision == leadership::fence(Term).Revision;
+      });
+  if (!StillLeads)
+    Leadership.endTermOf(Term);
+  return StillLeads;
+}
+
 /// Takes over the current revisions after a failed condition. True when all
 /// records already hold the values to be written: an earlier try was applied
 /// and its answer lost.
@@ -192,40 +215,45 @@
   Leadership.forget(Forget.Job);
 }
 
-task<void> orders::publish(publish_queue_lengths Publish) {
-  platform::store_change Change;
-  Change.Conditions.push_back(leadership::fence(Publish.Token));
-  Change.Writes.push_back(
-      {keys::QueueLengths, printQueueLengths(Publish.Queues), 0});
-  const platform::change_result Write =
-      co_await Store.change(std::move(Change));
-  if (Write.Error) // the next change of a length publishes all again
-    writeLog(events::SaveFailed,
-             {{"record", "queue lengths"}, {"error", Write.Error.message()}});
-}
-
-task<void> orders::publish(publish_backlog Publish) {
-  platform::store_change Change;
-  Change.Conditions.push_back(leadership::fence(Publish.Token));
-  Change.Writes.push_back(
-      {keys::Backlog,
-       printBacklog({Publish.Token, Publish.Number, Publish.Backlog}), 0});
-  const platform::change_result Write =
-      co_await Store.change(std::move(Change));
-  if (Write.Error) // while work waits, the next publication follows soon
-    writeLog(events::SaveFailed,
-             {{"record", "backlog"}, {"error", Write.Error.message()}});
+task<void> orders::publish(std::uint64_t Term, published_record Record,
+                           std::string Key, std::string Value) {
+  const write_outcome Outcome =
+      co_await write(Term, std::move(Key), std::move(Value));
+  if (Term == Leadership.token())
+    Post(Term, record_published{Record, Outcome});
 }
 
-task<void> orders::saveSpeeds(save_speeds Save) {
-  platform::store_change Change;
-  Change.Conditions.push_back(leadership::fence(Save.Token));
-  Change.Writes.push_back({keys::Speeds, printSpeeds(Save.Speeds), 0});
-  const platform::change_result Write =
-      co_await Store.change(std::move(Change));
-  if (Write.Error) // the next observation stores all again
-    writeLog(events::SaveFailed,
-             {{"record", "speeds"}, {"error", Write.Error.message()}});
+/// Replaces a record on condition that this instance still leads and that the
+/// record is at the revision last seen: a write whose answer was lost may be
+/// applied seconds later, but not after a newer one.
+task<write_outcome> orders::write(std::uint64_t Term, std::string Key,
+                                  std::string Value) {
+  for (int Try = 0; Try < PublishTries && Term == Leadership.token(); ++Try) {
+    platform::store_change Change;
+    Change.Conditions.push_back(leadership::fence(Term));
+    Change.Conditions.push_back({Key, Revisions[Key]});
+    Change.Writes.push_back({Key, Value, 0});
+    const platform::change_result Write =
+        co_await Store.change(std::move(Change));
+    if (Term != Leadership.token())
+      break;
+    if (Write.Error) {
+      writeLog(events::SaveFailed,
+               {{"record", Key}, {"error", Write.Error.message()}});
+      co_return Write.Error == errc::StoreRefused ? write_outcome::Refused
+                                                  : write_outcome::Failed;
+    }
+    if (Write.IsApplied) {
+      Revisions[Key] = Write.Revision;
+      co_return write_outcome::Stored;
+    }
+    if (!stillLeads(Term, Write.Current))
+      break;
+    const auto Found =
+        std::ranges::find(Write.Current, Key, &platform::store_item::Key);
+    Revisions[Key] = Found == Write.Current.end() ? 0 : Found->Revision;
+  }
+  co_return write_outcome::Failed;
 }
 
 } // namespace galenastage
--- a/apps/instance/orders.hpp
+++ b/apps/instance/orders.hpp
@@ -21,9 +21,12 @@
   task<void> hold(batch::hold_executor Hold);
   task<void> save(batch::save_progress Save);
   task<void> forget(batch::forget_job Forget);
-  task<void> saveSpeeds(batch::save_speeds Save);
-  task<void> publish(batch::publish_queue_lengths Publish);
-  task<void> publish(batch::publish_backlog Publish);
+  task<void> publish(std::uint64_t Term, batch::published_record Record,
+                     std::string Key, std::string Value);
+  task<batch::write_outcome> write(std::uint64_t Term, std::string Key,
+                                   std::string Value);
+  bool stillLeads(std::uint64_t Term,
+                  const std::vector<platform::store_item> &Current);
   bool refreshRevisions(const batch::save_progress &Save,
                         const std::vector<std::string> &Values,
                         const std::vector<platform::store_item> &Current);
@@ -34,6 +37,7 @@
   leadership &Leadership;
   instance_metrics &Metrics;
   leadership::post_event Post;
+  std::map<std::string, std::int64_t> Revisions; // of published records
 };
 
 } // namespace galenastage
--- a/core/error.cpp
+++ b/core/error.cpp
@@ -33,6 +33,8 @@
       return "upstream overloaded";
     case errc::NotLeading:
       return "not the active scheduler";
+    case errc::StoreRefused:
+      return "refused by the store";
     }
     return "unknown error " + std::to_string(Value);
   }
--- a/core/error.hpp
+++ b/core/error.hpp
@@ -17,6 +17,7 @@
   DeadlineExceeded,   // the caller's deadline passed
   UpstreamOverloaded, // no executor slot became free in time
   NotLeading,         // this process isn't the active scheduler
+  StoreRefused,       // the store will never take this write
 };
 
 std::error_code make_error_code(errc Error);
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -32,6 +32,7 @@
           [](const start_answered &) -> text { return "start"; },
           [](const stop_answered &) -> text { return "stop"; },
           [](const progress_saved &) -> text { return "save"; },
+          [](const record_published &) -> text { return "publication"; },
           [](const auto &) -> text { return "store"; },
       },
       Event.What);
@@ -229,14 +230,17 @@
   State.Saving.clear();
   State.SavesQueued = 0;
   State.SavesFinished = 0;
-  State.PublishedLengths.clear();
+  State.Publishing.clear();
+  State.PublishedLengths.reset();
+  State.SentLengths.clear();
   State.GuaranteedUse.clear();
   State.Headroom.clear();
   State.UrgentSeen.clear();
   State.UrgentUse.clear();
   State.Usage.clear();
   State.Rates.clear();
-  State.PublishedBacklog = {};
+  State.PublishedBacklog = backlog{};
+  State.SentBacklog = {};
   State.BacklogPublished = {};
   State.BacklogNumber = 0;
   State.Speeds.clear();
@@ -266,7 +270,8 @@
       if (const auto Found = State.Jobs.find(Job); Found != State.Jobs.end())
         Found->second.IsSaveQueued = true;
     State.Saving.clear();
-    return; // retried immediately; the caller spaces its attempts
+    if (!Event.IsSaved)
+      return; // retried immediately; the caller spaces its attempts
   }
   State.SavesFinished += State.Saving.size();
   for (const job_id &Id : State.Saving)
@@ -283,6 +288,30 @@
   saveNext();
 }
 
+void event_handler::apply(const record_published &Event) {
+  if (State.Publishing.erase(Event.Record) == 0)
+    return;
+  const bool IsTriedAgain = Event.Outcome == write_outcome::Failed;
+  switch (Event.Record) {
+  case published_record::QueueLengths:
+    State.PublishedLengths.reset();
+    if (!IsTriedAgain)
+      State.PublishedLengths = State.SentLengths;
+    break;
+  case published_record::Backlog:
+    State.PublishedBacklog.reset();
+    if (!IsTriedAgain)
+      State.PublishedBacklog = State.SentBacklog;
+    break;
+  case published_record::Speeds:
+    if (!IsTriedAgain)
+      break;
+    State.AreSpeedsUnsaved = true;
+    State.NextSpeedSave = Now + State.Settings.QueueLengthInterval;
+    break;
+  }
+}
+
 void event_handler::apply(const time_passed &) {
   if (State.Token == 0)
     return;
@@ -414,9 +443,11 @@
   for (const auto &[Queue, Count] : Waiting)
     Lengths.push_back({Queue, Count});
   State.NextPublication = Now + State.Settings.QueueLengthInterval;
-  if (Lengths == State.PublishedLengths)
+  const bool IsStored = State.PublishedLengths == Lengths;
+  if (IsStored ||
+      !State.Publishing.insert(published_record::QueueLengths).second)
     return;
-  State.PublishedLengths = Lengths;
+  State.SentLengths = Lengths;
   Out.emplace_back(publish_queue_lengths{State.Token, std::move(Lengths)});
 }
 
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -170,6 +170,18 @@
 struct progress_saved {
   bool IsSaved = false;
 };
+/// Records that the leader publishes; each write replaces the one before.
+enum class published_record { QueueLengths, Backlog, Speeds };
+enum class write_outcome {
+  Stored,
+  Failed,  // or unknown: it may be stored, even later
+  Refused, // the store will never take this content
+};
+/// The outcome of a publication. The scheduler retries one that failed.
+struct record_published {
+  published_record Record = published_record::QueueLengths;
+  write_outcome Outcome = write_outcome::Failed;
+};
 /// The speeds that an earlier leader stored.
 struct speeds_found {
   std::vector<stored_speed> Speeds;
@@ -187,7 +199,7 @@
                job_found, cancel_requested, leadership_gained,
                recovery_finished, leadership_extended, leadership_lost,
                runs_reported, hold_failed, start_answered, stop_answered,
-               progress_saved, speeds_found, time_passed>
+               progress_saved, record_published, speeds_found, time_passed>
       What;
 };
 
@@ -238,6 +250,8 @@
 
   friend bool operator==(const queue_length &, const queue_length &) = default;
 };
+/// Answered with record_published, like publish_backlog and save_speeds. Of
+/// each record one write is in flight at a time.
 struct publish_queue_lengths {
   std::uint64_t Token = 0;
   std::vector<queue_length> Queues;
@@ -257,7 +271,7 @@
   milliseconds Waited{0};
 };
 
-/// Stores the speeds of executors. Not answered: the next one has them again.
+/// Stores the speeds of executors for the next leader.
 struct save_speeds {
   std::uint64_t Token = 0;
   std::vector<stored_speed> Speeds;
@@ -533,8 +547,11 @@
   // Needs of runs and plans, by organisation; none without either.
   std::map<organisation_id, capacity_sum> Usage;
   std::map<service_id, work_rate> Rates;
-  backlog PublishedBacklog;
-  instant BacklogPublished{};
+  std::set<published_record> Publishing; // with a write in flight
+  // As stored in this term; nullopt: unknown, because a write failed.
+  std::optional<backlog> PublishedBacklog = backlog{};
+  backlog SentBacklog;                          // in the last write
+  instant BacklogPublished{};                   // when that was sent
   std::uint64_t BacklogNumber = 0;              // of the last publication
   std::map<executor_id, executor_speed> Speeds; // of observed executors
   // Pace of the steps of completed jobs, relative to their estimates.
@@ -549,7 +566,9 @@
   std::vector<job_id> Saving;      // in the save in flight
   std::uint64_t SavesQueued = 0;   // entries ever added to SaveQueue
   std::uint64_t SavesFinished = 0; // entries ever stored
-  std::vector<queue_length> PublishedLengths;
+  // As stored; nullopt: unknown, because a write failed or none was made.
+  std::optional<std::vector<queue_length>> PublishedLengths;
+  std::vector<queue_length> SentLengths; // in the last write
   instant NextPublication{};
   bool NeedsPlacement = false; // a change may allow a unit to start
   instant NextPlacement{};     // earliest time
--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -182,9 +182,12 @@
   const bool HasWork = std::ranges::any_of(
       Backlog.Services, [](const auto &Item) { return !Item.Entries.empty(); });
   const bool IsOld = Now - State.BacklogPublished >= RefreshInterval;
-  if (!differsNotably(State.PublishedBacklog, Backlog) && !(HasWork && IsOld))
+  const bool IsCurrent = State.PublishedBacklog &&
+                         !differsNotably(*State.PublishedBacklog, Backlog) &&
+                         !(HasWork && IsOld);
+  if (IsCurrent || !State.Publishing.insert(published_record::Backlog).second)
     return;
-  State.PublishedBacklog = Backlog;
+  State.SentBacklog = Backlog;
   State.BacklogPublished = Now;
   Out.emplace_back(
       publish_backlog{State.Token, ++State.BacklogNumber, std::move(Backlog)});
--- a/core/job/batch/scheduler_speed.cpp
+++ b/core/job/batch/scheduler_speed.cpp
@@ -324,7 +324,7 @@
 void event_handler::saveSpeeds() {
   const bool IsDue = State.AreSpeedsUnsaved && isLeading() &&
                      State.IsRecovered && Now >= State.NextSpeedSave;
-  if (!IsDue)
+  if (!IsDue || !State.Publishing.insert(published_record::Speeds).second)
     return;
   State.AreSpeedsUnsaved = false;
   State.NextSpeedSave = Now + State.Settings.Speeds.SaveInterval;
--- a/standin/metadata_service.cpp
+++ b/standin/metadata_service.cpp
@@ -139,6 +139,11 @@
   if (Faults.IsOverRate)
     co_return status(429);
   http_response Response;
+  if (Faults.DefersWrites && Request.path() == "/v1/kv-txn") {
+    Deferred.push_back(Request.Body);
+    Response.Status = 0;
+    co_return Response;
+  }
   if (IsWatch) {
     Response = co_await watch(Request);
   } else {
@@ -229,6 +234,11 @@
     if (Lease != 0 && !Leases.contains(Lease))
       return status(404);
   }
+  for (const json &Row : Body.value("write", json::array())) {
+    const auto Value = decodeBase64(Row.at("value").get<std::string>());
+    if (Value.value_or("").size() > Faults.MaxValueBytes)
+      return status(413);
+  }
   ++Revision;
   for (const json &Row : Body.value("write", json::array()))
     write(Row.at("key").get<std::string>(),
@@ -239,6 +249,11 @@
   return jsonResponse(200, json{{"revision", Revision}}.dump());
 }
 
+void metadata_service::carryOutDeferred() {
+  for (const std::string &Body : std::exchange(Deferred, {}))
+    commit(Body);
+}
+
 http_response metadata_service::handleLease(const std::string &Path,
                                             const std::string &Body) {
   constexpr std::string_view Keep = "/v1/kv-keep/";
--- a/standin/metadata_service.hpp
+++ b/standin/metadata_service.hpp
@@ -14,13 +14,15 @@
 namespace galenastage::standin {
 
 struct metadata_faults {
-  bool IsBusy = false;         // 503 to every call
-  bool RejectsRanges = false;  // 503 to reads of ranges
-  bool IsOverRate = false;     // 429 to every call
-  bool LosesAnswers = false;   // acts, then closes without a response
-  bool IsSilent = false;       // accepts requests and never responds
-  bool IgnoresWatches = false; // never responds to watches
-  std::size_t PageItems = 500; // items in one page of a range
+  bool IsBusy = false;                   // 503 to every call
+  bool RejectsRanges = false;            // 503 to reads of ranges
+  bool IsOverRate = false;               // 429 to every call
+  bool LosesAnswers = false;             // acts, then closes without a response
+  bool IsSilent = false;                 // accepts requests and never responds
+  bool IgnoresWatches = false;           // never responds to watches
+  std::size_t PageItems = 500;           // items in one page of a range
+  std::size_t MaxValueBytes = 1'048'576; // of an item; 413 beyond
+  bool DefersWrites = false; // closes without a response, acts when asked to
 
   friend bool operator==(const metadata_faults &,
                          const metadata_faults &) = default;
@@ -53,6 +55,8 @@
   [[nodiscard]] std::int64_t revision() const { return Revision; }
   /// Ends a lease as if it had expired, and removes its keys.
   void endLease(std::int64_t Id);
+  /// Acts on the deferred transactions, as far as their conditions still hold.
+  void carryOutDeferred();
 
 private:
   struct item {
@@ -96,6 +100,7 @@
   std::int64_t Forgotten = 0; // changes up to this revision are discarded
   std::int64_t NextLease = 100;
   std::uint64_t Calls = 0;
+  std::vector<std::string> Deferred; // bodies of transactions
   http_server Server;
 };
 
--- /dev/null
+++ b/tests/contract/orders_test.cpp
@@ -0,0 +1,132 @@
+// Tests how the leader's writes reach a simulated metadata store that refuses
+// them, loses answers or acts late.
+
+#include "apps/instance/front.hpp"
+#include "apps/instance/keys.hpp"
+#include "apps/instance/orders.hpp"
+#include "apps/instance/queue_lengths.hpp"
+#include "apps/runtime/process.hpp"
+#include "core/job/batch/records.hpp"
+#include "standin/metadata_service.hpp"
+#include "tests/support/run_task.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+using namespace galenastage;
+using namespace galenastage::batch;
+
+namespace {
+
+struct orders_fixture {
+  asio::io_context Context{1};
+  standin::metadata_service Service{Context, {"127.0.0.1", 0}};
+  platform::metadata_store Store{Context, Service.localEndpoint(), ""};
+  platform::executor_client Executors{Context, ""};
+  instance_metrics Metrics;
+  std::vector<decltype(event::What)> Posted;
+  leadership::post_event Post = [this](std::uint64_t,
+                                       decltype(event::What) What) {
+    Posted.push_back(std::move(What));
+  };
+  leadership Leadership{
+      Context,         Store, "one", {"127.0.0.1", 7}, milliseconds(60'000),
+      milliseconds(0), Post};
+  orders Orders{Context, Store, Executors, Leadership, Metrics, Post};
+
+  orders_fixture() {
+    asio::co_spawn(Context, Leadership.run(), asio::detached);
+    next<recovery_finished>();
+  }
+  /// Runs the context until an event of this kind is posted, and takes it.
+  template <typename Kind> Kind next() {
+    for (;;) {
+      for (auto It = Posted.begin(); It != Posted.end(); ++It)
+        if (const auto *Found = std::get_if<Kind>(&*It)) {
+          Kind Taken = *Found;
+          Posted.erase(It);
+          return Taken;
+        }
+      Context.run_one();
+    }
+  }
+  write_outcome publish(int Waiting) {
+    Orders.execute(
+        publish_queue_lengths{Leadership.token(), {{route_id("q"), Waiting}}});
+    return next<record_published>().Outcome;
+  }
+  [[nodiscard]] int published() const {
+    const std::string Text = Service.value(keys::QueueLengths);
+    return Text.empty() ? -1 : parseQueueLengths(Text)[route_id("q")];
+  }
+  /// Progress whose record has about so many bytes.
+  static job_progress progress(std::size_t Bytes) {
+    job_progress Progress;
+    Progress.Organisation = organisation_id(std::string(Bytes, 'o'));
+    return Progress;
+  }
+  progress_saved save(std::vector<saved_job> Jobs) {
+    Orders.execute(save_progress{Leadership.token(), std::move(Jobs)});
+    return next<progress_saved>();
+  }
+  [[nodiscard]] std::string stored(const std::string &Job) const {
+    return Service.value(keys::progressKey(job_id(Job)));
+  }
+};
+
+} // namespace
+
+// Guards against a queue length that is taken for stored although the store has
+// refused it.
+TEST_CASE_METHOD(orders_fixture,
+                 "orders: the outcome of each publication is reported") {
+  CHECK(publish(1) == write_outcome::Stored);
+  CHECK(published() == 1);
+  Service.Faults.IsBusy = true;
+  CHECK(publish(2) == write_outcome::Failed);
+  Service.Faults.IsBusy = false;
+  CHECK(published() == 1);
+  CHECK(publish(2) == write_outcome::Stored);
+  CHECK(published() == 2);
+  Service.Faults.MaxValueBytes = 3;
+  CHECK(publish(3) == write_outcome::Refused);
+}
+
+TEST_CASE_METHOD(orders_fixture,
+                 "orders: a publication whose answer was lost is made again") {
+  CHECK(publish(1) == write_outcome::Stored);
+  Service.Faults.LosesAnswers = true;
+  CHECK(publish(2) == write_outcome::Failed);
+  Service.Faults.LosesAnswers = false;
+  CHECK(published() == 2);
+  CHECK(publish(1) == write_outcome::Stored);
+  CHECK(published() == 1);
+}
+
+// Guards against an old value that a late write puts over a newer one.
+TEST_CASE_METHOD(orders_fixture,
+                 "orders: a late publication doesn't replace a newer one") {
+  const bool IsFirst = GENERATE(true, false);
+  if (!IsFirst)
+    CHECK(publish(1) == write_outcome::Stored);
+  Service.Faults.DefersWrites = true;
+  CHECK(publish(2) == write_outcome::Failed);
+  Service.Faults.DefersWrites = false;
+  CHECK(publish(3) == write_outcome::Stored);
+  Service.carryOutDeferred();
+  CHECK(published() == 3);
+}
+
+// Guards against a former leader that goes on writing.
+TEST_CASE_METHOD(orders_fixture,
+                 "orders: a publication ends the term when another instance "
+                 "leads") {
+  CHECK(publish(1) == write_outcome::Stored);
+  const std::uint64_t Term = Leadership.token();
+  Service.put(keys::Leader, "two 0 0 127.0.0.1:8");
+  Orders.execute(publish_queue_lengths{Term, {{route_id("q"), 2}}});
+  next<leadership_lost>();
+  CHECK_FALSE(Leadership.isLeading());
+  CHECK(published() == 1);
+}
--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -151,6 +151,26 @@
   checkWorlds(Settings);
 }
 
+// Guards against queue lengths that stay wrong after a write of them failed.
+TEST_CASE("batch: the store refuses all writes for a second") {
+  world_settings Settings;
+  Settings.Executors = 2;
+  Settings.Jobs = 60;
+  Settings.Length = milliseconds(400'000);
+  Settings.Faults.RefusedWrites = 12;
+  checkWorlds(Settings);
+}
+
+TEST_CASE("batch: the store refuses some writes and loses answers of others") {
+  world_settings Settings;
+  Settings.Jobs = 60;
+  Settings.Length = milliseconds(400'000);
+  Settings.Faults.FailingWrites = 0.2;
+  Settings.Faults.LostWrites = 0.2;
+  Settings.Faults.LeaderLosses = 3;
+  checkWorlds(Settings);
+}
+
 TEST_CASE("batch: all faults at once") {
   world_settings Settings;
   Settings.Faults = {0.1, 0.5, 0.1, 0.1, 3, 4, 4, 2, true};
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -218,6 +218,7 @@
     }
     post(Leader, Term, speeds_found{StoredSpeeds});
     Leader->IsLoaded = true;
+    LoadedAt = Now;
     informLeaders();
     post(Leader, Term, recovery_finished{});
   }
@@ -284,6 +285,7 @@
     for (const auto &Leader : Leaders)
       post(Leader, NoTerm, time_passed{});
     expireLeases();
+    checkLengths();
   }
 
   void post(const std::shared_ptr<fake_leader> &Leader, std::uint64_t Term,
@@ -485,7 +487,7 @@
   void carryOut(const std::shared_ptr<fake_leader> &Leader,
                 save_progress &Save) {
     const save_progress Order = Save;
-    if (Leader->IsCutOff || Now < StoreDownUntil) {
+    if (Leader->IsCutOff || Now < StoreDownUntil || refusesWrite()) {
       after(CallTimeout, [this, Leader, Order] {
         post(Leader, Order.Token, progress_saved{false});
       });
@@ -528,36 +530,19 @@
     });
   }
 
-  void noteCompletion(const saved_job &Saved) {
-    const stored_job &Job = Jobs[Saved.Job];
-    const bool IsNew =
-        Saved.Progress.Phase == job_phase::Completed &&
-        parseSummary(Job.Progress).Record.Phase != job_phase::Completed;
-    if (!IsNew)
-      return;
-    job_times &Times = Report.Times[Job.Spec.Queue.Priority];
-    const milliseconds Took = Now - Job.Spec.Submitted.time_since_epoch();
-    Times.Ends.push_back(Took);
-    const queue_config &Queue = Job.Spec.Queue;
-    double Work = 0; // of one step after the other
-    for (const step_spec &Step : Job.Spec.Steps)
-      Work += static_cast<double>(Step.Estimate.count()) * Job.ActualWork;
-    const bool IsInTime =
-        static_cast<double>((Took - Queue.TargetDuration).count()) <=
-        Work * Queue.StretchFactor;
-    Times.InTime += IsInTime ? 1 : 0;
-  }
+  // The store (batch_world_store.cpp)
 
+  void noteCompletion(const saved_job &Saved);
+  [[nodiscard]] bool refusesWrite();
+  /// Writes a record as a whole, and answers.
+  void publish(const std::shared_ptr<fake_leader> &Leader, std::uint64_t Term,
+               published_record Record, std::function<void()> Apply);
   void carryOut(const std::shared_ptr<fake_leader> &, forget_job &) {}
-  void carryOut(const std::shared_ptr<fake_leader> &Leader, save_speeds &Save) {
-    const bool IsApplied = !Leader->IsCutOff && Now >= StoreDownUntil &&
-                           CurrentToken == Save.Token;
-    if (IsApplied)
-      StoredSpeeds = Save.Speeds;
-  }
-  void carryOut(const std::shared_ptr<fake_leader> &, publish_queue_lengths &) {
-  }
-  void carryOut(const std::shared_ptr<fake_leader> &, publish_backlog &) {}
+  void carryOut(const std::shared_ptr<fake_leader> &Leader, save_speeds &Save);
+  void carryOut(const std::shared_ptr<fake_leader> &Leader,
+                publish_queue_lengths &Publish);
+  void carryOut(const std::shared_ptr<fake_leader> &Leader,
+                publish_backlog &Publish);
   void carryOut(const std::shared_ptr<fake_leader> &, note_wait &) {}
   void carryOut(const std::shared_ptr<fake_leader> &Leader, write_log &Write) {
     std::string Line = "leader " + std::to_string(Leader->Token) + " " +
@@ -606,6 +591,9 @@
 
   void checkStart(const fake_executor &Executor, const start_run &Order);
   void checkCapacity(const fake_executor &Executor);
+  /// The stored queue lengths must not be far below the jobs that are stored as
+  /// queued, unless a leader or the store was in trouble shortly before.
+  void checkLengths();
   /// What a leader keeps up to date must equal a full recount.
   void checkIndex(const scheduler_state &State);
   /// A job must not be saved as completed before all its tasks are done.
@@ -629,6 +617,9 @@
   std::int64_t Revision = 1;
   std::uint64_t Events = 0; // posted to leaders
   std::vector<stored_speed> StoredSpeeds;
+  std::vector<queue_length> StoredLengths;
+  time_point LoadedAt{0}; // when the present leader had read all jobs
+  time_point WritesRefusedUntil{0};
   std::uint64_t CurrentToken = 0;
   time_point LeaderValidUntil{0};
   time_point StoreDownUntil{0};
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -164,6 +164,8 @@
     at(faultTime(), [this, Id] { drainExecutor(Executors[Id]); });
   for (int I = 0; I < Faults.CapacityChanges; ++I)
     at(faultTime(), [this] { changeCapacity(anyExecutor()); });
+  for (int I = 0; I < Faults.RefusedWrites; ++I)
+    at(faultTime(), [this] { WritesRefusedUntil = Now + milliseconds(1'000); });
   for (int I = 0; I < Faults.StoreOutages; ++I)
     at(faultTime(), [this] {
       const auto Longest = static_cast<int>(3 * LeaderLease.count());
--- a/tests/support/scheduler_fixture.hpp
+++ b/tests/support/scheduler_fixture.hpp
@@ -15,6 +15,7 @@
   wall_instant Wall{milliseconds(1'000'000)};
   effects Last; // of the last event, without log lines
   std::int64_t Ends = 0;
+  bool ConfirmsWrites = true; // of all but progress, at once
 
   scheduler_fixture() {
     deployment_config Config;
@@ -41,9 +42,29 @@
   }
   void postOf(std::uint64_t Term, decltype(event::What) What) {
     Last.clear();
-    for (effect &Effect : reduce(State, {Now, Wall, Term, std::move(What)}))
-      if (!std::holds_alternative<write_log>(Effect))
-        Last.push_back(std::move(Effect));
+    take(Term, std::move(What));
+    for (std::size_t I = 0; ConfirmsWrites && I < Last.size(); ++I)
+      if (auto Answer = confirm(Last[I]))
+        take(State.Token, std::move(*Answer));
+  }
+  /// The answer of a store that takes the write; nullopt for other effects.
+  static std::optional<decltype(event::What)> confirm(const effect &Effect) {
+    using answer = std::optional<decltype(event::What)>;
+    constexpr auto Stored = write_outcome::Stored;
+    return std::visit(
+        overloaded{
+            [](const publish_queue_lengths &) -> answer {
+              return record_published{published_record::QueueLengths, Stored};
+            },
+            [](const publish_backlog &) -> answer {
+              return record_published{published_record::Backlog, Stored};
+            },
+            [](const save_speeds &) -> answer {
+              return record_published{published_record::Speeds, Stored};
+            },
+            [](const auto &) -> answer { return std::nullopt; },
+        },
+        Effect);
   }
   void pass(milliseconds Time) {
     Now += Time;
@@ -58,6 +79,14 @@
     return Found;
   }
 
+private:
+  void take(std::uint64_t Term, decltype(event::What) What) {
+    for (effect &Effect : reduce(State, {Now, Wall, Term, std::move(What)}))
+      if (!std::holds_alternative<write_log>(Effect))
+        Last.push_back(std::move(Effect));
+  }
+
+public:
   static executor_report report(const std::string &Id,
                                 const std::string &Rack = "r1") {
     executor_report Report;
