Forget an old job once the store has confirmed its removal

A job that ended long ago was dropped from the leader's state when its removal was ordered. If the call failed, its records stayed until the next leader, and a catch-up after a loss of the store's history could have taken the job for a new one. A save in flight (the clock jumps by the retention time) could have created its progress anew.

The removal is answered with job_forgotten; one that failed is tried again after 1 s, and 8 are in flight at most, where all old jobs were before. No job is forgotten while a save of it is in flight, and none is saved while it is being forgotten. The removal has the revision of the progress among its conditions: a late one doesn't remove a new job that has the id.

Tests: with failures taken as done and without the look at saves in flight, 2 unit cases failed; without the condition "orders: a late removal doesn't remove a new job" failed.

--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -202,17 +202,29 @@
   return AreAllWritten;
 }
 
+/// Removes a job on condition that its progress is as this leader stored it: a
+/// late write must not remove a new job that has the same id.
 task<void> orders::forget(forget_job Forget) {
+  const std::uint64_t Term = Forget.Token;
   platform::store_change Change;
-  Change.Conditions.push_back(leadership::fence(Forget.Token));
+  Change.Conditions = {
+      leadership::fence(Term),
+      {keys::progressKey(Forget.Job), Leadership.progressRevision(Forget.Job)}};
   Change.Removals = {keys::specKey(Forget.Job), keys::cancelKey(Forget.Job),
                      keys::progressKey(Forget.Job)};
   const platform::change_result Write =
       co_await Store.change(std::move(Change));
-  if (Write.Error) // the next leader loads the job and removes it
+  if (Term != Leadership.token())
+    co_return; // the next leader loads the job and removes it
+  if (Write.Error)
     writeLog(events::SaveFailed,
              {{"job", Forget.Job.Value}, {"error", Write.Error.message()}});
-  Leadership.forget(Forget.Job);
+  const bool IsGone = !Write.Error && !Write.IsApplied;
+  if (IsGone && !stillLeads(Term, Write.Current))
+    co_return;
+  if (!Write.Error)
+    Leadership.forget(Forget.Job);
+  Post(Term, job_forgotten{Forget.Job, !Write.Error});
 }
 
 task<void> orders::publish(std::uint64_t Term, published_record Record,
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -33,6 +33,7 @@
           [](const stop_answered &) -> text { return "stop"; },
           [](const progress_saved &) -> text { return "save"; },
           [](const record_published &) -> text { return "publication"; },
+          [](const job_forgotten &) -> text { return "removal"; },
           [](const auto &) -> text { return "store"; },
       },
       Event.What);
@@ -228,6 +229,8 @@
   State.Silences.clear();
   State.SaveQueue.clear();
   State.Saving.clear();
+  State.Forgetting.clear();
+  State.NextForget = {};
   State.SavesQueued = 0;
   State.SavesFinished = 0;
   State.Publishing.clear();
@@ -342,7 +345,7 @@
 }
 
 void event_handler::queueSave(job_state &Job) {
-  if (Job.IsSaveQueued)
+  if (Job.IsSaveQueued || State.Forgetting.contains(Job.Spec.Id))
     return;
   Job.IsSaveQueued = true;
   State.SaveQueue.push_back(Job.Spec.Id);
@@ -451,18 +454,33 @@
   Out.emplace_back(publish_queue_lengths{State.Token, std::move(Lengths)});
 }
 
+/// Few at a time: many jobs may be old when a leader begins.
 void event_handler::forgetOldJobs() {
-  if (!isLeading())
+  if (!isLeading() || Now < State.NextForget)
     return;
-  std::erase_if(State.Jobs, [&](const auto &Item) {
-    const job_state &Job = Item.second;
+  for (const auto &[Id, Job] : State.Jobs) {
+    if (std::ssize(State.Forgetting) >= State.Settings.MaxForgetting)
+      return;
     const bool IsOld = isFinal(Job.Progress.Phase) && !Job.IsSaveQueued &&
                        Job.Runs.empty() &&
                        WallNow - Job.Progress.Ended > State.Settings.Retention;
-    if (IsOld)
-      Out.emplace_back(forget_job{State.Token, Item.first});
-    return IsOld;
-  });
+    // A save in flight would store the progress again.
+    const bool IsBusy = std::ranges::count(State.Saving, Id) != 0;
+    if (IsOld && !IsBusy && State.Forgetting.insert(Id).second)
+      Out.emplace_back(forget_job{State.Token, Id});
+  }
+}
+
+void event_handler::apply(const job_forgotten &Event) {
+  if (State.Forgetting.erase(Event.Job) == 0)
+    return;
+  if (!Event.IsForgotten) {
+    State.NextForget = Now + State.Settings.ForgetRetry;
+    return;
+  }
+  const auto Found = State.Jobs.find(Event.Job);
+  if (Found != State.Jobs.end() && Found->second.Runs.empty())
+    State.Jobs.erase(Found);
 }
 
 void event_handler::finish() {
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -66,6 +66,8 @@
   milliseconds ProvenFor{4'000};   // after a success on an executor
   milliseconds ProvenWait{2'000};  // of a last attempt for proven executors
   milliseconds Retention{150'000}; // of ended jobs
+  int MaxForgetting = 8;           // ended jobs that are removed at a time
+  milliseconds ForgetRetry{1'000}; // after a removal that failed
   milliseconds QueueLengthInterval{500}; // between publications
   milliseconds PlacementInterval{15};    // batches changes into one pass
   int SpreadBelowPercent = 60; // accelerators in use; above, no spreading
@@ -182,6 +184,11 @@
   published_record Record = published_record::QueueLengths;
   write_outcome Outcome = write_outcome::Failed;
 };
+/// The outcome of forget_job.
+struct job_forgotten {
+  job_id Job;
+  bool IsForgotten = false; // false: its records may still be stored
+};
 /// The speeds that an earlier leader stored.
 struct speeds_found {
   std::vector<stored_speed> Speeds;
@@ -199,7 +206,8 @@
                job_found, cancel_requested, leadership_gained,
                recovery_finished, leadership_extended, leadership_lost,
                runs_reported, hold_failed, start_answered, stop_answered,
-               progress_saved, record_published, speeds_found, time_passed>
+               progress_saved, record_published, job_forgotten, speeds_found,
+               time_passed>
       What;
 };
 
@@ -564,6 +572,8 @@
   std::set<executor_id> Probing;   // started there, and not observed yet
   std::deque<job_id> SaveQueue;    // in order of their first unsaved change
   std::vector<job_id> Saving;      // in the save in flight
+  std::set<job_id> Forgetting;     // whose records are being removed
+  instant NextForget{};            // earliest time
   std::uint64_t SavesQueued = 0;   // entries ever added to SaveQueue
   std::uint64_t SavesFinished = 0; // entries ever stored
   // As stored; nullopt: unknown, because a write failed or none was made.
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -116,6 +116,7 @@
   void apply(const leadership_lost &Event);
   void apply(const progress_saved &Event);
   void apply(const record_published &Event);
+  void apply(const job_forgotten &Event);
   void apply(const time_passed &Event);
 
   // Events of runs (scheduler_runs.cpp)
--- a/tests/contract/orders_test.cpp
+++ b/tests/contract/orders_test.cpp
@@ -130,3 +130,20 @@
   CHECK_FALSE(Leadership.isLeading());
   CHECK(published() == 1);
 }
+
+// Guards against the removal of a new job that has the id of an old one.
+TEST_CASE_METHOD(orders_fixture,
+                 "orders: a late removal doesn't remove a new job") {
+  REQUIRE(save({{job_id("a"), progress(1)}}).IsSaved);
+  const forget_job Forget{Leadership.token(), job_id("a")};
+  Service.Faults.DefersWrites = true;
+  Orders.execute(Forget);
+  CHECK_FALSE(next<job_forgotten>().IsForgotten);
+  Service.Faults.DefersWrites = false;
+  Orders.execute(Forget);
+  CHECK(next<job_forgotten>().IsForgotten);
+  CHECK(stored("a").empty());
+  Service.put(keys::progressKey(job_id("a")), "new");
+  Service.carryOutDeferred();
+  CHECK(stored("a") == "new");
+}
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -537,7 +537,7 @@
   /// Writes a record as a whole, and answers.
   void publish(const std::shared_ptr<fake_leader> &Leader, std::uint64_t Term,
                published_record Record, std::function<void()> Apply);
-  void carryOut(const std::shared_ptr<fake_leader> &, forget_job &) {}
+  void carryOut(const std::shared_ptr<fake_leader> &Leader, forget_job &Forget);
   void carryOut(const std::shared_ptr<fake_leader> &Leader, save_speeds &Save);
   void carryOut(const std::shared_ptr<fake_leader> &Leader,
                 publish_queue_lengths &Publish);
--- a/tests/support/batch_world_store.cpp
+++ b/tests/support/batch_world_store.cpp
@@ -53,6 +53,16 @@
         });
 }
 
+void world::carryOut(const std::shared_ptr<fake_leader> &Leader,
+                     forget_job &Forget) {
+  const forget_job Order = Forget;
+  const bool IsForgotten = !Leader->IsCutOff && Now >= StoreDownUntil &&
+                           !refusesWrite() && CurrentToken == Order.Token;
+  after(StoreLatency, [=, this] {
+    post(Leader, Order.Token, job_forgotten{Order.Job, IsForgotten});
+  });
+}
+
 void world::carryOut(const std::shared_ptr<fake_leader> &Leader,
                      save_speeds &Save) {
   publish(Leader, Save.Token, published_record::Speeds,
--- a/tests/support/scheduler_fixture.hpp
+++ b/tests/support/scheduler_fixture.hpp
@@ -62,6 +62,9 @@
             [](const save_speeds &) -> answer {
               return record_published{published_record::Speeds, Stored};
             },
+            [](const forget_job &Forget) -> answer {
+              return job_forgotten{Forget.Job, true};
+            },
             [](const auto &) -> answer { return std::nullopt; },
         },
         Effect);
--- a/tests/unit/batch_publication_test.cpp
+++ b/tests/unit/batch_publication_test.cpp
@@ -1,5 +1,5 @@
 // Records that the leader publishes: queue lengths, backlog, speeds of
-// executors.
+// executors, and the removal of old jobs.
 
 #include "tests/support/scheduler_fixture.hpp"
 
@@ -165,3 +165,55 @@
   pass(milliseconds(60'000));
   CHECK(all<save_speeds>().empty());
 }
+
+// Old jobs
+
+// Guards against records that stay in the store because one call failed.
+TEST_CASE_METHOD(publication_fixture,
+                 "publication: the removal of an old job that failed is tried "
+                 "again") {
+  settle({"x"});
+  submit(job("a", 1, 1, 100));
+  post(cancel_requested{job_id("a")});
+  save();
+  pass(State.Settings.Retention + milliseconds(1));
+  REQUIRE(all<forget_job>().size() == 1);
+  CHECK(State.Jobs.contains(job_id("a")));
+  pass(milliseconds(100));
+  CHECK(all<forget_job>().empty()); // its answer is awaited
+  post(job_forgotten{job_id("a"), false});
+  pass(milliseconds(500));
+  CHECK(all<forget_job>().empty());
+  pass(milliseconds(500));
+  REQUIRE(all<forget_job>().size() == 1);
+  post(job_forgotten{job_id("a"), true});
+  CHECK_FALSE(State.Jobs.contains(job_id("a")));
+}
+
+// Guards against a progress record that a save in flight creates anew.
+TEST_CASE_METHOD(publication_fixture,
+                 "publication: a job is not forgotten while a save of it is in "
+                 "flight") {
+  settle({"x"});
+  submit(job("a", 1, 1, 100));
+  post(cancel_requested{job_id("a")});
+  REQUIRE(State.Saving.size() == 1);
+  pass(State.Settings.Retention + milliseconds(1)); // by a jump of the clock
+  CHECK(all<forget_job>().empty());
+  save();
+  pass(milliseconds(100));
+  CHECK(all<forget_job>().size() == 1);
+}
+
+// Guards against as many calls at once as there are old jobs.
+TEST_CASE_METHOD(publication_fixture,
+                 "publication: few old jobs are removed at a time") {
+  settle({"x"});
+  submitWaiting(50);
+  for (int I = 0; I < 50; ++I)
+    post(cancel_requested{job_id("w" + std::to_string(I))});
+  while (!State.Saving.empty())
+    save();
+  pass(State.Settings.Retention + milliseconds(1));
+  CHECK(std::ssize(all<forget_job>()) == State.Settings.MaxForgetting);
+}
