Save a job once in a transaction after a failed save

A job that changed while a save of it was in flight stands in the queue again. A failure put the saved jobs back to the front without looking there, so that the next transaction wrote one record twice.

Entries have numbers. A failed one returns with its number, and the later entry of its job goes: the earlier one covers its change. What is stored is told by the first number that still waits, so that no count is off by the entry that went.

Tests: with the later entry left, "a job that changed during a save that failed is saved once" and the drawn run "whatever fails, ends are acknowledged after they were stored" failed.

--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -265,22 +265,18 @@
 void event_handler::apply(const progress_saved &Event) {
   if (State.Saving.empty())
     return;
-  if (!Event.IsSaved) {
-    // Return the jobs to the front to keep the queue order.
-    State.SaveQueue.insert(State.SaveQueue.begin(), State.Saving.begin(),
-                           State.Saving.end());
-    for (const job_id &Job : State.Saving)
-      if (const auto Found = State.Jobs.find(Job); Found != State.Jobs.end())
-        Found->second.IsSaveQueued = true;
-    State.Saving.clear();
-    if (!Event.IsSaved)
-      return; // retried immediately; the caller spaces its attempts
-  }
-  State.SavesFinished += State.Saving.size();
-  for (const job_id &Id : State.Saving)
-    if (const auto Found = State.Jobs.find(Id); Found != State.Jobs.end())
+  const std::vector<queued_save> Tried = std::exchange(State.Saving, {});
+  if (!Event.IsSaved)
+    returnToQueue(Tried);
+  if (!Event.IsSaved)
+    return; // retried immediately; the caller spaces its attempts
+  State.SavesFinished = State.SaveQueue.empty()
+                            ? State.SavesQueued
+                            : State.SaveQueue.front().Number - 1;
+  for (const queued_save &Entry : Tried)
+    if (const auto Found = State.Jobs.find(Entry.Job);
+        Found != State.Jobs.end())
       startRecorded(Found->second);
-  State.Saving.clear();
   for (auto &[Id, Executor] : State.Executors)
     if (Executor.LastSeenProcessed > Executor.LastSeenSaved &&
         State.SavesFinished >= Executor.SaveNeeded) {
@@ -291,6 +287,23 @@
   saveNext();
 }
 
+/// Puts entries back to the front with their numbers. A job that has changed
+/// since stands in the queue again: its earlier entry covers that change.
+void event_handler::returnToQueue(const std::vector<queued_save> &Entries) {
+  std::set<job_id> Returned;
+  for (const queued_save &Entry : Entries)
+    if (const auto Found = State.Jobs.find(Entry.Job);
+        Found != State.Jobs.end()) {
+      Found->second.IsSaveQueued = true;
+      Returned.insert(Entry.Job);
+    }
+  std::erase_if(State.SaveQueue, [&](const queued_save &Entry) {
+    return Returned.contains(Entry.Job);
+  });
+  State.SaveQueue.insert(State.SaveQueue.begin(), Entries.begin(),
+                         Entries.end());
+}
+
 void event_handler::apply(const record_published &Event) {
   if (State.Publishing.erase(Event.Record) == 0)
     return;
@@ -348,8 +361,7 @@
   if (Job.IsSaveQueued || State.Forgetting.contains(Job.Spec.Id))
     return;
   Job.IsSaveQueued = true;
-  State.SaveQueue.push_back(Job.Spec.Id);
-  ++State.SavesQueued;
+  State.SaveQueue.push_back({Job.Spec.Id, ++State.SavesQueued});
 }
 
 void event_handler::saveNext() {
@@ -358,16 +370,16 @@
   save_progress Save{State.Token, {}};
   while (!State.SaveQueue.empty() &&
          static_cast<int>(Save.Jobs.size()) < State.Settings.MaxJobsPerSave) {
-    const job_id Id = State.SaveQueue.front();
+    const queued_save Entry = State.SaveQueue.front();
     State.SaveQueue.pop_front();
-    State.Saving.push_back(Id);
-    const auto Found = State.Jobs.find(Id);
+    State.Saving.push_back(Entry);
+    const auto Found = State.Jobs.find(Entry.Job);
     if (Found == State.Jobs.end())
       continue;
     Found->second.IsSaveQueued = false;
     for (const auto &[Run, Executor] : Found->second.Runs)
       State.Executors.at(Executor).Runs.at(Run).IsInSave = true;
-    Save.Jobs.push_back({Id, Found->second.Progress});
+    Save.Jobs.push_back({Entry.Job, Found->second.Progress});
   }
   Out.emplace_back(std::move(Save));
 }
@@ -465,7 +477,8 @@
                        Job.Runs.empty() &&
                        WallNow - Job.Progress.Ended > State.Settings.Retention;
     // A save in flight would store the progress again.
-    const bool IsBusy = std::ranges::count(State.Saving, Id) != 0;
+    const bool IsBusy =
+        std::ranges::count(State.Saving, Id, &queued_save::Job) != 0;
     if (IsOld && !IsBusy && State.Forgetting.insert(Id).second)
       Out.emplace_back(forget_job{State.Token, Id});
   }
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -519,6 +519,14 @@
   executor_filter Allowed = executor_filter::all();
 };
 
+/// A job whose progress is to be stored.
+struct queued_save {
+  job_id Job;
+  std::uint64_t Number = 0; // in the order of the first unsaved changes
+
+  friend bool operator==(const queued_save &, const queued_save &) = default;
+};
+
 struct scheduler_state {
   explicit scheduler_state(scheduler_settings Settings = {})
       : Settings(Settings) {}
@@ -569,13 +577,13 @@
   std::map<service_id, std::set<executor_id>> Unprobed;
   bool AreSpeedsUnsaved = false; // changed since the last save_speeds
   instant NextSpeedSave{};
-  std::set<executor_id> Probing;   // started there, and not observed yet
-  std::deque<job_id> SaveQueue;    // in order of their first unsaved change
-  std::vector<job_id> Saving;      // in the save in flight
-  std::set<job_id> Forgetting;     // whose records are being removed
-  instant NextForget{};            // earliest time
-  std::uint64_t SavesQueued = 0;   // entries ever added to SaveQueue
-  std::uint64_t SavesFinished = 0; // entries ever stored
+  std::set<executor_id> Probing;     // started there, and not observed yet
+  std::deque<queued_save> SaveQueue; // by number; each job at most once
+  std::vector<queued_save> Saving;   // in the save in flight
+  std::set<job_id> Forgetting;       // whose records are being removed
+  instant NextForget{};              // earliest time
+  std::uint64_t SavesQueued = 0;     // number of the last entry
+  std::uint64_t SavesFinished = 0;   // all entries up to this one are stored
   // As stored; nullopt: unknown, because a write failed or none was made.
   std::optional<std::vector<queue_length>> PublishedLengths;
   std::vector<queue_length> SentLengths; // in the last write
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -143,6 +143,7 @@
 private:
   // Jobs (scheduler.cpp)
   void queueSave(job_state &Job);
+  void returnToQueue(const std::vector<queued_save> &Entries);
   void saveNext();
   void endJob(job_state &Job, job_phase Phase, std::string_view Cause);
   void noteUnitDone(job_state &Job, int Occurrence);
