Keep a record that the store refuses from holding up other saves

A record above the store's value_bytes was written again and again, with the jobs of the same transaction, and nothing after it was saved or started: two occurrences of nearly 8,000 tasks, or long ids of executors, were enough.

- A job whose progress can outgrow value_bytes with ids and checkpoints of 70 bytes together, or whose specification is above it, is refused with 400 and the limit.
What is stored already is confirmed as before.
- An occurrence begins only if the record can hold it beside the open ones.
- A transaction that the store refuses for good is made again for each job alone; a record that is too large isn't sent at all.
Large records go alone.
A lone record is tried three times, since one answer may be a fault.
- The job of a refused record fails (log event 3230), and its record is stored without its steps.
Its ends are acknowledged after that.
If even the rest is refused, the job leaves the queue of saves.
- A save doesn't create the record of a job that has been forgotten.

PROTOCOL.md doesn't say what the store answers to a value above the limit.

Tests: with occurrences begun as before 1 unit case failed, with refused transactions not split and missing records created 2 contract cases ("a record that the store never takes", "a save doesn't create the record of a job that was forgotten"). The other new cases (the job of a refused record, the refusal at the submission) were only run with the change. Bounds: "no record of progress is larger than its bound", for 8,000 tasks, gang or not, and 50 repetitions.

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -5,6 +5,7 @@
 #include "apps/runtime/logging.hpp"
 #include "apps/runtime/process.hpp"
 #include "core/error.hpp"
+#include "core/job/batch/record_size.hpp"
 #include "core/job/batch/records.hpp"
 #include "platform/client_request.hpp"
 #include "platform/wire.hpp"
@@ -74,10 +75,11 @@
 front::front(asio::io_context &Context, std::string LocalAddress,
              platform::metadata_store &Store, const deployment_feed &Feed,
              instance_metrics &Metrics, admission_settings Admission,
-             std::function<std::optional<endpoint>()> FindLeader)
+             std::function<std::optional<endpoint>()> FindLeader,
+             std::size_t MaxValueBytes)
     : Context(Context), Peers(Context, std::move(LocalAddress)),
       FindLeader(std::move(FindLeader)), Store(Store), Feed(Feed),
-      Metrics(Metrics), Admission(Admission) {}
+      Metrics(Metrics), Admission(Admission), MaxValueBytes(MaxValueBytes) {}
 
 task<http_response> front::handle(http_request Request, bool IsForwarded) {
   const instant Arrived = readClock();
@@ -199,6 +201,13 @@
   return Response;
 }
 
+/// No instance can store the job: sending it again is vain.
+http_response front::refuseForGood(const job_id &Job,
+                                   const std::string &Reason) {
+  writeLog(events::SubmissionRefused, {{"job", Job.Value}, {"reason", Reason}});
+  return problemResponse(400, "job too large", Reason, verdict::NotRun);
+}
+
 task<http_response> front::submit(const admitted &Admitted, job_id Job,
                                   const std::string &Body) {
   if (Body.size() > Admitted.View->Config.MaxBodyBytes)
@@ -219,6 +228,14 @@
   Spec.Queue = *Admitted.Queue;
   Spec.Organisation = Admitted.Organisation;
   Spec.Submitted = readWallClock();
+  const std::string Unstorable = explainUnstorable(Spec, MaxValueBytes);
+  if (!Unstorable.empty()) {
+    const platform::item_read Stored = co_await Store.read(keys::specKey(Job));
+    if (Stored.Error)
+      co_return refuse(Job, "the platform's store can't be read now");
+    if (!Stored.Item)
+      co_return refuseForGood(Job, Unstorable);
+  }
   std::optional<http_response> Refusal =
       co_await refuseOverload(Admitted, Spec);
   if (Refusal)
@@ -313,6 +330,8 @@
                                 verdict::NotRun);
     }
     MayBeStored = MayBeStored || Write.Verdict != verdict::NotRun;
+    if (Write.Error == errc::StoreRefused && !MayBeStored)
+      co_return refuseForGood(Job, "the platform's store refuses its records");
     if (readClock() + WriteRetryDelay >= Deadline)
       break;
     co_await sleepFor(Context, WriteRetryDelay);
--- a/apps/instance/front.hpp
+++ b/apps/instance/front.hpp
@@ -14,10 +14,12 @@
 public:
   /// FindLeader: where the leader accepts requests that this instance forwards
   /// while the store doesn't serve it; nullopt when no leader is known.
+  /// MaxValueBytes: of the store's items; jobs that need more are refused.
   front(asio::io_context &Context, std::string LocalAddress,
         platform::metadata_store &Store, const deployment_feed &Feed,
         instance_metrics &Metrics, batch::admission_settings Admission,
-        std::function<std::optional<endpoint>()> FindLeader);
+        std::function<std::optional<endpoint>()> FindLeader,
+        std::size_t MaxValueBytes);
 
   /// Answers a client's request. IsForwarded: another instance forwarded it; it
   /// isn't forwarded a second time.
@@ -56,6 +58,8 @@
   http_response deny(const http_request &Request, std::int64_t Version,
                      http_response Response);
   http_response refuse(const job_id &Job, std::string_view Reason);
+  static http_response refuseForGood(const job_id &Job,
+                                     const std::string &Reason);
 
   asio::io_context &Context;
   http_client Peers;
@@ -64,6 +68,7 @@
   const deployment_feed &Feed;
   instance_metrics &Metrics;
   batch::admission_settings Admission;
+  std::size_t MaxValueBytes;
   backlog_view Backlog;
   std::map<route_id, int> QueueLengths; // as last read
   instant QueueLengthsRead{};
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -57,10 +57,13 @@
                    std::max(LeaderLease, Settings.MinStoreLease),
                    campaignDelay(Settings.Cores, Settings.LinkMbps),
                    eventPoster()),
-        Orders(Context, Store, Executors, Leadership, Metrics, eventPoster()),
-        Front(Context, Settings.Address, Store, Feed, Metrics,
-              admissionSettings(Features),
-              [this] { return Leadership.knownLeader(); }) {
+        Orders(Context, Store, Executors, Leadership, Metrics, eventPoster(),
+               Settings.MaxValueBytes),
+        Front(
+            Context, Settings.Address, Store, Feed, Metrics,
+            admissionSettings(Features),
+            [this] { return Leadership.knownLeader(); },
+            Settings.MaxValueBytes) {
     if (Settings.Front)
       Servers.push_back(std::make_unique<http_server>(
           Context, *Settings.Front, [this](http_request Request) {
@@ -110,6 +113,7 @@
   schedulerSettings(const platform::instance_settings &Settings,
                     const features &Features) {
     batch::scheduler_settings Scheduler;
+    Scheduler.MaxRecordBytes = Settings.MaxValueBytes;
     Scheduler.MaxLease = Settings.MaxRunLease;
     Scheduler.Lease = std::min(Scheduler.Lease, Settings.MaxRunLease);
     Scheduler.StopTimeout = Settings.RunStopTimeout;
--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -18,9 +18,10 @@
 
 using namespace galenastage::batch;
 
-constexpr milliseconds SaveRetryDelay{50}; // store rejects: rate limit
-constexpr int SaveTries = 3;               // then the reducer retries
-constexpr int PublishTries = 2;            // the second with a read revision
+constexpr milliseconds SaveRetryDelay{50};     // store rejects: rate limit
+constexpr int SaveTries = 3;                   // then the reducer retries
+constexpr std::size_t MaxGroupBytes = 262'144; // 0.3 s at 10 Mbit/s
+constexpr int PublishTries = 2; // the second with a read revision
 
 std::string_view name(order_outcome Outcome) {
   switch (Outcome) {
@@ -38,9 +39,11 @@
 
 orders::orders(asio::io_context &Context, platform::metadata_store &Store,
                platform::executor_client &Executors, leadership &Leadership,
-               instance_metrics &Metrics, leadership::post_event Post)
+               instance_metrics &Metrics, leadership::post_event Post,
+               std::size_t MaxValueBytes)
     : Context(Context), Store(Store), Executors(Executors),
-      Leadership(Leadership), Metrics(Metrics), Post(std::move(Post)) {}
+      Leadership(Leadership), Metrics(Metrics), Post(std::move(Post)),
+      MaxValueBytes(MaxValueBytes) {}
 
 void orders::execute(effect Effect) {
   const std::optional<std::uint64_t> Term = termOf(Effect);
@@ -120,53 +123,104 @@
 
 /// Stores the records on condition that this instance still leads and that
 /// their revisions are unchanged, so that a delayed write can't overwrite a
-/// newer one.
+/// newer one. A record that the store refuses for good doesn't hold up others.
 task<void> orders::save(save_progress Save) {
   const instant Begun = readClock();
   const std::uint64_t Term = Save.Token;
-  std::vector<std::string> Values;
-  for (const saved_job &Job : Save.Jobs)
-    Values.push_back(printProgress(Job.Progress));
-  bool IsSaved = Save.Jobs.empty();
-  for (int Try = 0; Try < SaveTries && !IsSaved; ++Try) {
-    if (Term != Leadership.token())
-      break;
+  progress_saved Answer{true};
+  std::vector<record> Records;
+  for (const saved_job &Job : Save.Jobs) {
+    record Record{Job.Job, printProgress(Job.Progress)};
+    if (Record.Value.size() > MaxValueBytes)
+      Answer.Refused.push_back(
+          {Job.Job, "it has " + std::to_string(Record.Value.size()) +
+                        " bytes, value_bytes is " +
+                        std::to_string(MaxValueBytes)});
+    else
+      Records.push_back(std::move(Record));
+  }
+  std::deque<std::vector<record>> Groups = groupRecords(std::move(Records));
+  while (!Groups.empty()) {
+    std::vector<record> Group = std::move(Groups.front());
+    Groups.pop_front();
+    const write_outcome Outcome = co_await saveTogether(Term, Group);
+    if (Outcome == write_outcome::Failed)
+      Answer.IsSaved = false;
+    if (Outcome != write_outcome::Refused)
+      continue;
+    if (Group.size() > 1) // find out which of them
+      for (record &Record : Group)
+        Groups.push_front({std::move(Record)});
+    else
+      Answer.Refused.push_back(
+          {Group.front().Job, "the store refuses its " +
+                                  std::to_string(Group.front().Value.size()) +
+                                  " bytes"});
+  }
+  if (!Answer.IsSaved && Term == Leadership.token())
+    writeLog(events::SaveFailed, {{"jobs", std::to_string(Save.Jobs.size())}});
+  Metrics.noteSave(Answer.IsSaved, readClock() - Begun);
+  if (Term == Leadership.token())
+    Post(Term, std::move(Answer));
+}
+
+/// Records that go into one transaction each. A large one goes alone, so that
+/// it doesn't delay the others.
+std::deque<std::vector<orders::record>>
+orders::groupRecords(std::vector<record> Records) {
+  std::deque<std::vector<record>> Groups;
+  std::size_t Bytes = 0; // of the last group
+  for (record &Record : Records) {
+    Bytes += Record.Value.size();
+    if (Groups.empty() || Bytes > MaxGroupBytes) {
+      Bytes = Record.Value.size();
+      Groups.emplace_back();
+    }
+    Groups.back().push_back(std::move(Record));
+  }
+  return Groups;
+}
+
+/// Stores the records in one transaction. A refused one is only tried again if
+/// it is alone: a single answer may be a fault of the store.
+task<write_outcome> orders::saveTogether(std::uint64_t Term,
+                                         std::vector<record> Records) {
+  write_outcome Outcome =
+      Records.empty() ? write_outcome::Stored : write_outcome::Failed;
+  for (int Try = 0; Try < SaveTries && Outcome != write_outcome::Stored;
+       ++Try) {
     platform::store_change Change;
     Change.Conditions.push_back(leadership::fence(Term));
-    for (std::size_t I = 0; I < Save.Jobs.size(); ++I) {
-      const job_id &Job = Save.Jobs[I].Job;
+    for (const record &Record : Records) {
+      const std::string Key = keys::progressKey(Record.Job);
       Change.Conditions.push_back(
-          {keys::progressKey(Job), Leadership.progressRevision(Job)});
-      Change.Writes.push_back({keys::progressKey(Job), Values[I], 0});
+          {Key, Leadership.progressRevision(Record.Job)});
+      Change.Writes.push_back({Key, Record.Value, 0});
     }
+    if (Term != Leadership.token())
+      break;
     const platform::change_result Write =
         co_await Store.change(std::move(Change));
     if (Term != Leadership.token())
       break;
+    Outcome = Write.Error == errc::StoreRefused ? write_outcome::Refused
+                                                : write_outcome::Failed;
     if (!Write.Error && Write.IsApplied) {
-      for (const saved_job &Job : Save.Jobs)
-        Leadership.noteProgressRevision(Job.Job, Write.Revision);
-      IsSaved = true;
+      for (const record &Record : Records)
+        Leadership.noteProgressRevision(Record.Job, Write.Revision);
+      Outcome = write_outcome::Stored;
     } else if (!Write.Error) {
-      const bool StillLeads = std::ranges::any_of(
-          Write.Current, [&](const platform::store_item &Item) {
-            return Item.Key == keys::Leader &&
-                   Item.Revision == leadership::fence(Term).Revision;
-          });
-      if (!StillLeads) {
-        Leadership.endTermOf(Term);
+      if (!stillLeads(Term, Write.Current))
         break;
-      }
-      IsSaved = refreshRevisions(Save, Values, Write.Current);
+      if (refreshRevisions(Records, Write.Current))
+        Outcome = write_outcome::Stored;
     } else {
+      if (Outcome == write_outcome::Refused && Records.size() > 1)
+        break;
       co_await sleepFor(Context, SaveRetryDelay);
     }
   }
-  if (!IsSaved && Term == Leadership.token())
-    writeLog(events::SaveFailed, {{"jobs", std::to_string(Save.Jobs.size())}});
-  Metrics.noteSave(IsSaved, readClock() - Begun);
-  if (Term == Leadership.token())
-    Post(Term, progress_saved{IsSaved});
+  co_return Outcome;
 }
 
 /// After a failed condition: false, and the term has ended, if another instance
@@ -185,19 +239,26 @@
 
 /// Takes over the current revisions after a failed condition. True when all
 /// records already hold the values to be written: an earlier try was applied
-/// and its answer lost.
+/// and its answer lost. Removes records of jobs that have been forgotten
+/// meanwhile: they must not come into being again.
 bool orders::refreshRevisions(
-    const save_progress &Save, const std::vector<std::string> &Values,
+    std::vector<record> &Records,
     const std::vector<platform::store_item> &Current) {
+  const auto Find = [&](const record &Record) {
+    return std::ranges::find(Current, keys::progressKey(Record.Job),
+                             &platform::store_item::Key);
+  };
+  std::erase_if(Records, [&](const record &Record) {
+    return Find(Record) == Current.end() &&
+           Leadership.progressRevision(Record.Job) != 0;
+  });
   bool AreAllWritten = true;
-  for (std::size_t I = 0; I < Save.Jobs.size(); ++I) {
-    const std::string Key = keys::progressKey(Save.Jobs[I].Job);
-    const auto Found =
-        std::ranges::find(Current, Key, &platform::store_item::Key);
+  for (const record &Record : Records) {
+    const auto Found = Find(Record);
     Leadership.noteProgressRevision(
-        Save.Jobs[I].Job, Found == Current.end() ? 0 : Found->Revision);
+        Record.Job, Found == Current.end() ? 0 : Found->Revision);
     AreAllWritten =
-        AreAllWritten && Found != Current.end() && Found->Value == Values[I];
+        AreAllWritten && Found != Current.end() && Found->Value == Record.Value;
   }
   return AreAllWritten;
 }
--- a/core/job/batch/model.hpp
+++ b/core/job/batch/model.hpp
@@ -110,8 +110,8 @@
 /// valid. The text starts with the path of the field, as in "steps[1].after".
 std::string explainInvalid(const job_spec &Job);
 
-/// Tasks of all steps, and occurrences, of a job. Its progress must fit into
-/// one item of the platform's store (1 MiB), about 80 bytes a task.
+/// Tasks of all steps, and occurrences, of a job. Its progress must also fit
+/// into one item of the platform's store, see explainUnstorable.
 inline constexpr int MaxTasksPerJob = 8'000;
 inline constexpr int MaxRepetitions = 8'000;
 inline constexpr milliseconds MaxInterval = std::chrono::hours(24 * 366);
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -1,3 +1,4 @@
+#include "core/job/batch/record_size.hpp"
 #include "core/job/batch/scheduler_internal.hpp"
 
 #include <algorithm>
@@ -266,8 +267,15 @@
   if (State.Saving.empty())
     return;
   const std::vector<queued_save> Tried = std::exchange(State.Saving, {});
-  if (!Event.IsSaved)
-    returnToQueue(Tried);
+  std::set<job_id> Refused;
+  for (const refused_record &Record : Event.Refused)
+    if (changeRefused(Record))
+      Refused.insert(Record.Job);
+  std::vector<queued_save> Again;
+  for (const queued_save &Entry : Tried)
+    if (!Event.IsSaved || Refused.contains(Entry.Job))
+      Again.push_back(Entry);
+  returnToQueue(Again);
   if (!Event.IsSaved)
     return; // retried immediately; the caller spaces its attempts
   State.SavesFinished = State.SaveQueue.empty()
@@ -275,7 +283,7 @@
                             : State.SaveQueue.front().Number - 1;
   for (const queued_save &Entry : Tried)
     if (const auto Found = State.Jobs.find(Entry.Job);
-        Found != State.Jobs.end())
+        Found != State.Jobs.end() && !Refused.contains(Entry.Job))
       startRecorded(Found->second);
   for (auto &[Id, Executor] : State.Executors)
     if (Executor.LastSeenProcessed > Executor.LastSeenSaved &&
@@ -304,6 +312,29 @@
                          Entries.end());
 }
 
+/// Fails a job whose progress can't be stored, and drops what only a job that
+/// goes on needs, so that the rest can be stored. False: nothing is left to
+/// drop.
+bool event_handler::changeRefused(const refused_record &Record) {
+  const auto Found = State.Jobs.find(Record.Job);
+  if (Found == State.Jobs.end())
+    return false;
+  job_state &Job = Found->second;
+  const bool IsOver = isFinal(Job.Progress.Phase);
+  const bool IsShort = IsOver && Job.Progress.Occurrences.empty();
+  log(events::RecordRefused, {{"job", Record.Job.Value},
+                              {"reason", Record.Reason},
+                              {"phase", std::string(name(Job.Progress.Phase))},
+                              {"retried", IsShort ? "no" : "yes"}});
+  if (IsShort)
+    return false;
+  if (!IsOver)
+    endJob(Job, job_phase::Failed,
+           "its progress can't be stored: " + Record.Reason);
+  Job.Progress.Occurrences.clear();
+  return true;
+}
+
 void event_handler::apply(const record_published &Event) {
   if (State.Publishing.erase(Event.Record) == 0)
     return;
@@ -434,9 +465,12 @@
     if (WallNow < dueTime(Job.Spec, Next))
       return;
     // A schedule that began long ago has all its occurrences due at once.
+    const auto Open = static_cast<int>(std::ranges::count_if(
+        Occurrences, [](const auto &Item) { return !Item.second.IsDone; }));
     const bool IsFull =
-        !Occurrences.empty() &&
-        countOpenTasks(Job.Spec, Job.Progress) >= MaxTasksPerJob;
+        Open > 0 && (countOpenTasks(Job.Spec, Job.Progress) >= MaxTasksPerJob ||
+                     maxProgressBytes(Job.Spec, Next + 1, Open + 1) >
+                         State.Settings.MaxRecordBytes);
     if (IsFull)
       return;
     Occurrences[Next] = beginOccurrence(Job.Spec);
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -71,7 +71,8 @@
   milliseconds QueueLengthInterval{500}; // between publications
   milliseconds PlacementInterval{15};    // batches changes into one pass
   int SpreadBelowPercent = 60; // accelerators in use; above, no spreading
-  int MaxJobsPerSave = 15;     // fits a store transaction of 32 entries
+  std::size_t MaxRecordBytes = 1'048'576; // of a job's progress
+  int MaxJobsPerSave = 15; // fits a store transaction of 32 entries
   quarantine_settings Quarantine{2, 10, milliseconds(6'000),
                                  milliseconds(60'000)};
   milliseconds StopTimeout{900};          // longest time that a stop takes
@@ -168,9 +169,15 @@
   run_name Run;
   bool IsAccepted = false; // a late start is now ineffective
 };
+/// A record that the store will never take as it is.
+struct refused_record {
+  job_id Job;
+  std::string Reason;
+};
 /// The outcome of save_progress. The scheduler retries a failed save.
 struct progress_saved {
-  bool IsSaved = false;
+  bool IsSaved = false;                  // all records but the refused ones
+  std::vector<refused_record> Refused{}; // to be changed before they are saved
 };
 /// Records that the leader publishes; each write replaces the one before.
 enum class published_record { QueueLengths, Backlog, Speeds };
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -144,6 +144,7 @@
   // Jobs (scheduler.cpp)
   void queueSave(job_state &Job);
   void returnToQueue(const std::vector<queued_save> &Entries);
+  bool changeRefused(const refused_record &Record);
   void saveNext();
   void endJob(job_state &Job, job_phase Phase, std::string_view Cause);
   void noteUnitDone(job_state &Job, int Occurrence);
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -202,6 +202,13 @@
     "A task is blamed if it had just started; it then runs alone. crashes and "
     "blamed_for are its counts so far.",
     "If 3203 says that the job failed for it, check the job's payload."};
+const log_event RecordRefused{
+    3230, Error, "record-refused",
+    "The store will never take the progress of this job as it is, most often "
+    "because it is above the store's value_bytes. The job fails, so that it "
+    "doesn't hold up the others, and the rest of its progress is stored.",
+    "Compare the size with value_bytes; split the job. With retried=no even "
+    "the rest was refused: look for the reason in the store."};
 
 const log_event ExecutorSilent{
     3301, Warning, "executor-silent",
@@ -416,6 +423,7 @@
     &events::AnswerOutdated,
     &events::StartWithdrawn,
     &events::CrashCounted,
+    &events::RecordRefused,
     &events::ExecutorSilent,
     &events::ExecutorLost,
     &events::ExecutorUnlisted,
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -41,9 +41,14 @@
       Context, Store, Metrics,
       [this](const deployment_view &View) { Views.push_back(View); }};
   std::optional<endpoint> Leader;
-  front Front{Context, "", Store, Feed, Metrics, admission_settings{}, [this] {
-                return Leader;
-              }};
+  front Front{Context,
+              "",
+              Store,
+              Feed,
+              Metrics,
+              admission_settings{},
+              [this] { return Leader; },
+              1'048'576};
 
   /// Runs the context until the condition holds.
   template <typename Condition> void runUntil(Condition Holds) {
@@ -97,6 +102,19 @@
   CHECK(Service.value(keys::specKey(job_id(Id))).empty());
 }
 
+// Guards against a job whose progress outgrows the store's items later on.
+TEST_CASE_METHOD(instance_fixture,
+                 "front: a job that the store can't hold is refused with the "
+                 "limit") {
+  startFeed();
+  const http_response Response =
+      call("POST", "/open/" + Id,
+           R"({"spec":"x","steps":[{"count":8000}],"repetitions":8000})");
+  CHECK(Response.Status == 400);
+  CHECK_THAT(Response.Body, Catch::Contains("value_bytes of 1048576"));
+  CHECK(Service.value(keys::specKey(job_id(Id))).empty());
+}
+
 TEST_CASE_METHOD(instance_fixture,
                  "front: a job is stored once, then accepted") {
   startFeed();
--- a/tests/contract/orders_test.cpp
+++ b/tests/contract/orders_test.cpp
@@ -19,6 +19,8 @@
 
 namespace {
 
+constexpr std::size_t MaxValueBytes = 2'000;
+
 struct orders_fixture {
   asio::io_context Context{1};
   standin::metadata_service Service{Context, {"127.0.0.1", 0}};
@@ -33,7 +35,8 @@
   leadership Leadership{
       Context,         Store, "one", {"127.0.0.1", 7}, milliseconds(60'000),
       milliseconds(0), Post};
-  orders Orders{Context, Store, Executors, Leadership, Metrics, Post};
+  orders Orders{Context, Store, Executors,    Leadership,
+                Metrics, Post,  MaxValueBytes};
 
   orders_fixture() {
     asio::co_spawn(Context, Leadership.run(), asio::detached);
@@ -131,6 +134,48 @@
   CHECK(published() == 1);
 }
 
+// Guards against one job that holds up the saves of all others: its record is
+// above the store's value_bytes, or the store refuses it for another reason.
+TEST_CASE_METHOD(orders_fixture,
+                 "orders: a record that the store never takes is reported, and "
+                 "the others are saved") {
+  const std::size_t Bytes = GENERATE(MaxValueBytes + 1, MaxValueBytes / 2);
+  Service.Faults.MaxValueBytes = MaxValueBytes / 4;
+  const progress_saved Answer = save({{job_id("a"), progress(1)},
+                                      {job_id("large"), progress(Bytes)},
+                                      {job_id("b"), progress(1)}});
+  CHECK(Answer.IsSaved);
+  REQUIRE(Answer.Refused.size() == 1);
+  CHECK(Answer.Refused[0].Job == job_id("large"));
+  CHECK_FALSE(Answer.Refused[0].Reason.empty());
+  CHECK(stored("a") == printProgress(progress(1)));
+  CHECK(stored("b") == printProgress(progress(1)));
+  CHECK(stored("large").empty());
+}
+
+TEST_CASE_METHOD(orders_fixture,
+                 "orders: a refusal that passes refuses no record") {
+  for (const bool IsOverRate : {false, true}) {
+    Service.Faults.IsBusy = !IsOverRate;
+    Service.Faults.IsOverRate = IsOverRate;
+    const progress_saved Answer = save({{job_id("a"), progress(1)}});
+    CHECK_FALSE(Answer.IsSaved);
+    CHECK(Answer.Refused.empty());
+  }
+}
+
+// Guards against a progress record that comes into being again after its job
+// was forgotten: the condition of the next try was that there is none.
+TEST_CASE_METHOD(orders_fixture,
+                 "orders: a save doesn't create the record of a job that was "
+                 "forgotten") {
+  REQUIRE(save({{job_id("a"), progress(1)}}).IsSaved);
+  Service.remove(keys::progressKey(job_id("a")));
+  CHECK(save({{job_id("a"), progress(2)}, {job_id("b"), progress(2)}}).IsSaved);
+  CHECK(stored("a").empty());
+  CHECK(stored("b") == printProgress(progress(2)));
+}
+
 // Guards against the removal of a new job that has the id of an old one.
 TEST_CASE_METHOD(orders_fixture,
                  "orders: a late removal doesn't remove a new job") {
--- a/tests/unit/batch_save_test.cpp
+++ b/tests/unit/batch_save_test.cpp
@@ -1,5 +1,7 @@
 // The order of saves, and what is acknowledged after them.
 
+#include "core/job/batch/record_size.hpp"
+#include "core/job/batch/records.hpp"
 #include "tests/support/scheduler_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -139,3 +141,138 @@
   for (const auto &[Id, Executor] : State.Executors)
     CHECK(Executor.LastSeenSaved == Numbers[Id]);
 }
+
+// Records that the store refuses
+
+// Guards against one job that holds up the saves of all others.
+TEST_CASE_METHOD(save_fixture,
+                 "save: a job whose record the store refuses fails, and the "
+                 "others go on") {
+  settle({"x"});
+  submit(job("first", 1, 1, 1));
+  submit(job("large", 1, 1, 1));
+  submit(job("small", 1, 1, 1));
+  save(); // "first"
+  REQUIRE(savedJobs() == std::vector<std::string>{"large", "small"});
+  post(progress_saved{true, {{job_id("large"), "too large"}}});
+  const auto Starts = all<start_run>();
+  REQUIRE(Starts.size() == 1);
+  CHECK(Starts[0].Run.Task.Job == job_id("small"));
+  // What remains of it is stored.
+  REQUIRE(savedJobs() == std::vector<std::string>{"large"});
+  const job_progress Saved = all<save_progress>()[0].Jobs[0].Progress;
+  CHECK(Saved.Phase == job_phase::Failed);
+  CHECK(Saved.Occurrences.empty());
+  save();
+  CHECK(State.SaveQueue.empty());
+  CHECK(State.Saving.empty());
+}
+
+// Guards against an end that is forgotten by its executor and nowhere stored.
+TEST_CASE_METHOD(save_fixture,
+                 "save: ends are acknowledged only after the rest of a refused "
+                 "job was stored") {
+  settle({"x"});
+  const auto Starts = run(job("large", 1, 2, 1));
+  REQUIRE(Starts.size() == 2);
+  answer("x", {{Starts[1].Run, "", 10}}, {end(Starts[0].Run, run_end::Done)});
+  const executor_state &Executor = State.Executors.at(executor_id("x"));
+  post(progress_saved{true, {{job_id("large"), "too large"}}});
+  CHECK(Executor.LastSeenSaved == 0);
+  CHECK(all<stop_run>().size() == 1); // of the other task
+  post(progress_saved{true});
+  CHECK(Executor.LastSeenSaved == 1);
+}
+
+// Guards against saves that never end with a store that takes nothing of a job.
+TEST_CASE_METHOD(save_fixture,
+                 "save: a job of which the store refuses even the rest is "
+                 "given up") {
+  settle({"x"});
+  submit(job("large", 1, 1, 1));
+  post(progress_saved{true, {{job_id("large"), "too large"}}});
+  REQUIRE(savedJobs() == std::vector<std::string>{"large"});
+  post(progress_saved{true, {{job_id("large"), "refused"}}});
+  CHECK(State.SaveQueue.empty());
+  CHECK(State.Saving.empty());
+}
+
+// Sizes of records
+
+namespace {
+
+/// Progress of the job with every task placed and failed once.
+job_progress fullProgress(const job_spec &Job, int Begun, int Open,
+                          const std::string &Executor,
+                          const std::string &Checkpoint) {
+  job_progress Progress;
+  Progress.Organisation = Job.Organisation;
+  for (int I = 0; I < Begun; ++I) {
+    occurrence_progress &Occurrence = Progress.Occurrences[I];
+    Occurrence.IsDone = I < Begun - Open;
+    if (Occurrence.IsDone)
+      continue;
+    Occurrence = beginOccurrence(Job);
+    for (std::size_t Step = 0; Step < Job.Steps.size(); ++Step)
+      for (unit_progress &Unit : Occurrence.Steps[Step].Units) {
+        const auto Tasks =
+            static_cast<std::size_t>(countTasks(Job.Steps[Step]));
+        Unit = {false, 9'999, 99, 9'998, Checkpoint, {}, {}};
+        Unit.Placed.assign(Tasks, {executor_id(Executor), 1'796'000'000'000});
+        Unit.Crashes.assign(Tasks, {9, 9});
+      }
+  }
+  return Progress;
+}
+
+} // namespace
+
+TEST_CASE("save: no record of progress is larger than its bound") {
+  const bool IsGang = GENERATE(false, true);
+  job_spec Job = test::scheduler_fixture::job("a", 1, 8'000, 1);
+  Job.Steps[0].IsGang = IsGang;
+  step_spec Small = Job.Steps[0];
+  Small.Count = 1;
+  Job.Steps.push_back(Small);
+  Job.Schedule.Repetitions = 50;
+  const std::string Executor(54, 'x');
+  const std::string Checkpoint(16, '0');
+  const auto Size = [&](int Begun, int Open) {
+    return printProgress(fullProgress(Job, Begun, Open, Executor, Checkpoint))
+        .size();
+  };
+  CHECK(Size(1, 1) <= maxProgressBytes(Job, 1, 1));
+  CHECK(Size(50, 1) <= maxProgressBytes(Job, 50, 1));
+  CHECK(Size(50, 3) <= maxProgressBytes(Job, 50, 3));
+}
+
+// Guards against a record above the store's value_bytes: two occurrences of
+// nearly the largest number of tasks were open at once.
+TEST_CASE_METHOD(save_fixture,
+                 "save: only so many occurrences of a job are open at once as "
+                 "one record can hold") {
+  settle({"x"});
+  job_spec Job = job("a", 1, 7'999, 100);
+  Job.Schedule = {3, Wall, milliseconds(100)};
+  submit(Job);
+  pass(milliseconds(1'000));
+  const job_progress &Progress = State.Jobs.at(job_id("a")).Progress;
+  const int Begun = static_cast<int>(Progress.Occurrences.size());
+  const job_progress Full = fullProgress(
+      Job, Begun, Begun, std::string(54, 'x'), std::string(16, '0'));
+  CHECK(Begun >= 1);
+  CHECK(printProgress(Full).size() <= State.Settings.MaxRecordBytes);
+}
+
+TEST_CASE("save: a job that no record can hold is refused with the limit") {
+  job_spec Job = test::scheduler_fixture::job("a", 1, 8'000, 1);
+  CHECK(explainUnstorable(Job, 1'048'576).empty());
+  CHECK_THAT(explainUnstorable(Job, 500'000), Catch::Contains("500000"));
+  Job.Schedule.Repetitions = MaxRepetitions;
+  CHECK_THAT(explainUnstorable(Job, 1'048'576), Catch::Contains("1048576"));
+  step_spec Step;
+  Step.Count = 1;
+  job_spec Wide = test::scheduler_fixture::job("b", 1, 1, 1);
+  Wide.Steps.assign(4'000, Step);
+  CHECK_THAT(explainUnstorable(Wide, 1'048'576), Catch::Contains("1048576"));
+}
