Start nothing by the entry of an executor's earlier life

An executor that started again under its id as another kind got tasks that need the label of the kind before: a hold told the leader of the new life, and the list, with labels and capacity, up to 0.7 s later.

Nothing starts on an executor while its entry is of another life than its last answer to a hold. An entry without a life counts for a life that followed another one 5 s later, when an entry of the one before would be gone. An older list is no restart. An executor whose entry shows another life is held once for each list, also without runs, so that it doesn't stay closed when the new life has the lower number. A recorded start is withdrawn if the label has gone. An entry of another machine ends the quarantine of the one before. Log event 3231.

A start can't name the life on the wire, only the id: an order that meets a life that the leader hasn't heard of is carried out. The world doesn't count those.

--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -98,6 +98,8 @@
     noteDeparture(Executor, Report);
     if (Executor.Report != Report)
       Executor.IsReplaced = false; // it has come back elsewhere
+    if (!IsNew)
+      forgetOtherMachine(Executor, Report);
     const bool IsChanged =
         IsNew || !Executor.IsListed || Executor.Report != Report;
     const bool IsOther =
@@ -107,6 +109,9 @@
     Executor.IsListed = true;
     if (IsChanged)
       touch(Executor);
+    updateLife(Executor);
+    // Without runs it would not be held, and one of the two may be old news.
+    Executor.IsLifeUnclear = Executor.IsEntryOutdated;
   }
   for (auto &[Id, Executor] : State.Executors)
     if (!Listed.contains(Id) && Executor.IsListed) {
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -11,6 +11,8 @@
 //   leader goes on counting.
 // - Nothing starts on an executor before it has answered a hold with this
 //   leader's fencing token; after that it rejects orders of earlier leaders.
+// - Nothing starts on an executor while its listed entry, with its labels and
+//   capacity, is of another life than its last answer to a hold.
 // - A run counts against its executor's capacity until its end is listed, the
 //   executor has restarted, or every lease that it may hold has expired.
 // - An end is stored before it is acknowledged to the executor.
@@ -68,6 +70,7 @@
   milliseconds Retention{150'000}; // of ended jobs
   int MaxForgetting = 8;           // ended jobs that are removed at a time
   milliseconds ForgetRetry{1'000}; // after a removal that failed
+  milliseconds EntryLifetime{5'000}; // an entry of an ended life is gone then
   milliseconds QueueLengthInterval{500}; // between publications
   milliseconds PlacementInterval{15};    // batches changes into one pass
   int SpreadBelowPercent = 60; // accelerators in use; above, no spreading
@@ -350,6 +353,9 @@
   bool IsHolding = false;        // a hold is in flight
   bool IsUnresponsive = false;   // the last hold failed
   bool IsReplaced = false;       // another executor answers at its address
+  bool IsEntryOutdated = false;  // Report is of another life than Incarnation
+  bool IsLifeUnclear = false;    // so listed, and no hold was answered since
+  instant LostAt{};              // when an earlier life was last taken for over
   instant LastAlive{};           // last sign of life
   std::int64_t HoldLastSeen = 0; // LastSeen of the hold in flight
   instant NextHold{};
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -186,6 +186,14 @@
   [[nodiscard]] std::int64_t leaseEnd(executor_state &Executor);
   unit_progress *findProgress(const unit_name &Unit);
 
+  // Lives of executors (scheduler_lives.cpp)
+  /// To be called after each change of an executor's entry or life.
+  void updateLife(executor_state &Executor);
+  /// Drops what is known of the machine that had the id before, if the entry is
+  /// of another one.
+  static void forgetOtherMachine(executor_state &Executor,
+                                 const executor_report &Next);
+
   // Runs without a reported end (scheduler_losses.cpp)
   /// Applies the end of a run that its executor didn't report.
   void applyLoss(executor_state &Executor, const run_name &Run, run_loss Cause);
--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -99,6 +99,7 @@
       applyLoss(Executor, Name, Cause);
   }
   Executor.HasAnsweredHold = false;
+  Executor.LostAt = Now;
   Executor.ProvenAt = {};
   Executor.Incarnation = 0;
   Executor.LastSeenProcessed = 0;
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -141,8 +141,8 @@
 bool event_handler::isUsable(const executor_state &Executor,
                              const service_id &Service) const {
   return Executor.IsListed && Executor.HasAnsweredHold &&
-         !Executor.IsUnresponsive && !Executor.Report.IsDraining &&
-         Executor.Report.Service == Service &&
+         !Executor.IsUnresponsive && !Executor.IsEntryOutdated &&
+         !Executor.Report.IsDraining && Executor.Report.Service == Service &&
          !State.Evacuated.contains(Executor.Report.DataCentre);
 }
 
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -74,7 +74,8 @@
   const bool HasUnacknowledged =
       Executor.LastSeenProcessed > Executor.LastSeenAcknowledged;
   const bool IsWanted = HasRuns || HasUnacknowledged ||
-                        (!Executor.HasAnsweredHold && Executor.IsListed);
+                        (!Executor.HasAnsweredHold && Executor.IsListed) ||
+                        Executor.IsLifeUnclear;
   if (!IsWanted)
     return;
   hold_executor Hold{targetOf(Executor), Executor.LastSeenSaved, {}, {}};
@@ -122,6 +123,8 @@
   if (!Executor.HasAnsweredHold)
     State.NeedsPlacement = true;
   Executor.HasAnsweredHold = true;
+  Executor.IsLifeUnclear = false;
+  updateLife(Executor);
   Executor.LastSeenAcknowledged =
       std::max(Executor.LastSeenAcknowledged, Executor.HoldLastSeen);
 
@@ -444,7 +447,10 @@
     if (Run.Phase != run_phase::Recording || !Run.IsInSave)
       continue;
     Recorded.push_back(Name);
-    if (mayStart(Executor, Job))
+    const std::string &Required = Job.Spec.Steps[Name.Task.Step].Requirement;
+    const bool IsSuitable =
+        Required.empty() || Executor.Report.hasLabel(Required);
+    if (IsSuitable && mayStart(Executor, Job))
       continue;
     Withdrawn.insert(unitNameOf(Job, Name.Task));
     log(events::StartWithdrawn, {{"task", printTask(Name.Task)},
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -209,6 +209,11 @@
     "doesn't hold up the others, and the rest of its progress is stored.",
     "Compare the size with value_bytes; split the job. With retried=no even "
     "the rest was refused: look for the reason in the store."};
+const log_event ExecutorEntryOutdated{
+    3231, Info, "executor-entry-outdated",
+    "The executor's entry in the list is of another life than its answer to a "
+    "hold. Nothing starts there until both are of the same one.",
+    "None, unless it lasts: then the executor doesn't reach the store."};
 
 const log_event ExecutorSilent{
     3301, Warning, "executor-silent",
@@ -424,6 +429,7 @@
     &events::StartWithdrawn,
     &events::CrashCounted,
     &events::RecordRefused,
+    &events::ExecutorEntryOutdated,
     &events::ExecutorSilent,
     &events::ExecutorLost,
     &events::ExecutorUnlisted,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -112,6 +112,7 @@
 extern const log_event StartWithdrawn;
 extern const log_event CrashCounted;
 extern const log_event RecordRefused;
+extern const log_event ExecutorEntryOutdated;
 extern const log_event ExecutorSilent;
 extern const log_event ExecutorLost;
 extern const log_event ExecutorUnlisted;
--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -151,6 +151,16 @@
   checkWorlds(Settings);
 }
 
+// Guards against starts on an executor by the labels of its life before.
+TEST_CASE("batch: executors restart under their id as another kind") {
+  world_settings Settings;
+  Settings.Jobs = 60;
+  Settings.Faults.KindChanges = 24;
+  Settings.Faults.LostOrders = 0.1;
+  Settings.Faults.LateOrders = 0.5;
+  checkWorlds(Settings);
+}
+
 // Guards against queue lengths that stay wrong after a write of them failed.
 TEST_CASE("batch: the store refuses all writes for a second") {
   world_settings Settings;
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -36,6 +36,8 @@
                                // a new one comes 2 s later
   milliseconds Notice{4'000};  // of those departures
   int CapacityChanges = 0;     // an executor's capacity is halved for 2 to 12 s
+  int KindChanges = 0;         // restart under the same id as another kind; the
+                               // two last executors do so
   int RefusedWrites = 0;       // the store refuses all writes for a second
   double FailingWrites = 0;    // fraction of writes that the store refuses
 };
--- a/tests/support/batch_world_checks.cpp
+++ b/tests/support/batch_world_checks.cpp
@@ -14,6 +14,7 @@
       if (Run.Task == Task)
         violate(Name + " runs twice: on " + Id.Value + " and " +
                 Executor.Report.Id.Value);
+  checkLabel(Executor, Order);
   if (Executor.Report.IsDraining && Now > Executor.DrainedAt + DrainBound)
     violate(Name + " starts on an executor that drains");
   if (Acknowledged.contains(Task))
@@ -30,6 +31,16 @@
     violate(Name + " starts after its job was cancelled");
 }
 
+void world::checkLabel(const fake_executor &Executor, const start_run &Order) {
+  const task_name &Task = Order.Run.Task;
+  const std::string &Required =
+      Jobs[Task.Job].Spec.Steps[Task.Step].Requirement;
+  const bool IsKnown = Order.To.Incarnation == Executor.Report.Incarnation;
+  if (IsKnown && !Required.empty() && !Executor.Report.hasLabel(Required))
+    violate(print(Order.Run) + " starts on " + Executor.Report.Id.Value +
+            ", which is " + Executor.Report.Kind + " and not " + Required);
+}
+
 void world::checkIndex(const scheduler_state &State) {
   constexpr std::uint64_t EventsPerCheck = 97; // a recount copies the state
   if (++Events % EventsPerCheck != 0 || !Settings.Loads.empty())
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -272,6 +272,11 @@
   Executors[Next.Report.Id] = Next;
 }
 
+void world::changeKind(fake_executor &Executor) {
+  restartExecutor(Executor);
+  Executor.Report.Kind = Executor.Report.Kind == "k" ? "k2" : "k";
+}
+
 void world::changeCapacity(fake_executor &Executor) {
   resources &Capacity = Executor.Report.Capacity;
   if (!(Capacity == Settings.Capacity))
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -581,6 +581,8 @@
   /// All its runs end now; it is back after 2 to 5 s, under its id or, at the
   /// same address, under another one.
   void crashExecutor(fake_executor &Executor);
+  /// Restarts an executor, which is of another kind then.
+  void changeKind(fake_executor &Executor);
   void changeCapacity(fake_executor &Executor);
   /// The executor drains now and goes after the notice.
   void drainExecutor(fake_executor &Executor);
@@ -591,6 +593,9 @@
 
   void checkStart(const fake_executor &Executor, const start_run &Order);
   void checkCapacity(const fake_executor &Executor);
+  /// A task may only start on an executor with the label that its step needs.
+  /// An order that names an earlier life was sent before the leader could know.
+  void checkLabel(const fake_executor &Executor, const start_run &Order);
   /// The stored queue lengths must not be far below the jobs that are stored as
   /// queued, unless a leader or the store was in trouble shortly before.
   void checkLengths();
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -11,7 +11,9 @@
     Executor.Report.Service = service_id("service");
     Executor.Report.Address = {"10.0.0.1", static_cast<std::uint16_t>(I + 1)};
     Executor.Report.DataCentre = data_centre_id(I % 2 == 0 ? "a" : "b");
-    Executor.Report.Kind = "k";
+    const bool IsOfSecondKind =
+        Settings.Faults.KindChanges > 0 && I >= Settings.Executors / 2;
+    Executor.Report.Kind = IsOfSecondKind ? "k2" : "k";
     Executor.Report.Rack =
         rack_id("rack-" + std::to_string(I / Settings.PerRack));
     Executor.Report.Capacity = Settings.Capacity;
@@ -122,6 +124,8 @@
       Spec.Needs = {2'000, 3'000, draw(1, 4)};
       Spec.Estimate = milliseconds(draw(500, 6'000));
       Spec.MaxPerExecutor = chance(0.2) ? 2 : 0;
+      if (Settings.Faults.KindChanges > 0 && chance(0.6))
+        Spec.Requirement = chance(0.5) ? "k" : "k2";
       if (Step > 0)
         Spec.After = {0};
       Job.Steps.push_back(Spec);
@@ -164,6 +168,11 @@
     at(faultTime(), [this, Id] { drainExecutor(Executors[Id]); });
   for (int I = 0; I < Faults.CapacityChanges; ++I)
     at(faultTime(), [this] { changeCapacity(anyExecutor()); });
+  for (int I = 0; I < Faults.KindChanges; ++I)
+    at(faultTime(), [this, I] {
+      changeKind(Executors[executor_id(
+          "x" + std::to_string(Settings.Executors - 1 - I % 2))]);
+    });
   for (int I = 0; I < Faults.RefusedWrites; ++I)
     at(faultTime(), [this] { WritesRefusedUntil = Now + milliseconds(1'000); });
   for (int I = 0; I < Faults.StoreOutages; ++I)
