--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -123,6 +123,8 @@
   // Events of runs (scheduler_runs.cpp)
   void apply(const runs_reported &Event);
   void apply(const hold_failed &Event);
+
+  // Answers to orders (scheduler_orders.cpp)
   void apply(const start_answered &Event);
   void apply(const stop_answered &Event);
 
@@ -161,7 +163,6 @@
   void addRun(executor_state &Executor, job_state &Job, const run_name &Run,
               run_phase Phase);
   void dropRun(executor_state &Executor, const run_name &Run);
-  void startRecorded(job_state &Job);
   /// Sent: when the hold was sent that reported the end; nullopt: none did.
   void applyEnd(executor_state &Executor, const run_name &Run, run_end End,
                 const std::string &Checkpoint,
@@ -176,17 +177,20 @@
   void applyFailure(executor_state &Executor, job_state &Job,
                     const run_name &Run, unit_progress &Progress);
   void adopt(executor_state &Executor, const active_run &Active);
+  void hold(executor_state &Executor);
+  void holdAll();
+  [[nodiscard]] executor_target targetOf(const executor_state &Executor) const;
+  [[nodiscard]] std::int64_t leaseEnd(executor_state &Executor);
+  unit_progress *findProgress(const unit_name &Unit);
+
+  // Orders (scheduler_orders.cpp)
+  void startRecorded(job_state &Job);
   void orderStop(executor_state &Executor, const run_name &Run);
   /// Stops the runs of a unit whose attempt is below BelowAttempt.
   void stopUnit(job_state &Job, const unit_name &Unit,
                 int BelowAttempt = std::numeric_limits<int>::max());
   void stopOtherAttempts(job_state &Job, const unit_name &Unit, int Attempt);
   void retryStops(executor_state &Executor);
-  void hold(executor_state &Executor);
-  void holdAll();
-  [[nodiscard]] executor_target targetOf(const executor_state &Executor) const;
-  [[nodiscard]] std::int64_t leaseEnd(executor_state &Executor);
-  unit_progress *findProgress(const unit_name &Unit);
 
   // Lives of executors (scheduler_lives.cpp)
   /// To be called after each change of an executor's entry or life.
