Share compiled objects between checkouts

Paths below the source folder are now hashed relative to it. __FILE__ then is relative to the build folder, so the two tests that compare a page with the code get the source folder as a definition of their own.

--- a/tests/faults/fault_matrix_test.cpp
+++ b/tests/faults/fault_matrix_test.cpp
@@ -37,8 +37,7 @@
 }
 
 std::filesystem::path pagePath() {
-  return std::filesystem::path(__FILE__).parent_path() /
-         "../../docs/FAULT-MATRIX.md";
+  return std::filesystem::path(GALENASTAGE_SOURCE_DIR) / "docs/FAULT-MATRIX.md";
 }
 
 std::string readPage() {
--- a/tests/unit/docs_log_events_test.cpp
+++ b/tests/unit/docs_log_events_test.cpp
@@ -11,13 +11,7 @@
 
 namespace {
 
-std::filesystem::path repository() {
-  // This file is tests/unit/docs_log_events_test.cpp.
-  return std::filesystem::path(__FILE__)
-      .parent_path()
-      .parent_path()
-      .parent_path();
-}
+std::filesystem::path repository() { return GALENASTAGE_SOURCE_DIR; }
 
 std::string readFile(const std::filesystem::path &Path) {
   std::ifstream Stream(Path);
