Keep a task from starting elsewhere while its late start may come

Callers would have seen a task run twice at the same time (TWICE): an order names the executor's id only, so a start without an answer may be carried out up to 12 s later, in a life that knows of no stop and of no token. Three ways were open: - an executor whose entry had gone was taken for lost with its lease, 6 to 8.5 s after the start. An unanswered start now waits until it can't come any more (LateStarts); - what an earlier life had promised not to begin was forgotten with the executor's entry, so that it wasn't closed again when the executor came back; - an inherited start, closed by the token in one life, wasn't closed in the next. LateStarts is 13 s now; orders are carried out 2 to 12 s late. `!Run.IsInherited` in dropAllRuns is gone: such a run only got there by a report that wasn't whole, and the present life is asked now.

The worlds exempted each late start in a next life from TWICE, from capacity and from the count of a step for 3 s. What is left out now is a start that an earlier life had closed, by a stop or a later token, and forgot in its restart; late orders come up to 12 s late (8 before), the executors' clocks begin anew with each life, and such starts count as starts elsewhere.

Not covered: inherited starts on an executor that nobody can reach wait for the leases of earlier leaders only (6.6 s and more), since a leader can't tell which of them were answered; a start that an unheard-of life has accepted counts by the lease that was asked for.

--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -89,7 +89,7 @@
                              Executor.Incarnation != 0 &&
                              Report.Incarnation > Executor.Incarnation;
     if (IsRestarted)
-      dropAllRuns(Executor, run_loss::Restarted, true);
+      dropAllRuns(Executor, run_loss::Restarted);
     if (Report.IsDraining && !Executor.Report.IsDraining)
       log(events::ExecutorDraining,
           {{"executor", Report.Id.Value},
@@ -122,10 +122,14 @@
           {{"executor", Id.Value},
            {"runs", std::to_string(Executor.Runs.size())}});
     }
+  for (auto &[Id, Executor] : State.Executors)
+    if (!Executor.IsListed)
+      forgetClosedStarts(Executor);
   // What plans have reserved there must be given back to the same entry.
   std::erase_if(State.Executors, [](const auto &Item) {
-    return !Item.second.IsListed && Item.second.Runs.empty() &&
-           Item.second.Reserved == resources{};
+    const executor_state &Executor = Item.second;
+    return !Executor.IsListed && Executor.Runs.empty() &&
+           Executor.ClosedStarts.empty() && Executor.Reserved == resources{};
   });
   forgetOldSpeeds();
   moveDeparting();
@@ -401,7 +405,7 @@
                         (Executor.IsUnresponsive || !Executor.IsListed) &&
                         Now >= Executor.LeaseUntil;
     if (IsOver)
-      dropAllRuns(Executor, run_loss::LeaseExpired, false);
+      dropAllRuns(Executor, run_loss::LeaseExpired);
     if (Executor.Health.IsQuarantined)
       touch(Executor); // a probe may have become due
     moveStalled(Executor);
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -62,7 +62,7 @@
   milliseconds UnsavedHoldInterval{500}; // hold interval while ends are unsaved
   milliseconds ConfirmInterval{100};     // hold interval for unconfirmed runs
   milliseconds StopRetry{500};      // until an unanswered stop is sent again
-  milliseconds LateStarts{10'000};  // longest delay of an unanswered start
+  milliseconds LateStarts{13'000};  // longest delay of an unanswered start
   std::size_t MaxClosedStarts = 64; // that are remembered of an executor
   milliseconds SpreadDelay{1'500};  // wait for the preferred rack before that
   milliseconds PlanTimeout{3'000};  // of a reservation after a preemption
@@ -384,8 +384,8 @@
   bool IsKept = false;    // for guaranteed work
   bool IsTouched = false; // in Touched, the index may be out of date
   std::map<run_name, run_state> Runs;
-  // When starts were ordered that got no answer, and that a stop has closed.
-  // After a restart the executor may accept them once more.
+  // When starts were ordered that were never listed, and that the present life
+  // can't accept. After a restart the executor may accept them once more.
   std::map<run_name, instant> ClosedStarts;
   worker_health Health;
   instant ProvenAt{};      // when a task last succeeded there
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -204,13 +204,18 @@
   /// Applies the end of a run that its executor didn't report.
   void applyLoss(executor_state &Executor, const run_name &Run, run_loss Cause);
   void handleUnlisted(executor_state &Executor, const runs_reported &Report);
-  /// Remembers a start without an answer that a stop has closed.
+  /// Remembers a start that was never listed and that the present life of the
+  /// executor can't carry out any more: a stop or the fencing token prevents
+  /// it.
   void noteClosedStart(executor_state &Executor, const run_name &Name);
+  /// Drops those that can't be carried out any more in any life.
+  void forgetClosedStarts(executor_state &Executor);
   /// Closes such starts in the new incarnation as well.
   void stopLateStarts(executor_state &Executor);
-  /// HasNewIncarnation: the restarted executor may still accept late orders.
-  void dropAllRuns(executor_state &Executor, run_loss Cause,
-                   bool HasNewIncarnation);
+  [[nodiscard]] bool mayRunInLaterLife(const run_state &Run,
+                                       run_loss Cause) const;
+  /// Drops all runs but those that a later life may still begin.
+  void dropAllRuns(executor_state &Executor, run_loss Cause);
 
   // Crashes of executors (scheduler_crashes.cpp)
   /// Counts the crash against the tasks that the executor ran, except those
--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -74,8 +74,8 @@
         HasCrashed ? run_loss::Restarted : run_loss::NotListed;
     if (HasCrashed && countCrash(Executor, Name, Cause, false))
       GivenUp.push_back(Name.Task);
-    if (Run.IsStopAccepted && !Run.IsListed && !Run.IsAccepted &&
-        !Run.IsInherited)
+    const bool IsClosed = Run.IsInherited || Run.IsStopAccepted;
+    if (IsClosed && !Run.IsListed && !Run.IsAccepted)
       noteClosedStart(Executor, Name);
     applyLoss(Executor, Name, Cause);
   }
@@ -84,12 +84,16 @@
     orderStop(Executor, Name);
 }
 
+void event_handler::forgetClosedStarts(executor_state &Executor) {
+  std::erase_if(Executor.ClosedStarts, [&](const auto &Item) {
+    return Now - Item.second >= State.Settings.LateStarts;
+  });
+}
+
 void event_handler::noteClosedStart(executor_state &Executor,
                                     const run_name &Name) {
+  forgetClosedStarts(Executor);
   std::map<run_name, instant> &Closed = Executor.ClosedStarts;
-  std::erase_if(Closed, [&](const auto &Item) {
-    return Now - Item.second >= State.Settings.LateStarts;
-  });
   // At the limit the start that is least likely to be late is forgotten.
   if (Closed.size() >= State.Settings.MaxClosedStarts)
     Closed.erase(std::ranges::min_element(
@@ -114,29 +118,45 @@
   }
 }
 
-void event_handler::dropAllRuns(executor_state &Executor, run_loss Cause,
-                                bool HasNewIncarnation) {
+/// An order names the executor's id only: a start that was never listed may be
+/// carried out in a later life, also if an earlier one has accepted it.
+bool event_handler::mayRunInLaterLife(const run_state &Run,
+                                      run_loss Cause) const {
+  if (Run.IsListed || Run.Phase == run_phase::Recording)
+    return false;
+  switch (Cause) {
+  case run_loss::Restarted:
+    return true;               // the present life is asked
+  case run_loss::LeaseExpired: // nobody can be asked
+    return !Run.IsInherited && !Run.IsAccepted &&
+           Now - Run.Ordered < State.Settings.LateStarts;
+  case run_loss::Replaced: // no order reaches the id any more
+  case run_loss::NotListed:
+  case run_loss::GangBroken:
+    break;
+  }
+  return false;
+}
+
+void event_handler::dropAllRuns(executor_state &Executor, run_loss Cause) {
   log(events::ExecutorLost, {{"executor", Executor.Report.Id.Value},
                              {"cause", std::string(name(Cause))},
                              {"runs", std::to_string(Executor.Runs.size())}});
   const std::vector<task_name> GivenUp = noteCrash(Executor, Cause);
   const std::map<run_name, run_state> Runs = Executor.Runs;
   for (const auto &[Name, Run] : Runs) {
-    // A start that wasn't listed may take effect in the new incarnation; its
-    // answer doesn't tell which incarnation accepted it.
-    const bool MayRunInNewIncarnation = HasNewIncarnation && !Run.IsListed &&
-                                        !Run.IsInherited &&
-                                        Run.Phase != run_phase::Recording;
     const auto Found = Executor.Runs.find(Name);
     if (Found == Executor.Runs.end())
       continue; // the loss of another member of its gang has ended it
-    if (!MayRunInNewIncarnation) {
+    if (!mayRunInLaterLife(Run, Cause)) {
       applyLoss(Executor, Name, Cause);
       continue;
     }
-    // The new incarnation knows of no stop.
+    // A later life knows of no stop.
     Found->second.Phase = run_phase::Unconfirmed;
     Found->second.IsStopAccepted = false;
+    Executor.LeaseUntil =
+        std::max(Executor.LeaseUntil, Run.Ordered + State.Settings.LateStarts);
   }
   Executor.HasAnsweredHold = false;
   Executor.LostAt = Now;
@@ -153,7 +173,7 @@
   touch(Executor);
   State.NeedsPlacement = true;
   giveUp(GivenUp);
-  if (HasNewIncarnation)
+  if (Cause == run_loss::Restarted)
     stopLateStarts(Executor);
 }
 
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -135,7 +135,9 @@
   const bool IsRestarted =
       Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation;
   if (IsRestarted)
-    dropAllRuns(Executor, run_loss::Restarted, true);
+    dropAllRuns(Executor, run_loss::Restarted);
+  else if (Executor.Incarnation == 0) // it may have been lost and come back
+    stopLateStarts(Executor);
   Executor.HoldGap = std::chrono::duration_cast<milliseconds>(
       Event.Sent - Executor.ClockReadAt);
   Executor.Incarnation = Event.Incarnation;
@@ -196,7 +198,7 @@
   if (Event.Failure == hold_failure::Replaced) {
     // No order reaches the executor any more: each call names it.
     if (!std::exchange(Executor.IsReplaced, true))
-      dropAllRuns(Executor, run_loss::Replaced, false);
+      dropAllRuns(Executor, run_loss::Replaced);
     Executor.NextHold = Now + State.Settings.HoldRetry;
     return;
   }
--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -232,6 +232,29 @@
   checkWorlds(Settings);
 }
 
+// Guards against two runs of a task: a stop, or a later token, had closed its
+// start, and the executor carries it out in a life that knows of neither.
+TEST_CASE("batch: starts that an earlier life had closed aren't carried out") {
+  world_settings Settings;
+  Settings.JudgesClosedStarts = true;
+  Settings.Faults.ExecutorRestarts = 30;
+  Settings.Faults.LostOrders = 0.3;
+  Settings.Faults.LateOrders = 0.8;
+  checkWorlds(Settings);
+}
+
+TEST_CASE("batch: late orders are on their way while executors restart and "
+          "leaders are lost") {
+  world_settings Settings;
+  Settings.Faults.ExecutorRestarts = 12;
+  Settings.Faults.Outages = 4;
+  Settings.Faults.LeaderLosses = 4;
+  Settings.Faults.HasFrozenLeaders = true;
+  Settings.Faults.LostOrders = 0.2;
+  Settings.Faults.LateOrders = 0.8;
+  checkWorlds(Settings);
+}
+
 // Guards against jobs that fail too early: an end that no leader had
 // acknowledged was counted again by the next one.
 TEST_CASE("batch: runs fail, leaders are lost and executors restart while ends "
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -42,8 +42,9 @@
   time_point Works{0};  // since when
   bool IsStopping = false;
   time_point StoppedAt{0};
-  double Resumed = 0;   // share of the work that earlier runs saved
-  bool IsStray = false; // its order was sent to the executor's life before
+  double Resumed = 0;     // share of the work that earlier runs saved
+  bool IsStray = false;   // its order was sent to the executor's life before
+  bool WasClosed = false; // and a life between the two refused it
 };
 
 struct fake_end {
@@ -64,6 +65,8 @@
   std::int64_t LastNumber = 0;
   std::map<task_name, int>
       Closed; // highest attempt that was stopped or has ended here
+  std::map<task_name, int> ClosedBefore; // the same, in earlier lives
+  std::uint64_t TokenBefore = 0;         // highest seen in earlier lives
   time_point CutUntil{0};
   time_point RefusesUntil{0};     // all calls
   time_point DownUntil{0};        // crashed, not back yet
@@ -450,11 +453,18 @@
   /// The executor drains now and goes after the notice.
   void drainExecutor(fake_executor &Executor);
   void removeExecutor(fake_executor &Executor);
+  /// When a lease ends that is given in the executor's own clock, which begins
+  /// anew with each life.
+  [[nodiscard]] time_point leaseEnd(const fake_executor &Executor,
+                                    std::int64_t OnItsClock) const;
   void expireLeases();
 
   // Checks (batch_world_checks.cpp)
 
   void checkStart(const fake_executor &Executor, const start_run &Order);
+  /// Whether a stop or a later token had closed the start in an earlier life.
+  [[nodiscard]] static bool wasClosed(const fake_executor &Executor,
+                                      const start_run &Order);
   void checkCapacity(const fake_executor &Executor);
   /// A stray run can't be prevented, but mustn't go on unknown.
   void checkStrays();
@@ -462,6 +472,11 @@
   [[nodiscard]] bool isUnseen(const fake_run &Run) const {
     return Run.IsStray && Now - Run.Begun <= ContactBound;
   }
+  /// Whether the run isn't judged yet. Its executor had promised not to begin
+  /// it, and has lost that promise in a restart.
+  [[nodiscard]] bool isExempt(const fake_run &Run) const {
+    return Run.WasClosed && !Settings.JudgesClosedStarts && isUnseen(Run);
+  }
   /// The leader has held each listed executor since its last trouble ended.
   void checkContact();
   /// A task may only start on an executor with the label that its step needs.
