Log and count reads of the executors' list that fail

Starts follow the last list, and a list that can't be read left no trace (DRAIN, by reading). 2207 now names the watch executors with the error and the age of the last list; galenastage_scheduler_events_total counts it. The age is only told: nothing pauses by it yet.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -375,10 +375,14 @@
 }
 
 task<bool> leadership::listExecutorsOnce(std::uint64_t Term) {
+  const instant Sent = readClock();
   const platform::range_read Range = co_await Store.readPrefix(
       platform::ExecutorPrefix, platform::unreadable_items::AreSkipped);
-  if (Range.Error)
+  if (Range.Error) {
+    noteFailedList(Range.Error, Sent);
     co_return false;
+  }
+  ListedAsOf = Sent;
   executors_listed Listed;
   std::map<std::string, std::string> Ignored; // by key
   const auto Ignore = [&](const std::string &Key, const std::string &Reason) {
@@ -403,6 +407,19 @@
   co_return true;
 }
 
+void leadership::noteFailedList(const std::error_code &Error, instant Sent) {
+  const instant Now = readClock();
+  Metrics.noteSchedulerEvent(events::WatchFailed.Name);
+  writeLog(events::WatchFailed,
+           {{"watch", "executors"},
+            {"call", "read"},
+            {"error", Error.message()},
+            {"took_ms", std::to_string((Now - Sent).count())},
+            {"age_ms", ListedAsOf == instant{}
+                           ? "unknown"
+                           : std::to_string((Now - ListedAsOf).count())}});
+}
+
 task<void> leadership::listExecutors(std::uint64_t Term) {
   while (isCurrent(Term)) {
     co_await sleepFor(Context, ListInterval);
--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -75,6 +75,7 @@
   task<bool> prepareTerm(std::uint64_t Term);
   void advance(std::uint64_t Term, decltype(batch::feed_event::What) What);
   task<void> readPages(std::uint64_t Term);
+  void noteFailedList(const std::error_code &Error, instant Sent);
   void noteFailedRead(std::string_view Call, const std::error_code &Error,
                       instant Sent);
   task<void> renew(std::uint64_t Term);
@@ -109,6 +110,7 @@
   instant ValidUntil{};
   batch::job_feed Feed;
   std::map<std::string, std::string> IgnoredEntries; // reasons, by key
+  instant ListedAsOf{}; // when the last list of executors was asked for
   bool IsResigning = false;
 };
 
