Keep a cancellation that comes before its job

A DELETE of an unknown job now stores the cancellation under the job's key, with a lease of 30 s and the organisation, on condition that the job isn't there; then it answers 410, or 200 if the job has come meanwhile. A submission is on condition that there is no such key; one that meets it is stored as cancelled together with the cancellation, for good, and answered 200. One of another organisation is removed. The condition holds when a late write is carried out, too. If the store can't keep it the answer is 503 or 504.

The leader's feed takes jobs of an answer before cancellations: those of one write are listed in any order.

Cost: two calls for a DELETE of an unknown job (a lease, a write) where there was none, one more condition for a submission.

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds ForwardTimeout{1'200};  // a leader answers in 10 ms
 // With less time a forwarded request would mostly end as unknown.
 constexpr milliseconds MinForwardTime{50};
+// A submission may arrive that long after its client has cancelled it.
+constexpr milliseconds EarlyCancellationLife{30'000};
 constexpr int RetryAfterSeconds = 1; // the store's rate limits are per second
 
 /// Whether the job belongs to another organisation than the client's. On public
@@ -38,6 +40,44 @@
   return !Owner.isEmpty() && !Client.isEmpty() && Owner != Client;
 }
 
+const platform::store_item *
+findItem(const std::vector<platform::store_item> &Items,
+         const std::string &Key) {
+  const auto Found = std::ranges::find(Items, Key, &platform::store_item::Key);
+  return Found == Items.end() ? nullptr : &*Found;
+}
+
+/// The phase of a new job, by the cancellation that came before it.
+job_phase firstPhase(const job_spec &Job,
+                     const std::optional<platform::store_item> &Cancellation) {
+  const bool IsCancelled =
+      Cancellation &&
+      !belongsToOther(parseSummary(Cancellation->Value).Record.Organisation,
+                      Job.Organisation);
+  return IsCancelled ? job_phase::Cancelled : job_phase::Queued;
+}
+
+/// Stores a new job, and for good the cancellation that came before it. One of
+/// another organisation is removed.
+platform::store_change
+submission(const job_spec &Job,
+           const std::optional<platform::store_item> &Cancellation) {
+  job_progress Progress;
+  Progress.Organisation = Job.Organisation;
+  Progress.Phase = firstPhase(Job, Cancellation);
+  platform::store_change Change;
+  Change.Conditions = {
+      {keys::specKey(Job.Id), 0},
+      {keys::cancelKey(Job.Id), Cancellation ? Cancellation->Revision : 0}};
+  Change.Writes = {{keys::specKey(Job.Id), printSpec(Job), 0},
+                   {keys::progressKey(Job.Id), printProgress(Progress), 0}};
+  if (Progress.Phase == job_phase::Cancelled)
+    Change.Writes.push_back({keys::cancelKey(Job.Id), "{}", 0});
+  else if (Cancellation)
+    Change.Removals.push_back(keys::cancelKey(Job.Id));
+  return Change;
+}
+
 http_response notFound(std::string_view Detail) {
   return problemResponse(404, "not found", Detail, verdict::NotRun);
 }
@@ -298,16 +338,11 @@
 /// whose answer was lost is retried: its condition makes the retry idempotent.
 task<http_response> front::storeJob(job_id Job, job_spec Spec,
                                     instant Deadline) {
-  job_progress Progress;
-  Progress.Organisation = Spec.Organisation;
-  const platform::store_change Change{
-      {{keys::specKey(Job), 0}},
-      {{keys::specKey(Job), printSpec(Spec), 0},
-       {keys::progressKey(Job), printProgress(Progress), 0}},
-      {}};
+  std::optional<platform::store_item> Cancellation;
   bool MayBeStored = false;
   for (int Try = 0; Try < WriteRetries; ++Try) {
-    const platform::change_result Write = co_await Store.change(Change);
+    const platform::change_result Write =
+        co_await Store.change(submission(Spec, Cancellation));
     if (!Write.Error && Write.IsApplied) {
       writeLog(events::BatchJobStored,
                {{"job", Job.Value},
@@ -315,14 +350,20 @@
                 {"organisation", Spec.Organisation.Value},
                 {"revision", std::to_string(Write.Revision)},
                 {"tries", std::to_string(Try + 1)}});
-      co_return jsonResponse(200, platform::printPhase(job_phase::Queued));
+      co_return jsonResponse(
+          200, platform::printPhase(firstPhase(Spec, Cancellation)));
+    }
+    const platform::store_item *Stored =
+        findItem(Write.Current, keys::specKey(Job));
+    if (!Write.Error && !Stored) {
+      const platform::store_item *Earlier =
+          findItem(Write.Current, keys::cancelKey(Job));
+      Cancellation = Earlier ? std::optional(*Earlier) : std::nullopt;
+      continue;
     }
-    const bool KeyExists = !Write.Error;
-    if (KeyExists) {
+    if (!Write.Error) {
       const bool IsOwn =
-          !Write.Current.empty() &&
-          parseSpec(Write.Current.front().Value).Record.Organisation ==
-              Spec.Organisation;
+          parseSpec(Stored->Value).Record.Organisation == Spec.Organisation;
       if (IsOwn)
         co_return jsonResponse(200, platform::printPhase(job_phase::Queued));
       co_return problemResponse(409, "id in use",
@@ -365,7 +406,7 @@
   if (Read.Error)
     co_return storeUnavailable();
   if (!Read.Item)
-    co_return jobNotFound();
+    co_return co_await cancelUnknown(Admitted, Job);
   const auto Summary = parseSummary(Read.Item->Value);
   const bool IsOver = !Summary.Error && isFinal(Summary.Record.Phase);
   if (belongsToOther(Summary.Record.Organisation, Admitted.Organisation))
@@ -375,6 +416,35 @@
   co_return co_await storeCancellation(Job, Admitted.Deadline);
 }
 
+/// Answers that there is no such job, once the store keeps the cancellation for
+/// a submission that may still be on its way.
+task<http_response> front::cancelUnknown(const admitted &Admitted, job_id Job) {
+  const platform::lease_result Lease =
+      co_await Store.grantLease(EarlyCancellationLife);
+  if (Lease.Error)
+    co_return storeUnavailable();
+  job_progress Forbidden;
+  Forbidden.Organisation = Admitted.Organisation;
+  Forbidden.Phase = job_phase::Cancelled;
+  const platform::store_change Change{
+      {{keys::specKey(Job), 0}, {keys::cancelKey(Job), 0}},
+      {{keys::cancelKey(Job), printProgress(Forbidden), Lease.Id}},
+      {}};
+  const platform::change_result Write = co_await Store.change(Change);
+  if (Write.Error)
+    co_return Write.Verdict == verdict::NotRun ? storeUnavailable()
+                                               : outcomeUnknown();
+  if (findItem(Write.Current, keys::specKey(Job)))
+    co_return co_await storeCancellation(Job, Admitted.Deadline);
+  if (Write.IsApplied)
+    writeLog(events::CancellationStored,
+             {{"job", Job.Value},
+              {"revision", std::to_string(Write.Revision)},
+              {"repeated", "no"},
+              {"early", "yes"}});
+  co_return jobNotFound();
+}
+
 /// Stores the cancellation. A repeated one is written anew, so that the leader
 /// reads it again.
 task<http_response> front::storeCancellation(job_id Job, instant Deadline) {
--- a/apps/instance/front.hpp
+++ b/apps/instance/front.hpp
@@ -52,6 +52,7 @@
                                instant Deadline);
   task<http_response> showState(const admitted &Admitted, job_id Job);
   task<http_response> cancel(const admitted &Admitted, job_id Job);
+  task<http_response> cancelUnknown(const admitted &Admitted, job_id Job);
   task<http_response> storeCancellation(job_id Job, instant Deadline);
   task<http_response> showQueueLength(const admitted &Admitted);
   task<http_response> forward(http_request Request, endpoint Leader,
--- a/core/job/batch/job_feed.cpp
+++ b/core/job/batch/job_feed.cpp
@@ -3,6 +3,7 @@
 #include "core/job/batch/records.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace galenastage::batch {
 namespace {
@@ -37,6 +38,9 @@
     const bool IsWhole = Watched.Changes < Feed.Settings.MaxWatched;
     Feed.WatchAfter = Watched.Revision;
     Feed.IsConfirmDue = !IsWhole;
+    // A job may be stored together with its cancellation.
+    std::ranges::stable_partition(Watched.Requests, std::logical_not{},
+                                  &stored_request::IsCancellation);
     for (stored_request &Request : Watched.Requests)
       takeIn(Request);
     if (!IsWhole)
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -82,8 +82,9 @@
     "None, unless the reader keeps falling behind."};
 const log_event WatchFailed{
     2207, Warning, "watch-failed",
-    "A watch of the platform's store ended with an error; changes after the "
-    "named revision aren't known here until it has been repeated.",
+    "A watch or a read of the platform's store ended with an error; changes "
+    "after the named revision, or of the last age_ms, aren't known here until "
+    "it has been repeated.",
     "If it repeats, check the link to the platform's store."};
 
 const log_event HistorySkipped{
@@ -420,7 +421,8 @@
 const log_event CancellationStored{
     4006, Info, "cancellation-stored",
     "The cancellation of a job is stored and its client gets a confirmation. "
-    "repeated: an earlier request had stored it.",
+    "repeated: an earlier request had stored it. early: no such job is known "
+    "yet, and the client is told so; one that comes within 30 s doesn't run.",
     "None. 3203 on the leader follows at once; its tasks stop then."};
 
 const log_event LeadershipGained{
--- a/tests/unit/batch_job_feed_test.cpp
+++ b/tests/unit/batch_job_feed_test.cpp
@@ -122,6 +122,21 @@
   CHECK_FALSE(nextPage(Feed));
 }
 
+// Guards against a job that runs although it was stored together with its
+// cancellation: the store lists the changes of one write in any order.
+TEST_CASE_METHOD(
+    feed_fixture,
+    "job feed: a cancellation that is written with its job follows "
+    "it") {
+  load();
+  const bool IsJobFirst = GENERATE(true, false);
+  std::vector<stored_request> Written{job("a", 11), cancellation("a", 11)};
+  if (!IsJobFirst)
+    std::ranges::reverse(Written);
+  watch(11, Written);
+  CHECK(Posted == names{"recovered", "a", "-a"});
+}
+
 // Guards against starts by a leader that doesn't know of cancellations.
 TEST_CASE_METHOD(feed_fixture,
                  "job feed: it doesn't claim to be current while discarded "
