Test the resignation, the check at sending and a cancellation's failed rewrite

Three paths of the incident with cancelled jobs had no test. The bound after which a leader without news resigns is a setting of the feed now, 15 s as before, so that a test doesn't wait for it; the stand-in refuses transactions after a number of them.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -23,8 +23,6 @@
 constexpr milliseconds ValidityMargin{200}; // network delay, late timers
 constexpr milliseconds RenewInterval{200};  // five tries before ValidUntil
 constexpr milliseconds RetryDelay{200};     // after a failed call
-// A leader that knows of no change for that long resigns; starts pause before.
-constexpr milliseconds MaxOutdated{15'000};
 // A standby detects the key's removal by its watch. This timeout bounds the
 // delay when the watch's connection has stalled.
 constexpr milliseconds StandbyWatchTimeout{2'000};
@@ -302,7 +300,8 @@
       endTerm("the lease could not be renewed in time");
       co_return;
     }
-    if (readClock() - std::max(Feed.AsOf, LeadsSince) >= MaxOutdated) {
+    if (readClock() - std::max(Feed.AsOf, LeadsSince) >=
+        Feed.Settings.MaxOutdated) {
       const std::int64_t Ended = Lease;
       endTerm("the stored jobs can't be read in time");
       co_await endLease(Ended);
--- a/core/job/batch/job_feed.hpp
+++ b/core/job/batch/job_feed.hpp
@@ -93,10 +93,11 @@
 // [3] State
 
 struct job_feed_settings {
-  milliseconds MaxAge{2'500};   // of what is known; older, nothing may start
-  milliseconds WatchWait{700};  // longest wait for a change
-  std::size_t MaxKept = 1'000;  // cancellations of unknown jobs
-  std::size_t MaxWatched = 500; // an answer of more may not be all there is
+  milliseconds MaxAge{2'500}; // of what is known; older, nothing may start
+  milliseconds MaxOutdated{15'000}; // the same; older, the leader resigns
+  milliseconds WatchWait{700};      // longest wait for a change
+  std::size_t MaxKept = 1'000;      // cancellations of unknown jobs
+  std::size_t MaxWatched = 500;     // an answer of more may not be all there is
 
   friend bool operator==(const job_feed_settings &,
                          const job_feed_settings &) = default;
--- a/standin/metadata_service.cpp
+++ b/standin/metadata_service.cpp
@@ -194,8 +194,11 @@
   }
   if (Path == "/v1/kv-range")
     return readRange(Request);
-  if (Path == "/v1/kv-txn")
+  if (Path == "/v1/kv-txn") {
+    if (Faults.WritesLeft && --*Faults.WritesLeft < 0)
+      return status(503);
     return commit(Request.Body);
+  }
   return handleLease(Path, Request.Body);
 }
 
--- a/standin/metadata_service.hpp
+++ b/standin/metadata_service.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace galenastage::standin {
 
@@ -24,6 +25,7 @@
   bool HoldsRanges = false;    // reads ranges, and responds once this is off
   bool DefersWrites = false;   // closes without a response, acts when asked to
   std::size_t MaxValueBytes = 1'048'576; // of an item; 413 beyond
+  std::optional<int> WritesLeft; // transactions before 503; nullopt: no limit
 
   friend bool operator==(const metadata_faults &,
                          const metadata_faults &) = default;
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -140,6 +140,63 @@
   }
 }
 
+// Guards against a job that runs although its client was told, after it had
+// cancelled it, that it doesn't exist: the submission was still on its way.
+TEST_CASE_METHOD(instance_fixture,
+                 "front: a job that comes after its cancellation is stored as "
+                 "cancelled") {
+  startFeed();
+  CHECK(call("DELETE", "/keyed/" + Id, "", "k1").Status == 410);
+  CHECK(call("DELETE", "/keyed/" + Id, "", "k1").Status == 410);
+  const job_id Job1(Id);
+  REQUIRE_FALSE(Service.value(keys::cancelKey(Job1)).empty());
+  SECTION("of the same organisation") {
+    const http_response Answer = call("POST", "/keyed/" + Id, Job, "k1");
+    CHECK(Answer.Status == 200);
+    CHECK(Answer.Body == R"({"state":"cancelled"})");
+    CHECK(call("GET", "/keyed/" + Id, "", "k1").Body ==
+          R"({"state":"cancelled"})");
+    CHECK(Service.value(keys::cancelKey(Job1)) == "{}");
+    CHECK(call("POST", "/keyed/" + Id, Job, "k1").Status == 200);
+  }
+  SECTION("not of another organisation") {
+    const http_response Answer = call("POST", "/keyed/" + Id, Job, "k2");
+    CHECK(Answer.Status == 200);
+    CHECK(Answer.Body == R"({"state":"queued"})");
+    CHECK(Service.value(keys::cancelKey(Job1)).empty());
+  }
+}
+
+TEST_CASE_METHOD(instance_fixture,
+                 "front: a cancellation of an unknown job that the store can't "
+                 "keep isn't answered with 410") {
+  startFeed();
+  Service.Faults.WritesLeft = 0;
+  CHECK(call("DELETE", "/open/" + Id).Status == 503);
+  Service.Faults = {};
+  Service.Faults.DefersWrites = true;
+  CHECK(call("DELETE", "/open/" + Id).Status == 504);
+  Service.Faults = {};
+  Service.carryOutDeferred();
+  runUntil([&] { return Store.isReachable(); });
+  CHECK(call("POST", "/open/" + Id, Job).Body == R"({"state":"cancelled"})");
+}
+
+// Guards against a client that is told that its cancellation may be lost,
+// although it is stored.
+TEST_CASE_METHOD(instance_fixture,
+                 "front: a repeated cancellation that can't be written anew is "
+                 "confirmed") {
+  startFeed();
+  REQUIRE(call("POST", "/open/" + Id, Job).Status == 200);
+  REQUIRE(call("DELETE", "/open/" + Id).Status == 200);
+  const std::int64_t Stored = Service.revision();
+  Service.Faults.WritesLeft = 1; // tells that the cancellation exists
+  CHECK(call("DELETE", "/open/" + Id).Status == 200);
+  CHECK(Service.revision() == Stored);
+  CHECK(Service.Faults.WritesLeft < 0);
+}
+
 TEST_CASE_METHOD(instance_fixture,
                  "front: a submission whose store answer is lost is never "
                  "reported as not run") {
--- a/tests/contract/orders_test.cpp
+++ b/tests/contract/orders_test.cpp
@@ -32,9 +32,16 @@
                                        decltype(event::What) What) {
     Posted.push_back(std::move(What));
   };
-  leadership Leadership{
-      Context,         Store,   "one", {"127.0.0.1", 7}, milliseconds(60'000),
-      milliseconds(0), Metrics, Post};
+  leadership Leadership{Context,
+                        Store,
+                        "one",
+                        {"127.0.0.1", 7},
+                        milliseconds(60'000),
+                        milliseconds(0),
+                        Metrics,
+                        Post,
+                        {},
+                        feedSettings()};
   orders Orders{Context, Store, Executors,    Leadership,
                 Metrics, Post,  MaxValueBytes};
 
@@ -44,6 +51,14 @@
     asio::co_spawn(Context, Leadership.run(), asio::detached);
     next<recovery_finished>();
   }
+  /// The leader's knowledge is soon too old once its watch is silent.
+  static job_feed_settings feedSettings() {
+    job_feed_settings Settings;
+    Settings.MaxAge = milliseconds(400);
+    Settings.WatchWait = milliseconds(50);
+    Settings.MaxOutdated = milliseconds(1'500);
+    return Settings;
+  }
   /// The stored job, without which the leader takes its records for forgotten.
   static std::string specOf(const std::string &Id) {
     job_spec Job;
@@ -204,3 +219,33 @@
   Service.carryOutDeferred();
   CHECK(stored("a") == "new");
 }
+
+// Guards against a start that was decided in time and waited to be sent until
+// its job may have been cancelled.
+TEST_CASE_METHOD(orders_fixture,
+                 "orders: a start isn't sent once cancellations may be "
+                 "unknown") {
+  const std::uint64_t Term = Leadership.token();
+  Service.Faults.IgnoresWatches = true;
+  while (Leadership.mayOrder(Term))
+    Context.run_one();
+  REQUIRE(Leadership.token() == Term);
+  const std::uint64_t Calls = Executors.calls();
+  start_run Start;
+  Start.To = {executor_id("x"), {"127.0.0.1", 9}, 1, Term};
+  Start.Run = {{job_id("a"), 0, 0, 0}, 1};
+  Orders.execute(Start);
+  const auto Answer = next<start_answered>();
+  CHECK(Answer.Outcome == order_outcome::Refused);
+  CHECK(Answer.Run == Start.Run);
+  CHECK(Executors.calls() == Calls);
+}
+
+// Guards against a leader that keeps its lease and starts nothing for good.
+TEST_CASE_METHOD(orders_fixture,
+                 "leadership: a leader that hears of no change for long "
+                 "resigns") {
+  Service.Faults.IgnoresWatches = true;
+  next<leadership_lost>();
+  CHECK(Leadership.token() == 0);
+}
