Partition changes with iterators, which clang 14 accepts

std::ranges::stable_partition returns a subrange that clang 14 can't compile with GCC 12's library: the linter failed on job_feed.cpp, and the fuzz targets would have. The order of the changes is the same.

--- a/core/job/batch/job_feed.cpp
+++ b/core/job/batch/job_feed.cpp
@@ -3,7 +3,6 @@
 #include "core/job/batch/records.hpp"
 
 #include <algorithm>
-#include <functional>
 
 namespace galenastage::batch {
 namespace {
@@ -39,8 +38,10 @@
     Feed.WatchAfter = Watched.Revision;
     Feed.IsConfirmDue = !IsWhole;
     // A job may be stored together with its cancellation.
-    std::ranges::stable_partition(Watched.Requests, std::logical_not{},
-                                  &stored_request::IsCancellation);
+    std::stable_partition(Watched.Requests.begin(), Watched.Requests.end(),
+                          [](const stored_request &Request) {
+                            return !Request.IsCancellation;
+                          });
     for (stored_request &Request : Watched.Requests)
       takeIn(Request);
     if (!IsWhole)
