--- a/core/job/batch/job_feed.cpp
+++ b/core/job/batch/job_feed.cpp
@@ -38,10 +38,9 @@
     Feed.WatchAfter = Watched.Revision;
     Feed.IsConfirmDue = !IsWhole;
     // A job may be stored together with its cancellation.
-    std::stable_partition(Watched.Requests.begin(), Watched.Requests.end(),
-                          [](const stored_request &Request) {
-                            return !Request.IsCancellation;
-                          });
+    std::stable_partition(
+        Watched.Requests.begin(), Watched.Requests.end(),
+        [](const stored_request &Request) { return !Request.IsCancellation; });
     for (stored_request &Request : Watched.Requests)
       takeIn(Request);
     if (!IsWhole)
