Count the drift of an executor's clock since it was read towards a lease

A lease is given on the executor's clock, which may be 2% slow; the time since its clock was last read was added without a drift, and executors without runs aren't held, so that time may be long. At 20 s it is 0.4 s, more than the margin. The executor's own limit hides it where hold_max_ms is at most 8 s.

The bound now counts it, up to that limit. The new test failed before ("LeaseUntil >= Expires"); all 404 unit tests pass.

--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -42,8 +42,15 @@
 std::int64_t event_handler::leaseEnd(executor_state &Executor) {
   const milliseconds Lease =
       std::min(State.Settings.Lease, State.Settings.MaxLease);
-  const auto Longest =
-      std::chrono::duration_cast<milliseconds>(Lease * ClockDrift);
+  // Its clock may have drifted since it was read as well.
+  const auto Age =
+      std::chrono::duration_cast<milliseconds>(Now - Executor.ClockReadAt);
+  const auto OfRequest =
+      std::chrono::duration_cast<milliseconds>((Age + Lease) * ClockDrift) -
+      Age;
+  const auto OfExecutor = std::chrono::duration_cast<milliseconds>(
+      State.Settings.MaxLease * ClockDrift);
+  const milliseconds Longest = std::min(OfRequest, OfExecutor);
   Executor.LeaseUntil =
       std::max(Executor.LeaseUntil, Now + Longest + LeaseMargin);
   return Executor.ClockMs + (Now - Executor.ClockReadAt + Lease).count();
--- a/tests/unit/batch_contact_test.cpp
+++ b/tests/unit/batch_contact_test.cpp
@@ -233,3 +233,27 @@
   REQUIRE(all<save_progress>().size() == 1);
   CHECK(save().size() == 1);
 }
+
+// Guards against two runs of a task: the executor was idle for long, so that
+// its clock had fallen behind the reading that the lease was computed from.
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: the drift of a clock that was read long ago counts "
+                 "towards a lease") {
+  settle({"x", "y"});
+  pass(milliseconds(20'000));
+  const auto Starts = run(job("a", 1, 1, 1));
+  REQUIRE(Starts.size() == 1);
+  const instant Ordered = Now;
+  const executor_id Id = Starts[0].To.Id;
+  const executor_state &Executor = State.Executors.at(Id);
+  const instant ReadAt = Executor.ClockReadAt;
+  constexpr double SlowClock = 0.98;
+  const std::chrono::duration<double, std::milli> OnItsClock(
+      static_cast<double>(Starts[0].LeaseEndMs - Executor.ClockMs));
+  const auto Expires =
+      ReadAt + std::chrono::duration_cast<milliseconds>(OnItsClock / SlowClock);
+  REQUIRE(Expires > Ordered + milliseconds(8'500));
+  CHECK(Executor.LeaseUntil >= Expires);
+  CHECK(Executor.LeaseUntil <=
+        Ordered + State.Settings.MaxLease + milliseconds(500));
+}
