--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -319,3 +319,17 @@
   CHECK_FALSE(Report(500).Result->IsWhole);
   CHECK_FALSE(Report(501).Result->IsWhole);
 }
+
+// Guards against second starts of tasks that are done: an end was skipped, and
+// its run taken for lost, when the report listed a later end before it.
+TEST_CASE("wire: ends are passed on in the order of their numbers") {
+  const auto Report =
+      parseHoldAnswer(R"({"clock_ms":1,"born":1,"active":[],"ended":[)"
+                      R"([7,"a.0.0.1",1,"done",""],[5,"a.0.0.2",1,"done",""],)"
+                      R"([6,"a.0.0.3",1,"failed",""]]})");
+  REQUIRE(Report.Result);
+  std::vector<std::int64_t> Numbers;
+  for (const ended_run &End : Report.Result->Ended)
+    Numbers.push_back(End.Number);
+  CHECK(Numbers == std::vector<std::int64_t>{5, 6, 7});
+}
