Read reports of any size, and say why a hold failed

Cause: the answer to a hold was parsed under the 2 MB limit for JSON texts. Only its capacity limits what an executor runs: at 40,000 runs its report has more. It was then taken for silent, without a line that says why, its leases weren't extended and its runs were lost. A row that can't be read, or a status other than 200, 409 and 421, looked the same.

"executor: a hold that is refused or can't be read says why" needs the new members.

--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -172,11 +172,14 @@
 };
 enum class order_outcome {
   Accepted,
+  Refused,        // with another status
+  Unreadable,     // its answer can't be parsed
   Refused, // the order had no effect
   Unknown, // it may take effect, even later
 };
 struct start_answered {
   executor_id Executor;
+  std::string Reason{}; // of a refused or an unreadable answer
   run_name Run;
   order_outcome Outcome = order_outcome::Unknown;
   std::string Reason; // of a refusal
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -26,6 +26,10 @@
     return "connection lost";
   case hold_failure::Replaced:
     return "another executor answers";
+  case hold_failure::Refused:
+    return "refused";
+  case hold_failure::Unreadable:
+    return "unreadable answer";
   case hold_failure::Fenced:
     break;
   }
@@ -222,6 +226,7 @@
   Executor.IsUnresponsive = true;
   touch(Executor);
   const std::map<run_name, run_state> Runs = Executor.Runs;
+         {"reason", Event.Reason},
   for (const auto &[Name, Run] : Runs)
     if (const auto Job = State.Jobs.find(Name.Task.Job);
         Job != State.Jobs.end() && Run.IsOfGang)
--- a/tests/contract/executor_client_test.cpp
+++ b/tests/contract/executor_client_test.cpp
@@ -142,6 +142,29 @@
   CHECK(After.Ended.empty());
 }
 
+// Guards against a silent executor whose log lines don't tell that it answers.
+TEST_CASE("executor: a hold that is refused or can't be read says why") {
+  asio::io_context Context{1};
+  unsigned Status = 200;
+  http_server Service(
+      Context, {"127.0.0.1", 0}, [&](http_request) -> task<http_response> {
+        co_return jsonResponse(Status, R"({"clock_ms":1,"active":7})");
+      });
+  platform::executor_client Client(Context, "");
+  const executor_target To{executor_id("i-1"), Service.localEndpoint(), 1, 5};
+  const auto Hold = [&] {
+    const auto Answer =
+        test::runTask(Context, Client.hold({To, 0, 60'000, {}}));
+    REQUIRE(std::holds_alternative<hold_failed>(Answer));
+    return std::get<hold_failed>(Answer);
+  };
+  CHECK(Hold().Failure == hold_failure::Unreadable);
+  CHECK_FALSE(Hold().Reason.empty());
+  Status = 503;
+  CHECK(Hold().Failure == hold_failure::Refused);
+  CHECK(Hold().Reason == "status 503");
+}
+
 // Guards against orders that wait for one silent connection after the other.
 TEST_CASE_METHOD(executor_fixture,
                  "executor: after a hold that got no answer in time, a start "
--- a/tests/unit/batch_contact_test.cpp
+++ b/tests/unit/batch_contact_test.cpp
@@ -257,3 +257,21 @@
   CHECK(Executor.LeaseUntil <=
         Ordered + State.Settings.MaxLease + milliseconds(500));
 }
+
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: the line on a silent executor says why a hold "
+                 "failed") {
+  settle({"x"});
+  REQUIRE(run(job("a", 1, 1, 1)).size() == 1);
+  const effects Output =
+      reduce(State, {Now, Wall, Token,
+                     hold_failed{X, 1, hold_failure::Unreadable, "no born"}});
+  std::vector<log_field> Fields;
+  for (const effect &Effect : Output)
+    if (const auto *Write = std::get_if<write_log>(&Effect))
+      if (Write->Line.Event->Name == events::ExecutorSilent.Name)
+        Fields = Write->Line.Fields;
+  CHECK(std::ranges::count(Fields, log_field{"cause", "unreadable answer"}) ==
+        1);
+  CHECK(std::ranges::count(Fields, log_field{"reason", "no born"}) == 1);
+}
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -333,3 +333,20 @@
     Numbers.push_back(End.Number);
   CHECK(Numbers == std::vector<std::int64_t>{5, 6, 7});
 }
+
+// Guards against an executor that is taken for silent, and its runs for lost,
+// because it runs more tasks than the text of other answers may hold.
+TEST_CASE("wire: a report of very many runs is read") {
+  constexpr std::size_t Runs = 40'000;
+  std::string Rows;
+  for (std::size_t I = 0; I < Runs; ++I)
+    Rows += (Rows.empty() ? "" : ",") +
+            (R"(["0123456789abcdef.0.0.)" + std::to_string(I)) +
+            R"(",1,"00000bb87a21d94b",41,0])";
+  REQUIRE(Rows.size() > MaxJsonBytes);
+  const auto Report = parseHoldAnswer(
+      R"({"clock_ms":1,"born":1,"ended":[],"active":[)" + Rows + "]}");
+  INFO(Report.Reason);
+  REQUIRE(Report.Result);
+  CHECK(Report.Result->Active.size() == Runs);
+}
