Take an answer to a watch for whole only well below the limits of a page

Cause: a leader may start tasks while it knows all cancellations older than 2.5 s. The answer to a watch proves that unless it was cut. It counted as cut from 500 changes on, but PROTOCOL.md limits answers to about 500 items or 1 MB, and doesn't say whether that holds for watches. 250 jobs with a spec of 4,000 bytes in one answer reach 1 MB: a cancellation behind them was unknown and the feed claimed to be current, until the next watch.

Change: the client of the store tells whether an answer is whole, by count and bytes of the body, from half of a page's limits on. The count left the feed.

Tests: "metadata: an answer to a watch that may be cut isn't whole" (the stand-in cuts watches now), "job feed: it knows what the store holds after drawn orders in which answers to watches are cut". Replaced: "an answer with as many changes as may fit isn't taken for all of them" is now "an answer that may lack changes ...", with the count, also of removals, tested at the client.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -75,7 +75,7 @@
 }
 
 requests_watched toRequestsWatched(platform::watch_result Watch, instant Sent) {
-  requests_watched Watched{Sent, Watch.Revision, Watch.Changes.size(), {}};
+  requests_watched Watched{Sent, Watch.Revision, Watch.IsWhole, {}};
   for (platform::item_change &Change : Watch.Changes)
     if (!Change.IsRemoved)
       Watched.Requests.push_back(toRequest(std::move(Change.Item)));
--- a/core/job/batch/job_feed.cpp
+++ b/core/job/batch/job_feed.cpp
@@ -34,16 +34,15 @@
   }
 
   void apply(requests_watched &Watched) {
-    const bool IsWhole = Watched.Changes < Feed.Settings.MaxWatched;
     Feed.WatchAfter = Watched.Revision;
-    Feed.IsConfirmDue = !IsWhole;
+    Feed.IsConfirmDue = !Watched.IsWhole;
     // A job may be stored together with its cancellation.
     std::stable_partition(
         Watched.Requests.begin(), Watched.Requests.end(),
         [](const stored_request &Request) { return !Request.IsCancellation; });
     for (stored_request &Request : Watched.Requests)
       takeIn(Request);
-    if (!IsWhole)
+    if (!Watched.IsWhole)
       return;
     Feed.WatchedAsOf = Watched.Sent;
     if (!Feed.Gap)
--- a/core/job/batch/job_feed.hpp
+++ b/core/job/batch/job_feed.hpp
@@ -71,7 +71,7 @@
 struct requests_watched {
   instant Sent{};            // when the watch was asked for
   std::int64_t Revision = 0; // where the next watch begins
-  std::size_t Changes = 0;   // in the answer, with removals
+  bool IsWhole = true;       // no change before Sent is missing
   std::vector<stored_request> Requests;
 };
 
@@ -97,7 +97,6 @@
   milliseconds MaxOutdated{15'000}; // the same; older, the leader resigns
   milliseconds WatchWait{700};      // longest wait for a change
   std::size_t MaxKept = 1'000;      // cancellations of unknown jobs
-  std::size_t MaxWatched = 500;     // an answer of more may not be all there is
 
   friend bool operator==(const job_feed_settings &,
                          const job_feed_settings &) = default;
--- a/standin/metadata_service.cpp
+++ b/standin/metadata_service.cpp
@@ -114,9 +114,13 @@
 json metadata_service::changesAfter(const std::string &Prefix,
                                     std::int64_t After) const {
   json Events = json::array();
+  std::int64_t Last = 0; // changes of one revision stay together
   for (const change &Change : History) {
     if (Change.Item.Revision <= After || !Change.Key.starts_with(Prefix))
       continue;
+    if (Events.size() >= Faults.WatchItems && Change.Item.Revision != Last)
+      break;
+    Last = Change.Item.Revision;
     if (Change.IsRemoved)
       Events.push_back({{"key", Change.Key},
                         {"revision", Change.Item.Revision},
@@ -173,8 +177,10 @@
       co_return status(410);
     json Events = changesAfter(Prefix, After);
     if (!Events.empty() || readClock() >= Until) {
-      const json Body = {{"events", std::move(Events)},
-                         {"at_revision", Revision}};
+      const bool IsCut = Events.size() >= Faults.WatchItems;
+      const json Body = {{"at_revision", IsCut ? Events.back().at("revision")
+                                               : json(Revision)},
+                         {"events", std::move(Events)}};
       co_return jsonResponse(200, Body.dump());
     }
     co_await sleepFor(Context, WatchPoll);
--- a/standin/metadata_service.hpp
+++ b/standin/metadata_service.hpp
@@ -15,15 +15,16 @@
 namespace galenastage::standin {
 
 struct metadata_faults {
-  bool IsBusy = false;         // 503 to every call
-  bool RejectsRanges = false;  // 503 to reads of ranges
-  bool IsOverRate = false;     // 429 to every call
-  bool LosesAnswers = false;   // acts, then closes without a response
-  bool IsSilent = false;       // accepts requests and never responds
-  bool IgnoresWatches = false; // never responds to watches
-  std::size_t PageItems = 500; // items in one page of a range
-  bool HoldsRanges = false;    // reads ranges, and responds once this is off
-  bool DefersWrites = false;   // closes without a response, acts when asked to
+  bool IsBusy = false;          // 503 to every call
+  bool RejectsRanges = false;   // 503 to reads of ranges
+  bool IsOverRate = false;      // 429 to every call
+  bool LosesAnswers = false;    // acts, then closes without a response
+  bool IsSilent = false;        // accepts requests and never responds
+  bool IgnoresWatches = false;  // never responds to watches
+  std::size_t PageItems = 500;  // items in one page of a range
+  std::size_t WatchItems = 500; // changes in one answer to a watch
+  bool HoldsRanges = false;     // reads ranges, and responds once this is off
+  bool DefersWrites = false;    // closes without a response, acts when asked to
   std::size_t MaxValueBytes = 1'048'576; // of an item; 413 beyond
   std::optional<int> WritesLeft; // transactions before 503; nullopt: no limit
 
--- a/tests/contract/metadata_store_test.cpp
+++ b/tests/contract/metadata_store_test.cpp
@@ -127,6 +127,48 @@
   CHECK(Next.Changes.empty());
 }
 
+// Guards against a leader that starts tasks of cancelled jobs: it took a part
+// of the changes for all of them.
+TEST_CASE_METHOD(metadata_fixture,
+                 "metadata: an answer to a watch that may be cut isn't whole") {
+  const auto Watch = [&](std::int64_t After) {
+    return run(Store.watch("w/", After, milliseconds(0)));
+  };
+  const std::int64_t Before = run(Store.readPrefix("w/")).Revision;
+  SECTION("many changes") {
+    for (int I = 0; I < 600; ++I)
+      Service.put("w/" + std::to_string(I), "");
+    const watch_result First = Watch(Before);
+    CHECK(First.Changes.size() == 500);
+    CHECK_FALSE(First.IsWhole);
+    const watch_result Rest = Watch(First.Revision);
+    CHECK(Rest.Changes.size() == 100);
+    CHECK(Rest.IsWhole);
+  }
+  SECTION("removals") {
+    for (int I = 0; I < 300; ++I)
+      Service.put("w/" + std::to_string(I), "");
+    const std::int64_t Written = Service.revision();
+    for (int I = 0; I < 300; ++I)
+      Service.remove("w/" + std::to_string(I));
+    CHECK_FALSE(Watch(Written).IsWhole);
+  }
+  SECTION("large values") {
+    Service.Faults.WatchItems = 2; // as many as 1 MB holds
+    for (int I = 0; I < 3; ++I)
+      Service.put("w/" + std::to_string(I), std::string(250'000, 'x'));
+    const watch_result First = Watch(Before);
+    REQUIRE(First.Changes.size() == 2);
+    CHECK_FALSE(First.IsWhole);
+    CHECK(Watch(First.Revision).IsWhole);
+  }
+  SECTION("few small changes") {
+    Service.put("w/a", "1");
+    CHECK(Watch(Before).IsWhole);
+    CHECK(Watch(Service.revision()).IsWhole);
+  }
+}
+
 TEST_CASE_METHOD(metadata_fixture,
                  "metadata: a watch from a compacted revision is NotFound") {
   const std::int64_t Before = run(Store.readPrefix("w/")).Revision;
--- a/tests/property/job_feed_test.cpp
+++ b/tests/property/job_feed_test.cpp
@@ -26,6 +26,7 @@
   int Losses = 2;
   int Failures = 1;
   std::size_t PageItems = 2;
+  std::size_t WatchItems = std::numeric_limits<std::size_t>::max();
   bool HasRepeats = false; // cancellations are written again
   std::size_t MaxKept = 1'000;
 };
@@ -204,7 +205,7 @@
     }
     if (Watch)
       Text << "|w" << Watch->IsLost << Watch->Watched.Revision << ' '
-           << Watch->Watched.Requests.size();
+           << Watch->Watched.IsWhole << Watch->Watched.Requests.size();
     return Text.str();
   }
 
@@ -267,10 +268,18 @@
   void watch() {
     if (!Watch) {
       const std::int64_t After = nextWatch(Feed)->After;
-      Watch = {After < Compacted, {now(), Revision, 0, {}}};
-      for (const stored_request &Change : History)
-        if (Change.Revision > After)
-          Watch->Watched.Requests.push_back(Change);
+      Watch = {After < Compacted, {now(), Revision, true, {}}};
+      requests_watched &Watched = Watch->Watched;
+      for (const stored_request &Change : History) {
+        if (Change.Revision <= After)
+          continue;
+        Watched.IsWhole = Watched.Requests.size() < Settings->WatchItems;
+        if (!Watched.IsWhole) {
+          Watched.Revision = Watched.Requests.back().Revision;
+          break;
+        }
+        Watched.Requests.push_back(Change);
+      }
       return;
     }
     watch_answer Answer = *std::exchange(Watch, std::nullopt);
@@ -433,3 +442,19 @@
     }
   }
 }
+
+// Guards against starts by a leader that takes a part of the changes for all.
+TEST_CASE("job feed: it knows what the store holds after drawn orders in which "
+          "answers to watches are cut") {
+  model_settings Settings;
+  Settings.Jobs = {"a", "b", "c", "d", "e", "f"};
+  Settings.Writes = 30;
+  Settings.Losses = 4;
+  Settings.Failures = 4;
+  Settings.HasRepeats = true;
+  for (std::uint64_t Seed = 1; Seed <= 300; ++Seed) {
+    Settings.WatchItems = 1 + Seed % 4;
+    CAPTURE(Seed);
+    REQUIRE(playDrawn(Settings, Seed) == "");
+  }
+}
--- a/tests/unit/batch_job_feed_test.cpp
+++ b/tests/unit/batch_job_feed_test.cpp
@@ -57,8 +57,7 @@
     apply(progress_read{});
   }
   void watch(std::int64_t Revision, std::vector<stored_request> Requests) {
-    const std::size_t Changes = Requests.size();
-    apply(requests_watched{Now, Revision, Changes, std::move(Requests)});
+    apply(requests_watched{Now, Revision, true, std::move(Requests)});
   }
   [[nodiscard]] bool hasLogged(std::string_view Name) const {
     return std::ranges::count(Lines, Name) > 0;
@@ -172,20 +171,18 @@
 }
 
 TEST_CASE_METHOD(feed_fixture,
-                 "job feed: an answer with as many changes as may fit isn't "
-                 "taken for all of them") {
+                 "job feed: an answer that may lack changes isn't taken for "
+                 "all of them") {
   load();
-  std::vector<stored_request> Changes;
-  for (std::size_t I = 0; I < Feed.Settings.MaxWatched; ++I)
-    Changes.push_back(job("j" + std::to_string(I), 11));
   pass(milliseconds(100));
-  watch(11, std::move(Changes));
+  apply(requests_watched{Now, 11, false, {job("a", 11)}});
+  CHECK(Posted == names{"recovered", "a"});
   CHECK_FALSE(AsOf);
   CHECK(nextWatch(Feed) == watch_request{11, milliseconds(0)});
   watch(11, {});
   CHECK(AsOf == Now);
-  pass(milliseconds(100)); // removals count as well
-  apply(requests_watched{Now, 12, Feed.Settings.MaxWatched, {}});
+  pass(milliseconds(100)); // one of removals only, which aren't passed on
+  apply(requests_watched{Now, 12, false, {}});
   CHECK_FALSE(AsOf);
 }
 
