Acknowledge ends once, in case an idle executor has restarted

Cause: a hold names the executor's id only, and repeated the highest stored end of the life that the leader knew, also when it was acknowledged long ago. An idle executor isn't held; when it restarts under its id, the first hold for its next run can reach the new life with the old number, which makes it forget ends that nobody has seen. A task that was done would start again.

Change: a hold names a number only while an end is stored and not acknowledged.

Test: "contact: ends are acknowledged once, in case an idle executor has restarted since" failed before with 57 == 0.

Tried and not kept: worlds in which an executor forgets as of its answer, not of the call.

--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -91,10 +91,14 @@
       HasRuns || HasUnacknowledged || IsOutOfContact || Executor.IsLifeUnclear;
   if (!IsWanted)
     return;
-  // A silent executor may have restarted under its id, which is all that the
-  // hold names. The new incarnation would forget ends that nobody has seen.
-  const std::int64_t LastSeen =
-      Executor.IsUnresponsive ? 0 : Executor.LastSeenSaved;
+  // The executor may have restarted under its id, which is all that the hold
+  // names, silently or while it was idle. The new incarnation would forget ends
+  // that nobody has seen. So ends are acknowledged once, and to one that
+  // answers.
+  const bool IsAcknowledging =
+      !Executor.IsUnresponsive &&
+      Executor.LastSeenSaved > Executor.LastSeenAcknowledged;
+  const std::int64_t LastSeen = IsAcknowledging ? Executor.LastSeenSaved : 0;
   hold_executor Hold{targetOf(Executor), LastSeen, {}, {}};
   const bool IsUnsaved = Executor.LastSeenProcessed > Executor.LastSeenSaved;
   const bool HasUnconfirmed =
@@ -222,11 +226,11 @@
     log(events::ExecutorSilent,
         {{"executor", Event.Executor.Value},
          {"cause", std::string(name(Event.Failure))},
+         {"reason", Event.Reason},
          {"runs", std::to_string(Executor.Runs.size())}});
   Executor.IsUnresponsive = true;
   touch(Executor);
   const std::map<run_name, run_state> Runs = Executor.Runs;
-         {"reason", Event.Reason},
   for (const auto &[Name, Run] : Runs)
     if (const auto Job = State.Jobs.find(Name.Task.Job);
         Job != State.Jobs.end() && Run.IsOfGang)
--- a/tests/unit/batch_contact_test.cpp
+++ b/tests/unit/batch_contact_test.cpp
@@ -148,6 +148,27 @@
   CHECK(all<hold_executor>().front().LastSeen == 1);
 }
 
+// Guards against second starts of tasks that are done: a hold for the life
+// before made the next one forget an end that nobody had seen.
+TEST_CASE_METHOD(
+    contact_fixture,
+    "contact: ends are acknowledged once, in case an idle executor "
+    "has restarted since") {
+  settle({"x"});
+  const auto Starts = run(job("a", 1, 1, 1));
+  answer("x", {}, {{57, Starts[0].Run, run_end::Done, ""}});
+  post(progress_saved{true});
+  REQUIRE(all<hold_executor>().size() == 1);
+  CHECK(all<hold_executor>().front().LastSeen == 57);
+  answer("x");
+  pass(milliseconds(5'000));
+  CHECK(all<hold_executor>().empty()); // idle, nothing to acknowledge
+  submit(job("b", 1, 1, 1));
+  REQUIRE(save().size() == 1);
+  REQUIRE(all<hold_executor>().size() == 1);
+  CHECK(all<hold_executor>().front().LastSeen == 0);
+}
+
 // Guards against a run that nobody knows of: the life before had accepted its
 // stop, the new one may still accept its late start.
 TEST_CASE_METHOD(contact_fixture,
