Count the age of the configuration from the call that told it

Cause: an instance answers 404 and 401 by its configuration while the store has confirmed it for the last 2.5 s. The time of confirmation was that of the answer: a read of all keys may take 5 s a page, and a watch that a change ends tells of changes as of some moment since it was asked for; one that was cut tells less.

Change: the age counts from the call, after a wait without changes from its end, and not from an answer that may be cut. A read and a change are confirmed by a watch without a wait. The wait is 1.5 s, was 2, so that a slow store (0.24 s an answer) still confirms in time: per instance one read a second and a half, and one more for each change.

Tests: "feed: what is known is as old as the call that told it" (the age was near 0 ms, 200 are demanded). Changed: the wait named in "after a failed watch the next one doesn't wait"; one more call in "a change is found by the first call after its connections have fallen silent"; "a request isn't denied by a configuration that the store doesn't confirm" waits for the age and demands in addition that the view isn't confirmed, as a short watch that fails made the store look unreachable first.

--- a/apps/instance/deployment_feed.cpp
+++ b/apps/instance/deployment_feed.cpp
@@ -10,10 +10,11 @@
 
 // A connection can stall without a reset. After that the next watch has to find
 // an edit within the 3 s in which an instance may be out of touch.
-constexpr milliseconds WatchTimeout{2'000};
+constexpr milliseconds WatchTimeout{1'500};
 constexpr milliseconds RetryDelay{200}; // after a failed read or watch
-// A watch without changes confirms the view once in WatchTimeout.
-constexpr milliseconds MaxConfirmedAge = WatchTimeout + milliseconds(500);
+// A watch without changes confirms the view once in WatchTimeout. A slow store
+// takes 0.24 s for the answer before and as long for the next one.
+constexpr milliseconds MaxConfirmedAge = WatchTimeout + milliseconds(1'000);
 
 } // namespace
 
@@ -32,12 +33,13 @@
 
 task<void> deployment_feed::run() {
   bool IsCurrent = false;
-  milliseconds Wait = WatchTimeout;
+  milliseconds Wait{0};
   for (;;) {
     if (!IsCurrent) {
       IsCurrent = co_await readAll();
       if (!IsCurrent)
         co_await sleepFor(Context, RetryDelay);
+      Wait = milliseconds(0); // the read may have taken long
       continue;
     }
     const instant Sent = readClock();
@@ -52,15 +54,19 @@
         co_await sleepFor(Context, RetryDelay);
       continue;
     }
-    Wait = WatchTimeout;
     Revision = Watch.Revision;
-    ConfirmedAt = readClock();
+    const bool HasWaited = Watch.Changes.empty() && readClock() - Sent >= Wait;
+    const instant AsOf = HasWaited ? Sent + Wait : Sent;
+    // A change may have come long after the call.
+    Wait = HasWaited ? WatchTimeout : milliseconds(0);
     deployment_view Next = View ? *View : deployment_view{};
     bool HasChanged = false;
     for (const platform::item_change &Change : Watch.Changes)
       HasChanged = applyItem(Next, Change) || HasChanged;
     if (HasChanged)
       publish(std::move(Next));
+    if (Watch.IsWhole)
+      confirm(AsOf);
   }
 }
 
@@ -77,9 +83,9 @@
   for (const platform::store_item &Item : Range.Items)
     applyItem(Next, {Item, false});
   Revision = Range.Revision;
-  ConfirmedAt = readClock();
   if (Next.Config.Version != 0)
     publish(std::move(Next));
+  confirm(Sent);
   co_return true;
 }
 
@@ -140,4 +146,8 @@
   OnChange(*View);
 }
 
+void deployment_feed::confirm(instant AsOf) {
+  ConfirmedAt = std::max(ConfirmedAt, AsOf);
+}
+
 } // namespace galenastage
--- a/apps/instance/deployment_feed.hpp
+++ b/apps/instance/deployment_feed.hpp
@@ -32,8 +32,8 @@
     return View;
   }
 
-  /// Time since the store last answered a read or a watch of these keys, which
-  /// confirmed that nothing newer was stored then. Call once there is a view.
+  /// Time for which newer changes may have been stored unknown to this
+  /// instance. Call once there is a view.
   [[nodiscard]] milliseconds age() const;
 
   /// Whether requests may be answered from the view: the store serves this
@@ -45,6 +45,7 @@
   task<bool> readAll();
   bool applyItem(deployment_view &Next, const platform::item_change &Change);
   void publish(deployment_view Next);
+  void confirm(instant AsOf);
   void noteFailure(std::string_view Call, const std::error_code &Error,
                    instant Sent);
 
--- a/tests/contract/instance_test.cpp
+++ b/tests/contract/instance_test.cpp
@@ -266,9 +266,10 @@
     runUntil([&] { return !Store.isReachable(); });
   } else { // the watch isn't answered, other calls are
     Service.Faults.IgnoresWatches = true;
-    runUntil([&] { return !Feed.isConfirmed(); });
+    runUntil([&] { return Feed.age() > milliseconds(2'500); });
     REQUIRE_FALSE(test::runTask(Context, Store.read("op/config")).Error);
     REQUIRE(Store.isReachable());
+    REQUIRE_FALSE(Feed.isConfirmed());
   }
   CHECK(call("POST", Denied + Id, Job).Status == 503);
   int Forwarded = 0;
@@ -295,7 +296,37 @@
   Service.Faults.IsBusy = false;
   runUntil([&] { return Feed.isConfirmed(); });
   CHECK(Service.watchWait() == milliseconds(0));
-  runUntil([&] { return Service.watchWait() == milliseconds(2'000); });
+  runUntil([&] { return Service.watchWait() == milliseconds(1'500); });
+}
+
+// Guards against answers by a configuration that is older than is claimed.
+TEST_CASE_METHOD(instance_fixture,
+                 "feed: what is known is as old as the call that told it") {
+  constexpr milliseconds Delay{200};
+  const auto PassDelay = [&] {
+    const instant Until = readClock() + Delay;
+    runUntil([&] { return readClock() >= Until; });
+  };
+  SECTION("a read that takes long") {
+    Service.Faults.HoldsRanges = true;
+    Service.put("op/config", config(1));
+    asio::co_spawn(Context, Feed.run(), asio::detached);
+    runUntil([&] { return Service.pagesRead() == 1; });
+    PassDelay();
+    Service.Faults.HoldsRanges = false;
+    runUntil([&] { return Feed.view() != nullptr; });
+    CHECK(Feed.age() >= Delay);
+  }
+  SECTION("a watch that a change ends") {
+    startFeed();
+    runUntil([&] { return Service.watchWait() > milliseconds(0); });
+    PassDelay();
+    Service.Faults.IgnoresWatches = true; // the next ones
+    Service.put("op/evacuate/a", "{}");
+    runUntil([&] { return !Views.back().Evacuated.empty(); });
+    CHECK(Feed.age() >= Delay);
+    Service.Faults.IgnoresWatches = false;
+  }
 }
 
 TEST_CASE_METHOD(instance_fixture,
@@ -356,7 +387,8 @@
         [&](std::exception_ptr, const platform::item_read &) { ++Read; });
   RunUntil([&] { return Read == Parallel; });
   asio::co_spawn(Context, Feed.run(), asio::detached);
-  const std::uint64_t Watched = Service.calls() + 2; // a read, then a watch
+  // A read, a watch that confirms it, and one that waits.
+  const std::uint64_t Watched = Service.calls() + 3;
   RunUntil([&] { return Service.calls() == Watched; });
 
   Relay.silenceConnections();
