Start nothing by an old list of executors or an old configuration

Cause: starts were tied to the age of what the leader knows of jobs and cancellations only. While reads of the executors' list or the watch of the operators' keys failed, it went on starting by the last ones, on executors that had long announced their departure or in data centres that were evacuated.

Change: each source says as of when it is known (jobs, list of executors, configuration with evacuations), one place asks for all three before a start is decided and before it is ordered after its save; the limits are 2.5, 2.5 and 4.5 s. 3217 names the source. Two reads of the list may be in flight, so that one lost answer doesn't make it old, and the list is read on while a new leader reads the jobs.

--- a/apps/instance/deployment_feed.cpp
+++ b/apps/instance/deployment_feed.cpp
@@ -21,9 +21,10 @@
 deployment_feed::deployment_feed(
     asio::io_context &Context, platform::metadata_store &Store,
     instance_metrics &Metrics,
-    std::function<void(const deployment_view &)> OnChange)
+    std::function<void(const deployment_view &)> OnChange,
+    std::function<void(instant)> OnConfirmed)
     : Context(Context), Store(Store), Metrics(Metrics),
-      OnChange(std::move(OnChange)) {}
+      OnChange(std::move(OnChange)), OnConfirmed(std::move(OnConfirmed)) {}
 
 milliseconds deployment_feed::age() const { return readClock() - ConfirmedAt; }
 
@@ -148,6 +149,8 @@
 
 void deployment_feed::confirm(instant AsOf) {
   ConfirmedAt = std::max(ConfirmedAt, AsOf);
+  if (View)
+    OnConfirmed(ConfirmedAt);
 }
 
 } // namespace galenastage
--- a/apps/instance/deployment_feed.hpp
+++ b/apps/instance/deployment_feed.hpp
@@ -19,10 +19,13 @@
 /// so the last valid one stays active.
 class deployment_feed {
 public:
-  /// OnChange is called on the I/O thread with each new view.
-  deployment_feed(asio::io_context &Context, platform::metadata_store &Store,
-                  instance_metrics &Metrics,
-                  std::function<void(const deployment_view &)> OnChange);
+  /// Called on the I/O thread: OnChange with each new view, OnConfirmed with a
+  /// time before which no change is unknown.
+  deployment_feed(
+      asio::io_context &Context, platform::metadata_store &Store,
+      instance_metrics &Metrics,
+      std::function<void(const deployment_view &)> OnChange,
+      std::function<void(instant)> OnConfirmed = [](instant) {});
 
   /// Watches until the io_context stops.
   task<void> run();
@@ -53,6 +56,7 @@
   platform::metadata_store &Store;
   instance_metrics &Metrics;
   std::function<void(const deployment_view &)> OnChange;
+  std::function<void(instant)> OnConfirmed;
   std::shared_ptr<const deployment_view> View;
   std::int64_t Revision = 0; // of the last change applied
   instant ConfirmedAt{};
--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds StandbyWatchTimeout{2'000};
 // Less than the 2 s after which no run may start on a draining executor.
 constexpr milliseconds ListInterval{700};
+constexpr int MaxOpenLists = 2; // the answer to one of them may be lost
 
 /// The address in the value of the leader's key, "NAME NONCE DELAY_MS
 /// ADDRESS:PORT".
@@ -221,10 +222,11 @@
     if (!IsPrepared)
       co_await sleepFor(Context, RetryDelay);
   }
+  // The jobs may take longer to read than the list may be old.
+  asio::co_spawn(Context, listExecutors(Term), asio::detached);
   co_await readPages(Term);
   if (!isCurrent(Term))
     co_return;
-  asio::co_spawn(Context, listExecutors(Term), asio::detached);
   asio::co_spawn(Context, watchCandidate(Term), asio::detached);
   co_await watchJobs(Term);
 }
@@ -375,14 +377,18 @@
 
 task<bool> leadership::listExecutorsOnce(std::uint64_t Term) {
   const instant Sent = readClock();
+  ++OpenLists;
   const platform::range_read Range = co_await Store.readPrefix(
       platform::ExecutorPrefix, platform::unreadable_items::AreSkipped);
+  --OpenLists;
   if (Range.Error) {
     noteFailedList(Range.Error, Sent);
     co_return false;
   }
+  if (!isCurrent(Term) || Sent < ListedAsOf)
+    co_return false; // a later read was faster
   ListedAsOf = Sent;
-  executors_listed Listed;
+  executors_listed Listed{{}, Sent};
   std::map<std::string, std::string> Ignored; // by key
   const auto Ignore = [&](const std::string &Key, const std::string &Reason) {
     const auto Known = IgnoredEntries.find(Key);
@@ -422,8 +428,8 @@
 task<void> leadership::listExecutors(std::uint64_t Term) {
   while (isCurrent(Term)) {
     co_await sleepFor(Context, ListInterval);
-    if (isCurrent(Term))
-      co_await listExecutorsOnce(Term);
+    if (isCurrent(Term) && OpenLists < MaxOpenLists)
+      asio::co_spawn(Context, listExecutorsOnce(Term), asio::detached);
   }
 }
 
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -53,8 +53,12 @@
         Store(Context, Settings.Store, Settings.Address),
         Executors(Context, Settings.Address),
         State(schedulerSettings(Settings, Features)),
-        Feed(Context, Store, Metrics,
-             [this](const deployment_view &View) { applyView(View); }),
+        Feed(
+            Context, Store, Metrics,
+            [this](const deployment_view &View) { applyView(View); },
+            [this](instant AsOf) {
+              eventPoster()(batch::NoTerm, batch::configuration_current{AsOf});
+            }),
         Leadership(Context, Store, Settings.Name.Value, forwardEndpoint(),
                    std::max(LeaderLease, Settings.MinStoreLease),
                    campaignDelay(Settings.Cores, Settings.LinkMbps), Metrics,
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -2,6 +2,8 @@
 #include "core/job/batch/scheduler_internal.hpp"
 
 #include <algorithm>
+#include <array>
+#include <tuple>
 
 namespace galenastage::batch {
 namespace detail {
@@ -26,6 +28,7 @@
       overloaded{
           [](const configuration_changed &) -> text { return {}; },
           [](const evacuations_changed &) -> text { return {}; },
+          [](const configuration_current &) -> text { return {}; },
           [](const leadership_gained &) -> text { return {}; },
           [](const time_passed &) -> text { return {}; },
           [](const runs_reported &) -> text { return "hold"; },
@@ -79,7 +82,14 @@
   State.NeedsPlacement = true;
 }
 
+void event_handler::apply(const configuration_current &Event) {
+  State.ConfigurationAsOf = std::max(State.ConfigurationAsOf, Event.AsOf);
+  resumeStarts();
+}
+
 void event_handler::apply(const executors_listed &Event) {
+  State.ExecutorsAsOf = std::max(State.ExecutorsAsOf, Event.AsOf);
+  resumeStarts();
   std::set<executor_id> Listed;
   for (const executor_report &Report : Event.Executors) {
     Listed.insert(Report.Id);
@@ -211,24 +221,38 @@
 
 void event_handler::apply(const requests_current &Event) {
   State.RequestsAsOf = std::max(State.RequestsAsOf, Event.AsOf);
-  if (State.PausedSince == instant{} || !areRequestsCurrent())
-    return;
-  log(events::StartsResumed,
-      {{"after_ms", std::to_string((Now - State.PausedSince).count())}});
-  State.PausedSince = {};
-  State.NeedsPlacement = true;
+  resumeStarts();
 }
 
-bool event_handler::areRequestsCurrent() const {
-  return Now - State.RequestsAsOf <= State.Settings.MaxRequestAge;
+std::optional<outdated_source> event_handler::findOutdated() const {
+  const scheduler_settings &Settings = State.Settings;
+  const std::array Sources{
+      std::tuple("jobs", State.RequestsAsOf, Settings.MaxRequestAge),
+      std::tuple("executors", State.ExecutorsAsOf, Settings.MaxListAge),
+      std::tuple("configuration", State.ConfigurationAsOf,
+                 Settings.MaxConfigurationAge)};
+  for (const auto &[Name, AsOf, MaxAge] : Sources)
+    if (Now - AsOf > MaxAge)
+      return outdated_source{
+          Name, std::chrono::duration_cast<milliseconds>(Now - AsOf)};
+  return std::nullopt;
 }
 
-void event_handler::noteStartsPaused() {
+void event_handler::pauseStarts(const outdated_source &Cause) {
   if (State.PausedSince != instant{})
     return;
   State.PausedSince = Now;
-  log(events::StartsPaused,
-      {{"age_ms", std::to_string((Now - State.RequestsAsOf).count())}});
+  log(events::StartsPaused, {{"source", std::string(Cause.Name)},
+                             {"age_ms", std::to_string(Cause.Age.count())}});
+}
+
+void event_handler::resumeStarts() {
+  if (State.PausedSince == instant{} || findOutdated())
+    return;
+  log(events::StartsResumed,
+      {{"after_ms", std::to_string((Now - State.PausedSince).count())}});
+  State.PausedSince = {};
+  State.NeedsPlacement = true;
 }
 
 void event_handler::apply(const leadership_gained &Event) {
@@ -257,6 +281,7 @@
   State.Token = 0;
   State.IsRecovered = false;
   State.RequestsAsOf = {};
+  State.ExecutorsAsOf = {};
   State.PausedSince = {};
   State.Jobs.clear();
   State.Plans.clear();
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -19,7 +19,8 @@
 // - After the leader's own lease has expired, it starts no run and extends no
 //   lease.
 // - No start is ordered while a cancellation that was acknowledged longer than
-//   MaxRequestAge ago may be unknown.
+//   MaxRequestAge ago may be unknown, nor by a list of executors, a
+//   configuration or evacuations that are older than their limits.
 // - What was read or ordered for one term of leadership has no effect on
 //   another one, also of the same instance. Both carry their term, the fencing
 //   token.
@@ -78,8 +79,10 @@
   milliseconds EntryLifetime{5'000}; // an entry of an ended life is gone then
   milliseconds QueueLengthInterval{500}; // between publications
   milliseconds PlacementInterval{15};    // batches changes into one pass
-  // Of the leader's knowledge of cancellations; older, nothing starts.
-  milliseconds MaxRequestAge{2'500};
+  // Of the leader's knowledge; older, nothing starts.
+  milliseconds MaxRequestAge{2'500};       // of jobs and cancellations
+  milliseconds MaxListAge{2'500};          // of the executors
+  milliseconds MaxConfigurationAge{4'500}; // with the evacuations
   int SpreadBelowPercent = 60; // accelerators in use; above, no spreading
   std::size_t MaxRecordBytes = 1'048'576; // of a job's progress
   int MaxJobsPerSave = 15; // fits a store transaction of 32 entries
@@ -108,9 +111,14 @@
 struct evacuations_changed {
   std::set<data_centre_id> DataCentres;
 };
-/// All executors listed in the platform's store.
+/// No configuration or evacuation that was stored before AsOf is unknown.
+struct configuration_current {
+  instant AsOf{};
+};
+/// All executors listed in the platform's store, with all changes before AsOf.
 struct executors_listed {
   std::vector<executor_report> Executors;
+  instant AsOf{};
 };
 /// A stored job, with the progress that earlier leaders stored.
 struct job_found {
@@ -164,22 +172,22 @@
   ConnectionLost, // before an answer; the executor was up until then
   Replaced,       // another executor answers at its address
   Fenced,         // the executor has seen a higher token
+  Refused,        // with another status
+  Unreadable,     // its answer can't be parsed
 };
 struct hold_failed {
   executor_id Executor;
   std::int64_t Incarnation = 0;
   hold_failure Failure = hold_failure::NoAnswer;
+  std::string Reason{}; // of a refused or an unreadable answer
 };
 enum class order_outcome {
   Accepted,
-  Refused,        // with another status
-  Unreadable,     // its answer can't be parsed
   Refused, // the order had no effect
   Unknown, // it may take effect, even later
 };
 struct start_answered {
   executor_id Executor;
-  std::string Reason{}; // of a refused or an unreadable answer
   run_name Run;
   order_outcome Outcome = order_outcome::Unknown;
   std::string Reason; // of a refusal
@@ -230,8 +238,9 @@
   instant Now{};
   wall_instant WallNow{};
   std::uint64_t Term = NoTerm; // that What was read or ordered for
-  std::variant<configuration_changed, evacuations_changed, executors_listed,
-               job_found, cancel_requested, requests_current, leadership_gained,
+  std::variant<configuration_changed, evacuations_changed,
+               configuration_current, executors_listed, job_found,
+               cancel_requested, requests_current, leadership_gained,
                recovery_finished, leadership_extended, leadership_lost,
                runs_reported, hold_failed, start_answered, stop_answered,
                progress_saved, record_published, job_forgotten, speeds_found,
@@ -580,12 +589,14 @@
   std::uint64_t Examined = 0;     // executors that placements looked at
 
   // State of one leadership; empty while another instance leads.
-  std::uint64_t Token = 0;  // 0: not leading
-  instant ValidUntil{};     // end of the leader's own lease
-  instant RecoveryUntil{};  // leases of earlier leaders have expired by then
-  bool IsRecovered = false; // all stored jobs have been reported
-  instant RequestsAsOf{};   // no earlier job or cancellation is unknown
-  instant PausedSince{};    // no start since, for want of that; not set: none
+  std::uint64_t Token = 0;     // 0: not leading
+  instant ValidUntil{};        // end of the leader's own lease
+  instant RecoveryUntil{};     // leases of earlier leaders have expired by then
+  bool IsRecovered = false;    // all stored jobs have been reported
+  instant RequestsAsOf{};      // no earlier job or cancellation is unknown
+  instant ExecutorsAsOf{};     // no earlier change of the list
+  instant ConfigurationAsOf{}; // nor of configuration or evacuations
+  instant PausedSince{};       // no start since, for want of these
   std::map<job_id, job_state> Jobs;
   std::map<unit_name, reclaim_plan> Plans;
   std::map<unit_name, departure_plan> DeparturePlans;
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -20,6 +20,12 @@
   GangBroken,   // the other members have ended, and this one was the cause
 };
 
+/// A source of the leader's knowledge that is older than its limit.
+struct outdated_source {
+  std::string_view Name;
+  milliseconds Age{0};
+};
+
 std::string_view name(run_loss Cause);
 std::string_view name(hold_failure Failure);
 
@@ -111,6 +117,7 @@
   void apply(const job_found &Event);
   void apply(const cancel_requested &Event);
   void apply(const requests_current &Event);
+  void apply(const configuration_current &Event);
   void apply(const leadership_gained &Event);
   void apply(const recovery_finished &Event);
   void apply(const leadership_extended &Event);
@@ -560,9 +567,10 @@
   void log(const log_event &Event, std::vector<log_field> Fields) {
     Out.emplace_back(write_log{{&Event, std::move(Fields)}});
   }
-  /// Whether the leader's knowledge of cancellations allows starts.
-  [[nodiscard]] bool areRequestsCurrent() const;
-  void noteStartsPaused();
+  /// What is known for too long ago to start anything by; nullopt: nothing.
+  [[nodiscard]] std::optional<outdated_source> findOutdated() const;
+  void pauseStarts(const outdated_source &Cause);
+  void resumeStarts();
   [[nodiscard]] bool isLeading() const {
     return State.Token != 0 && Now < State.ValidUntil;
   }
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -167,7 +167,7 @@
 
 bool event_handler::mayStart(const executor_state &Executor,
                              const job_state &Job) const {
-  return areRequestsCurrent() && isUsable(Executor, Job.Queue.Service) &&
+  return !findOutdated() && isUsable(Executor, Job.Queue.Service) &&
          Executor.Report.Capacity.covers(Executor.Used);
 }
 
--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -32,8 +32,8 @@
 void event_handler::placeWaiting() {
   if (!isLeading() || !State.IsRecovered)
     return;
-  if (!areRequestsCurrent()) {
-    noteStartsPaused();
+  if (const std::optional<outdated_source> Outdated = findOutdated()) {
+    pauseStarts(*Outdated);
     return;
   }
   updateKept();
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -241,12 +241,13 @@
     "A cancellation was dropped: its job doesn't exist any more.", "None."};
 const log_event StartsPaused{
     3217, Warning, "starts-paused",
-    "The leader starts nothing, because it may not know of cancellations of "
-    "the last age_ms. Running tasks go on.",
+    "The leader starts nothing, because it may not know of changes of the last "
+    "age_ms. source tells of what: jobs (and cancellations), executors, or "
+    "configuration (and evacuations). Running tasks go on.",
     "Look for 2207 and 2208 before it; 3218 follows."};
-const log_event StartsResumed{
-    3218, Info, "starts-resumed",
-    "The leader knows of all cancellations again and starts tasks.", "None."};
+const log_event StartsResumed{3218, Info, "starts-resumed",
+                              "The leader knows enough again and starts tasks.",
+                              "None."};
 const log_event RecordRefused{
     3230, Error, "record-refused",
     "The store will never take the progress of this job as it is, most often "
--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -93,6 +93,17 @@
   checkWorlds(Settings);
 }
 
+// Guards against starts on executors that have long announced their departure.
+TEST_CASE("batch: executors leave while their list can't be read") {
+  world_settings Settings;
+  Settings.Jobs = 60;
+  Settings.Executors = 12;
+  Settings.Faults.LeavingExecutors = 0.8;
+  Settings.Faults.Notice = milliseconds(8'000);
+  Settings.Faults.FailingLists = 8;
+  checkWorlds(Settings);
+}
+
 // Guards against a task that crashes executor after executor without end.
 TEST_CASE("batch: jobs crash the executors that start them") {
   world_settings Settings;
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -37,6 +37,7 @@
                                // a new one comes 2 s later
   milliseconds Notice{4'000};  // of those departures
   int CapacityChanges = 0;     // an executor's capacity is halved for 2 to 12 s
+  int FailingLists = 0;        // reads of the executors' list fail for 1 to 8 s
   int SilentWatches = 0; // leaders hear of no job or cancellation for 1 to 8 s
   int IdleCuts = 0; // begin when a start is ordered on an idle executor, which
                     // then refuses all calls for 0.5 to 4 s
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -216,6 +216,7 @@
     if (!Returns)
       Leaders.push_back(Leader);
     post(Leader, NoTerm, configuration_changed{Config});
+    post(Leader, NoTerm, configuration_current{now()});
     post(Leader, Leader->Token,
          leadership_gained{Leader->Token, now() + LeaderLease});
     after(milliseconds(draw(0, int(MaxLoadTime.count()))),
@@ -252,6 +253,7 @@
           (Now >= Executor.CutUntil ||
            chance(0.5))) // the entry may not have expired yet
         Listed.Executors.push_back(Executor.Report);
+    Listed.AsOf = now();
     post(Leader, Leader->Token, Listed);
   }
 
@@ -297,8 +299,10 @@
     if (Current && Now >= StoreDownUntil) {
       LeaderValidUntil = Now + LeaderLease;
       post(Current, Current->Token, leadership_extended{now() + LeaderLease});
+      post(Current, NoTerm, configuration_current{now()});
       if (Current->IsLoaded && Now.count() % 700 < Tick.count()) {
-        listExecutors(Current);
+        if (Now >= UnlistedUntil)
+          listExecutors(Current);
         informLeaders();
       }
     } else if (Current && Now >= LeaderValidUntil) {
@@ -520,7 +524,8 @@
   std::uint64_t CurrentToken = 0;
   time_point LeaderValidUntil{0};
   time_point StoreDownUntil{0};
-  time_point SilentUntil{0}; // of the watch of jobs
+  time_point SilentUntil{0};   // of the watch of jobs
+  time_point UnlistedUntil{0}; // reads of the executors' list fail
   time_point StoreSlowUntil{0};
   time_point LeaderSince{0};
   int IdleCuts = 0; // that have begun
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -185,6 +185,9 @@
       SilentUntil = Now + milliseconds(draw(1'000, 8'000));
       at(SilentUntil, [this] { informLeaders(); });
     });
+  for (int I = 0; I < Faults.FailingLists; ++I)
+    at(faultTime(),
+       [this] { UnlistedUntil = Now + milliseconds(draw(1'000, 8'000)); });
   for (int I = 0; I < Faults.SlowStores; ++I)
     at(faultTime(), [this] { StoreSlowUntil = Now + milliseconds(4'000); });
   for (int I = 0; I < Faults.KindChanges; ++I)
--- a/tests/unit/batch_pause_test.cpp
+++ b/tests/unit/batch_pause_test.cpp
@@ -19,6 +19,8 @@
     postOf(Term, leadership_gained{Term, Now + milliseconds(1'000'000)});
     Loaded = Now;
     post(requests_current{Loaded});
+    post(configuration_current{longFrom(Now)});
+    post(executors_listed{{}, longFrom(Now)});
     settle({"x"});
   }
   void passUntil(milliseconds SinceLoaded) {
@@ -97,3 +99,37 @@
   post(requests_current{Now - milliseconds(500)});
   CHECK(State.RequestsAsOf == Known);
 }
+
+// Guards against starts on executors that drain, in data centres that are
+// evacuated or for queues that were removed, all of it long ago.
+TEST_CASE_METHOD(test::scheduler_fixture,
+                 "batch: nothing starts by an old list of executors or an old "
+                 "configuration") {
+  const bool IsOfList = GENERATE(true, false);
+  CAPTURE(IsOfList);
+  post(leadership_lost{});
+  const std::uint64_t Term = Token + 1;
+  State.ConfigurationAsOf = {};
+  postOf(Term, leadership_gained{Term, longFrom(Now)});
+  post(requests_current{longFrom(Now)});
+  const auto Tell = [&](instant Old) {
+    const instant Other = longFrom(Now);
+    post(executors_listed{{report("x")}, IsOfList ? Old : Other});
+    post(configuration_current{IsOfList ? Other : Old});
+  };
+  Tell(Now);
+  settle({"x"});
+  const milliseconds MaxAge =
+      IsOfList ? State.Settings.MaxListAge : State.Settings.MaxConfigurationAge;
+  const instant Told = Now;
+  submit(job("a", 1, 1, 1));
+  REQUIRE(all<save_progress>().size() == 1); // decided in time
+  pass(MaxAge + milliseconds(100));
+  CHECK(save().empty()); // withdrawn
+  pass(milliseconds(100));
+  CHECK(all<save_progress>().empty());
+  REQUIRE(Now > Told + MaxAge);
+  Tell(Now);
+  pass(milliseconds(100));
+  CHECK(save().size() == 1);
+}
