Don't stop stalled runs while nothing may start

Cause: a run that stands still is stopped so that it restarts elsewhere. While starts pause for old knowledge it can't, and its work is lost for nothing. Change: it is moved once starts go on. Departures are moved as before, since a stop saves what the departing executor would lose.

Test: "batch: a pause of starts doesn't stop stalled runs" failed before.

--- a/core/job/batch/scheduler_pace.cpp
+++ b/core/job/batch/scheduler_pace.cpp
@@ -58,6 +58,8 @@
   updateStalled(Executor);
   if (!Executor.IsStalled || Executor.IsUnresponsive || !isLeading())
     return;
+  if (findOutdated())
+    return; // they couldn't restart
   std::set<unit_name> Units;
   for (const auto &[Name, Run] : Executor.Runs) {
     const auto Job = State.Jobs.find(Name.Task.Job);
--- a/tests/unit/batch_pause_test.cpp
+++ b/tests/unit/batch_pause_test.cpp
@@ -133,3 +133,19 @@
   pass(milliseconds(100));
   CHECK(save().size() == 1);
 }
+
+// Guards against work that is thrown away for nothing.
+TEST_CASE_METHOD(pause_fixture,
+                 "batch: a pause of starts doesn't stop stalled runs") {
+  const auto Started = run(job("a", 1, 1, 1));
+  REQUIRE(Started.size() == 1);
+  answer("x", {{Started.front().Run, "", 10}});
+  pass(State.Settings.Pace.MoveAfter);
+  answer("x", {{Started.front().Run, "", 10}});
+  pass(milliseconds(100));
+  CHECK(State.Executors.at(executor_id("x")).IsStalled);
+  CHECK(all<stop_run>().empty());
+  post(requests_current{Now});
+  pass(milliseconds(100));
+  CHECK(all<stop_run>().size() == 1);
+}
