Remember as many closed starts as a job has tasks

Cause: an executor that restarts under its id may carry out late starts that its life before had closed, so the leader closes them again. It remembered 64 of them; of a wide job whose starts got no answer the others were forgotten, and a late one could run beside the task's next run (TWICE).

Those that can't come any more are dropped with each list of executors, so that a full set isn't searched at each start. 3301's page names its new field.

Test: "contact: all closed starts of a wide job are closed again after a restart" failed before (64 stops instead of 200).

--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -133,8 +133,7 @@
            {"runs", std::to_string(Executor.Runs.size())}});
     }
   for (auto &[Id, Executor] : State.Executors)
-    if (!Executor.IsListed)
-      forgetClosedStarts(Executor);
+    forgetClosedStarts(Executor);
   // What plans have reserved there must be given back to the same entry.
   std::erase_if(State.Executors, [](const auto &Item) {
     const executor_state &Executor = Item.second;
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -62,20 +62,21 @@
   milliseconds IdleHoldRetry{1'000}; // the same, of an idle executor
   milliseconds UnsavedHoldInterval{500}; // hold interval while ends are unsaved
   milliseconds ConfirmInterval{100};     // hold interval for unconfirmed runs
-  milliseconds StopRetry{500};      // until an unanswered stop is sent again
-  milliseconds LateStarts{13'000};  // longest delay of an unanswered start
-  std::size_t MaxClosedStarts = 64; // that are remembered of an executor
-  milliseconds SpreadDelay{1'500};  // wait for the preferred rack before that
-  milliseconds PlanTimeout{3'000};  // of a reservation after a preemption
-  milliseconds PlanGrace{500};      // for orders, beyond the stops it waits for
-  milliseconds ReclaimRetry{100};   // after a reclaim that found no room
-  int MaxReclaimRacks = 24;         // that one reclaim considers
-  milliseconds RestartDelay{200};   // before a failed unit restarts
-  milliseconds ProvenFor{4'000};    // after a success on an executor
-  milliseconds ProvenWait{2'000};   // of a last attempt for proven executors
-  milliseconds Retention{150'000};  // of ended jobs
-  int MaxForgetting = 8;            // ended jobs that are removed at a time
-  milliseconds ForgetRetry{1'000};  // after a removal that failed
+  milliseconds StopRetry{500};     // until an unanswered stop is sent again
+  milliseconds LateStarts{13'000}; // longest delay of an unanswered start
+  // That are remembered of an executor: as many as one job has tasks.
+  std::size_t MaxClosedStarts = MaxTasksPerJob;
+  milliseconds SpreadDelay{1'500}; // wait for the preferred rack before that
+  milliseconds PlanTimeout{3'000}; // of a reservation after a preemption
+  milliseconds PlanGrace{500};     // for orders, beyond the stops it waits for
+  milliseconds ReclaimRetry{100};  // after a reclaim that found no room
+  int MaxReclaimRacks = 24;        // that one reclaim considers
+  milliseconds RestartDelay{200};  // before a failed unit restarts
+  milliseconds ProvenFor{4'000};   // after a success on an executor
+  milliseconds ProvenWait{2'000};  // of a last attempt for proven executors
+  milliseconds Retention{150'000}; // of ended jobs
+  int MaxForgetting = 8;           // ended jobs that are removed at a time
+  milliseconds ForgetRetry{1'000}; // after a removal that failed
   milliseconds EntryLifetime{5'000}; // an entry of an ended life is gone then
   milliseconds QueueLengthInterval{500}; // between publications
   milliseconds PlacementInterval{15};    // batches changes into one pass
--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -92,10 +92,12 @@
 
 void event_handler::noteClosedStart(executor_state &Executor,
                                     const run_name &Name) {
-  forgetClosedStarts(Executor);
   std::map<run_name, instant> &Closed = Executor.ClosedStarts;
+  const std::size_t Most = State.Settings.MaxClosedStarts;
+  if (Closed.size() >= Most)
+    forgetClosedStarts(Executor);
   // At the limit the start that is least likely to be late is forgotten.
-  if (Closed.size() >= State.Settings.MaxClosedStarts)
+  if (Closed.size() >= Most)
     Closed.erase(std::ranges::min_element(
         Closed, {}, &std::map<run_name, instant>::value_type::second));
   Closed[Name] = Executor.Runs.at(Name).Ordered;
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -263,7 +263,8 @@
 
 const log_event ExecutorSilent{
     3301, Warning, "executor-silent",
-    "An executor didn't answer; nothing new is started there, and its runs may "
+    "An executor didn't answer, or refused, or its answer can't be read (cause "
+    "and reason say which); nothing new is started there, and its runs may "
     "continue until their leases expire.",
     "Check the executor and the network path to it."};
 const log_event ExecutorLost{3302, Warning, "executor-lost",
--- a/tests/unit/batch_contact_test.cpp
+++ b/tests/unit/batch_contact_test.cpp
@@ -211,6 +211,31 @@
   CHECK_FALSE(x().Runs.contains(Run));
 }
 
+// Guards against two runs of a task: of a wide job only some of the closed
+// starts were remembered, and the new life begins the others when they come
+// late.
+TEST_CASE_METHOD(contact_fixture,
+                 "contact: all closed starts of a wide job are closed again "
+                 "after a restart") {
+  constexpr int Wide = 200;
+  settle({"x"});
+  job_spec Job = job("a", 1, Wide, 0);
+  Job.Steps[0].Needs = {10, 10, 0};
+  submit(Job);
+  const std::vector<start_run> Starts = save();
+  REQUIRE(Starts.size() == Wide);
+  for (const start_run &Start : Starts)
+    post(start_answered{X, Start.Run, order_outcome::Unknown, ""});
+  answer("x");
+  Now += milliseconds(20);
+  for (const start_run &Start : Starts)
+    post(stop_answered{X, Start.Run, true, 1});
+  answer("x");
+  REQUIRE(x().ClosedStarts.size() == Wide);
+  listAs(2);
+  CHECK(all<stop_run>().size() == Wide);
+}
+
 TEST_CASE_METHOD(contact_fixture,
                  "contact: closed starts are forgotten once they can't come") {
   const run_name Run = startUnanswered();
