Let starts go on while a configuration is at most 8 s old

Change: the limit follows from the 5 s that evacuations have and the 3 s for which an instance may be out of touch. Reads of the list in flight count within a term, so that those of a silent store don't hold up the next one. An age that was never known is logged as unknown.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -213,6 +213,7 @@
   writeLog(events::LeadershipGained, {{"token", std::to_string(Term)}});
   LeadsSince = readClock();
   LastJobAt = LeadsSince;
+  OpenLists = 0;
   Post(Term, leadership_gained{Term, ValidUntil});
   advance(Term, feed_begun{});
   asio::co_spawn(Context, renew(Term), asio::detached);
@@ -380,12 +381,14 @@
   ++OpenLists;
   const platform::range_read Range = co_await Store.readPrefix(
       platform::ExecutorPrefix, platform::unreadable_items::AreSkipped);
+  if (!isCurrent(Term))
+    co_return false;
   --OpenLists;
   if (Range.Error) {
     noteFailedList(Range.Error, Sent);
     co_return false;
   }
-  if (!isCurrent(Term) || Sent < ListedAsOf)
+  if (Sent < ListedAsOf)
     co_return false; // a later read was faster
   ListedAsOf = Sent;
   executors_listed Listed{{}, Sent};
--- a/apps/instance/leadership.hpp
+++ b/apps/instance/leadership.hpp
@@ -111,7 +111,7 @@
   batch::job_feed Feed;
   std::map<std::string, std::string> IgnoredEntries; // reasons, by key
   instant ListedAsOf{}; // when the last list of executors was asked for
-  int OpenLists = 0;    // reads of that list in flight
+  int OpenLists = 0;    // reads of that list in flight, of this term
   bool IsResigning = false;
 };
 
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -230,10 +230,13 @@
       std::tuple("executors", State.ExecutorsAsOf, Settings.MaxListAge),
       std::tuple("configuration", State.ConfigurationAsOf,
                  Settings.MaxConfigurationAge)};
-  for (const auto &[Name, AsOf, MaxAge] : Sources)
-    if (Now - AsOf > MaxAge)
-      return outdated_source{
-          Name, std::chrono::duration_cast<milliseconds>(Now - AsOf)};
+  for (const auto &[Name, AsOf, MaxAge] : Sources) {
+    if (AsOf == instant{})
+      return outdated_source{Name, std::nullopt};
+    const auto Age = std::chrono::duration_cast<milliseconds>(Now - AsOf);
+    if (Age > MaxAge)
+      return outdated_source{Name, Age};
+  }
   return std::nullopt;
 }
 
@@ -241,8 +244,9 @@
   if (State.PausedSince != instant{})
     return;
   State.PausedSince = Now;
-  log(events::StartsPaused, {{"source", std::string(Cause.Name)},
-                             {"age_ms", std::to_string(Cause.Age.count())}});
+  log(events::StartsPaused,
+      {{"source", std::string(Cause.Name)},
+       {"age_ms", Cause.Age ? std::to_string(Cause.Age->count()) : "unknown"}});
 }
 
 void event_handler::resumeStarts() {
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -81,9 +81,10 @@
   milliseconds QueueLengthInterval{500}; // between publications
   milliseconds PlacementInterval{15};    // batches changes into one pass
   // Of the leader's knowledge; older, nothing starts.
-  milliseconds MaxRequestAge{2'500};       // of jobs and cancellations
-  milliseconds MaxListAge{2'500};          // of the executors
-  milliseconds MaxConfigurationAge{4'500}; // with the evacuations
+  milliseconds MaxRequestAge{2'500}; // of jobs and cancellations
+  milliseconds MaxListAge{2'500};    // of the executors
+  // With the evacuations: these have 5 s, after 3 s out of touch.
+  milliseconds MaxConfigurationAge{8'000};
   int SpreadBelowPercent = 60; // accelerators in use; above, no spreading
   std::size_t MaxRecordBytes = 1'048'576; // of a job's progress
   int MaxJobsPerSave = 15; // fits a store transaction of 32 entries
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -23,7 +23,7 @@
 /// A source of the leader's knowledge that is older than its limit.
 struct outdated_source {
   std::string_view Name;
-  milliseconds Age{0};
+  std::optional<milliseconds> Age; // nullopt: it was never known
 };
 
 std::string_view name(run_loss Cause);
