Refuse a page of the store without items that isn't the last

The standalone product's client of the store; the users' platform's had the check.

Cause: a first page without items that says "more" was taken for an empty range. A later one was asked for again without end. Change: both are malformed answers, as they are for the platform's store.

Test: "store: a page without items isn't the last" failed before, the first section with no error, the second one by never ending (ended after 20 s).

--- a/net/store.cpp
+++ b/net/store.cpp
@@ -172,10 +172,13 @@
     Read.Error = readAnswer(Result, [&](const json &Answer) {
       if (Read.Revision == 0)
         Read.Revision = revisionOf(Answer);
+      const std::size_t Known = Read.Entries.size();
       if (Answer.contains("kvs"))
         for (const json &Item : Answer.at("kvs"))
           Read.Entries.push_back(entryOf(Item));
-      HasMore = Answer.value("more", false) && !Read.Entries.empty();
+      HasMore = Answer.value("more", false);
+      if (HasMore && Read.Entries.size() == Known)
+        throw std::invalid_argument("a page without items isn't the last");
       if (HasMore)
         From = Read.Entries.back().Key + '\0';
     });
--- a/tests/contract/store_test.cpp
+++ b/tests/contract/store_test.cpp
@@ -1,5 +1,7 @@
+#include "core/error.hpp"
 #include "net/store.hpp"
 #include "standin/platform.hpp"
+#include "tests/support/run_task.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <catch2/catch.hpp>
@@ -115,3 +117,24 @@
   CHECK_FALSE(put("/job", "b", value_is{"/leader", "me 1"}).IsApplied);
   CHECK(run(Store.read("/job")).Entries.front().Value == "a");
 }
+
+// Guards against a range that is taken for empty, and against a read without
+// end: a page without items says that there are more.
+TEST_CASE("store: a page without items isn't the last") {
+  asio::io_context Context{1};
+  const int ItemsFirst = GENERATE(0, 1);
+  int Calls = 0;
+  const http_server Service(
+      Context, {"127.0.0.1", 0}, [&](http_request) -> task<http_response> {
+        const bool HasItem = Calls++ < ItemsFirst;
+        co_return jsonResponse(
+            200, std::string(R"({"header":{"revision":"5"},"more":true)") +
+                     (HasItem ? R"(,"kvs":[{"key":"YQ==","value":"YQ==",)"
+                                R"("mod_revision":"4"}]})"
+                              : "}"));
+      });
+  store_client Store(Context, Service.localEndpoint());
+  const store_read Read = test::runTask(Context, Store.readPrefix("a"));
+  CHECK(Read.Error == errc::MalformedAnswer);
+  CHECK(Calls == ItemsFirst + 1);
+}
