Wait for a gang's unheard member where all attempts may have failed

Cause: when all members but one have ended as broken, and the last one's executor is silent, that member is taken for ended, without a failure. It had failed behind the cut, for the second time; the third attempt started at 35.28 s, 3.5 s before the leader heard of it.

Change: the end is only inferred while the attempts so far, had all of them failed, allow another one.

Test: "failure: a gang whose last attempt may have failed unheard waits for its member" failed before (the member was dropped, two of three checks).

--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -408,7 +408,13 @@
   const bool CanAsk = Executor.IsListed && !Executor.IsUnresponsive;
   // An unanswered start may still take effect.
   const bool HasStarted = Last.IsListed || Last.IsAccepted;
-  if (!CanAsk && HasStarted)
+  // The member may have failed. If all attempts may have, its end must be known
+  // before another one starts.
+  const unit_progress *Progress = findProgress(Unit);
+  const bool MayRestart =
+      Job.Spec.Steps[Unit.Step].IsLongRunning ||
+      (Progress && Progress->Attempts < Job.Queue.MaxAttempts);
+  if (!CanAsk && HasStarted && MayRestart)
     applyLoss(Executor, Remaining.front().first, run_loss::GangBroken);
 }
 
--- a/tests/unit/batch_failure_test.cpp
+++ b/tests/unit/batch_failure_test.cpp
@@ -182,3 +182,41 @@
   CHECK(progress().Phase == job_phase::Running);
   CHECK(Longest < 400);
 }
+
+// Guards against a start beyond max_attempts: a member behind a cut had failed,
+// and its end was inferred without a failure.
+TEST_CASE_METHOD(test::scheduler_fixture,
+                 "failure: a gang whose last attempt may have failed unheard "
+                 "waits for its member") {
+  settle({"x", "y", "z"});
+  job_spec Gang = job("gang", 1, 2, 8);
+  Gang.Steps[0].IsGang = true;
+  Gang.Queue.MaxAttempts = 2;
+  const auto First = run(Gang);
+  REQUIRE(First.size() == 2);
+  answer(First[0].To.Id.Value, {}, {end(First[0].Run, run_end::Failed)});
+  answer(First[1].To.Id.Value, {}, {end(First[1].Run, run_end::Broken)});
+  post(progress_saved{true});
+  pass(milliseconds(1'000));
+  const auto Second = saveAll();
+  REQUIRE(Second.size() == 2);
+  for (const start_run &Start : Second)
+    post(start_answered{Start.To.Id, Start.Run, order_outcome::Accepted, ""});
+  const executor_id Cut = Second[1].To.Id;
+  post(hold_failed{Cut, 1, hold_failure::NoAnswer});
+  answer(Second[0].To.Id.Value, {}, {end(Second[0].Run, run_end::Broken)});
+  saveAll();
+  CHECK(State.Executors.at(Cut).Runs.contains(Second[1].Run));
+  SECTION("it is heard of as failed") {
+    answer(Cut.Value, {}, {end(Second[1].Run, run_end::Failed)});
+    CHECK(State.Jobs.at(job_id("gang")).Progress.Phase == job_phase::Failed);
+  }
+  SECTION("its lease ends") {
+    std::size_t Starts = 0;
+    for (int I = 0; I < 120; ++I) {
+      pass(milliseconds(100));
+      Starts += saveAll().size();
+    }
+    CHECK(Starts == 2); // the third attempt
+  }
+}
