Log answers that another life of an executor gave, and the parts of a lost one's bound

An executor may start again under its id, and a call names the id only. The answers to starts and stops now carry the life they were meant for, when the order was sent, and what the answer tells of the life that gave it: born, or its clock. A clock below the lowest that the meant life can show is another life's (3313). An answer without a readable clock is logged (3314), and 3302 says since when the executor hasn't answered, in which life, and when its leases ended. Effects carry their term beside the fencing token. Nothing is concluded yet.

--- a/apps/instance/orders.cpp
+++ b/apps/instance/orders.cpp
@@ -85,7 +85,7 @@
 }
 
 task<void> orders::start(start_run Start) {
-  const std::uint64_t Term = Start.To.Token;
+  const std::uint64_t Term = Start.To.Term;
   if (!Leadership.mayOrder(Term)) { // paused since it was decided
     Post(Term, start_answered{Start.To.Id, Start.Run, order_outcome::Refused,
                               "the leader's lease or knowledge has run out"});
@@ -98,7 +98,7 @@
 }
 
 task<void> orders::stop(stop_run Stop) {
-  const std::uint64_t Term = Stop.To.Token;
+  const std::uint64_t Term = Stop.To.Term;
   const instant Sent = readClock();
   stop_answered Answer = co_await Executors.stop(std::move(Stop));
   Metrics.noteOrder("stop", Answer.IsAccepted ? "accepted" : "unknown",
@@ -108,7 +108,7 @@
 
 task<void> orders::hold(hold_executor Hold) {
   const instant Sent = readClock();
-  const std::uint64_t Term = Hold.To.Token;
+  const std::uint64_t Term = Hold.To.Term;
   const milliseconds Wait = Hold.Wait;
   auto Answer = co_await Executors.hold(std::move(Hold));
   const bool IsAnswered = std::holds_alternative<runs_reported>(Answer);
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Upper bound for how slow an executor's clock may run.
-constexpr double ClockDrift = 1.02;
 constexpr milliseconds RecoveryMargin{
     500}; // for orders in flight and late timers
 
@@ -618,9 +616,9 @@
   using term = std::optional<std::uint64_t>;
   return std::visit(
       overloaded{
-          [](const start_run &Order) -> term { return Order.To.Token; },
-          [](const stop_run &Order) -> term { return Order.To.Token; },
-          [](const hold_executor &Order) -> term { return Order.To.Token; },
+          [](const start_run &Order) -> term { return Order.To.Term; },
+          [](const stop_run &Order) -> term { return Order.To.Term; },
+          [](const hold_executor &Order) -> term { return Order.To.Term; },
           [](const write_log &) -> term { return std::nullopt; },
           [](const auto &Write) -> term { return Write.Token; },
       },
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -33,6 +33,7 @@
 
 #include "core/job/batch/admission.hpp"
 #include "core/job/batch/capacity_index.hpp"
+#include "core/job/batch/lease_account.hpp"
 #include "core/job/batch/progress.hpp"
 #include "core/job/batch/scheduler_settings.hpp"
 #include "core/log_event.hpp"
@@ -60,6 +61,7 @@
 struct executors_listed {
   std::vector<executor_report> Executors;
   instant AsOf{};
+  std::int64_t Revision = 0; // that the store had reached; 0: unknown
 };
 /// A stored job, with the progress that earlier leaders stored.
 struct job_found {
@@ -127,17 +129,30 @@
   Refused, // the order had no effect
   Unknown, // it may take effect, even later
 };
+/// What the answer to an order tells of the life that gave it. An order names
+/// the executor's id only, so that any life under that id may answer.
+struct answer_source {
+  std::int64_t Meant = 0; // incarnation that the order was for; 0: unknown
+  std::int64_t Born = 0;  // incarnation that answered; 0: not told
+  std::optional<std::int64_t> ClockMs{}; // on its clock; nullopt: not told
+  instant Sent{};                        // when the order was sent
+  std::string Fault{}; // why one of them can't be read; empty: none is wrong
+
+  friend bool operator==(const answer_source &,
+                         const answer_source &) = default;
+};
 struct start_answered {
   executor_id Executor;
   run_name Run;
   order_outcome Outcome = order_outcome::Unknown;
-  std::string Reason; // of a refusal
+  std::string Reason;   // of a refusal
+  answer_source From{}; // of an answer
 };
 struct stop_answered {
   executor_id Executor;
   run_name Run;
-  bool IsAccepted = false;      // a late start is now ineffective
-  std::int64_t Incarnation = 0; // that the stop was sent to; 0: unknown
+  bool IsAccepted = false; // a late start is now ineffective
+  answer_source From{};
 };
 /// A record that the store will never take as it is.
 struct refused_record {
@@ -191,12 +206,13 @@
 
 // [2] Effects
 
-/// The recipient of an order and the token it is sent with.
+/// The recipient of an order, and the tokens it is sent with.
 struct executor_target {
   executor_id Id;
   endpoint Address;
   std::int64_t Incarnation = 0;
-  std::uint64_t Token = 0;
+  std::uint64_t Term = 0;  // that the order was decided in
+  std::uint64_t Token = 0; // fencing token: Term, or a later one
 };
 struct start_run {
   executor_target To;
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -20,6 +20,13 @@
   GangBroken,   // the other members have ended, and this one was the cause
 };
 
+/// Which life of an executor has answered an order.
+enum class answering_life {
+  Meant,   // the one that the order was for
+  Other,   // another one: the executor has restarted
+  Unknown, // the answer allows both
+};
+
 /// A source of the leader's knowledge that is older than its limit.
 struct outdated_source {
   std::string_view Name;
@@ -202,6 +209,13 @@
   // Lives of executors (scheduler_lives.cpp)
   /// To be called after each change of an executor's entry or life.
   void updateLife(executor_state &Executor);
+  /// Reads from an answer which life gave it, and logs one that wasn't meant.
+  /// Task: of an order; empty for a hold.
+  answering_life noteAnswer(const executor_state &Executor,
+                            std::string_view Call, const std::string &Task,
+                            const answer_source &From);
+  [[nodiscard]] answering_life lifeOf(const executor_state &Executor,
+                                      const answer_source &From) const;
   /// Drops what is known of the machine that had the id before, if the entry is
   /// of another one.
   static void forgetOtherMachine(executor_state &Executor,
--- a/core/job/batch/scheduler_lives.cpp
+++ b/core/job/batch/scheduler_lives.cpp
@@ -7,6 +7,25 @@
 namespace galenastage::batch::detail {
 namespace {
 
+constexpr std::int64_t ClockRoundingMs = 2; // of two readings
+constexpr milliseconds AnswerDelay{1'000};  // longest way of a counted answer
+
+/// The lowest time that the clock of the executor's present life can have shown
+/// at Sent or later, in milliseconds.
+std::int64_t lowestClock(const executor_state &Executor, instant Sent) {
+  const auto Since =
+      std::chrono::duration_cast<milliseconds>(Sent - Executor.ClockReadAt);
+  const auto Passed =
+      Since.count() > 0
+          ? std::chrono::duration_cast<milliseconds>(Since / ClockDrift)
+          : Since;
+  return Executor.ClockMs + Passed.count() - ClockRoundingMs;
+}
+
+std::string print(const std::optional<std::int64_t> &Value) {
+  return Value ? std::to_string(*Value) : "unknown";
+}
+
 /// Whether the entry is of the life that the executor answers holds in.
 bool isOfPresentLife(const executor_state &Executor, instant Now,
                      const scheduler_settings &Settings) {
@@ -35,6 +54,53 @@
        {"answered", std::to_string(Executor.Incarnation)}});
 }
 
+answering_life event_handler::lifeOf(const executor_state &Executor,
+                                     const answer_source &From) const {
+  if (From.Meant == 0)
+    return answering_life::Meant; // no life was known when it was sent
+  if (From.Born != 0)
+    return From.Born == From.Meant ? answering_life::Meant
+                                   : answering_life::Other;
+  if (!From.ClockMs || Executor.Incarnation != From.Meant)
+    return answering_life::Unknown;
+  if (*From.ClockMs < lowestClock(Executor, From.Sent))
+    return answering_life::Other;
+  // A life that has begun since the clock was read is younger than that.
+  const auto Youngest = std::chrono::duration_cast<milliseconds>(
+      Now - Executor.ClockReadAt + AnswerDelay);
+  return *From.ClockMs > Youngest.count() ? answering_life::Meant
+                                          : answering_life::Unknown;
+}
+
+answering_life event_handler::noteAnswer(const executor_state &Executor,
+                                         std::string_view Call,
+                                         const std::string &Task,
+                                         const answer_source &From) {
+  if (!From.Fault.empty())
+    log(events::AnswerWithoutLife, {{"executor", Executor.Report.Id.Value},
+                                    {"call", std::string(Call)},
+                                    {"task", Task},
+                                    {"reason", From.Fault}});
+  const answering_life Life = lifeOf(Executor, From);
+  if (Life != answering_life::Other)
+    return Life;
+  const bool IsClockKnown = Executor.Incarnation == From.Meant;
+  log(events::AnswerOfOtherLife,
+      {{"executor", Executor.Report.Id.Value},
+       {"call", std::string(Call)},
+       {"task", Task},
+       {"meant", std::to_string(From.Meant)},
+       {"answered", From.Born == 0 ? "unknown" : std::to_string(From.Born)},
+       {"clock_ms", print(From.ClockMs)},
+       {"expected_ms", IsClockKnown
+                           ? std::to_string(lowestClock(Executor, From.Sent))
+                           : "unknown"},
+       {"since_ms",
+        std::to_string(std::chrono::duration_cast<milliseconds>(Now - From.Sent)
+                           .count())}});
+  return Life;
+}
+
 void event_handler::forgetOtherMachine(executor_state &Executor,
                                        const executor_report &Next) {
   const executor_report &Known = Executor.Report;
--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -141,9 +141,16 @@
 }
 
 void event_handler::dropAllRuns(executor_state &Executor, run_loss Cause) {
+  const auto Ago = [&](instant Then) {
+    return Then == instant{} ? std::string("unknown")
+                             : std::to_string((Now - Then).count());
+  };
   log(events::ExecutorLost, {{"executor", Executor.Report.Id.Value},
                              {"cause", std::string(name(Cause))},
-                             {"runs", std::to_string(Executor.Runs.size())}});
+                             {"runs", std::to_string(Executor.Runs.size())},
+                             {"life", std::to_string(Executor.Incarnation)},
+                             {"answered_ms", Ago(Executor.LastAlive)},
+                             {"leases_ms", Ago(Executor.LeaseUntil)}});
   const std::vector<task_name> GivenUp = noteCrash(Executor, Cause);
   const std::map<run_name, run_state> Runs = Executor.Runs;
   for (const auto &[Name, Run] : Runs) {
--- a/core/job/batch/scheduler_orders.cpp
+++ b/core/job/batch/scheduler_orders.cpp
@@ -109,6 +109,7 @@
   if (Found == State.Executors.end())
     return;
   executor_state &Executor = Found->second;
+  noteAnswer(Executor, "start", printTask(Event.Run.Task), Event.From);
   const auto Run = Executor.Runs.find(Event.Run);
   if (Run == Executor.Runs.end())
     return; // already ended
@@ -154,11 +155,12 @@
   if (Found == State.Executors.end())
     return;
   executor_state &Executor = Found->second;
+  noteAnswer(Executor, "stop", printTask(Event.Run.Task), Event.From);
   const auto Run = Executor.Runs.find(Event.Run);
   if (Run == Executor.Runs.end() || !Event.IsAccepted)
     return; // already ended, or retryStops sends it again
   const bool IsOfIncarnation =
-      Event.Incarnation == 0 || Event.Incarnation == Executor.Incarnation;
+      Event.From.Meant == 0 || Event.From.Meant == Executor.Incarnation;
   if (!IsOfIncarnation || Run->second.Phase != run_phase::Stopping)
     return; // the present incarnation may not know of the stop
   Run->second.IsStopAccepted = true;
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -6,8 +6,6 @@
 namespace galenastage::batch::detail {
 namespace {
 
-constexpr double ClockDrift = 1.02;      // bound for slow executor clocks
-constexpr milliseconds LeaseMargin{300}; // for orders in flight and late timers
 constexpr milliseconds MinHoldGap{
     20}; // batches simultaneous ends into one hold
 
@@ -38,7 +36,7 @@
 
 executor_target event_handler::targetOf(const executor_state &Executor) const {
   return {Executor.Report.Id, Executor.Report.Address, Executor.Incarnation,
-          State.Token};
+          State.Token, State.Token};
 }
 
 /// Returns the end of a new lease on the executor's clock and extends
@@ -149,10 +147,14 @@
   Executor.IsReplaced = false;
   const bool IsRestarted =
       Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation;
-  if (IsRestarted)
+  if (IsRestarted) {
+    noteAnswer(
+        Executor, "hold", {},
+        {Executor.Incarnation, Event.Incarnation, Event.ClockMs, Event.Sent});
     dropAllRuns(Executor, run_loss::Restarted);
-  else if (Executor.Incarnation == 0) // it may have been lost and come back
+  } else if (Executor.Incarnation == 0) { // it may have been lost and come back
     stopLateStarts(Executor);
+  }
   Executor.HoldGap = std::chrono::duration_cast<milliseconds>(
       Event.Sent - Executor.ClockReadAt);
   Executor.Incarnation = Event.Incarnation;
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -270,7 +270,9 @@
 const log_event ExecutorLost{3302, Warning, "executor-lost",
                              "All runs of an executor have ended: it "
                              "restarted, another one answers at its address, "
-                             "or their leases expired.",
+                             "or their leases expired. The other fields tell "
+                             "by which calls these were reckoned, in "
+                             "milliseconds before this line.",
                              "None."};
 const log_event ExecutorUnlisted{
     3303, Info, "executor-unlisted",
@@ -318,6 +320,25 @@
     "its "
     "way; it is stopped in the new incarnation as well.",
     "None."};
+const log_event AnswerOfOtherLife{
+    3313, Warning, "answer-of-other-life",
+    "An executor answered a call in another life than the call was for. "
+    "Nothing "
+    "is concluded from it but that the executor has restarted; expected_ms and "
+    "clock_ms are the clock of the life that was meant and the one in the "
+    "answer.",
+    "None: the executor is asked what it runs before anything starts there."};
+const log_event AnswerWithoutLife{
+    3314, Warning, "answer-without-life",
+    "An executor's answer to an order doesn't tell which of its lives gave it: "
+    "its clock is missing or can't be read.",
+    "Report it to the owners of the executor; its runs count once they are "
+    "listed."};
+const log_event EarlierCallsClosed{
+    3315, Info, "earlier-calls-closed",
+    "An executor that was lost has answered a call with a later fencing token. "
+    "It rejects calls of before from now on.",
+    "None."};
 const log_event SpeedClassChanged{
     3320, Info, "speed-class-changed",
     "An executor is now known as slow, normal or fast compared with the others "
@@ -522,6 +543,9 @@
     &events::ExecutorAnswers,
     &events::ReportNotWhole,
     &events::LateStartStopped,
+    &events::AnswerOfOtherLife,
+    &events::AnswerWithoutLife,
+    &events::EarlierCallsClosed,
     &events::SpeedClassChanged,
     &events::SpeedsRead,
     &events::UrgentReclaimed,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -132,6 +132,9 @@
 extern const log_event ExecutorAnswers;
 extern const log_event ReportNotWhole;
 extern const log_event LateStartStopped;
+extern const log_event AnswerOfOtherLife;
+extern const log_event AnswerWithoutLife;
+extern const log_event EarlierCallsClosed;
 extern const log_event SpeedClassChanged;
 extern const log_event SpeedsRead;
 // Shares of organisations
--- a/tests/contract/executor_client_test.cpp
+++ b/tests/contract/executor_client_test.cpp
@@ -22,7 +22,7 @@
   [[nodiscard]] executor_target target(std::uint64_t Token,
                                        const std::string &Id = "i-1") const {
     return {executor_id(Id), Service.localEndpoint(), Service.incarnation(),
-            Token};
+            Token, Token};
   }
   static run_name runOf(int Index, int Attempt = 1) {
     return {{job_id("0123456789abcdef"), 0, 0, Index}, Attempt};
@@ -111,6 +111,27 @@
   CHECK(Report.Active.empty());
 }
 
+// Guards against an answer of the next life that is taken for one of the life
+// that the order was for.
+TEST_CASE_METHOD(executor_fixture,
+                 "executor: an answer tells which life it was meant for, and "
+                 "the clock of the one that gave it") {
+  const std::int64_t Before = Service.incarnation();
+  const start_answered Start = start(5, runOf(1));
+  CHECK(Start.From.Meant == Before);
+  REQUIRE(Start.From.ClockMs);
+  CHECK(*Start.From.ClockMs >= 0);
+  CHECK(Start.From.Fault.empty());
+  const executor_target Former = target(5);
+  Service.restart();
+  const stop_answered Stop =
+      test::runTask(Context, Client.stop({Former, runOf(1)}));
+  CHECK(Stop.IsAccepted);
+  CHECK(Stop.From.Meant == Before);
+  REQUIRE(Stop.From.ClockMs);
+  CHECK(Service.incarnation() > Before);
+}
+
 TEST_CASE_METHOD(executor_fixture,
                  "executor: ends are reported in pages until acknowledged") {
   for (int I = 0; I < 5; ++I)
@@ -151,7 +172,8 @@
         co_return jsonResponse(Status, R"({"clock_ms":1,"active":7})");
       });
   platform::executor_client Client(Context, "");
-  const executor_target To{executor_id("i-1"), Service.localEndpoint(), 1, 5};
+  const executor_target To{executor_id("i-1"), Service.localEndpoint(), 1, 5,
+                           5};
   const auto Hold = [&] {
     const auto Answer =
         test::runTask(Context, Client.hold({To, 0, 60'000, {}}));
--- a/tests/fuzz/platform_wire_fuzz.cpp
+++ b/tests/fuzz/platform_wire_fuzz.cpp
@@ -37,7 +37,7 @@
     check(parseHoldAnswer(Text));
     break;
   case 4:
-    parseReason(Text);
+    parseOrderAnswer(Text);
     break;
   default:
     if (const auto Task = parseTaskName(Text);
--- a/tests/support/batch_world_orders.cpp
+++ b/tests/support/batch_world_orders.cpp
@@ -43,28 +43,30 @@
   const start_run Order = Start;
   History.noteOrder(Order.Run, Now);
   cutIdle(Executors[Order.To.Id]);
-  const auto Answer = [this, Leader, Order](order_outcome Outcome,
-                                            const std::string &Reason) {
-    after(Latency, [=, this] {
-      post(Leader, Order.To.Token,
-           start_answered{Order.To.Id, Order.Run, Outcome, Reason});
-    });
-  };
+  answer_source From{Order.To.Incarnation};
+  From.Sent = now();
   order(
       Order.To,
-      [this, Order, Answer](fake_executor &Executor, bool IsAnswered,
-                            bool IsStray) {
+      [this, Leader, Order, From](fake_executor &Executor, bool IsAnswered,
+                                  bool IsStray) {
         const std::string Refusal = begin(Executor, Order, IsStray);
-        if (IsAnswered && !Refusal.empty())
+        if (!IsAnswered)
+          return;
+        if (!Refusal.empty())
           History.noteRefusal(Order.Run);
-        if (IsAnswered)
-          Answer(Refusal.empty() ? order_outcome::Accepted
-                                 : order_outcome::Refused,
-                 Refusal);
+        start_answered Answer{Order.To.Id, Order.Run,
+                              Refusal.empty() ? order_outcome::Accepted
+                                              : order_outcome::Refused,
+                              Refusal, From};
+        Answer.From.ClockMs = (Now - Executor.BornAt).count();
+        after(Latency, [=, this] { post(Leader, Order.To.Term, Answer); });
       },
-      [Answer](bool MayHaveRun) {
-        Answer(MayHaveRun ? order_outcome::Unknown : order_outcome::Refused,
-               MayHaveRun ? "" : "connection refused");
+      [this, Leader, Order, From](bool MayHaveRun) {
+        const start_answered Answer{
+            Order.To.Id, Order.Run,
+            MayHaveRun ? order_outcome::Unknown : order_outcome::Refused,
+            MayHaveRun ? "" : "connection refused", From};
+        after(Latency, [=, this] { post(Leader, Order.To.Term, Answer); });
       });
 }
 
@@ -83,9 +85,12 @@
 void world::carryOut(const std::shared_ptr<fake_leader> &Leader,
                      stop_run &Stop) {
   const stop_run Order = Stop;
+  answer_source From{Order.To.Incarnation};
+  From.Sent = now();
   order(
       Order.To,
-      [this, Leader, Order](fake_executor &Executor, bool IsAnswered, bool) {
+      [this, Leader, Order, From](fake_executor &Executor, bool IsAnswered,
+                                  bool) {
         if (Order.To.Token < Executor.Token)
           return;
         Executor.Token = Order.To.Token;
@@ -102,15 +107,14 @@
                     finish(Executors[Id], Run, run_end::Stopped);
                 });
         }
-        if (IsAnswered)
-          after(Latency, [this, Leader, Order] {
-            post(Leader, Order.To.Token,
-                 stop_answered{Order.To.Id, Order.Run, true,
-                               Order.To.Incarnation});
-          });
+        if (!IsAnswered)
+          return;
+        stop_answered Answer{Order.To.Id, Order.Run, true, From};
+        Answer.From.ClockMs = (Now - Executor.BornAt).count();
+        after(Latency, [=, this] { post(Leader, Order.To.Term, Answer); });
       },
       [this, Leader, Order](bool) {
-        post(Leader, Order.To.Token,
+        post(Leader, Order.To.Term,
              stop_answered{Order.To.Id, Order.Run, false});
       });
 }
@@ -121,7 +125,7 @@
   ++Report.Holds;
   const instant Sent = now();
   const auto Fail = [this, Leader, Order](hold_failure Failure) {
-    post(Leader, Order.To.Token,
+    post(Leader, Order.To.Term,
          hold_failed{Order.To.Id, Order.To.Incarnation, Failure});
   };
   after(Latency, [this, Leader, Order, Sent, Fail] {
@@ -192,14 +196,14 @@
                       Now < Executor.RefusesUntil;
   if (IsLost) {
     after(Latency, [this, Leader, To] {
-      post(Leader, To.Token,
+      post(Leader, To.Term,
            hold_failed{To.Id, 0, hold_failure::ConnectionLost});
     });
     return;
   }
   if (Now < Executor.CutUntil) {
     after(CallTimeout, [this, Leader, To] {
-      post(Leader, To.Token, hold_failed{To.Id, 0, hold_failure::NoAnswer});
+      post(Leader, To.Term, hold_failed{To.Id, 0, hold_failure::NoAnswer});
     });
     return;
   }
@@ -215,7 +219,7 @@
     if (Answer.Ended.size() < Settings.EndsPerReport)
       Answer.Ended.push_back({End.Number, End.Name, End.End, End.Checkpoint});
   Answer.IsWhole = Answer.Ended.size() < Settings.EndsPerReport;
-  after(Latency, [=, this] { post(Leader, To.Token, Answer); });
+  after(Latency, [=, this] { post(Leader, To.Term, Answer); });
 }
 
 } // namespace galenastage::batch::test::detail
--- a/tests/unit/batch_contact_test.cpp
+++ b/tests/unit/batch_contact_test.cpp
@@ -176,14 +176,14 @@
                  "after a restart") {
   const run_name Run = startUnanswered();
   Now += milliseconds(20);
-  post(stop_answered{X, Run, true, 1});
+  post(stop_answered{X, Run, true, {1}});
   answerAs(2);
   REQUIRE(x().Runs.contains(Run));
   REQUIRE(all<stop_run>().size() == 1);
-  post(stop_answered{X, Run, true, 1}); // late, of the life before
+  post(stop_answered{X, Run, true, {1}}); // late, of the life before
   CHECK_FALSE(x().Runs.at(Run).IsStopAccepted);
   Now += milliseconds(20);
-  post(stop_answered{X, Run, true, 2});
+  post(stop_answered{X, Run, true, {2}});
   answerAs(2);
   CHECK_FALSE(x().Runs.contains(Run));
   listAs(2);
@@ -196,7 +196,7 @@
                  "in the new life as well") {
   const run_name Run = startUnanswered();
   Now += milliseconds(20);
-  post(stop_answered{X, Run, true, 1});
+  post(stop_answered{X, Run, true, {1}});
   answer("x");
   REQUIRE_FALSE(x().Runs.contains(Run));
   SECTION("seen by the list") { listAs(2); }
@@ -206,7 +206,7 @@
   const std::int64_t SentTo = all<stop_run>().front().To.Incarnation;
   REQUIRE(x().Runs.contains(Run));
   Now += milliseconds(20);
-  post(stop_answered{X, Run, true, SentTo});
+  post(stop_answered{X, Run, true, {SentTo}});
   answerAs(2);
   CHECK_FALSE(x().Runs.contains(Run));
 }
@@ -229,7 +229,7 @@
   answer("x");
   Now += milliseconds(20);
   for (const start_run &Start : Starts)
-    post(stop_answered{X, Start.Run, true, 1});
+    post(stop_answered{X, Start.Run, true, {1}});
   answer("x");
   REQUIRE(x().ClosedStarts.size() == Wide);
   listAs(2);
@@ -240,7 +240,7 @@
                  "contact: closed starts are forgotten once they can't come") {
   const run_name Run = startUnanswered();
   Now += milliseconds(20);
-  post(stop_answered{X, Run, true, 1});
+  post(stop_answered{X, Run, true, {1}});
   answer("x");
   post(cancel_requested{job_id("a")});
   pass(State.Settings.LateStarts);
--- a/tests/unit/batch_late_start_test.cpp
+++ b/tests/unit/batch_late_start_test.cpp
@@ -82,7 +82,7 @@
     REQUIRE(all<stop_run>().size() == 1);
     CHECK(saveAll().empty());
     Now += milliseconds(20);
-    post(stop_answered{X, Run, true, 2});
+    post(stop_answered{X, Run, true, {2}});
     answerAs(2);
     pass(milliseconds(100));
     CHECK(saveAll().size() == 1);
@@ -98,7 +98,7 @@
   answerAs(1);
   REQUIRE(all<stop_run>().size() == 1);
   Now += milliseconds(20);
-  post(stop_answered{X, Run, true, 1});
+  post(stop_answered{X, Run, true, {1}});
   answerAs(1);
   REQUIRE_FALSE(State.Executors.at(X).Runs.contains(Run));
   REQUIRE(passWithoutX(milliseconds(3'000)).size() == 1);
@@ -116,7 +116,7 @@
                  "closed starts can't come") {
   const run_name Run = startUnanswered();
   answerAs(1);
-  post(stop_answered{X, Run, true, 1});
+  post(stop_answered{X, Run, true, {1}});
   answerAs(1);
   passWithoutX(State.Settings.LateStarts);
   list({report("y")});
--- a/tests/unit/batch_partial_report_test.cpp
+++ b/tests/unit/batch_partial_report_test.cpp
@@ -156,7 +156,7 @@
   post(cancel_requested{job_id("a")});
   REQUIRE(all<stop_run>().size() == 2);
   for (const run_name &Run : Runs)
-    post(stop_answered{X, Run, true, 1});
+    post(stop_answered{X, Run, true, {1}});
   answerPart({}, {end(Runs[0], run_end::Stopped)});
   CHECK(x().Runs.contains(Runs[1]));
   CHECK(x().Used.Accelerators == 1);
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -279,7 +279,45 @@
         parseConfig(Config + ",\"" + Field + "\":" + Deep + "}").Result);
   CHECK_FALSE(parseConfig(R"({"version":)" + Deep + "}").Result);
   CHECK_FALSE(parseHoldAnswer(R"({"clock_ms":)" + Deep + "}").Result);
-  CHECK(parseReason(R"({"reason":"fence","new":)" + Deep + "}").empty());
+  const order_answer Nested =
+      parseOrderAnswer(R"({"reason":"fence","new":)" + Deep + "}");
+  CHECK(Nested.Reason.empty());
+  CHECK_FALSE(Nested.Fault.empty());
+}
+
+// Guards against conclusions from an answer of another life of the executor.
+TEST_CASE("wire: an answer to an order tells of the life that gave it") {
+  CHECK(parseOrderAnswer(R"({"clock_ms":482113})") ==
+        order_answer{"", 0, 482'113});
+  CHECK(parseOrderAnswer(
+            R"({"clock_ms":12,"born":1790000000000,"reason":"old"})") ==
+        order_answer{"old", 1'790'000'000'000, 12});
+}
+
+// Guards against an answer that is taken for one of the present life, or lost,
+// because a field of it can't be read.
+TEST_CASE("wire: an answer to an order is read as far as it can be") {
+  const std::string Clocks[] = {"", R"(,"clock_ms":"12")",
+                                R"(,"clock_ms":null)", R"(,"clock_ms":1e300)",
+                                R"(,"clock_ms":9223372036854775807)"};
+  for (const std::string &Clock : Clocks) {
+    const order_answer Answer =
+        parseOrderAnswer(R"({"reason":"room","born":7)" + Clock + "}");
+    CAPTURE(Clock, Answer.Fault);
+    CHECK(Answer.Reason == "room");
+    CHECK(Answer.Born == 7);
+    CHECK_FALSE(Answer.ClockMs);
+    CHECK(Answer.Fault.find("clock_ms") != std::string::npos);
+  }
+  const order_answer Negative = parseOrderAnswer(R"({"clock_ms":-5})");
+  CHECK(Negative.ClockMs == -5);
+  const order_answer Odd =
+      parseOrderAnswer(R"({"clock_ms":5,"reason":["x"],"born":"7"})");
+  CHECK(Odd.ClockMs == 5);
+  CHECK(Odd.Born == 0);
+  CHECK(Odd.Fault.find("born") != std::string::npos);
+  for (const std::string Text : {"", "[]", "7", "{\"clock_ms\":"})
+    CHECK_FALSE(parseOrderAnswer(Text).Fault.empty());
 }
 
 // Guards against sums of times and counts of attempts that overflow.
