Reckon with calls that another life of an executor handles, and close them

Cause: an order names the executor's id only. A start or a hold that was meant for the life before is handled by the next one, whose clock began anew: the deadline is far ahead, and the lease lasts hold_max_ms from the arrival. The leader counted what it had asked for from the sending, and so did the next leader. Answers to starts and stops counted for the life that was meant.

- lease_account holds what the calls to one executor may have caused: leases of the life that was meant, leases of the executor's limit where another life may have handled the call, and calls without an answer that may still arrive.
- After an executor was lost, its next life gets no start and no lease before it has answered a hold with a later fencing token; from then on it rejects all calls of before.
Tokens are revisions that the store has reached, so the next leader's, which is the revision of its key, is higher.
- A start with an earlier token than a whole report's hold is over in that life.
- An answer by another life opens no run, closes no start, and stops starts and leases there until a hold shows what runs.
- The next leader waits for leases of the executors' limit.

One test waited for the lease of an earlier leader; it waits for the executors' limit now, with the same margins to both sides.

--- a/apps/instance/leadership.cpp
+++ b/apps/instance/leadership.cpp
@@ -391,7 +391,7 @@
   if (Sent < ListedAsOf)
     co_return false; // a later read was faster
   ListedAsOf = Sent;
-  executors_listed Listed{{}, Sent};
+  executors_listed Listed{{}, Sent, Range.Revision};
   std::map<std::string, std::string> Ignored; // by key
   const auto Ignore = [&](const std::string &Key, const std::string &Reason) {
     const auto Known = IgnoredEntries.find(Key);
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -10,13 +10,7 @@
 
 namespace {
 
-constexpr milliseconds RecoveryMargin{
-    500}; // for orders in flight and late timers
-
-milliseconds maxLeaseDuration(milliseconds Lease) {
-  return std::chrono::duration_cast<milliseconds>(Lease * ClockDrift) +
-         RecoveryMargin;
-}
+constexpr milliseconds RecoveryMargin{200}; // beyond that of each lease
 
 /// The order that the event answers, or "store" for what was read in a term of
 /// leadership; empty for events that belong to no term.
@@ -87,6 +81,7 @@
 
 void event_handler::apply(const executors_listed &Event) {
   State.ExecutorsAsOf = std::max(State.ExecutorsAsOf, Event.AsOf);
+  State.StoreRevision = std::max(State.StoreRevision, Event.Revision);
   resumeStarts();
   std::set<executor_id> Listed;
   for (const executor_report &Report : Event.Executors) {
@@ -202,7 +197,7 @@
   addRun(Executor, Job, Run, run_phase::Unconfirmed);
   Executor.Runs[Run].IsInherited = true;
   Executor.Runs[Run].OrderedTo = Placed.Incarnation;
-  Executor.LeaseUntil = std::max(Executor.LeaseUntil, State.RecoveryUntil);
+  Executor.Leases.Until = std::max(Executor.Leases.Until, State.RecoveryUntil);
 }
 
 void event_handler::apply(const cancel_requested &Event) {
@@ -260,9 +255,8 @@
   clearLeadership();
   State.Token = Event.Token;
   State.ValidUntil = Event.ValidUntil;
-  State.RecoveryUntil =
-      Now +
-      maxLeaseDuration(std::min(State.Settings.Lease, State.Settings.MaxLease));
+  // The leader before may have held a life that began shortly before.
+  State.RecoveryUntil = longestLeaseFrom(Now, leaseLimits()) + RecoveryMargin;
 }
 
 void event_handler::apply(const recovery_finished &) {
@@ -429,7 +423,7 @@
     retryStops(Executor);
     const bool IsOver = !Executor.Runs.empty() &&
                         (Executor.IsUnresponsive || !Executor.IsListed) &&
-                        Now >= Executor.LeaseUntil;
+                        Now >= leasesEnd(Executor.Leases, leaseLimits());
     if (IsOver)
       dropAllRuns(Executor, run_loss::LeaseExpired);
     if (Executor.Health.IsQuarantined)
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -11,6 +11,10 @@
 //   leader goes on counting.
 // - Nothing starts on an executor before it has answered a hold with this
 //   leader's fencing token; after that it rejects orders of earlier leaders.
+// - After an executor was lost, its next life gets no start and no lease before
+//   it rejects all calls of before: it has answered a hold with a later token.
+//   Each token is a revision that the store has reached, so that those of the
+//   next leader are higher.
 // - Nothing starts on an executor while its listed entry, with its labels and
 //   capacity, is of another life than its last answer to a hold.
 // - A run counts against its executor's capacity until its end is listed, the
@@ -309,13 +313,14 @@
   bool IsInherited = false;    // an earlier leader may have started it
   bool IsListed = false;       // in a report of the executor
   bool IsMissing = false;      // from the last report
-  bool IsAccepted = false;     // the executor accepted the start
+  bool IsAccepted = false;     // a life of the executor accepted the start
   bool IsUrgent = false;       // of priority 0
   bool IsBeyond = false;       // urgent, beyond its organisation's guarantee
   bool IsOfGang = false;
   bool IsOnProbation = false;   // suspected of crashing its executor
   bool IsOrphan = false;        // of no known job or task: unknown needs
   std::int64_t OrderedTo = 0;   // incarnation chosen by an earlier leader
+  std::uint64_t Token = 0;      // of its start; 0: of an earlier leader
   bool IsLongRunning = false;   // its Percent isn't a share of its work
   bool IsCheckpointing = false; // a stop saves its work
   int GangSize = 1;             // tasks that a stop of this run ends
@@ -323,19 +328,31 @@
   run_pace Pace;                // as reported
 };
 
+/// A start that was never listed and that no life so far carries out any more.
+struct closed_start {
+  instant Ordered{};
+  std::uint64_t Token = 0; // of its order
+
+  friend bool operator==(const closed_start &, const closed_start &) = default;
+};
+
 struct executor_state {
   executor_report Report;
   bool IsListed = true;         // by the platform's store
-  bool HasAnsweredHold = false; // with this token
+  bool HasAnsweredHold = false; // with this token, since it was last lost
   std::int64_t Incarnation = 0; // from its last answer; 0: none
   std::int64_t ClockMs = 0;     // its clock at ClockReadAt
   instant ClockReadAt{};
-  instant LeaseUntil{};                  // no run of this leader outlives this
+  lease_account Leases;                  // of this leader's calls
   std::int64_t LastSeenProcessed = 0;    // highest end processed
   std::int64_t LastSeenSaved = 0;        // highest end stored
   std::int64_t LastSeenAcknowledged = 0; // highest end acknowledged
   std::uint64_t SaveNeeded = 0;  // SavesFinished that covers LastSeenProcessed
   bool HasMoreEnds = false;      // the last report wasn't whole
+  std::uint64_t Token = 0;       // of its calls, if higher than the term's
+  std::uint64_t LeasedToken = 0; // of the last call with a lease
+  std::uint64_t TokenNeeded = 0; // calls with a lower one were sent before the
+                                 // executor was last lost; 0: it never was
   bool IsHolding = false;        // a hold is in flight
   bool IsHoldOutdated = false;   // and was sent to an earlier incarnation
   bool IsUnresponsive = false;   // the last hold failed
@@ -345,6 +362,8 @@
   instant LostAt{};              // when an earlier life was last taken for over
   instant LastAlive{};           // last sign of life
   std::int64_t HoldLastSeen = 0; // LastSeen of the hold in flight
+  std::uint64_t HoldToken = 0;   // its token
+  instant HoldLeased{};          // when it was sent; not set: without a lease
   instant NextHold{};
   bool IsStalled = false; // none of its runs advances
   instant StalledSeen{};  // last report of that
@@ -353,9 +372,8 @@
   bool IsKept = false;    // for guaranteed work
   bool IsTouched = false; // in Touched, the index may be out of date
   std::map<run_name, run_state> Runs;
-  // When starts were ordered that were never listed, and that the present life
-  // can't accept. After a restart the executor may accept them once more.
-  std::map<run_name, instant> ClosedStarts;
+  // After a restart the executor may accept them once more.
+  std::map<run_name, closed_start> ClosedStarts;
   worker_health Health;
   instant ProvenAt{};      // when a task last succeeded there
   instant LeavesAt{};      // at the earliest, by its report; not set: unknown
@@ -544,6 +562,7 @@
   std::map<std::pair<service_id, rack_id>, std::vector<vain_fit>> VainFits;
   std::set<executor_id> Draining; // of the listed executors
   std::uint64_t Examined = 0;     // executors that placements looked at
+  std::int64_t StoreRevision = 0; // that the store had reached; 0: unknown
 
   // State of one leadership; empty while another instance leads.
   std::uint64_t Token = 0;     // 0: not leading
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -205,6 +205,8 @@
                 int BelowAttempt = std::numeric_limits<int>::max());
   void stopOtherAttempts(job_state &Job, const unit_name &Unit, int Attempt);
   void retryStops(executor_state &Executor);
+  /// A hold will tell whether the run has begun.
+  void confirmLater(executor_state &Executor, run_state &Run);
 
   // Lives of executors (scheduler_lives.cpp)
   /// To be called after each change of an executor's entry or life.
@@ -216,6 +218,19 @@
                             const answer_source &From);
   [[nodiscard]] answering_life lifeOf(const executor_state &Executor,
                                       const answer_source &From) const;
+  /// The fencing token of calls to the executor.
+  [[nodiscard]] std::uint64_t tokenFor(const executor_state &Executor) const;
+  [[nodiscard]] lease_limits leaseLimits() const;
+  /// Milliseconds since then, for log lines.
+  [[nodiscard]] std::string ago(instant Then) const;
+  /// Calls that were sent so far must have no effect on what starts later.
+  void requireLaterToken(executor_state &Executor);
+  /// Another life than it was meant for has answered an order. If that is news,
+  /// nothing starts and no lease is given before a hold shows what runs there.
+  void suspectRestart(executor_state &Executor, const answer_source &From);
+  /// Opens an executor that has answered a hold, if that closed the calls of
+  /// before.
+  void openAnswered(executor_state &Executor);
   /// Drops what is known of the machine that had the id before, if the entry is
   /// of another one.
   static void forgetOtherMachine(executor_state &Executor,
--- a/core/job/batch/scheduler_lives.cpp
+++ b/core/job/batch/scheduler_lives.cpp
@@ -9,6 +9,9 @@
 
 constexpr std::int64_t ClockRoundingMs = 2; // of two readings
 constexpr milliseconds AnswerDelay{1'000};  // longest way of a counted answer
+// Longest time that a leader gives leases to a life that has ended: a waiting
+// hold, or a list that is still young enough.
+constexpr milliseconds UnnoticedEnd{3'000};
 
 /// The lowest time that the clock of the executor's present life can have shown
 /// at Sent or later, in milliseconds.
@@ -95,12 +98,75 @@
        {"expected_ms", IsClockKnown
                            ? std::to_string(lowestClock(Executor, From.Sent))
                            : "unknown"},
-       {"since_ms",
-        std::to_string(std::chrono::duration_cast<milliseconds>(Now - From.Sent)
-                           .count())}});
+       {"since_ms", ago(From.Sent)}});
   return Life;
 }
 
+std::uint64_t event_handler::tokenFor(const executor_state &Executor) const {
+  return std::max(State.Token, Executor.Token);
+}
+
+std::string event_handler::ago(instant Then) const {
+  if (Then == instant{})
+    return "unknown";
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(Now - Then).count());
+}
+
+lease_limits event_handler::leaseLimits() const {
+  return {State.Settings.MaxLease, State.Settings.LateStarts};
+}
+
+void event_handler::requireLaterToken(executor_state &Executor) {
+  Executor.TokenNeeded = Executor.LeasedToken + 1;
+  if (Executor.IsHolding && Executor.HoldLeased != instant{})
+    Executor.Leases = addUnanswered(Executor.Leases, Executor.HoldLeased);
+  for (const auto &[Name, Run] : Executor.Runs)
+    if (Run.Phase == run_phase::Starting)
+      Executor.Leases = addUnanswered(Executor.Leases, Run.Ordered);
+}
+
+void event_handler::suspectRestart(executor_state &Executor,
+                                   const answer_source &From) {
+  const bool IsKnown =
+      !Executor.HasAnsweredHold || From.Meant != Executor.Incarnation;
+  if (IsKnown)
+    return;
+  requireLaterToken(Executor);
+  Executor.Leases = expectLateCalls(Executor.Leases, leaseLimits());
+  Executor.HasAnsweredHold = false;
+  touch(Executor);
+  State.NeedsPlacement = true;
+  Executor.NextHold = Now;
+  hold(Executor);
+}
+
+void event_handler::openAnswered(executor_state &Executor) {
+  if (Executor.HasAnsweredHold)
+    return;
+  Executor.Leases = expectLateCalls(Executor.Leases, leaseLimits());
+  const bool IsClosed = Executor.HoldToken >= Executor.TokenNeeded;
+  if (IsClosed) {
+    Executor.Leases = closeLateCalls(Executor.Leases, leaseLimits(), Now);
+    // Until now it may have handled calls of an earlier leader.
+    const bool IsYoung =
+        Executor.ClockMs < (State.Settings.LateStarts + UnnoticedEnd).count();
+    if (Executor.TokenNeeded == 0 && IsYoung)
+      Executor.Leases = addForeignLease(Executor.Leases, leaseLimits(), Now);
+    if (Executor.TokenNeeded != 0)
+      log(events::EarlierCallsClosed,
+          {{"executor", Executor.Report.Id.Value},
+           {"life", std::to_string(Executor.Incarnation)},
+           {"token", std::to_string(Executor.HoldToken)},
+           {"lost_ms", ago(Executor.LostAt)}});
+    Executor.TokenNeeded = 0;
+  }
+  // Without a later revision of the store there is no later token.
+  Executor.HasAnsweredHold = IsClosed || State.StoreRevision == 0;
+  if (Executor.HasAnsweredHold)
+    State.NeedsPlacement = true;
+}
+
 void event_handler::forgetOtherMachine(executor_state &Executor,
                                        const executor_report &Next) {
   const executor_report &Known = Executor.Report;
--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -22,6 +22,15 @@
   return "gang broken";
 }
 
+namespace {
+
+/// Whether the executor, by its last answer, rejects the start of the run.
+bool isFenced(const executor_state &Executor, const run_state &Run) {
+  return Run.Phase != run_phase::Recording && Run.Token < Executor.HoldToken;
+}
+
+} // namespace
+
 void event_handler::applyLoss(executor_state &Executor, const run_name &Run,
                               run_loss Cause) {
   const auto Found = Executor.Runs.find(Run);
@@ -50,8 +59,9 @@
     Run.IsMissing = !Listed.contains(Name);
     if (!Run.IsMissing || !Report.IsWhole)
       continue;
-    // Orders of earlier leaders can no longer take effect.
-    const bool IsOver = Run.IsListed || Run.IsInherited ||
+    // Orders with an earlier token can no longer take effect.
+    const bool IsFenced = isFenced(Executor, Run);
+    const bool IsOver = Run.IsListed || IsFenced ||
                         (Run.IsStopAccepted && Report.Sent >= Run.Confirmed);
     const bool MayStartLate =
         Run.Phase == run_phase::Unconfirmed && Report.Sent >= Run.Confirmed;
@@ -74,7 +84,7 @@
         HasCrashed ? run_loss::Restarted : run_loss::NotListed;
     if (HasCrashed && countCrash(Executor, Name, Cause, false))
       GivenUp.push_back(Name.Task);
-    const bool IsClosed = Run.IsInherited || Run.IsStopAccepted;
+    const bool IsClosed = isFenced(Executor, Run) || Run.IsStopAccepted;
     if (IsClosed && !Run.IsListed && !Run.IsAccepted)
       noteClosedStart(Executor, Name);
     applyLoss(Executor, Name, Cause);
@@ -86,27 +96,28 @@
 
 void event_handler::forgetClosedStarts(executor_state &Executor) {
   std::erase_if(Executor.ClosedStarts, [&](const auto &Item) {
-    return Now - Item.second >= State.Settings.LateStarts;
+    return Now - Item.second.Ordered >= State.Settings.LateStarts;
   });
 }
 
 void event_handler::noteClosedStart(executor_state &Executor,
                                     const run_name &Name) {
-  std::map<run_name, instant> &Closed = Executor.ClosedStarts;
+  std::map<run_name, closed_start> &Closed = Executor.ClosedStarts;
   const std::size_t Most = State.Settings.MaxClosedStarts;
   if (Closed.size() >= Most)
     forgetClosedStarts(Executor);
   // At the limit the start that is least likely to be late is forgotten.
   if (Closed.size() >= Most)
     Closed.erase(std::ranges::min_element(
-        Closed, {}, &std::map<run_name, instant>::value_type::second));
-  Closed[Name] = Executor.Runs.at(Name).Ordered;
+        Closed, {}, [](const auto &Item) { return Item.second.Ordered; }));
+  const run_state &Run = Executor.Runs.at(Name);
+  Closed[Name] = {Run.Ordered, Run.Token};
 }
 
 void event_handler::stopLateStarts(executor_state &Executor) {
-  for (const auto &[Name, Ordered] : std::exchange(Executor.ClosedStarts, {})) {
+  for (const auto &[Name, Start] : std::exchange(Executor.ClosedStarts, {})) {
     const auto Job = State.Jobs.find(Name.Task.Job);
-    const bool MayCome = Now - Ordered < State.Settings.LateStarts &&
+    const bool MayCome = Now - Start.Ordered < State.Settings.LateStarts &&
                          Job != State.Jobs.end() &&
                          !Executor.Runs.contains(Name);
     if (!MayCome)
@@ -115,7 +126,8 @@
                                    {"attempt", std::to_string(Name.Attempt)},
                                    {"executor", Executor.Report.Id.Value}});
     addRun(Executor, Job->second, Name, run_phase::Unconfirmed);
-    Executor.Runs.at(Name).Ordered = Ordered;
+    Executor.Runs.at(Name).Ordered = Start.Ordered;
+    Executor.Runs.at(Name).Token = Start.Token;
     orderStop(Executor, Name);
   }
 }
@@ -141,16 +153,15 @@
 }
 
 void event_handler::dropAllRuns(executor_state &Executor, run_loss Cause) {
-  const auto Ago = [&](instant Then) {
-    return Then == instant{} ? std::string("unknown")
-                             : std::to_string((Now - Then).count());
-  };
-  log(events::ExecutorLost, {{"executor", Executor.Report.Id.Value},
-                             {"cause", std::string(name(Cause))},
-                             {"runs", std::to_string(Executor.Runs.size())},
-                             {"life", std::to_string(Executor.Incarnation)},
-                             {"answered_ms", Ago(Executor.LastAlive)},
-                             {"leases_ms", Ago(Executor.LeaseUntil)}});
+  log(events::ExecutorLost,
+      {{"executor", Executor.Report.Id.Value},
+       {"cause", std::string(name(Cause))},
+       {"runs", std::to_string(Executor.Runs.size())},
+       {"life", std::to_string(Executor.Incarnation)},
+       {"answered_ms", ago(Executor.LastAlive)},
+       {"leases_ms", ago(Executor.Leases.Until)},
+       {"unanswered_ms", ago(Executor.Leases.Unanswered)},
+       {"late_calls_ms", ago(Executor.Leases.LateUntil)}});
   const std::vector<task_name> GivenUp = noteCrash(Executor, Cause);
   const std::map<run_name, run_state> Runs = Executor.Runs;
   for (const auto &[Name, Run] : Runs) {
@@ -164,9 +175,10 @@
     // A later life knows of no stop.
     Found->second.Phase = run_phase::Unconfirmed;
     Found->second.IsStopAccepted = false;
-    Executor.LeaseUntil =
-        std::max(Executor.LeaseUntil, Run.Ordered + State.Settings.LateStarts);
+    Executor.Leases.Until = std::max(Executor.Leases.Until,
+                                     Run.Ordered + State.Settings.LateStarts);
   }
+  requireLaterToken(Executor);
   Executor.HasAnsweredHold = false;
   Executor.LostAt = Now;
   Executor.ProvenAt = {};
--- a/core/job/batch/scheduler_orders.cpp
+++ b/core/job/batch/scheduler_orders.cpp
@@ -41,6 +41,7 @@
     run_state &Run = Executor.Runs.at(Name);
     Run.Phase = run_phase::Starting;
     Run.Ordered = Now;
+    Run.Token = tokenFor(Executor);
     const unit_progress &Progress = *findProgress(unitNameOf(Job, Name.Task));
     Out.emplace_back(start_run{targetOf(Executor), Name, Job.Spec.Payload,
                                Progress.Checkpoint, leaseEnd(Executor)});
@@ -104,25 +105,48 @@
   }
 }
 
+void event_handler::confirmLater(executor_state &Executor, run_state &Run) {
+  Run.Confirmed = Now;
+  if (Run.Phase == run_phase::Starting)
+    Run.Phase = run_phase::Unconfirmed;
+  Executor.NextHold = Now;
+  hold(Executor);
+}
+
 void event_handler::apply(const start_answered &Event) {
   const auto Found = State.Executors.find(Event.Executor);
   if (Found == State.Executors.end())
     return;
   executor_state &Executor = Found->second;
-  noteAnswer(Executor, "start", printTask(Event.Run.Task), Event.From);
+  const answering_life Life =
+      noteAnswer(Executor, "start", printTask(Event.Run.Task), Event.From);
+  const bool IsHandled = Event.Outcome == order_outcome::Accepted ||
+                         Event.From.ClockMs || Event.From.Born != 0;
+  if (IsHandled && Life != answering_life::Meant)
+    Executor.Leases = addForeignLease(Executor.Leases, leaseLimits(), Now);
+  if (Life == answering_life::Other)
+    suspectRestart(Executor, Event.From);
   const auto Run = Executor.Runs.find(Event.Run);
   if (Run == Executor.Runs.end())
     return; // already ended
   const auto Job = State.Jobs.find(Event.Run.Task.Job);
   if (Event.Outcome != order_outcome::Unknown)
     Executor.LastAlive = Now;
-  if (Event.Outcome == order_outcome::Accepted) {
+  const bool IsByPresentLife =
+      Life == answering_life::Meant &&
+      (Event.From.Meant == 0 || Event.From.Meant == Executor.Incarnation);
+  if (Event.Outcome == order_outcome::Accepted && IsByPresentLife) {
     Run->second.Confirmed = Now;
     Run->second.IsAccepted = true;
     if (Run->second.Phase == run_phase::Starting)
       Run->second.Phase = run_phase::Active;
     return;
   }
+  if (Event.Outcome == order_outcome::Accepted) {
+    Run->second.IsAccepted = true;
+    confirmLater(Executor, Run->second);
+    return;
+  }
   log(events::StartNotAccepted,
       {{"task", printTask(Event.Run.Task)},
        {"attempt", std::to_string(Event.Run.Attempt)},
@@ -130,11 +154,8 @@
        {"reason",
         Event.Outcome == order_outcome::Unknown ? "no answer" : Event.Reason}});
   if (Event.Outcome == order_outcome::Unknown) {
-    Run->second.Confirmed = Now;
-    if (Run->second.Phase == run_phase::Starting)
-      Run->second.Phase = run_phase::Unconfirmed;
-    Executor.NextHold = Now;
-    hold(Executor);
+    Executor.Leases = addUnanswered(Executor.Leases, Run->second.Ordered);
+    confirmLater(Executor, Run->second);
     return;
   }
   dropRun(Executor, Event.Run);
@@ -155,12 +176,16 @@
   if (Found == State.Executors.end())
     return;
   executor_state &Executor = Found->second;
-  noteAnswer(Executor, "stop", printTask(Event.Run.Task), Event.From);
+  const answering_life Life =
+      noteAnswer(Executor, "stop", printTask(Event.Run.Task), Event.From);
+  if (Life == answering_life::Other)
+    suspectRestart(Executor, Event.From);
   const auto Run = Executor.Runs.find(Event.Run);
   if (Run == Executor.Runs.end() || !Event.IsAccepted)
     return; // already ended, or retryStops sends it again
   const bool IsOfIncarnation =
-      Event.From.Meant == 0 || Event.From.Meant == Executor.Incarnation;
+      Life != answering_life::Other &&
+      (Event.From.Meant == 0 || Event.From.Meant == Executor.Incarnation);
   if (!IsOfIncarnation || Run->second.Phase != run_phase::Stopping)
     return; // the present incarnation may not know of the stop
   Run->second.IsStopAccepted = true;
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -36,26 +36,18 @@
 
 executor_target event_handler::targetOf(const executor_state &Executor) const {
   return {Executor.Report.Id, Executor.Report.Address, Executor.Incarnation,
-          State.Token, State.Token};
+          State.Token, tokenFor(Executor)};
 }
 
-/// Returns the end of a new lease on the executor's clock and extends
-/// LeaseUntil to cover it.
+/// Returns the end of a new lease on the executor's clock, and accounts for it.
 std::int64_t event_handler::leaseEnd(executor_state &Executor) {
   const milliseconds Lease =
       std::min(State.Settings.Lease, State.Settings.MaxLease);
-  // Its clock may have drifted since it was read as well.
   const auto Age =
       std::chrono::duration_cast<milliseconds>(Now - Executor.ClockReadAt);
-  const auto OfRequest =
-      std::chrono::duration_cast<milliseconds>((Age + Lease) * ClockDrift) -
-      Age;
-  const auto OfExecutor = std::chrono::duration_cast<milliseconds>(
-      State.Settings.MaxLease * ClockDrift);
-  const milliseconds Longest = std::min(OfRequest, OfExecutor);
-  Executor.LeaseUntil =
-      std::max(Executor.LeaseUntil, Now + Longest + LeaseMargin);
-  return Executor.ClockMs + (Now - Executor.ClockReadAt + Lease).count();
+  Executor.Leases = addLease(Executor.Leases, leaseLimits(), Now, Lease, Age);
+  Executor.LeasedToken = tokenFor(Executor);
+  return Executor.ClockMs + (Age + Lease).count();
 }
 
 unit_progress *event_handler::findProgress(const unit_name &Unit) {
@@ -89,6 +81,10 @@
       HasRuns || HasUnacknowledged || IsOutOfContact || Executor.IsLifeUnclear;
   if (!IsWanted)
     return;
+  const auto Known = static_cast<std::uint64_t>(State.StoreRevision);
+  if (tokenFor(Executor) < Executor.TokenNeeded &&
+      Known >= Executor.TokenNeeded)
+    Executor.Token = Known;
   // The executor may have restarted under its id, which is all that the hold
   // names, silently or while it was idle. The new incarnation would forget ends
   // that nobody has seen. So ends are acknowledged once, and to one that
@@ -115,8 +111,11 @@
     Hold.Wait = std::min(Hold.Wait, State.Settings.Speeds.ProbeWait);
   // An unresponsive executor may receive the hold and extend its leases all the
   // same. Without a new lease its runs expire sooner.
-  if (Executor.HasAnsweredHold && !Executor.IsUnresponsive)
+  const bool IsLeased = Executor.HasAnsweredHold && !Executor.IsUnresponsive;
+  if (IsLeased)
     Hold.LeaseEndMs = leaseEnd(Executor);
+  Executor.HoldLeased = IsLeased ? Now : instant{};
+  Executor.HoldToken = Hold.To.Token;
   Executor.IsHolding = true;
   Executor.HoldLastSeen = LastSeen;
   Out.emplace_back(std::move(Hold));
@@ -128,6 +127,11 @@
     return;
   executor_state &Executor = Found->second;
   Executor.IsHolding = false;
+  const bool IsOfOtherLife =
+      Executor.IsHoldOutdated ||
+      (Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation);
+  if (IsOfOtherLife && Executor.HoldLeased != instant{})
+    Executor.Leases = addForeignLease(Executor.Leases, leaseLimits(), Now);
   if (std::exchange(Executor.IsHoldOutdated, false)) {
     // It may tell of the incarnation before.
     Executor.NextHold = Now;
@@ -161,9 +165,7 @@
   Executor.ClockMs = Event.ClockMs;
   Executor.ClockReadAt = Now;
   Executor.LastAlive = Now;
-  if (!Executor.HasAnsweredHold)
-    State.NeedsPlacement = true;
-  Executor.HasAnsweredHold = true;
+  openAnswered(Executor);
   Executor.IsLifeUnclear = false;
   updateLife(Executor);
   Executor.LastSeenAcknowledged =
@@ -209,6 +211,11 @@
   executor_state &Executor = Found->second;
   Executor.IsHolding = false;
   Executor.IsHoldOutdated = false;
+  const bool MayHaveArrived = Event.Failure == hold_failure::NoAnswer ||
+                              Event.Failure == hold_failure::ConnectionLost ||
+                              Event.Failure == hold_failure::Unreadable;
+  if (MayHaveArrived && Executor.HoldLeased != instant{})
+    Executor.Leases = addUnanswered(Executor.Leases, Executor.HoldLeased);
   const bool IsIdle = Executor.HasAnsweredHold && Executor.Runs.empty();
   Executor.NextHold =
       Now + (IsIdle ? State.Settings.IdleHoldRetry : State.Settings.HoldRetry);
--- a/tests/unit/batch_contact_test.cpp
+++ b/tests/unit/batch_contact_test.cpp
@@ -299,8 +299,8 @@
   const auto Expires =
       ReadAt + std::chrono::duration_cast<milliseconds>(OnItsClock / SlowClock);
   REQUIRE(Expires > Ordered + milliseconds(8'500));
-  CHECK(Executor.LeaseUntil >= Expires);
-  CHECK(Executor.LeaseUntil <=
+  CHECK(Executor.Leases.Until >= Expires);
+  CHECK(Executor.Leases.Until <=
         Ordered + State.Settings.MaxLease + milliseconds(500));
 }
 
--- a/tests/unit/batch_lease_test.cpp
+++ b/tests/unit/batch_lease_test.cpp
@@ -78,8 +78,48 @@
   void loseHold() { post(hold_failed{X, 1, hold_failure::NoAnswer}); }
 };
 
+constexpr lease_limits Limits{milliseconds(10'000), milliseconds(13'000)};
+const instant At{milliseconds(1'000'000)};
+
 } // namespace
 
+TEST_CASE("leases: a call of the life that was meant counts as it asked") {
+  const lease_account Account =
+      addLease({}, Limits, At, milliseconds(8'000), milliseconds(0));
+  CHECK(leasesEnd(Account, Limits) == At + milliseconds(8'160) + LeaseMargin);
+  const lease_account Old =
+      addLease({}, Limits, At, milliseconds(8'000), milliseconds(20'000));
+  CHECK(leasesEnd(Old, Limits) == At + milliseconds(8'560) + LeaseMargin);
+  const lease_account Capped =
+      addLease({}, Limits, At, milliseconds(60'000), milliseconds(0));
+  CHECK(leasesEnd(Capped, Limits) == longestLeaseFrom(At, Limits));
+}
+
+// Guards against a bound that ends before a lease that another life gave.
+TEST_CASE("leases: a call that another life handled counts from its arrival "
+          "with the executor's limit") {
+  const lease_account Account = addForeignLease({}, Limits, At);
+  CHECK(leasesEnd(Account, Limits) == At + milliseconds(10'200) + LeaseMargin);
+}
+
+TEST_CASE("leases: calls without an answer count until the new life rejects "
+          "them") {
+  const instant Sent = At - milliseconds(2'000);
+  const lease_account Lost = addUnanswered({}, Sent);
+  CHECK(leasesEnd(Lost, Limits) == instant{}); // no later life is known
+  const lease_account Open = expectLateCalls(Lost, Limits);
+  CHECK(leasesEnd(Open, Limits) ==
+        longestLeaseFrom(Sent + Limits.LateCalls, Limits));
+  const lease_account Closed = closeLateCalls(Open, Limits, At);
+  CHECK(leasesEnd(Closed, Limits) == longestLeaseFrom(At, Limits));
+  CHECK(expectLateCalls(Closed, Limits) == Closed);
+  const lease_account Late =
+      closeLateCalls(Open, Limits, At + milliseconds(60'000));
+  CHECK(leasesEnd(Late, Limits) == leasesEnd(Open, Limits));
+  const lease_account Certain = closeLateCalls({}, Limits, At);
+  CHECK(Certain == lease_account{});
+}
+
 // Guards against two runs of a task: the executor restarts, takes a start that
 // was for its life before, and is cut off. Its clock began anew, so that the
 // lease is as long as the executor allows.
@@ -97,3 +137,146 @@
   CHECK(Now >= Handled + State.Settings.MaxLease);
   CHECK(Now < Handled + State.Settings.MaxLease + milliseconds(15'000));
 }
+
+// Guards against the same where the new life is known and the run was started
+// in it: a hold for the life before had given it a longer lease.
+TEST_CASE_METHOD(lease_fixture,
+                 "leases: a run in a new life isn't given up before the lease "
+                 "that a call for the life before may have given") {
+  begin();
+  const start_run Before = startOnX("a");
+  acceptX(Before);
+  answerX({{Before.Run, "", 10}});
+  loseHold();
+  restartX();
+  Now += milliseconds(600);
+  answerX(); // tells of the life
+  relist();
+  pass(milliseconds(100));
+  answerX(); // to a hold with the later token
+  const instant Closed = Now;
+  post(cancel_requested{job_id("a")});
+  saveAll();
+  const start_run Start = startOnX("b");
+  acceptX(Start);
+  loseHold();
+  untilNextStart();
+  CHECK(Now >= Closed + State.Settings.MaxLease);
+  CHECK(Now < Closed + State.Settings.MaxLease + milliseconds(1'000));
+}
+
+TEST_CASE_METHOD(lease_fixture,
+                 "leases: a run in a life that is certain is given up by the "
+                 "lease that was asked for") {
+  begin();
+  const start_run Start = startOnX("a");
+  acceptX(Start);
+  answerX({{Start.Run, "", 10}});
+  loseHold();
+  const milliseconds Waited = untilNextStart();
+  CHECK(Waited >= State.Settings.Lease);
+  CHECK(Waited < State.Settings.Lease + milliseconds(700));
+}
+
+// Guards against calls of before that a new life carries out beside the work
+// that it was given.
+TEST_CASE_METHOD(lease_fixture,
+                 "leases: a new life gets no start and no lease before it has "
+                 "answered a later token") {
+  begin();
+  const start_run Before = startOnX("a");
+  REQUIRE(Before.To.Token == Token);
+  loseHold();
+  restartX();
+  Now += milliseconds(600);
+  submit(job("b", 1, 1, 1));
+  CHECK(saveAll().empty());
+  answerX(); // to a hold with the earlier token
+  CHECK(saveAll().empty());
+  relist();
+  CHECK(saveAll().empty());
+  pass(milliseconds(100));
+  const auto Holds = all<hold_executor>();
+  REQUIRE(Holds.size() == 1);
+  CHECK(Holds[0].To.Term == Token);
+  CHECK(Holds[0].To.Token > Token);
+  CHECK(Holds[0].To.Token <= static_cast<std::uint64_t>(Revision));
+  CHECK_FALSE(Holds[0].LeaseEndMs);
+  answerX();
+  pass(milliseconds(100));
+  const auto Starts = saveAll();
+  REQUIRE_FALSE(Starts.empty());
+  CHECK(Starts[0].To.Token == Holds[0].To.Token);
+}
+
+// Guards against a second start that waits for the answer to a stop, which the
+// executor may never get.
+TEST_CASE_METHOD(lease_fixture,
+                 "leases: a start that a later token has closed is given up at "
+                 "once") {
+  begin();
+  const start_run Start = startOnX("a");
+  post(start_answered{X, Start.Run, order_outcome::Unknown, ""});
+  loseHold();
+  restartX();
+  Now += milliseconds(600);
+  answerX();
+  relist();
+  CHECK(State.Executors.at(X).Runs.contains(Start.Run));
+  pass(milliseconds(100));
+  answerX();
+  CHECK_FALSE(State.Executors.at(X).Runs.contains(Start.Run));
+  CHECK(saveAll().size() == 1);
+}
+
+// Guards against a start that counts as closed in a life that never heard of
+// the stop.
+TEST_CASE_METHOD(lease_fixture,
+                 "leases: a stop that another life answered closes nothing") {
+  begin();
+  const start_run Start = startOnX("a");
+  post(start_answered{X, Start.Run, order_outcome::Unknown, ""});
+  answerX();
+  REQUIRE(all<stop_run>().size() == 1);
+  const stop_run Stop = all<stop_run>().front();
+  restartX();
+  Now += milliseconds(600);
+  post(stop_answered{X, Stop.Run, true, sourceX(Stop.To)});
+  const run_state &Run = State.Executors.at(X).Runs.at(Start.Run);
+  CHECK_FALSE(Run.IsStopAccepted);
+  CHECK_FALSE(State.Executors.at(X).HasAnsweredHold);
+  CHECK(saveAll().empty());
+}
+
+// Guards against two runs of a task: the leader before had started it in a life
+// that had just begun, with a lease of the executor's limit.
+TEST_CASE_METHOD(lease_fixture,
+                 "leases: an inherited run isn't given up before the "
+                 "executor's limit") {
+  begin();
+  const start_run Start = startOnX("a");
+  acceptX(Start);
+  const instant Gained = Now;
+  changeLeader({entryOf(Life), report("y")});
+  loseHold();
+  untilNextStart();
+  CHECK(Now >= Gained + State.Settings.MaxLease);
+  CHECK(Now < Gained + State.Settings.MaxLease + milliseconds(1'000));
+}
+
+// Guards against an answer without a clock that is taken for the present
+// life's.
+TEST_CASE_METHOD(lease_fixture,
+                 "leases: a start whose answer tells of no life counts once it "
+                 "is listed") {
+  begin();
+  const start_run Start = startOnX("a");
+  answer_source From{Start.To.Incarnation};
+  From.Sent = Now;
+  From.Fault = "clock_ms must be a whole number";
+  post(start_answered{X, Start.Run, order_outcome::Accepted, "", From});
+  const run_state &Run = State.Executors.at(X).Runs.at(Start.Run);
+  CHECK(Run.Phase == run_phase::Unconfirmed);
+  answerX({{Start.Run, "", 10}});
+  CHECK(State.Executors.at(X).Runs.at(Start.Run).Phase == run_phase::Active);
+}
--- a/tests/unit/batch_scheduler_test.cpp
+++ b/tests/unit/batch_scheduler_test.cpp
@@ -221,7 +221,7 @@
   answer("x", {{Running, "", 40}});
   CHECK(all<save_progress>().empty());
   CHECK(all<stop_run>().empty());
-  pass(State.Settings.Lease - milliseconds(1'000));
+  pass(State.Settings.MaxLease - milliseconds(1'000));
   CHECK(all<save_progress>().empty());
   pass(milliseconds(2'000));
   REQUIRE(all<save_progress>().size() == 1);
