Take clocks that begin at any value for what they are

An answer is now another life's also when its clock is ahead of what the meant life can show, and a young clock isn't taken for a young life: the first answer in a term always counts for a lease of the executor's limit, which calls of an earlier leader may have given until then.

--- a/core/job/batch/lease_account.hpp
+++ b/core/job/batch/lease_account.hpp
@@ -4,10 +4,10 @@
 //
 // A lease ends at a time on the executor's clock. The executor may start again
 // under its id, with a clock that begins anew, and calls name the id only. A
-// call that another life handles than it was for has a time far ahead of that
-// life's clock: its lease ends with the executor's own limit, counted from the
-// arrival. Until the new life rejects calls of before, by their fencing token,
-// those without an answer may still arrive.
+// call that another life handles than it was for may have a time far ahead of
+// that life's clock: its lease ends with the executor's own limit, counted from
+// the arrival. Until the new life rejects calls of before, by their fencing
+// token, those without an answer may still arrive.
 
 #include "core/types.hpp"
 
--- a/core/job/batch/scheduler_lives.cpp
+++ b/core/job/batch/scheduler_lives.cpp
@@ -9,9 +9,6 @@
 
 constexpr std::int64_t ClockRoundingMs = 2; // of two readings
 constexpr milliseconds AnswerDelay{1'000};  // longest way of a counted answer
-// Longest time that a leader gives leases to a life that has ended: a waiting
-// hold, or a list that is still young enough.
-constexpr milliseconds UnnoticedEnd{3'000};
 
 /// The lowest time that the clock of the executor's present life can have shown
 /// at Sent or later, in milliseconds.
@@ -25,6 +22,13 @@
   return Executor.ClockMs + Passed.count() - ClockRoundingMs;
 }
 
+/// The highest time that it can show now.
+std::int64_t highestClock(const executor_state &Executor, instant Now) {
+  const auto Since = std::chrono::duration_cast<milliseconds>(
+      (Now - Executor.ClockReadAt + AnswerDelay) * ClockDrift);
+  return Executor.ClockMs + Since.count() + ClockRoundingMs;
+}
+
 std::string print(const std::optional<std::int64_t> &Value) {
   return Value ? std::to_string(*Value) : "unknown";
 }
@@ -66,9 +70,12 @@
                                    : answering_life::Other;
   if (!From.ClockMs || Executor.Incarnation != From.Meant)
     return answering_life::Unknown;
-  if (*From.ClockMs < lowestClock(Executor, From.Sent))
+  const bool IsOther = *From.ClockMs < lowestClock(Executor, From.Sent) ||
+                       *From.ClockMs > highestClock(Executor, Now);
+  if (IsOther)
     return answering_life::Other;
-  // A life that has begun since the clock was read is younger than that.
+  // A clock may begin at any value; one that began at 0 since the clock was
+  // read shows less than that time.
   const auto Youngest = std::chrono::duration_cast<milliseconds>(
       Now - Executor.ClockReadAt + AnswerDelay);
   return *From.ClockMs > Youngest.count() ? answering_life::Meant
@@ -149,11 +156,9 @@
   if (IsClosed) {
     Executor.Leases = closeLateCalls(Executor.Leases, leaseLimits(), Now);
     // Until now it may have handled calls of an earlier leader.
-    const bool IsYoung =
-        Executor.ClockMs < (State.Settings.LateStarts + UnnoticedEnd).count();
-    if (Executor.TokenNeeded == 0 && IsYoung)
+    if (Executor.TokenNeeded == 0)
       Executor.Leases = addForeignLease(Executor.Leases, leaseLimits(), Now);
-    if (Executor.TokenNeeded != 0)
+    else
       log(events::EarlierCallsClosed,
           {{"executor", Executor.Report.Id.Value},
            {"life", std::to_string(Executor.Incarnation)},
