Play executors that restart while calls wait and are cut off soon after

The simulated worlds can now let calls wait for an executor's next life, cut it off soon after, carry out holds late, and run its clock slowly.

--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -21,6 +21,29 @@
   }
 }
 
+/// Executors that are cut off soon after a restart, with tasks that outlast
+/// their leases and room elsewhere to start them again.
+world_settings recutWorld(milliseconds MaxLease, milliseconds Lease) {
+  world_settings Settings;
+  Settings.Executors = 12;
+  Settings.Jobs = 16;
+  Settings.ShortestTask = milliseconds(9'000);
+  Settings.LongestTask = milliseconds(20'000);
+  Settings.Arrivals = milliseconds(50'000);
+  Settings.Faulty = milliseconds(70'000);
+  Settings.Length = milliseconds(240'000);
+  Settings.JudgesClosedStarts = true;
+  Settings.Scheduler.MaxLease = MaxLease;
+  Settings.Scheduler.Lease = Lease;
+  Settings.Faults.Recuts = 30;
+  Settings.Faults.SlowClocks = 0.02;
+  return Settings;
+}
+
+constexpr milliseconds LongLimit{10'000}; // of leases, longer than ours
+constexpr milliseconds OurLease{8'000};
+constexpr milliseconds ShortLimit{6'000}; // of leases, as long as ours
+
 } // namespace
 
 TEST_CASE("batch: a calm world finishes every job") { checkWorlds({}); }
@@ -314,3 +337,91 @@
   Settings.EndsPerReport = 3;
   checkWorlds(Settings);
 }
+
+// Guards against two runs of a task: a call for the life before gives the next
+// one a lease as long as the limit, and that is cut off.
+TEST_CASE("batch: executors restart while calls wait, and are cut off") {
+  checkWorlds(recutWorld(LongLimit, OurLease));
+}
+
+// Guards against the same where the limit hides it but for the call's delay.
+TEST_CASE("batch: executors restart while calls wait, and are cut off, with "
+          "leases as long as allowed") {
+  checkWorlds(recutWorld(ShortLimit, ShortLimit));
+}
+
+// Guards against a late hold that extends the leases of a later life, or
+// acknowledges ends that nobody has seen.
+TEST_CASE("batch: executors restart and are cut off while late holds are on "
+          "their way") {
+  world_settings Settings = recutWorld(LongLimit, OurLease);
+  Settings.Faults.LateHolds = 0.1;
+  checkWorlds(Settings);
+}
+
+TEST_CASE("batch: executors restart and are cut off while late holds are on "
+          "their way, with leases as long as allowed") {
+  world_settings Settings = recutWorld(ShortLimit, ShortLimit);
+  Settings.Faults.LateHolds = 0.1;
+  checkWorlds(Settings);
+}
+
+// Guards against a late start or stop that counts for a life that it wasn't
+// for.
+TEST_CASE("batch: executors restart and are cut off while late orders are on "
+          "their way") {
+  world_settings Settings = recutWorld(LongLimit, OurLease);
+  Settings.Faults.LostOrders = 0.2;
+  Settings.Faults.LateOrders = 0.8;
+  Settings.JudgesClosedStarts = false;
+  checkWorlds(Settings);
+}
+
+TEST_CASE("batch: executors restart and are cut off while late orders and "
+          "holds are on their way") {
+  world_settings Settings = recutWorld(LongLimit, OurLease);
+  Settings.Faults.LateHolds = 0.1;
+  Settings.Faults.LostOrders = 0.2;
+  Settings.Faults.LateOrders = 0.8;
+  Settings.JudgesClosedStarts = false;
+  checkWorlds(Settings);
+}
+
+TEST_CASE("batch: executors restart and are cut off while late orders and "
+          "holds are on their way, with leases as long as allowed") {
+  world_settings Settings = recutWorld(ShortLimit, ShortLimit);
+  Settings.Faults.LateHolds = 0.1;
+  Settings.Faults.LostOrders = 0.2;
+  Settings.Faults.LateOrders = 0.8;
+  Settings.JudgesClosedStarts = false;
+  checkWorlds(Settings);
+}
+
+// Guards against a leader that counts the leases of an executor which its
+// predecessor has held, and which it can't reach itself, too short.
+TEST_CASE("batch: executors restart and are cut off while leaders are lost") {
+  world_settings Settings = recutWorld(LongLimit, OurLease);
+  Settings.Faults.RecutLosses = 0.2;
+  Settings.Faults.HasFrozenLeaders = true;
+  checkWorlds(Settings);
+}
+
+TEST_CASE("batch: executors restart and are cut off while leaders are lost, "
+          "with leases as long as allowed") {
+  world_settings Settings = recutWorld(ShortLimit, ShortLimit);
+  Settings.Faults.RecutLosses = 0.2;
+  Settings.Faults.HasFrozenLeaders = true;
+  checkWorlds(Settings);
+}
+
+TEST_CASE("batch: executors restart and are cut off while leaders are lost and "
+          "late orders and holds are on their way") {
+  world_settings Settings = recutWorld(LongLimit, OurLease);
+  Settings.Faults.RecutLosses = 0.2;
+  Settings.Faults.HasFrozenLeaders = true;
+  Settings.Faults.LateHolds = 0.1;
+  Settings.Faults.LostOrders = 0.1;
+  Settings.Faults.LateOrders = 0.8;
+  Settings.JudgesClosedStarts = false;
+  checkWorlds(Settings);
+}
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -51,6 +51,19 @@
                             // two last executors do so
   int RefusedWrites = 0;    // the store refuses all writes for a second
   double FailingWrites = 0; // fraction of writes that the store refuses
+  int Recuts = 0; // an executor restarts under its id, its calls wait for 0.2
+                  // to 2 s, and 0.5 to 4 s later it is cut off for 1 to 12 s
+  double RecutLosses = 0; // fraction of those with a leader lost in between
+  double LateHolds = 0;   // fraction of holds without a response, which are
+                          // executed late, by 1 to 12 s
+  double SlowClocks = 0;  // largest share that an executor's clock falls behind
+
+  /// Whether lives of executors are played in detail: leases end on time, late
+  /// calls reach executors that are cut off, and a start that is refused as old
+  /// extends leases all the same.
+  [[nodiscard]] bool hasLives() const {
+    return Recuts > 0 || LateHolds > 0 || SlowClocks > 0;
+  }
 };
 
 /// A stream of jobs with one step each.
@@ -91,6 +104,8 @@
   milliseconds Length{160'000};  // duration of the run
   milliseconds CountedFrom{0};   // runs count for RoomOf between these times
   milliseconds CountedUntil{0};
+  milliseconds ShortestTask{500}; // of the Jobs
+  milliseconds LongestTask{6'000};
   milliseconds StopTime{300};      // from the order to stop to the end
   std::size_t EndsPerReport = 500; // that an executor lists at most
   // Also judges late starts that an earlier life of their executor had closed.
--- a/tests/support/batch_world_checks.cpp
+++ b/tests/support/batch_world_checks.cpp
@@ -35,7 +35,7 @@
   const auto Closed = Executor.ClosedBefore.find(Order.Run.Task);
   const bool IsStopped = Closed != Executor.ClosedBefore.end() &&
                          Closed->second >= Order.Run.Attempt;
-  return IsStopped || Order.To.Token < Executor.TokenBefore;
+  return IsStopped || Order.To.Term < Executor.TermBefore;
 }
 
 void world::checkLabel(const fake_executor &Executor, const start_run &Order) {
@@ -87,7 +87,9 @@
   for (const auto &[Id, Executor] : Executors)
     for (const auto &[Name, Run] : Executor.Runs) {
       const time_point Back =
-          std::max(Executor.CutUntil, Executor.RefusesUntil) + ContactBound;
+          std::max({Executor.CutUntil, Executor.RefusesUntil,
+                    Executor.TroubledUntil}) +
+          ContactBound;
       const auto Known = Current->State.Executors.find(Id);
       if (!Run.IsStray || isUnseen(Run) || Now < Back)
         continue;
@@ -110,7 +112,7 @@
         continue;
       const time_point Calm =
           std::max({Quiet, Executor.CutUntil, Executor.RefusesUntil,
-                    Executor.BornAt, Run.Begun}) +
+                    Executor.TroubledUntil, Executor.BornAt, Run.Begun}) +
           ContactBound;
       const time_point Known = std::max(Calm, Job.CancelledAt + CancelBound);
       if (Now > Known + Settings.Scheduler.StopTimeout)
@@ -126,8 +128,9 @@
   if (!IsCalm)
     return;
   for (auto &[Id, Executor] : Executors) {
-    const time_point Back = std::max({Executor.CutUntil, Executor.RefusesUntil,
-                                      Executor.DownUntil, Executor.BornAt});
+    const time_point Back =
+        std::max({Executor.CutUntil, Executor.RefusesUntil,
+                  Executor.TroubledUntil, Executor.DownUntil, Executor.BornAt});
     if (Executor.IsGone || Now < Back || Now - Back < ContactBound)
       continue;
     const auto Known = Current->State.Executors.find(Id);
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -10,18 +10,24 @@
                          bool IsStray) {
   if (Order.To.Token < Executor.Token)
     return "fence";
-  Executor.Token = Order.To.Token;
+  noteToken(Executor, Order.To);
   if (Executor.Runs.contains(Order.Run))
     return "";
-  if (Executor.Closed[Order.Run.Task] >= Order.Run.Attempt)
-    return "old";
   const time_point LeaseEnd = leaseEnd(Executor, Order.LeaseEndMs);
+  if (Executor.Closed[Order.Run.Task] >= Order.Run.Attempt) {
+    if (Settings.Faults.hasLives())
+      Executor.LeaseEnd = std::max(Executor.LeaseEnd, LeaseEnd);
+    return "old";
+  }
   if (LeaseEnd <= Now)
     return "late";
   Executor.LeaseEnd = std::max(Executor.LeaseEnd, LeaseEnd);
   ++Report.Starts;
   trace(Executor.Report.Id.Value + " begins " + print(Order.Run) + " under " +
-        std::to_string(Order.To.Token));
+        std::to_string(Order.To.Token) + " in life " +
+        std::to_string(Executor.Report.Incarnation) + " meant for " +
+        std::to_string(Order.To.Incarnation) + ", leases until " +
+        std::to_string(Executor.LeaseEnd.count()));
   const bool WasClosed = IsStray && wasClosed(Executor, Order);
   if (!WasClosed || Settings.JudgesClosedStarts) {
     checkStart(Executor, Order);
@@ -251,10 +257,12 @@
   trace(Executor.Report.Id.Value + " restarts");
   ++Executor.Report.Incarnation;
   Executor.BornAt = Now;
+  Executor.Slowness = anySlowness();
   for (const fake_end &End : Executor.Ends)
     History.noteLostEnd(End.Name);
-  Executor.TokenBefore = std::max(Executor.TokenBefore, Executor.Token);
+  Executor.TermBefore = std::max(Executor.TermBefore, Executor.Term);
   Executor.Token = 0;
+  Executor.Term = 0;
   for (const auto &[Task, Attempt] : Executor.Closed) {
     int &Before = Executor.ClosedBefore[Task];
     Before = std::max(Before, Attempt);
@@ -341,6 +349,7 @@
     Next.Speed = Executors[Id].Speed;
     Next.Report.Id = executor_id(Id.Value + "'");
     Next.BornAt = Now;
+    Next.Slowness = anySlowness();
     Next.Report.IsDraining = false;
     Next.Report.Remaining = milliseconds(0);
     Executors[Next.Report.Id] = Next;
@@ -349,8 +358,12 @@
 
 time_point world::leaseEnd(const fake_executor &Executor,
                            std::int64_t OnItsClock) const {
-  return std::min(Executor.BornAt + time_point(OnItsClock),
-                  Now + Settings.Scheduler.MaxLease);
+  const auto Lasts = [&](milliseconds OnClock) {
+    return milliseconds(std::llround(static_cast<double>(OnClock.count()) *
+                                     (1 + Executor.Slowness)));
+  };
+  return std::min(Executor.BornAt + Lasts(milliseconds(OnItsClock)),
+                  Now + Lasts(Settings.Scheduler.MaxLease));
 }
 
 void world::expireLeases() {
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -28,9 +28,10 @@
 constexpr milliseconds ReplacementDelay{2'000}; // of an executor that left
 constexpr milliseconds CrashDelay{20}; // of a task that crashes its executor
 constexpr int MaxStartsOfCrashing = 5; // three crashes, two starts more
-constexpr milliseconds ReportDelay{4'500}; // until a capacity change counts
-constexpr milliseconds MaxLoadTime{300};   // until a new leader has all jobs
-constexpr double ReturningLeaders = 0.7;   // of those whose lease ran out
+constexpr milliseconds ReportDelay{4'500};   // until a capacity change counts
+constexpr milliseconds MaxLoadTime{300};     // until a new leader has all jobs
+constexpr milliseconds LongestDelay{12'000}; // of a call without an answer
+constexpr double ReturningLeaders = 0.7;     // of those whose lease ran out
 
 using time_point = milliseconds; // since the start of the simulation
 
@@ -58,6 +59,7 @@
 struct fake_executor {
   executor_report Report;
   std::uint64_t Token = 0;  // highest fencing token seen
+  std::uint64_t Term = 0;   // highest term seen
   time_point LeaseEnd{0};   // of all runs on this executor
   time_point LastLapse{-1}; // last expiry of the lease; -1: none
   std::map<run_name, fake_run> Runs;
@@ -66,9 +68,15 @@
   std::map<task_name, int>
       Closed; // highest attempt that was stopped or has ended here
   std::map<task_name, int> ClosedBefore; // the same, in earlier lives
-  std::uint64_t TokenBefore = 0;         // highest seen in earlier lives
+  std::uint64_t TermBefore = 0;          // highest seen in earlier lives
   time_point CutUntil{0};
   time_point RefusesUntil{0};     // all calls
+  time_point WaitsUntil{0};       // calls wait for the next life until then
+  std::int64_t ListedLife = 0;    // until then
+  std::int64_t QuietLife = 0;     // the last that began while calls waited
+  bool IsBreaking = false;        // its connections break now
+  time_point TroubledUntil{0};    // by calls that waited or had no answer
+  double Slowness = 0;            // share that the clock of this life is behind
   time_point DownUntil{0};        // crashed, not back yet
   time_point BornAt{0};           // this life
   time_point ReportedTrouble{-1}; // by checkContact
@@ -122,6 +130,8 @@
       const item Next = Queue.top();
       Queue.pop();
       Now = Next.At;
+      if (Settings.Faults.hasLives())
+        expireLeases();
       Next.Work();
     }
     checkOutcome();
@@ -252,8 +262,9 @@
       if (!Executor.IsGone && Now >= Executor.DownUntil &&
           (Now >= Executor.CutUntil ||
            chance(0.5))) // the entry may not have expired yet
-        Listed.Executors.push_back(Executor.Report);
+        Listed.Executors.push_back(reportOf(Executor));
     Listed.AsOf = now();
+    Listed.Revision = Revision;
     post(Leader, Leader->Token, Listed);
   }
 
@@ -296,6 +307,7 @@
 
   void tick() {
     after(Tick, [this] { tick(); });
+    ++Revision; // executors check in
     if (Current && Now >= StoreDownUntil) {
       LeaderValidUntil = Now + LeaderLease;
       post(Current, Current->Token, leadership_extended{now() + LeaderLease});
@@ -346,11 +358,32 @@
                 hold_executor &Hold);
   /// Forgets the ends that the hold acknowledges, and extends the leases.
   void acknowledge(fake_executor &Executor, const hold_executor &Hold);
+  /// Life: the one that received the hold.
   void answerHold(const std::shared_ptr<fake_leader> &Leader,
-                  const executor_target &To, instant Sent);
+                  const executor_target &To, instant Sent, std::int64_t Life);
   /// An idle executor that is ordered a start may begin to refuse all calls.
   void cutIdle(fake_executor &Executor);
 
+  // Lives of executors (batch_world_lives.cpp)
+
+  /// Restarts the executor after a pause of up to 0.3 s, and cuts it off soon
+  /// after it is back. Calls that arrive meanwhile wait for the next life.
+  void recut(fake_executor &Executor);
+  /// Restarts it while calls wait. Open connections break, or stay silent.
+  void restartQuietly(fake_executor &Executor);
+  /// A hold without an answer, which any life may carry out.
+  void holdLate(const hold_executor &Hold);
+  [[nodiscard]] double anySlowness();
+  /// The time on the clock of the executor's life.
+  [[nodiscard]] std::int64_t clockOf(const fake_executor &Executor) const;
+  /// As it is listed in the store.
+  [[nodiscard]] executor_report reportOf(const fake_executor &Executor) const;
+  /// The life that knows of what reaches the executor now.
+  [[nodiscard]] std::int64_t lifeOf(const fake_executor &Executor) const;
+  static void noteToken(fake_executor &Executor, const executor_target &To);
+  /// The next leader's token must be above that of each order.
+  void checkToken(const executor_target &To);
+
   // Effects
 
   void carryOut(const std::shared_ptr<fake_leader> &Leader,
--- a/tests/support/batch_world_orders.cpp
+++ b/tests/support/batch_world_orders.cpp
@@ -7,17 +7,20 @@
 
 void world::order(const executor_target &To, const order_work &Carry,
                   const std::function<void(bool)> &Unanswered) {
+  checkToken(To);
   const bool IsLost = chance(Settings.Faults.LostOrders);
   const bool IsLate = IsLost && chance(Settings.Faults.LateOrders);
   const milliseconds Delay =
-      IsLate ? milliseconds(draw(1'000, 12'000)) : Latency;
+      IsLate ? milliseconds(draw(1'000, static_cast<int>(LongestDelay.count())))
+             : Latency;
   const bool Arrives = !IsLost || IsLate || chance(0.5);
   if (IsLost)
     after(CallTimeout, [Unanswered] { Unanswered(true); });
   if (!Arrives)
     return;
-  const std::int64_t SentTo = Executors[To.Id].Report.Incarnation;
-  after(Delay, [=, this] {
+  const std::int64_t SentTo = lifeOf(Executors[To.Id]);
+  const bool EvenIfCut = IsLate && Settings.Faults.hasLives();
+  const auto Arrive = [=, this](bool IsLost) {
     fake_executor &Executor = Executors[To.Id];
     if (Executor.IsGone || Now < Executor.DownUntil) {
       if (!IsLost)
@@ -29,12 +32,24 @@
         after(Latency, [Unanswered] { Unanswered(false); });
       return;
     }
-    if (Now < Executor.CutUntil) {
+    if (Now < Executor.CutUntil && !EvenIfCut) {
       if (!IsLost)
         after(CallTimeout, [Unanswered] { Unanswered(true); });
       return;
     }
     Carry(Executor, !IsLost, Executor.Report.Incarnation != SentTo);
+  };
+  after(Delay, [=, this, Sent = Now] {
+    const time_point Handled = std::max(Now, Executors[To.Id].WaitsUntil);
+    if (Handled == Now) {
+      Arrive(IsLost);
+      return;
+    }
+    const bool TimesOut = Handled - Sent >= CallTimeout;
+    if (TimesOut && !IsLost)
+      at(Sent + CallTimeout, [Unanswered] { Unanswered(true); });
+    if (Handled - Sent <= LongestDelay)
+      at(Handled, [=] { Arrive(IsLost || TimesOut); });
   });
 }
 
@@ -58,7 +73,7 @@
                               Refusal.empty() ? order_outcome::Accepted
                                               : order_outcome::Refused,
                               Refusal, From};
-        Answer.From.ClockMs = (Now - Executor.BornAt).count();
+        Answer.From.ClockMs = clockOf(Executor);
         after(Latency, [=, this] { post(Leader, Order.To.Term, Answer); });
       },
       [this, Leader, Order, From](bool MayHaveRun) {
@@ -91,9 +106,15 @@
       Order.To,
       [this, Leader, Order, From](fake_executor &Executor, bool IsAnswered,
                                   bool) {
-        if (Order.To.Token < Executor.Token)
+        if (Order.To.Token < Executor.Token) {
+          if (IsAnswered && Settings.Faults.hasLives())
+            after(Latency, [=, this] {
+              post(Leader, Order.To.Term,
+                   stop_answered{Order.To.Id, Order.Run, false, From});
+            });
           return;
-        Executor.Token = Order.To.Token;
+        }
+        noteToken(Executor, Order.To);
         int &Closed = Executor.Closed[Order.Run.Task];
         Closed = std::max(Closed, Order.Run.Attempt);
         const auto Found = Executor.Runs.find(Order.Run);
@@ -110,7 +131,7 @@
         if (!IsAnswered)
           return;
         stop_answered Answer{Order.To.Id, Order.Run, true, From};
-        Answer.From.ClockMs = (Now - Executor.BornAt).count();
+        Answer.From.ClockMs = clockOf(Executor);
         after(Latency, [=, this] { post(Leader, Order.To.Term, Answer); });
       },
       [this, Leader, Order](bool) {
@@ -123,12 +144,24 @@
                      hold_executor &Hold) {
   const hold_executor Order = Hold;
   ++Report.Holds;
+  checkToken(Order.To);
   const instant Sent = now();
-  const auto Fail = [this, Leader, Order](hold_failure Failure) {
-    post(Leader, Order.To.Term,
-         hold_failed{Order.To.Id, Order.To.Incarnation, Failure});
+  const time_point TimesOut = Now + Order.Wait + CallTimeout;
+  const auto IsReplied = std::make_shared<bool>(false);
+  const auto Fail = [this, Leader, Order, IsReplied](hold_failure Failure) {
+    if (!std::exchange(*IsReplied, true))
+      post(Leader, Order.To.Term,
+           hold_failed{Order.To.Id, Order.To.Incarnation, Failure});
   };
-  after(Latency, [this, Leader, Order, Sent, Fail] {
+  const double LateHolds = Settings.Faults.LateHolds;
+  if (LateHolds > 0 && Now < Settings.Faulty && chance(LateHolds)) {
+    at(TimesOut, [Fail] { Fail(hold_failure::NoAnswer); });
+    time_point &Troubled = Executors[Order.To.Id].TroubledUntil;
+    Troubled = std::max(Troubled, TimesOut);
+    holdLate(Order);
+    return;
+  }
+  const auto Arrive = [this, Leader, Order, Sent, Fail, IsReplied] {
     fake_executor &Executor = Executors[Order.To.Id];
     if (Now < Executor.CutUntil) {
       after(CallTimeout, [Fail] { Fail(hold_failure::NoAnswer); });
@@ -150,25 +183,31 @@
       return;
     }
     acknowledge(Executor, Order);
-    const auto Reply = [this, Leader, To = Order.To, Sent] {
-      answerHold(Leader, To, Sent);
+    const auto Reply = [this, Leader, To = Order.To, Sent, IsReplied,
+                        Life = Executor.Report.Incarnation] {
+      if (!std::exchange(*IsReplied, true))
+        answerHold(Leader, To, Sent, Life);
     };
     if (Order.Wait.count() == 0 || !Executor.Ends.empty()) {
       Reply();
       return;
     }
-    const auto IsReplied = std::make_shared<bool>(false);
-    const auto ReplyOnce = [IsReplied, Reply] {
-      if (!std::exchange(*IsReplied, true))
-        Reply();
-    };
-    Executor.Waiting.push_back(ReplyOnce);
-    after(Order.Wait, ReplyOnce);
+    Executor.Waiting.push_back(Reply);
+    after(Order.Wait, Reply);
+  };
+  after(Latency, [=, this] {
+    const time_point Handled = std::max(Now, Executors[Order.To.Id].WaitsUntil);
+    if (Handled == Now) {
+      Arrive();
+      return;
+    }
+    at(TimesOut, [Fail] { Fail(hold_failure::NoAnswer); });
+    at(Handled, Arrive);
   });
 }
 
 void world::acknowledge(fake_executor &Executor, const hold_executor &Hold) {
-  Executor.Token = Hold.To.Token;
+  noteToken(Executor, Hold.To);
   if (Executor.LeaseEnd < Now)
     Executor.LastLapse = Executor.LeaseEnd;
   std::erase_if(Executor.Ends, [&](const fake_end &End) {
@@ -190,10 +229,11 @@
 }
 
 void world::answerHold(const std::shared_ptr<fake_leader> &Leader,
-                       const executor_target &To, instant Sent) {
-  const fake_executor &Executor = Executors[To.Id];
+                       const executor_target &To, instant Sent,
+                       std::int64_t Life) {
+  fake_executor &Executor = Executors[To.Id];
   const bool IsLost = Executor.IsGone || Now < Executor.DownUntil ||
-                      Now < Executor.RefusesUntil;
+                      Now < Executor.RefusesUntil || Executor.IsBreaking;
   if (IsLost) {
     after(Latency, [this, Leader, To] {
       post(Leader, To.Term,
@@ -201,7 +241,11 @@
     });
     return;
   }
-  if (Now < Executor.CutUntil) {
+  const bool IsQuiet = Now < Executor.WaitsUntil || Life < Executor.QuietLife;
+  if (IsQuiet)
+    Executor.TroubledUntil =
+        std::max(Executor.TroubledUntil, Now + CallTimeout);
+  if (Now < Executor.CutUntil || IsQuiet) {
     after(CallTimeout, [this, Leader, To] {
       post(Leader, To.Term, hold_failed{To.Id, 0, hold_failure::NoAnswer});
     });
@@ -210,7 +254,7 @@
   runs_reported Answer;
   Answer.Executor = To.Id;
   Answer.Incarnation = Executor.Report.Incarnation;
-  Answer.ClockMs = (Now - Executor.BornAt).count();
+  Answer.ClockMs = clockOf(Executor);
   Answer.Sent = Sent;
   for (const auto &[Name, Run] : Executor.Runs)
     Answer.Active.push_back(
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -24,6 +24,7 @@
         rack_id("rack-" + std::to_string(I / Settings.PerRack));
     Executor.Report.Capacity = Settings.Capacity;
     Executor.Report.Incarnation = 1;
+    Executor.Slowness = anySlowness();
     Executor.IsFaulty = Settings.Faults.FailingExecutors > 0 &&
                         chance(Settings.Faults.FailingExecutors);
     if (!Settings.Speeds.empty())
@@ -129,7 +130,9 @@
       Spec.IsCheckpointing = chance(0.3);
       Spec.Count = draw(1, Spec.IsGang ? 4 : 10);
       Spec.Needs = {2'000, 3'000, draw(1, 4)};
-      Spec.Estimate = milliseconds(draw(500, 6'000));
+      Spec.Estimate =
+          milliseconds(draw(static_cast<int>(Settings.ShortestTask.count()),
+                            static_cast<int>(Settings.LongestTask.count())));
       Spec.MaxPerExecutor = chance(0.2) ? 2 : 0;
       if (Settings.Faults.KindChanges > 0 && chance(0.6))
         Spec.Requirement = chance(0.5) ? "k" : "k2";
@@ -202,6 +205,8 @@
       const auto Longest = static_cast<int>(3 * LeaderLease.count());
       StoreDownUntil = Now + milliseconds(draw(Longest / 30, Longest));
     });
+  for (int I = 0; I < Faults.Recuts; ++I)
+    at(faultTime(), [this] { recut(anyExecutor()); });
   makeCountFaults();
 }
 
