--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -373,6 +373,9 @@
   void restartQuietly(fake_executor &Executor);
   /// A hold without an answer, which any life may carry out.
   void holdLate(const hold_executor &Hold);
+  /// If it was meant for another life.
+  void traceHold(const fake_executor &Executor,
+                 const hold_executor &Hold) const;
   [[nodiscard]] double anySlowness();
   /// The time on the clock of the executor's life.
   [[nodiscard]] std::int64_t clockOf(const fake_executor &Executor) const;
--- a/tests/support/batch_world_lives.cpp
+++ b/tests/support/batch_world_lives.cpp
@@ -59,11 +59,7 @@
     if (!IsReached || Hold.To.Token < Executor.Token)
       return;
     acknowledge(Executor, Hold);
-    trace(Hold.To.Id.Value + " receives a late hold of " +
-          std::to_string(Hold.To.Token) + " for life " +
-          std::to_string(Hold.To.Incarnation) + " in life " +
-          std::to_string(Executor.Report.Incarnation) + ", leases until " +
-          std::to_string(Executor.LeaseEnd.count()));
+    traceHold(Executor, Hold);
   };
   after(milliseconds(draw(1'000, static_cast<int>(LongestDelay.count()))),
         [this, Hold, Latest, Arrive] {
@@ -76,6 +72,18 @@
         });
 }
 
+void world::traceHold(const fake_executor &Executor,
+                      const hold_executor &Hold) const {
+  if (Hold.To.Incarnation == Executor.Report.Incarnation)
+    return;
+  trace(Hold.To.Id.Value + " receives a hold of " +
+        std::to_string(Hold.To.Token) + " for life " +
+        std::to_string(Hold.To.Incarnation) + " in life " +
+        std::to_string(Executor.Report.Incarnation) + ", ends up to " +
+        std::to_string(Hold.LastSeen) + " are seen, leases until " +
+        std::to_string(Executor.LeaseEnd.count()));
+}
+
 double world::anySlowness() {
   constexpr int Steps = 1'000;
   const double Most = Settings.Faults.SlowClocks;
--- a/tests/support/batch_world_orders.cpp
+++ b/tests/support/batch_world_orders.cpp
@@ -183,6 +183,7 @@
       return;
     }
     acknowledge(Executor, Order);
+    traceHold(Executor, Order);
     const auto Reply = [this, Leader, To = Order.To, Sent, IsReplied,
                         Life = Executor.Report.Incarnation] {
       if (!std::exchange(*IsReplied, true))
