Restart three executors at once in the worlds, half of them as a hold arrives

Cuts last 4 to 12 s, so that most outlast the leases, and every second restart begins when a hold with a lease arrives.

--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -21,13 +21,13 @@
   }
 }
 
-/// Executors that are cut off soon after a restart, with tasks that outlast
-/// their leases and room elsewhere to start them again.
+/// Executors that are cut off soon after a restart, with tasks of which most
+/// outlast their leases and room elsewhere to start them again.
 world_settings recutWorld(milliseconds MaxLease, milliseconds Lease) {
   world_settings Settings;
   Settings.Executors = 12;
-  Settings.Jobs = 16;
-  Settings.ShortestTask = milliseconds(9'000);
+  Settings.Jobs = 20;
+  Settings.ShortestTask = milliseconds(6'000);
   Settings.LongestTask = milliseconds(20'000);
   Settings.Arrivals = milliseconds(50'000);
   Settings.Faulty = milliseconds(70'000);
@@ -35,7 +35,7 @@
   Settings.JudgesClosedStarts = true;
   Settings.Scheduler.MaxLease = MaxLease;
   Settings.Scheduler.Lease = Lease;
-  Settings.Faults.Recuts = 30;
+  Settings.Faults.Recuts = 12;
   Settings.Faults.SlowClocks = 0.02;
   return Settings;
 }
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -51,9 +51,10 @@
                             // two last executors do so
   int RefusedWrites = 0;    // the store refuses all writes for a second
   double FailingWrites = 0; // fraction of writes that the store refuses
-  int Recuts = 0; // an executor restarts under its id, its calls wait for 0.2
-                  // to 2 s, and 0.5 to 4 s later it is cut off for 1 to 12 s
-  double RecutLosses = 0; // fraction of those with a leader lost in between
+  int Recuts = 0; // of three executors that restart under their ids; calls
+                  // wait for 0.2 to 2 s and up to 0.5 s before, and 0.5 to 4 s
+                  // later each executor is cut off for 4 to 12 s
+  double RecutLosses = 0; // fraction of those with a leader lost within 4 s
   double LateHolds = 0;   // fraction of holds without a response, which are
                           // executed late, by 1 to 12 s
   double SlowClocks = 0;  // largest share that an executor's clock falls behind
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -74,6 +74,7 @@
   time_point WaitsUntil{0};       // calls wait for the next life until then
   std::int64_t ListedLife = 0;    // until then
   std::int64_t QuietLife = 0;     // the last that began while calls waited
+  bool IsRecutByHold = false;     // with the next one that brings a lease
   bool IsBreaking = false;        // its connections break now
   time_point TroubledUntil{0};    // by calls that waited or had no answer
   double Slowness = 0;            // share that the clock of this life is behind
@@ -366,9 +367,11 @@
 
   // Lives of executors (batch_world_lives.cpp)
 
-  /// Restarts the executor after a pause of up to 0.3 s, and cuts it off soon
-  /// after it is back. Calls that arrive meanwhile wait for the next life.
+  /// Begins now, or when the next hold with a lease arrives.
   void recut(fake_executor &Executor);
+  /// Restarts the executor after a pause of up to 0.5 s, and cuts it off soon
+  /// after it is back. Calls that arrive meanwhile wait for the next life.
+  void beginRecut(fake_executor &Executor);
   /// Restarts it while calls wait. Open connections break, or stay silent.
   void restartQuietly(fake_executor &Executor);
   /// A hold without an answer, which any life may carry out.
--- a/tests/support/batch_world_lives.cpp
+++ b/tests/support/batch_world_lives.cpp
@@ -6,14 +6,22 @@
 namespace galenastage::batch::test::detail {
 
 void world::recut(fake_executor &Executor) {
+  if (chance(0.5))
+    Executor.IsRecutByHold = true;
+  else
+    beginRecut(Executor);
+}
+
+void world::beginRecut(fake_executor &Executor) {
+  Executor.IsRecutByHold = false;
   const time_point Free =
       std::max({Executor.WaitsUntil, Executor.DownUntil, Executor.CutUntil});
   if (Executor.IsGone || Now < Free)
     return;
-  const milliseconds Pause(draw(0, 300));
+  const milliseconds Pause(draw(0, 500));
   const milliseconds Dark(draw(200, 2'000));
   const milliseconds Gap(draw(500, 4'000));
-  const milliseconds Cut(draw(1'000, 12'000));
+  const milliseconds Cut(draw(4'000, 12'000));
   const executor_id Id = Executor.Report.Id;
   const time_point Back = Now + Pause + Dark;
   trace(Id.Value + " lets calls wait until " + std::to_string(Back.count()));
@@ -23,18 +31,10 @@
   after(Pause, [this, Id] { restartQuietly(Executors[Id]); });
   at(Back, [this] { ++Revision; }); // it is listed in its new life
   at(Back + Gap, [this, Id, Cut] {
-    Executors[Id].CutUntil = Now + Cut;
-    trace(Id.Value + " is cut off until " +
-          std::to_string((Now + Cut).count()));
+    time_point &Until = Executors[Id].CutUntil;
+    Until = std::max(Until, Now + Cut);
+    trace(Id.Value + " is cut off until " + std::to_string(Until.count()));
   });
-  const double Losses = Settings.Faults.RecutLosses;
-  if (Losses > 0 && chance(Losses))
-    at(Now + milliseconds(
-                 draw(0, static_cast<int>((Pause + Dark + Gap).count()))),
-       [this] {
-         trace("the leader is lost");
-         loseLeader();
-       });
 }
 
 void world::restartQuietly(fake_executor &Executor) {
--- a/tests/support/batch_world_orders.cpp
+++ b/tests/support/batch_world_orders.cpp
@@ -197,6 +197,8 @@
     after(Order.Wait, Reply);
   };
   after(Latency, [=, this] {
+    if (Executors[Order.To.Id].IsRecutByHold && Order.LeaseEndMs)
+      beginRecut(Executors[Order.To.Id]);
     const time_point Handled = std::max(Now, Executors[Order.To.Id].WaitsUntil);
     if (Handled == Now) {
       Arrive();
--- a/tests/support/batch_world_setup.cpp
+++ b/tests/support/batch_world_setup.cpp
@@ -206,7 +206,12 @@
       StoreDownUntil = Now + milliseconds(draw(Longest / 30, Longest));
     });
   for (int I = 0; I < Faults.Recuts; ++I)
-    at(faultTime(), [this] { recut(anyExecutor()); });
+    at(faultTime(), [this, Losses = Faults.RecutLosses] {
+      for (int Restarts = 0; Restarts < 3; ++Restarts)
+        recut(anyExecutor());
+      if (Losses > 0 && chance(Losses))
+        after(milliseconds(draw(0, 4'000)), [this] { loseLeader(); });
+    });
   makeCountFaults();
 }
 
