Keep the token of an executor that was forgotten, and wait for late calls to a listed life

They are remembered while calls without an answer may arrive, and new entries begin with the highest token that was sent to any executor.

A restart that the list tells of makes late calls count as well as one that an answer tells of: a start that the new life takes has a lease of its own limit.

--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -91,6 +91,8 @@
     const bool IsRestarted = Report.Incarnation != 0 &&
                              Executor.Incarnation != 0 &&
                              Report.Incarnation > Executor.Incarnation;
+    if (IsNew) // it may have been forgotten, but not its token by the executor
+      Executor.Token = State.HighestToken;
     if (IsRestarted)
       dropAllRuns(Executor, run_loss::Restarted);
     if (Report.IsDraining && !Executor.Report.IsDraining)
@@ -128,10 +130,13 @@
   for (auto &[Id, Executor] : State.Executors)
     forgetClosedStarts(Executor);
   // What plans have reserved there must be given back to the same entry.
-  std::erase_if(State.Executors, [](const auto &Item) {
+  std::erase_if(State.Executors, [&](const auto &Item) {
     const executor_state &Executor = Item.second;
+    const bool HasLateCalls =
+        Now < Executor.Leases.Unanswered + State.Settings.LateStarts;
     return !Executor.IsListed && Executor.Runs.empty() &&
-           Executor.ClosedStarts.empty() && Executor.Reserved == resources{};
+           Executor.ClosedStarts.empty() && !HasLateCalls &&
+           Executor.Reserved == resources{};
   });
   forgetOldSpeeds();
   moveDeparting();
@@ -274,6 +279,7 @@
 void event_handler::clearLeadership() {
   refreshIndex(); // executors that have left must still leave the index
   State.Token = 0;
+  State.HighestToken = 0;
   State.IsRecovered = false;
   State.RequestsAsOf = {};
   State.ExecutorsAsOf = {};
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -565,14 +565,15 @@
   std::int64_t StoreRevision = 0; // that the store had reached; 0: unknown
 
   // State of one leadership; empty while another instance leads.
-  std::uint64_t Token = 0;     // 0: not leading
-  instant ValidUntil{};        // end of the leader's own lease
-  instant RecoveryUntil{};     // leases of earlier leaders have expired by then
-  bool IsRecovered = false;    // all stored jobs have been reported
-  instant RequestsAsOf{};      // no earlier job or cancellation is unknown
-  instant ExecutorsAsOf{};     // no earlier change of the list
-  instant ConfigurationAsOf{}; // nor of configuration or evacuations
-  instant PausedSince{};       // no start since, for want of these
+  std::uint64_t Token = 0; // 0: not leading
+  instant ValidUntil{};    // end of the leader's own lease
+  instant RecoveryUntil{}; // leases of earlier leaders have expired by then
+  std::uint64_t HighestToken = 0; // of the calls to all executors
+  bool IsRecovered = false;       // all stored jobs have been reported
+  instant RequestsAsOf{};         // no earlier job or cancellation is unknown
+  instant ExecutorsAsOf{};        // no earlier change of the list
+  instant ConfigurationAsOf{};    // nor of configuration or evacuations
+  instant PausedSince{};          // no start since, for want of these
   std::map<job_id, job_state> Jobs;
   std::map<unit_name, reclaim_plan> Plans;
   std::map<unit_name, departure_plan> DeparturePlans;
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -225,6 +225,9 @@
   [[nodiscard]] std::string ago(instant Then) const;
   /// Calls that were sent so far must have no effect on what starts later.
   void requireLaterToken(executor_state &Executor);
+  /// Raises the token of calls to the executor, if that is required and a
+  /// revision of the store is known that is high enough.
+  void raiseToken(executor_state &Executor);
   /// Another life than it was meant for has answered an order. If that is news,
   /// nothing starts and no lease is given before a hold shows what runs there.
   void suspectRestart(executor_state &Executor, const answer_source &From);
--- a/core/job/batch/scheduler_lives.cpp
+++ b/core/job/batch/scheduler_lives.cpp
@@ -133,6 +133,16 @@
       Executor.Leases = addUnanswered(Executor.Leases, Run.Ordered);
 }
 
+void event_handler::raiseToken(executor_state &Executor) {
+  const auto Known = static_cast<std::uint64_t>(State.StoreRevision);
+  const bool MayRaise = tokenFor(Executor) < Executor.TokenNeeded &&
+                        Known >= Executor.TokenNeeded;
+  if (!MayRaise)
+    return;
+  Executor.Token = Known;
+  State.HighestToken = std::max(State.HighestToken, Known);
+}
+
 void event_handler::suspectRestart(executor_state &Executor,
                                    const answer_source &From) {
   const bool IsKnown =
--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -179,6 +179,8 @@
                                      Run.Ordered + State.Settings.LateStarts);
   }
   requireLaterToken(Executor);
+  if (Cause == run_loss::Restarted)
+    Executor.Leases = expectLateCalls(Executor.Leases, leaseLimits());
   Executor.HasAnsweredHold = false;
   Executor.LostAt = Now;
   Executor.ProvenAt = {};
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -81,10 +81,7 @@
       HasRuns || HasUnacknowledged || IsOutOfContact || Executor.IsLifeUnclear;
   if (!IsWanted)
     return;
-  const auto Known = static_cast<std::uint64_t>(State.StoreRevision);
-  if (tokenFor(Executor) < Executor.TokenNeeded &&
-      Known >= Executor.TokenNeeded)
-    Executor.Token = Known;
+  raiseToken(Executor);
   // The executor may have restarted under its id, which is all that the hold
   // names, silently or while it was idle. The new incarnation would forget ends
   // that nobody has seen. So ends are acknowledged once, and to one that
--- a/tests/unit/batch_lease_test.cpp
+++ b/tests/unit/batch_lease_test.cpp
@@ -217,6 +217,37 @@
   CHECK(Starts[0].To.Token == Holds[0].To.Token);
 }
 
+// Guards against an executor that rejects all calls of its leader: it was
+// forgotten with its entry, and its token with it.
+TEST_CASE_METHOD(lease_fixture,
+                 "leases: an executor that comes back after it was forgotten "
+                 "gets no lower token") {
+  begin();
+  const start_run Before = startOnX("a");
+  post(cancel_requested{job_id("a")});
+  saveAll();
+  loseHold();
+  restartX();
+  answerX();
+  relist();
+  pass(milliseconds(100));
+  const auto Holds = all<hold_executor>();
+  REQUIRE(Holds.size() == 1);
+  REQUIRE(Holds[0].To.Token > Before.To.Token);
+  answerX();
+  Now += State.Settings.LateStarts + State.Settings.MaxLease;
+  pass(milliseconds(100));
+  post(executors_listed{{report("y")}, Now, ++Revision});
+  REQUIRE_FALSE(State.Executors.contains(X));
+  restartX();
+  relist();
+  for (const hold_executor &Hold : all<hold_executor>())
+    if (Hold.To.Id == X)
+      CHECK(Hold.To.Token >= Holds[0].To.Token);
+  answerX();
+  CHECK(State.Executors.at(X).HasAnsweredHold);
+}
+
 // Guards against a second start that waits for the answer to a stop, which the
 // executor may never get.
 TEST_CASE_METHOD(lease_fixture,
