Count late calls in each new life, and those of the leader before

A token closes calls without an answer for the life that has answered it; the next life has seen none, and such a call could give it a lease of the executor's limit that wasn't counted. Calls of the leader before counted at an executor's first opening only. Both count in each new life now, for as long as they may be on their way.

- A hold in flight is given up with the life that it was for: it may wait for 2 s, and the hold with the later token waited for it.
Holds have numbers, so that a late answer is told from the present one.
- Whether a clock is ahead is judged from when the hold was sent that read it.
A leader that was paused before it read the answer took sound executors for restarted.
- No end is acknowledged to an executor that isn't open, and starts whose stop has been ordered count as calls without an answer.

"leases: a call without an answer counts in each new life" is new.

--- a/core/job/batch/lease_account.cpp
+++ b/core/job/batch/lease_account.cpp
@@ -36,11 +36,11 @@
   return Account;
 }
 
-lease_account expectLateCalls(lease_account Account,
-                              const lease_limits &Limits) {
-  if (Account.Unanswered != instant{})
-    Account.LateUntil =
-        std::max(Account.LateUntil, Account.Unanswered + Limits.LateCalls);
+lease_account expectLateCalls(lease_account Account, const lease_limits &Limits,
+                              instant TakenOver) {
+  const instant Sent = std::max(Account.Unanswered, TakenOver);
+  if (Sent != instant{})
+    Account.LateUntil = std::max(Account.LateUntil, Sent + Limits.LateCalls);
   return Account;
 }
 
@@ -49,7 +49,6 @@
   if (Account.LateUntil != instant{})
     Account =
         addForeignLease(Account, Limits, std::min(Account.LateUntil, Closed));
-  Account.Unanswered = {};
   Account.LateUntil = {};
   return Account;
 }
--- a/core/job/batch/lease_account.hpp
+++ b/core/job/batch/lease_account.hpp
@@ -29,7 +29,7 @@
 /// What the calls to one executor may have caused. The functions below return
 /// the account after one more event; a time that isn't set stands for none.
 struct lease_account {
-  instant Until{};      // of leases by calls whose life is known or assumed
+  instant Until{};      // of the leases, if no call is late
   instant Unanswered{}; // when the last call without an answer was sent, of
                         // those with a lease
   instant LateUntil{};  // until when such calls may reach a later life
@@ -54,11 +54,13 @@
 lease_account addForeignLease(lease_account Account, const lease_limits &Limits,
                               instant Handled);
 
-/// The executor has answered in a life that calls without an answer may reach.
-lease_account expectLateCalls(lease_account Account,
-                              const lease_limits &Limits);
+/// A new life of the executor is known, which calls without an answer may
+/// reach, and those that earlier leaders sent by TakenOver.
+lease_account expectLateCalls(lease_account Account, const lease_limits &Limits,
+                              instant TakenOver);
 
-/// From Closed on, the executor rejects all calls of before.
+/// From Closed on, this life of the executor rejects all calls of before. The
+/// next one may not.
 lease_account closeLateCalls(lease_account Account, const lease_limits &Limits,
                              instant Closed);
 
--- a/core/job/batch/scheduler.cpp
+++ b/core/job/batch/scheduler.cpp
@@ -261,6 +261,7 @@
   State.Token = Event.Token;
   State.ValidUntil = Event.ValidUntil;
   // The leader before may have held a life that began shortly before.
+  State.TakenOver = Now;
   State.RecoveryUntil = longestLeaseFrom(Now, leaseLimits()) + RecoveryMargin;
 }
 
@@ -280,6 +281,7 @@
   refreshIndex(); // executors that have left must still leave the index
   State.Token = 0;
   State.HighestToken = 0;
+  State.HoldsSent = 0;
   State.IsRecovered = false;
   State.RequestsAsOf = {};
   State.ExecutorsAsOf = {};
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -112,7 +112,8 @@
   instant Sent{};           // when the hold was sent
   std::vector<active_run> Active;
   std::vector<ended_run> Ended;
-  bool IsWhole = true; // lists all unacknowledged ends
+  bool IsWhole = true;      // lists all unacknowledged ends
+  std::uint64_t Number = 0; // of the hold; 0: of the last one
 };
 enum class hold_failure {
   NoAnswer,       // in time; the executor may still be running
@@ -126,7 +127,8 @@
   executor_id Executor;
   std::int64_t Incarnation = 0;
   hold_failure Failure = hold_failure::NoAnswer;
-  std::string Reason{}; // of a refused or an unreadable answer
+  std::string Reason{};     // of a refused or an unreadable answer
+  std::uint64_t Number = 0; // of the hold; 0: of the last one
 };
 enum class order_outcome {
   Accepted,
@@ -235,6 +237,7 @@
   std::int64_t LastSeen = 0;              // acknowledges ends up to this number
   std::optional<std::int64_t> LeaseEndMs; // on the executor's clock
   milliseconds Wait{0};                   // until an end; 0: answer immediately
+  std::uint64_t Number = 0;               // in the term, from 1
 };
 struct saved_job {
   job_id Job;
@@ -338,14 +341,15 @@
 
 struct executor_state {
   executor_report Report;
-  bool IsListed = true;         // by the platform's store
-  bool HasAnsweredHold = false; // with this token, since it was last lost
-  std::int64_t Incarnation = 0; // from its last answer; 0: none
-  std::int64_t ClockMs = 0;     // its clock at ClockReadAt
-  instant ClockReadAt{};
-  lease_account Leases;                  // of this leader's calls
-  std::int64_t LastSeenProcessed = 0;    // highest end processed
-  std::int64_t LastSeenSaved = 0;        // highest end stored
+  bool IsListed = true;               // by the platform's store
+  bool HasAnsweredHold = false;       // with this token, since it was last lost
+  std::int64_t Incarnation = 0;       // from its last answer; 0: none
+  std::int64_t ClockMs = 0;           // its clock at ClockReadAt
+  instant ClockReadAt{};              // when its answer arrived
+  instant ClockAskedAt{};             // when the hold was sent that it answered
+  lease_account Leases;               // of this leader's calls
+  std::int64_t LastSeenProcessed = 0; // highest end processed
+  std::int64_t LastSeenSaved = 0;     // highest end stored
   std::int64_t LastSeenAcknowledged = 0; // highest end acknowledged
   std::uint64_t SaveNeeded = 0;  // SavesFinished that covers LastSeenProcessed
   bool HasMoreEnds = false;      // the last report wasn't whole
@@ -354,7 +358,7 @@
   std::uint64_t TokenNeeded = 0; // calls with a lower one were sent before the
                                  // executor was last lost; 0: it never was
   bool IsHolding = false;        // a hold is in flight
-  bool IsHoldOutdated = false;   // and was sent to an earlier incarnation
+  std::uint64_t HoldNumber = 0;  // of the last one
   bool IsUnresponsive = false;   // the last hold failed
   bool IsReplaced = false;       // another executor answers at its address
   bool IsEntryOutdated = false;  // Report is of another life than Incarnation
@@ -567,13 +571,15 @@
   // State of one leadership; empty while another instance leads.
   std::uint64_t Token = 0; // 0: not leading
   instant ValidUntil{};    // end of the leader's own lease
+  instant TakenOver{};     // earlier leaders have sent no call since
   instant RecoveryUntil{}; // leases of earlier leaders have expired by then
   std::uint64_t HighestToken = 0; // of the calls to all executors
-  bool IsRecovered = false;       // all stored jobs have been reported
-  instant RequestsAsOf{};         // no earlier job or cancellation is unknown
-  instant ExecutorsAsOf{};        // no earlier change of the list
-  instant ConfigurationAsOf{};    // nor of configuration or evacuations
-  instant PausedSince{};          // no start since, for want of these
+  std::uint64_t HoldsSent = 0;
+  bool IsRecovered = false;    // all stored jobs have been reported
+  instant RequestsAsOf{};      // no earlier job or cancellation is unknown
+  instant ExecutorsAsOf{};     // no earlier change of the list
+  instant ConfigurationAsOf{}; // nor of configuration or evacuations
+  instant PausedSince{};       // no start since, for want of these
   std::map<job_id, job_state> Jobs;
   std::map<unit_name, reclaim_plan> Plans;
   std::map<unit_name, departure_plan> DeparturePlans;
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -228,6 +228,9 @@
   /// Raises the token of calls to the executor, if that is required and a
   /// revision of the store is known that is high enough.
   void raiseToken(executor_state &Executor);
+  /// Lets the next hold go without the answer to the one in flight, which may
+  /// wait and was for the life before. That answer is ignored.
+  static void abandonHold(executor_state &Executor);
   /// Another life than it was meant for has answered an order. If that is news,
   /// nothing starts and no lease is given before a hold shows what runs there.
   void suspectRestart(executor_state &Executor, const answer_source &From);
--- a/core/job/batch/scheduler_lives.cpp
+++ b/core/job/batch/scheduler_lives.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::int64_t ClockRoundingMs = 2; // of two readings
-constexpr milliseconds AnswerDelay{1'000};  // longest way of a counted answer
 
 /// The lowest time that the clock of the executor's present life can have shown
 /// at Sent or later, in milliseconds.
@@ -25,7 +24,7 @@
 /// The highest time that it can show now.
 std::int64_t highestClock(const executor_state &Executor, instant Now) {
   const auto Since = std::chrono::duration_cast<milliseconds>(
-      (Now - Executor.ClockReadAt + AnswerDelay) * ClockDrift);
+      (Now - Executor.ClockAskedAt) * ClockDrift);
   return Executor.ClockMs + Since.count() + ClockRoundingMs;
 }
 
@@ -76,8 +75,8 @@
     return answering_life::Other;
   // A clock may begin at any value; one that began at 0 since the clock was
   // read shows less than that time.
-  const auto Youngest = std::chrono::duration_cast<milliseconds>(
-      Now - Executor.ClockReadAt + AnswerDelay);
+  const auto Youngest =
+      std::chrono::duration_cast<milliseconds>(Now - Executor.ClockAskedAt);
   return *From.ClockMs > Youngest.count() ? answering_life::Meant
                                           : answering_life::Unknown;
 }
@@ -129,7 +128,8 @@
   if (Executor.IsHolding && Executor.HoldLeased != instant{})
     Executor.Leases = addUnanswered(Executor.Leases, Executor.HoldLeased);
   for (const auto &[Name, Run] : Executor.Runs)
-    if (Run.Phase == run_phase::Starting)
+    if (Run.Phase != run_phase::Recording && !Run.IsListed && !Run.IsAccepted &&
+        !Run.IsInherited)
       Executor.Leases = addUnanswered(Executor.Leases, Run.Ordered);
 }
 
@@ -150,25 +150,30 @@
   if (IsKnown)
     return;
   requireLaterToken(Executor);
-  Executor.Leases = expectLateCalls(Executor.Leases, leaseLimits());
+  Executor.Leases =
+      expectLateCalls(Executor.Leases, leaseLimits(), State.TakenOver);
   Executor.HasAnsweredHold = false;
   touch(Executor);
   State.NeedsPlacement = true;
+  abandonHold(Executor);
   Executor.NextHold = Now;
   hold(Executor);
 }
 
+void event_handler::abandonHold(executor_state &Executor) {
+  Executor.IsHolding = false;
+  Executor.HoldNumber = 0;
+}
+
 void event_handler::openAnswered(executor_state &Executor) {
   if (Executor.HasAnsweredHold)
     return;
-  Executor.Leases = expectLateCalls(Executor.Leases, leaseLimits());
+  Executor.Leases =
+      expectLateCalls(Executor.Leases, leaseLimits(), State.TakenOver);
   const bool IsClosed = Executor.HoldToken >= Executor.TokenNeeded;
   if (IsClosed) {
     Executor.Leases = closeLateCalls(Executor.Leases, leaseLimits(), Now);
-    // Until now it may have handled calls of an earlier leader.
-    if (Executor.TokenNeeded == 0)
-      Executor.Leases = addForeignLease(Executor.Leases, leaseLimits(), Now);
-    else
+    if (Executor.TokenNeeded != 0)
       log(events::EarlierCallsClosed,
           {{"executor", Executor.Report.Id.Value},
            {"life", std::to_string(Executor.Incarnation)},
--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -180,7 +180,8 @@
   }
   requireLaterToken(Executor);
   if (Cause == run_loss::Restarted)
-    Executor.Leases = expectLateCalls(Executor.Leases, leaseLimits());
+    Executor.Leases =
+        expectLateCalls(Executor.Leases, leaseLimits(), State.TakenOver);
   Executor.HasAnsweredHold = false;
   Executor.LostAt = Now;
   Executor.ProvenAt = {};
@@ -190,7 +191,7 @@
   Executor.LastSeenAcknowledged = 0;
   Executor.SaveNeeded = 0;
   Executor.HoldLastSeen = 0;
-  Executor.IsHoldOutdated = Executor.IsHolding;
+  abandonHold(Executor);
   Executor.HasMoreEnds = false;
   Executor.NextHold = Now;
   touch(Executor);
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -9,6 +9,11 @@
 constexpr milliseconds MinHoldGap{
     20}; // batches simultaneous ends into one hold
 
+/// Whether the hold of that number was given up for a later one.
+bool isAbandoned(const executor_state &Executor, std::uint64_t Number) {
+  return Number != 0 && Number != Executor.HoldNumber;
+}
+
 bool needsConfirmation(const run_state &Run) {
   return Run.Phase == run_phase::Unconfirmed ||
          (Run.IsStopAccepted && !Run.IsListed);
@@ -87,7 +92,7 @@
   // that nobody has seen. So ends are acknowledged once, and to one that
   // answers.
   const bool IsAcknowledging =
-      !Executor.IsUnresponsive &&
+      Executor.HasAnsweredHold && !Executor.IsUnresponsive &&
       Executor.LastSeenSaved > Executor.LastSeenAcknowledged;
   const std::int64_t LastSeen = IsAcknowledging ? Executor.LastSeenSaved : 0;
   hold_executor Hold{targetOf(Executor), LastSeen, {}, {}};
@@ -113,6 +118,7 @@
     Hold.LeaseEndMs = leaseEnd(Executor);
   Executor.HoldLeased = IsLeased ? Now : instant{};
   Executor.HoldToken = Hold.To.Token;
+  Executor.HoldNumber = Hold.Number = ++State.HoldsSent;
   Executor.IsHolding = true;
   Executor.HoldLastSeen = LastSeen;
   Out.emplace_back(std::move(Hold));
@@ -123,18 +129,13 @@
   if (Found == State.Executors.end())
     return;
   executor_state &Executor = Found->second;
+  if (isAbandoned(Executor, Event.Number))
+    return;
   Executor.IsHolding = false;
   const bool IsOfOtherLife =
-      Executor.IsHoldOutdated ||
-      (Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation);
+      Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation;
   if (IsOfOtherLife && Executor.HoldLeased != instant{})
     Executor.Leases = addForeignLease(Executor.Leases, leaseLimits(), Now);
-  if (std::exchange(Executor.IsHoldOutdated, false)) {
-    // It may tell of the incarnation before.
-    Executor.NextHold = Now;
-    hold(Executor);
-    return;
-  }
   if (Executor.IsUnresponsive || !Executor.HasAnsweredHold)
     touch(Executor);
   if (std::exchange(Executor.IsUnresponsive, false))
@@ -146,9 +147,7 @@
               : std::to_string((Now - Executor.LastAlive).count())},
          {"runs", std::to_string(Event.Active.size())}});
   Executor.IsReplaced = false;
-  const bool IsRestarted =
-      Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation;
-  if (IsRestarted) {
+  if (IsOfOtherLife) {
     noteAnswer(
         Executor, "hold", {},
         {Executor.Incarnation, Event.Incarnation, Event.ClockMs, Event.Sent});
@@ -161,6 +160,7 @@
   Executor.Incarnation = Event.Incarnation;
   Executor.ClockMs = Event.ClockMs;
   Executor.ClockReadAt = Now;
+  Executor.ClockAskedAt = Event.Sent;
   Executor.LastAlive = Now;
   openAnswered(Executor);
   Executor.IsLifeUnclear = false;
@@ -206,8 +206,9 @@
   if (Found == State.Executors.end())
     return;
   executor_state &Executor = Found->second;
+  if (isAbandoned(Executor, Event.Number))
+    return;
   Executor.IsHolding = false;
-  Executor.IsHoldOutdated = false;
   const bool MayHaveArrived = Event.Failure == hold_failure::NoAnswer ||
                               Event.Failure == hold_failure::ConnectionLost ||
                               Event.Failure == hold_failure::Unreadable;
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -360,7 +360,7 @@
   void acknowledge(fake_executor &Executor, const hold_executor &Hold);
   /// Life: the one that received the hold.
   void answerHold(const std::shared_ptr<fake_leader> &Leader,
-                  const executor_target &To, instant Sent, std::int64_t Life);
+                  const hold_executor &Order, instant Sent, std::int64_t Life);
   /// An idle executor that is ordered a start may begin to refuse all calls.
   void cutIdle(fake_executor &Executor);
 
--- a/tests/support/batch_world_orders.cpp
+++ b/tests/support/batch_world_orders.cpp
@@ -151,7 +151,8 @@
   const auto Fail = [this, Leader, Order, IsReplied](hold_failure Failure) {
     if (!std::exchange(*IsReplied, true))
       post(Leader, Order.To.Term,
-           hold_failed{Order.To.Id, Order.To.Incarnation, Failure});
+           hold_failed{Order.To.Id, Order.To.Incarnation, Failure, "",
+                       Order.Number});
   };
   const double LateHolds = Settings.Faults.LateHolds;
   if (LateHolds > 0 && Now < Settings.Faulty && chance(LateHolds)) {
@@ -184,10 +185,10 @@
     }
     acknowledge(Executor, Order);
     traceHold(Executor, Order);
-    const auto Reply = [this, Leader, To = Order.To, Sent, IsReplied,
+    const auto Reply = [this, Leader, Order, Sent, IsReplied,
                         Life = Executor.Report.Incarnation] {
       if (!std::exchange(*IsReplied, true))
-        answerHold(Leader, To, Sent, Life);
+        answerHold(Leader, Order, Sent, Life);
     };
     if (Order.Wait.count() == 0 || !Executor.Ends.empty()) {
       Reply();
@@ -232,16 +233,17 @@
 }
 
 void world::answerHold(const std::shared_ptr<fake_leader> &Leader,
-                       const executor_target &To, instant Sent,
+                       const hold_executor &Order, instant Sent,
                        std::int64_t Life) {
-  fake_executor &Executor = Executors[To.Id];
+  fake_executor &Executor = Executors[Order.To.Id];
+  const auto Fail = [this, Leader, Order](hold_failure Failure) {
+    post(Leader, Order.To.Term,
+         hold_failed{Order.To.Id, 0, Failure, "", Order.Number});
+  };
   const bool IsLost = Executor.IsGone || Now < Executor.DownUntil ||
                       Now < Executor.RefusesUntil || Executor.IsBreaking;
   if (IsLost) {
-    after(Latency, [this, Leader, To] {
-      post(Leader, To.Term,
-           hold_failed{To.Id, 0, hold_failure::ConnectionLost});
-    });
+    after(Latency, [Fail] { Fail(hold_failure::ConnectionLost); });
     return;
   }
   const bool IsQuiet = Now < Executor.WaitsUntil || Life < Executor.QuietLife;
@@ -249,16 +251,15 @@
     Executor.TroubledUntil =
         std::max(Executor.TroubledUntil, Now + CallTimeout);
   if (Now < Executor.CutUntil || IsQuiet) {
-    after(CallTimeout, [this, Leader, To] {
-      post(Leader, To.Term, hold_failed{To.Id, 0, hold_failure::NoAnswer});
-    });
+    after(CallTimeout, [Fail] { Fail(hold_failure::NoAnswer); });
     return;
   }
   runs_reported Answer;
-  Answer.Executor = To.Id;
+  Answer.Executor = Order.To.Id;
   Answer.Incarnation = Executor.Report.Incarnation;
   Answer.ClockMs = clockOf(Executor);
   Answer.Sent = Sent;
+  Answer.Number = Order.Number;
   for (const auto &[Name, Run] : Executor.Runs)
     Answer.Active.push_back(
         {Name, checkpointOf(Run, run_end::Lapsed), percentOf(Run)});
@@ -266,7 +267,7 @@
     if (Answer.Ended.size() < Settings.EndsPerReport)
       Answer.Ended.push_back({End.Number, End.Name, End.End, End.Checkpoint});
   Answer.IsWhole = Answer.Ended.size() < Settings.EndsPerReport;
-  after(Latency, [=, this] { post(Leader, To.Term, Answer); });
+  after(Latency, [=, this] { post(Leader, Order.To.Term, Answer); });
 }
 
 } // namespace galenastage::batch::test::detail
--- a/tests/unit/batch_contact_test.cpp
+++ b/tests/unit/batch_contact_test.cpp
@@ -258,12 +258,22 @@
   answer("x", {{Starts[0].Run, "", 10}});
   pass(milliseconds(100));
   REQUIRE(x().IsHolding);
+  const std::uint64_t Before = x().HoldNumber;
   listAs(2);
-  answerAs(1, {}, {{57, Starts[0].Run, run_end::Failed, ""}});
-  CHECK(x().LastSeenProcessed == 0);
-  CHECK_FALSE(x().HasAnsweredHold);
   REQUIRE(all<hold_executor>().size() == 1);
   CHECK(all<hold_executor>().front().LastSeen == 0);
+  CHECK(all<hold_executor>().front().Number > Before);
+  Now += milliseconds(20);
+  runs_reported Late{X, 1, Now.time_since_epoch().count(), Now, {}, {}};
+  Late.Ended = {{57, Starts[0].Run, run_end::Failed, ""}};
+  Late.Number = Before;
+  post(Late);
+  CHECK(x().LastSeenProcessed == 0);
+  CHECK_FALSE(x().HasAnsweredHold);
+  CHECK(x().IsHolding);
+  post(hold_failed{X, 1, hold_failure::NoAnswer, "", Before});
+  CHECK_FALSE(x().IsUnresponsive);
+  CHECK(x().IsHolding);
 }
 
 // Guards against a task that waits for good: its choice was stored while the
--- a/tests/unit/batch_lease_test.cpp
+++ b/tests/unit/batch_lease_test.cpp
@@ -111,15 +111,21 @@
   const instant Sent = At - milliseconds(2'000);
   const lease_account Lost = addUnanswered({}, Sent);
   CHECK(leasesEnd(Lost, Limits) == instant{}); // no later life is known
-  const lease_account Open = expectLateCalls(Lost, Limits);
+  const lease_account Open = expectLateCalls(Lost, Limits, {});
   CHECK(leasesEnd(Open, Limits) ==
         longestLeaseFrom(Sent + Limits.LateCalls, Limits));
   const lease_account Closed = closeLateCalls(Open, Limits, At);
   CHECK(leasesEnd(Closed, Limits) == longestLeaseFrom(At, Limits));
-  CHECK(expectLateCalls(Closed, Limits) == Closed);
+  const instant Again = At + milliseconds(3'000); // in the next life
+  const lease_account Reopened =
+      closeLateCalls(expectLateCalls(Closed, Limits, {}), Limits, Again);
+  CHECK(leasesEnd(Reopened, Limits) == longestLeaseFrom(Again, Limits));
   const lease_account Late =
       closeLateCalls(Open, Limits, At + milliseconds(60'000));
   CHECK(leasesEnd(Late, Limits) == leasesEnd(Open, Limits));
+  const lease_account Inherited =
+      closeLateCalls(expectLateCalls({}, Limits, Sent), Limits, At);
+  CHECK(leasesEnd(Inherited, Limits) == longestLeaseFrom(At, Limits));
   const lease_account Certain = closeLateCalls({}, Limits, At);
   CHECK(Certain == lease_account{});
 }
@@ -171,6 +177,38 @@
   CHECK(Now < Closed + State.Settings.MaxLease + milliseconds(1'000));
 }
 
+// Guards against a call that is taken for closed in all lives: the next one has
+// seen no token, and the late call gives it the executor's limit.
+TEST_CASE_METHOD(lease_fixture,
+                 "leases: a call without an answer counts in each new life") {
+  begin();
+  const start_run First = startOnX("a");
+  acceptX(First);
+  answerX({{First.Run, "", 10}});
+  loseHold();
+  for (int Restart = 0; Restart < 2; ++Restart) {
+    restartX(30'000);
+    Now += milliseconds(2'000);
+    answerX(); // tells of the life
+    relist();
+    pass(milliseconds(100));
+    answerX(); // to a hold with the later token
+  }
+  const instant Opened = Now;
+  post(cancel_requested{job_id("a")});
+  saveAll();
+  Now += milliseconds(50);
+  const start_run Start = startOnX("b");
+  post(start_answered{X,
+                      Start.Run,
+                      order_outcome::Accepted,
+                      "",
+                      {Start.To.Incarnation, Life, clockX(), Now}});
+  loseHold();
+  untilNextStart();
+  CHECK(Now >= Opened + State.Settings.MaxLease);
+}
+
 TEST_CASE_METHOD(lease_fixture,
                  "leases: a run in a life that is certain is given up by the "
                  "lease that was asked for") {
