--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -33,8 +33,9 @@
 usersSettings(const standin::platform_settings &Settings) {
   standin::users_platform_settings Users;
   Users.Store = Settings.Store;
-  Users.ExecutorAddress = Settings.DataCentres.front().Address;
-  Users.Executors = Settings.WorkersPerDataCentre;
+  Users.Control = Settings.Platform;
+  Users.DataCentres = Settings.DataCentres;
+  Users.ExecutorsPerDataCentre = Settings.WorkersPerDataCentre;
   Users.FirstExecutorPort = Settings.FirstExecutorPort;
   return Users;
 }
@@ -48,6 +49,9 @@
   std::string DataCentres = "ma-north-a=127.0.1.1,ma-north-b=127.0.2.1";
   std::string Service = "portal-core";
   std::string Protocol = "product";
+  int HoldMaxMs = 10'000;
+  int SlowClockPermille = 0;
+  int Seed = 1;
 
   settings_parser Parser("galenastage-standin",
                          "The platform in small, for tests and trials: "
@@ -58,8 +62,8 @@
                  "where the instance list and the faults listen");
   Parser.choice("protocol", Protocol, {"product", "users"},
                 "product: this project's own deployments; users: the metadata "
-                "store and executors of the users' platform, executors at the "
-                "address of the first data centre");
+                "store and executors of the users' platform, as many "
+                "executors as workers");
   Parser.text("data-centres", DataCentres,
               "NAME=ADDRESS of each data centre, separated by commas");
   Parser.text("service", Service, "the service that the executors answer");
@@ -75,6 +79,12 @@
                 "port of the first worker; 0 takes free ports");
   Parser.number("first-executor-port", Settings.FirstExecutorPort, 0, 60'000,
                 "port of the first executor; 0 takes free ports");
+  Parser.number("hold-max-ms", HoldMaxMs, 1, 600'000,
+                "users: longest lease of an executor");
+  Parser.number("slow-clock-permille", SlowClockPermille, 0, 20,
+                "users: how much the clock of every second executor lags");
+  Parser.number("seed", Seed, 0, 1'000'000'000,
+                "users: seed of the executors' delays and late calls");
   if (const auto ExitCode = Parser.parse(Argc, Argv))
     return *ExitCode;
 
@@ -95,9 +105,13 @@
   try {
     std::optional<standin::stand_in_platform> Product;
     std::optional<standin::users_platform> Users;
-    if (Protocol == "users")
-      Users.emplace(Threads.context(0), usersSettings(Settings));
-    else
+    if (Protocol == "users") {
+      standin::users_platform_settings UsersSettings = usersSettings(Settings);
+      UsersSettings.MaxLease = milliseconds(HoldMaxMs);
+      UsersSettings.SlowClockPermille = SlowClockPermille;
+      UsersSettings.Seed = static_cast<std::uint64_t>(Seed);
+      Users.emplace(Threads.context(0), UsersSettings);
+    } else
       Product.emplace(Threads.context(0), Settings);
     Threads.start();
     writeLog(events::ProcessStarted,
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -1,8 +1,8 @@
 #include "standin/platform.hpp"
 
 #include "apps/runtime/platform_feed.hpp"
-#include "core/config/json_reader.hpp"
 #include "standin/executor_service.hpp"
+#include "standin/fault_reader.hpp"
 #include "standin/kv_service.hpp"
 #include "standin/peer_forwarder.hpp"
 #include "standin/worker_service.hpp"
@@ -22,7 +22,6 @@
 using nlohmann::json;
 
 constexpr milliseconds TickInterval{20};
-constexpr int MaxDelayMilliseconds = 600'000;
 
 /// The instance list as it was at one point in time.
 struct list_snapshot {
@@ -30,37 +29,6 @@
   std::vector<instance> Instances;
 };
 
-http_response problemsResponse(const std::vector<table_problem> &Problems) {
-  json List = json::array();
-  for (const table_problem &Problem : Problems)
-    List.push_back({{"field", Problem.Field}, {"rule", Problem.Rule}});
-  return jsonResponse(422, json{{"problems", List}}.dump());
-}
-
-int readDelay(detail::object_reader &Reader, const std::string &Field) {
-  const int Value = Reader.integer(Field, 0);
-  if (Value < 0 || Value > MaxDelayMilliseconds)
-    Reader.addProblem(Field, "must lie in [0, 600000]");
-  return Value;
-}
-
-/// Parses a fault description and applies it only when all of it is valid.
-template <typename Faults, typename Read>
-http_response applyFaults(const std::string &Body, Faults &Target,
-                          Read ReadFaults) {
-  const json Document = json::parse(Body, nullptr, false);
-  if (Document.is_discarded())
-    return problemsResponse({{"", "is not valid JSON"}});
-  std::vector<table_problem> Problems;
-  detail::object_reader Reader(Document, "", Problems);
-  const Faults Wanted = ReadFaults(Reader);
-  Reader.rejectUnknown();
-  if (!Problems.empty())
-    return problemsResponse(Problems);
-  Target = Wanted;
-  return jsonResponse(200, R"({"applied":true})");
-}
-
 store_faults readStoreFaults(detail::object_reader &Reader) {
   store_faults Faults;
   Faults.IsDown = Reader.optional<bool>("down", false);
