--- a/standin/run_service.cpp
+++ b/standin/run_service.cpp
@@ -35,6 +35,14 @@
 
 } // namespace
 
+/// A call whose handling begins.
+struct run_service::call {
+  std::string Path;
+  json Body;
+  milliseconds Waited{0};
+  bool IsOfFormerLife = false;
+};
+
 run_service::run_service(asio::io_context &Context, const endpoint &Endpoint,
                          run_service_settings NewSettings)
     : Context(Context), Settings(std::move(NewSettings)), Random(Settings.Seed),
--- a/standin/run_service.hpp
+++ b/standin/run_service.hpp
@@ -84,13 +84,7 @@
     std::size_t Record = 0;
   };
   using run_key = std::pair<std::string, int>; // task and attempt
-  /// A call whose handling begins.
-  struct call {
-    std::string Path;
-    nlohmann::json Body;
-    milliseconds Waited{0};
-    bool IsOfFormerLife = false;
-  };
+  struct call;
 
   task<http_response> handle(http_request Request);
   task<bool> arrive(milliseconds Delay);
