Don't blame a start for the end of a life before it arrived

A start that the next life of an executor answers has begun after the crash of the one before; it counted as its cause, and a task is given up after a few.

--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -499,6 +499,7 @@
   }
   run_state &Run = Known->second;
   Run.IsListed = true;
+  Run.IsOfNextLife = false; // that life is the present one
   Run.Checkpoint = Active.Checkpoint;
   recordProgress(Run.Pace, Active.Percent, Now);
   updateProbation(Executor, Active.Run);
