--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -317,7 +317,6 @@
   bool IsListed = false;       // in a report of the executor
   bool IsMissing = false;      // from the last report
   bool IsAccepted = false;     // a life of the executor accepted the start
-  bool IsOfNextLife = false;   // not the life that the start was for took it
   bool IsUrgent = false;       // of priority 0
   bool IsBeyond = false;       // urgent, beyond its organisation's guarantee
   bool IsOfGang = false;
--- a/core/job/batch/scheduler_crashes.cpp
+++ b/core/job/batch/scheduler_crashes.cpp
@@ -58,8 +58,8 @@
   for (const auto &[Name, Run] : Executor.Runs) {
     if (Run.Phase == run_phase::Recording)
       continue; // its start was never ordered
-    if (Run.IsOrphan || Run.IsOfNextLife)
-      continue; // the latter began after the crash
+    if (Run.IsOrphan)
+      continue;
     const bool IsOutlived =
         hasOutlived(Executor, Run, State.Settings.Crashes.Probation);
     const bool IsPartOfOutage = isOutage(Executor, Name.Task.Job);
--- a/core/job/batch/scheduler_orders.cpp
+++ b/core/job/batch/scheduler_orders.cpp
@@ -129,8 +129,6 @@
   const auto Run = Executor.Runs.find(Event.Run);
   if (Run == Executor.Runs.end())
     return; // already ended
-  if (Life == answering_life::Other)
-    Run->second.IsOfNextLife = true;
   const auto Job = State.Jobs.find(Event.Run.Task.Job);
   if (Event.Outcome != order_outcome::Unknown)
     Executor.LastAlive = Now;
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -499,7 +499,6 @@
   }
   run_state &Run = Known->second;
   Run.IsListed = true;
-  Run.IsOfNextLife = false; // that life is the present one
   Run.Checkpoint = Active.Checkpoint;
   recordProgress(Run.Pace, Active.Percent, Now);
   updateProbation(Executor, Active.Run);
