--- a/core/job/batch/lease_account.cpp
+++ b/core/job/batch/lease_account.cpp
@@ -30,7 +30,7 @@
   return Account;
 }
 
-lease_account addForeignLease(lease_account Account, const lease_limits &Limits,
+lease_account addLongestLease(lease_account Account, const lease_limits &Limits,
                               instant Handled) {
   Account.Until = std::max(Account.Until, longestLeaseFrom(Handled, Limits));
   return Account;
@@ -48,7 +48,7 @@
                              instant Closed) {
   if (Account.LateUntil != instant{})
     Account =
-        addForeignLease(Account, Limits, std::min(Account.LateUntil, Closed));
+        addLongestLease(Account, Limits, std::min(Account.LateUntil, Closed));
   Account.LateUntil = {};
   return Account;
 }
--- a/core/job/batch/lease_account.hpp
+++ b/core/job/batch/lease_account.hpp
@@ -51,7 +51,7 @@
 
 /// A call with a lease was handled by Handled, perhaps by another life than it
 /// was for.
-lease_account addForeignLease(lease_account Account, const lease_limits &Limits,
+lease_account addLongestLease(lease_account Account, const lease_limits &Limits,
                               instant Handled);
 
 /// A new life of the executor is known, which calls without an answer may
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -342,7 +342,7 @@
 struct executor_state {
   executor_report Report;
   bool IsListed = true;               // by the platform's store
-  bool HasAnsweredHold = false;       // with this token, since it was last lost
+  bool HasAnsweredHold = false;       // open for starts and leases
   std::int64_t Incarnation = 0;       // from its last answer; 0: none
   std::int64_t ClockMs = 0;           // its clock at ClockReadAt
   instant ClockReadAt{};              // when its answer arrived
@@ -367,7 +367,7 @@
   instant LastAlive{};           // last sign of life
   std::int64_t HoldLastSeen = 0; // LastSeen of the hold in flight
   std::uint64_t HoldToken = 0;   // its token
-  instant HoldLeased{};          // when it was sent; not set: without a lease
+  instant LeasedHoldSent{};      // not set: it has no lease
   instant NextHold{};
   bool IsStalled = false; // none of its runs advances
   instant StalledSeen{};  // last report of that
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -24,7 +24,7 @@
 enum class answering_life {
   Meant,   // the one that the order was for
   Other,   // another one: the executor has restarted
-  Unknown, // the answer allows both
+  Unknown, // the answer allows both, or the life meant isn't the known one
 };
 
 /// A source of the leader's knowledge that is older than its limit.
--- a/core/job/batch/scheduler_lives.cpp
+++ b/core/job/batch/scheduler_lives.cpp
@@ -125,8 +125,8 @@
 
 void event_handler::requireLaterToken(executor_state &Executor) {
   Executor.TokenNeeded = Executor.LeasedToken + 1;
-  if (Executor.IsHolding && Executor.HoldLeased != instant{})
-    Executor.Leases = addUnanswered(Executor.Leases, Executor.HoldLeased);
+  if (Executor.IsHolding && Executor.LeasedHoldSent != instant{})
+    Executor.Leases = addUnanswered(Executor.Leases, Executor.LeasedHoldSent);
   for (const auto &[Name, Run] : Executor.Runs)
     if (Run.Phase != run_phase::Recording && !Run.IsListed && !Run.IsAccepted &&
         !Run.IsInherited)
--- a/core/job/batch/scheduler_orders.cpp
+++ b/core/job/batch/scheduler_orders.cpp
@@ -123,7 +123,7 @@
   const bool IsHandled = Event.Outcome == order_outcome::Accepted ||
                          Event.From.ClockMs || Event.From.Born != 0;
   if (IsHandled && Life != answering_life::Meant)
-    Executor.Leases = addForeignLease(Executor.Leases, leaseLimits(), Now);
+    Executor.Leases = addLongestLease(Executor.Leases, leaseLimits(), Now);
   if (Life == answering_life::Other)
     suspectRestart(Executor, Event.From);
   const auto Run = Executor.Runs.find(Event.Run);
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -116,7 +116,7 @@
   const bool IsLeased = Executor.HasAnsweredHold && !Executor.IsUnresponsive;
   if (IsLeased)
     Hold.LeaseEndMs = leaseEnd(Executor);
-  Executor.HoldLeased = IsLeased ? Now : instant{};
+  Executor.LeasedHoldSent = IsLeased ? Now : instant{};
   Executor.HoldToken = Hold.To.Token;
   Executor.HoldNumber = Hold.Number = ++State.HoldsSent;
   Executor.IsHolding = true;
@@ -134,8 +134,8 @@
   Executor.IsHolding = false;
   const bool IsOfOtherLife =
       Executor.Incarnation != 0 && Executor.Incarnation != Event.Incarnation;
-  if (IsOfOtherLife && Executor.HoldLeased != instant{})
-    Executor.Leases = addForeignLease(Executor.Leases, leaseLimits(), Now);
+  if (IsOfOtherLife && Executor.LeasedHoldSent != instant{})
+    Executor.Leases = addLongestLease(Executor.Leases, leaseLimits(), Now);
   if (Executor.IsUnresponsive || !Executor.HasAnsweredHold)
     touch(Executor);
   if (std::exchange(Executor.IsUnresponsive, false))
@@ -212,8 +212,8 @@
   const bool MayHaveArrived = Event.Failure == hold_failure::NoAnswer ||
                               Event.Failure == hold_failure::ConnectionLost ||
                               Event.Failure == hold_failure::Unreadable;
-  if (MayHaveArrived && Executor.HoldLeased != instant{})
-    Executor.Leases = addUnanswered(Executor.Leases, Executor.HoldLeased);
+  if (MayHaveArrived && Executor.LeasedHoldSent != instant{})
+    Executor.Leases = addUnanswered(Executor.Leases, Executor.LeasedHoldSent);
   const bool IsIdle = Executor.HasAnsweredHold && Executor.Runs.empty();
   Executor.NextHold =
       Now + (IsIdle ? State.Settings.IdleHoldRetry : State.Settings.HoldRetry);
--- a/tests/unit/batch_lease_test.cpp
+++ b/tests/unit/batch_lease_test.cpp
@@ -102,7 +102,7 @@
 // Guards against a bound that ends before a lease that another life gave.
 TEST_CASE("leases: a call that another life handled counts from its arrival "
           "with the executor's limit") {
-  const lease_account Account = addForeignLease({}, Limits, At);
+  const lease_account Account = addLongestLease({}, Limits, At);
   CHECK(leasesEnd(Account, Limits) == At + milliseconds(10'200) + LeaseMargin);
 }
 
