Judge starts that only a token of the same term had closed

The worlds exempt a late start for 3 s that its executor had promised not to begin, by a stop or to a later leader. It compares terms again.

--- a/tests/support/batch_world_checks.cpp
+++ b/tests/support/batch_world_checks.cpp
@@ -35,7 +35,7 @@
   const auto Closed = Executor.ClosedBefore.find(Order.Run.Task);
   const bool IsStopped = Closed != Executor.ClosedBefore.end() &&
                          Closed->second >= Order.Run.Attempt;
-  return IsStopped || Order.To.Token < Executor.TokenBefore;
+  return IsStopped || Order.To.Term < Executor.TermBefore;
 }
 
 void world::checkLabel(const fake_executor &Executor, const start_run &Order) {
--- a/tests/support/batch_world_executors.cpp
+++ b/tests/support/batch_world_executors.cpp
@@ -10,7 +10,7 @@
                          bool IsStray) {
   if (Order.To.Token < Executor.Token)
     return "fence";
-  Executor.Token = Order.To.Token;
+  noteToken(Executor, Order.To);
   if (Executor.Runs.contains(Order.Run))
     return "";
   const time_point LeaseEnd = leaseEnd(Executor, Order.LeaseEndMs);
@@ -260,8 +260,9 @@
   Executor.Slowness = anySlowness();
   for (const fake_end &End : Executor.Ends)
     History.noteLostEnd(End.Name);
-  Executor.TokenBefore = std::max(Executor.TokenBefore, Executor.Token);
+  Executor.TermBefore = std::max(Executor.TermBefore, Executor.Term);
   Executor.Token = 0;
+  Executor.Term = 0;
   for (const auto &[Task, Attempt] : Executor.Closed) {
     int &Before = Executor.ClosedBefore[Task];
     Before = std::max(Before, Attempt);
--- a/tests/support/batch_world_internal.hpp
+++ b/tests/support/batch_world_internal.hpp
@@ -59,6 +59,7 @@
 struct fake_executor {
   executor_report Report;
   std::uint64_t Token = 0;  // highest fencing token seen
+  std::uint64_t Term = 0;   // highest term seen
   time_point LeaseEnd{0};   // of all runs on this executor
   time_point LastLapse{-1}; // last expiry of the lease; -1: none
   std::map<run_name, fake_run> Runs;
@@ -67,7 +68,7 @@
   std::map<task_name, int>
       Closed; // highest attempt that was stopped or has ended here
   std::map<task_name, int> ClosedBefore; // the same, in earlier lives
-  std::uint64_t TokenBefore = 0;         // highest seen in earlier lives
+  std::uint64_t TermBefore = 0;          // highest seen in earlier lives
   time_point CutUntil{0};
   time_point RefusesUntil{0};     // all calls
   time_point WaitsUntil{0};       // calls wait for the next life until then
@@ -385,6 +386,7 @@
   [[nodiscard]] executor_report reportOf(const fake_executor &Executor) const;
   /// The life that knows of what reaches the executor now.
   [[nodiscard]] std::int64_t lifeOf(const fake_executor &Executor) const;
+  static void noteToken(fake_executor &Executor, const executor_target &To);
   /// The next leader's token must be above that of each order.
   void checkToken(const executor_target &To);
 
--- a/tests/support/batch_world_lives.cpp
+++ b/tests/support/batch_world_lives.cpp
@@ -107,6 +107,11 @@
                                    : Executor.Report.Incarnation;
 }
 
+void world::noteToken(fake_executor &Executor, const executor_target &To) {
+  Executor.Token = To.Token;
+  Executor.Term = std::max(Executor.Term, To.Term);
+}
+
 void world::checkToken(const executor_target &To) {
   if (To.Token < To.Term || To.Token > static_cast<std::uint64_t>(Revision))
     violate("an order of term " + std::to_string(To.Term) + " has the token " +
--- a/tests/support/batch_world_orders.cpp
+++ b/tests/support/batch_world_orders.cpp
@@ -114,7 +114,7 @@
             });
           return;
         }
-        Executor.Token = Order.To.Token;
+        noteToken(Executor, Order.To);
         int &Closed = Executor.Closed[Order.Run.Task];
         Closed = std::max(Closed, Order.Run.Attempt);
         const auto Found = Executor.Runs.find(Order.Run);
@@ -211,7 +211,7 @@
 }
 
 void world::acknowledge(fake_executor &Executor, const hold_executor &Hold) {
-  Executor.Token = Hold.To.Token;
+  noteToken(Executor, Hold.To);
   if (Executor.LeaseEnd < Now)
     Executor.LastLapse = Executor.LeaseEnd;
   std::erase_if(Executor.Ends, [&](const fake_end &End) {
