--- a/standin/metadata_service.cpp
+++ b/standin/metadata_service.cpp
@@ -142,8 +142,11 @@
     co_return status(503);
   if (Faults.IsOverRate)
     co_return status(429);
+  const bool IsWrite = Request.path() == "/v1/kv-txn";
+  while (IsWrite && Faults.HoldsWrites)
+    co_await sleepFor(Context, WatchPoll);
   http_response Response;
-  if (Faults.DefersWrites && Request.path() == "/v1/kv-txn") {
+  if (Faults.DefersWrites && IsWrite) {
     Deferred.push_back(Request.Body);
     Response.Status = 0;
     co_return Response;
--- a/standin/metadata_service.hpp
+++ b/standin/metadata_service.hpp
@@ -24,6 +24,7 @@
   std::size_t PageItems = 500;  // items in one page of a range
   std::size_t WatchItems = 500; // changes in one answer to a watch
   bool HoldsRanges = false;     // reads ranges, and responds once this is off
+  bool HoldsWrites = false;     // acts on transactions once this is off
   bool DefersWrites = false;    // closes without a response, acts when asked to
   std::size_t MaxValueBytes = 1'048'576; // of an item; 413 beyond
   std::optional<int> WritesLeft; // transactions before 503; nullopt: no limit
