Bound what a connection buffers of a message

Callers saw: an instance whose memory grows without end, until it is killed, when a client sends trailers, a chunk extension or a chunk size that doesn't end.

Cause: the parser asks for more input until a trailer or chunk header is whole. Neither the header's nor the body's limit counts those bytes, and the connection's buffer had no largest size.

The buffer now holds the header's limit and 1 KiB for framing; a request that needs more is refused with 431 before it runs. No part of an allowed message is longer: trailers and chunk headers take the header's limit.

--- a/net/http.hpp
+++ b/net/http.hpp
@@ -88,7 +88,8 @@
 using http_handler = std::function<task<http_response>(http_request)>;
 
 struct http_limits {
-  std::size_t HeaderBytes = 16 * 1024;     // larger: 431
+  std::size_t HeaderBytes = 16 * 1024;     // larger: 431; also of the trailers
+                                           // and of a chunk's header
   std::size_t BodyBytes = 8 * 1024 * 1024; // larger: 413
   seconds ReadTimeout{15};                 // per message; slower: closed
   seconds IdleTimeout{60};                 // between requests
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -21,6 +21,10 @@
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
+// What framing may add to the header's limit: the last chunk's size and line
+// ends before trailers.
+constexpr std::size_t FramingBytes = 1024;
+
 http_request fromBeast(http::request<http::string_body> &&Message,
                        const std::string &Peer) {
   http_request Request;
@@ -55,7 +59,8 @@
 unsigned statusOf(const boost::system::error_code &Error) {
   if (Error == http::error::body_limit)
     return 413;
-  if (Error == http::error::header_limit)
+  if (Error == http::error::header_limit ||
+      Error == http::error::buffer_overflow)
     return 431;
   return 400;
 }
@@ -106,7 +111,9 @@
     boost::system::error_code Ignored;
     const auto Remote = Stream.socket().remote_endpoint(Ignored);
     const std::string Peer = Ignored ? "" : Remote.address().to_string();
-    beast::flat_buffer Buffer;
+    // The parser waits for a whole header, trailer or chunk header, and has no
+    // limit of its own for the latter two.
+    beast::flat_buffer Buffer(Limits.HeaderBytes + FramingBytes);
     Streams.insert(&Stream);
     Peak = std::max(Peak.load(), static_cast<int>(Streams.size()));
     bool KeepsOpen = true;
