Enforce the configuration's limits while a request is read

Callers saw: bodies of up to 8 MiB were taken into memory whole before the configuration's max_body_bytes refused them; max_header_bytes and header_timeout_ms had no effect (16 KiB and 15 s were fixed).

Cause: the server had limits of its own; only the submission handler compared the finished body with the configuration.

The front and the port for forwarded requests now take all three, and idle_timeout_ms, with each configuration, for the next request of each connection. A body over the limit is refused with 413 as soon as its length or its chunks say so. Before the first configuration the server's own limits hold.

Contract tests of the header's time limit and of a changed body limit.

--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -1,6 +1,7 @@
 #include "apps/instance/deployment_feed.hpp"
 #include "apps/instance/front.hpp"
 #include "apps/instance/leadership.hpp"
+#include "apps/instance/limits.hpp"
 #include "apps/instance/orders.hpp"
 #include "apps/runtime/control.hpp"
 #include "apps/runtime/logging.hpp"
@@ -180,6 +181,8 @@
     const auto Post = eventPoster();
     Post(batch::NoTerm, batch::configuration_changed{View.Config});
     Post(batch::NoTerm, batch::evacuations_changed{View.Evacuated});
+    for (auto &Server : Servers)
+      Server->setRequestLimits(applyConfiguration({}, View.Config));
     Metrics.noteConfiguration(View.Config.Version);
   }
 
--- a/core/job/batch/model.hpp
+++ b/core/job/batch/model.hpp
@@ -172,8 +172,11 @@
   std::vector<queue_config> Queues;
   std::vector<service_config> Services;
   std::vector<organisation_config> Organisations;
+  // Limits of a client's request.
   std::size_t MaxHeaderBytes = 16'384;
   std::size_t MaxBodyBytes = 262'144;
+  milliseconds HeaderTimeout{0}; // until the whole header is here; 0: none
+  milliseconds IdleTimeout{0};   // between requests of a connection; 0: none
 
   /// Null when no entry has this name.
   [[nodiscard]] const queue_config *findQueue(const route_id &Name) const;
--- a/net/http.hpp
+++ b/net/http.hpp
@@ -91,9 +91,12 @@
   std::size_t HeaderBytes = 16 * 1024;     // larger: 431; also of the trailers
                                            // and of a chunk's header
   std::size_t BodyBytes = 8 * 1024 * 1024; // larger: 413
-  seconds ReadTimeout{15};                 // per message; slower: closed
-  seconds IdleTimeout{60};                 // between requests
+  milliseconds HeaderTimeout{15'000};      // slower: closed
+  milliseconds ReadTimeout{15'000};        // per message; slower: closed
+  milliseconds IdleTimeout{60'000};        // between requests
   int Connections = 4'096;                 // further ones are closed at once
+
+  friend bool operator==(const http_limits &, const http_limits &) = default;
 };
 
 /// Accepts HTTP/1.1 connections on one I/O thread.
@@ -108,6 +111,11 @@
   /// The address in use; the port is the one chosen when 0 was asked for.
   [[nodiscard]] endpoint localEndpoint() const;
 
+  /// Changes the limits of a single request, from the next one of each
+  /// connection on: HeaderBytes, BodyBytes, HeaderTimeout and IdleTimeout. To
+  /// be called on the I/O thread.
+  void setRequestLimits(const http_limits &Limits);
+
   /// Starts a graceful shutdown: stops accepting, closes idle connections and
   /// each other one after the response in progress.
   void stopAccepting();
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -111,9 +111,7 @@
     boost::system::error_code Ignored;
     const auto Remote = Stream.socket().remote_endpoint(Ignored);
     const std::string Peer = Ignored ? "" : Remote.address().to_string();
-    // The parser waits for a whole header, trailer or chunk header, and has no
-    // limit of its own for the latter two.
-    beast::flat_buffer Buffer(Limits.HeaderBytes + FramingBytes);
+    beast::flat_buffer Buffer;
     Streams.insert(&Stream);
     Peak = std::max(Peak.load(), static_cast<int>(Streams.size()));
     bool KeepsOpen = true;
@@ -127,6 +125,9 @@
   /// Serves one request; false when the connection should be closed.
   task<bool> serveOne(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
                       const std::string &Peer) {
+    // The parser waits for a whole header, trailer or chunk header, and has no
+    // limit of its own for the latter two.
+    Buffer.max_size(Limits.HeaderBytes + FramingBytes);
     http::request_parser<http::string_body> Parser;
     Parser.header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
     Parser.body_limit(Limits.BodyBytes);
@@ -140,9 +141,15 @@
       if (WaitError || IsStopping)
         co_return false;
     }
-    Stream.expires_after(Limits.ReadTimeout);
+    const auto Began = std::chrono::steady_clock::now();
+    Stream.expires_at(Began + Limits.HeaderTimeout);
     auto [ReadError, ReadBytes] =
-        co_await http::async_read(Stream, Buffer, Parser, AsTuple);
+        co_await http::async_read_header(Stream, Buffer, Parser, AsTuple);
+    if (!ReadError) {
+      Stream.expires_at(Began + Limits.ReadTimeout);
+      std::tie(ReadError, ReadBytes) =
+          co_await http::async_read(Stream, Buffer, Parser, AsTuple);
+    }
     if (ReadError == http::error::end_of_stream)
       co_return false;
     if (ReadError &&
@@ -281,6 +288,13 @@
   asio::post(State->Context, [State = State] { State->stop(); });
 }
 
+void http_server::setRequestLimits(const http_limits &Limits) {
+  State->Limits.HeaderBytes = Limits.HeaderBytes;
+  State->Limits.BodyBytes = Limits.BodyBytes;
+  State->Limits.HeaderTimeout = Limits.HeaderTimeout;
+  State->Limits.IdleTimeout = Limits.IdleTimeout;
+}
+
 int http_server::openRequests() const { return State->Open; }
 
 int http_server::peakConnections() const { return State->Peak; }
--- /dev/null
+++ b/tests/contract/http_server_test.cpp
@@ -0,0 +1,85 @@
+// Tests the HTTP server's limits on single connections.
+
+#include "net/http.hpp"
+#include "tests/support/run_task.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+
+using namespace galenastage;
+
+namespace {
+
+using tcp = asio::ip::tcp;
+
+struct server_fixture {
+  asio::io_context Context{1};
+  std::vector<http_request> Requests; // that the handler got
+  http_server Server{Context, {"127.0.0.1", 0}, [this](http_request Request) {
+                       return answer(std::move(Request));
+                     }};
+
+  task<http_response> answer(http_request Request) {
+    Requests.push_back(std::move(Request));
+    co_return jsonResponse(200, "{}");
+  }
+
+  /// Sends the text and reads until the server closes the connection.
+  task<std::string> exchange(std::string Text) {
+    constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+    tcp::socket Socket(Context);
+    const endpoint To = Server.localEndpoint();
+    co_await Socket.async_connect({asio::ip::make_address(To.Address), To.Port},
+                                  asio::use_awaitable);
+    co_await asio::async_write(Socket, asio::buffer(Text), AsTuple);
+    std::string Answer;
+    std::array<char, 4'096> Piece{};
+    for (;;) {
+      auto [Error, Bytes] =
+          co_await Socket.async_read_some(asio::buffer(Piece), AsTuple);
+      Answer.append(Piece.data(), Bytes);
+      if (Error)
+        co_return Answer;
+    }
+  }
+  std::string run(const std::string &Text) {
+    return test::runTask(Context, exchange(Text));
+  }
+};
+
+const std::string Head = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n";
+
+} // namespace
+
+TEST_CASE_METHOD(server_fixture,
+                 "http server: the header's time limit closes a connection "
+                 "whose header isn't whole") {
+  http_limits Limits;
+  Limits.HeaderTimeout = milliseconds(50);
+  Server.setRequestLimits(Limits);
+  CHECK(run(Head).empty());
+  CHECK(Requests.empty());
+}
+
+TEST_CASE_METHOD(server_fixture,
+                 "http server: a changed body limit holds for the next "
+                 "request") {
+  http_limits Limits;
+  Limits.BodyBytes = 4;
+  CHECK_THAT(run(Head + "Content-Length: 5\r\n\r\nhello"),
+             Catch::StartsWith("HTTP/1.1 200"));
+  Server.setRequestLimits(Limits);
+  CHECK_THAT(run(Head + "Content-Length: 5\r\n\r\nhello"),
+             Catch::StartsWith("HTTP/1.1 413"));
+  CHECK_THAT(run(Head + "Transfer-Encoding: chunked\r\n\r\n"
+                        "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"),
+             Catch::StartsWith("HTTP/1.1 413"));
+  CHECK_THAT(run(Head + "Content-Length: 4\r\n\r\nhell"),
+             Catch::StartsWith("HTTP/1.1 200"));
+  CHECK(Requests.size() == 2);
+}
