Let idle connections expire

Callers saw: a connection without a request stays open for as long as its client likes, and keeps its descriptor.

Cause: the time limit belongs to the stream's own reads and writes; the wait for the next request was on the socket below it, where it never expires. IdleTimeout had no effect since it was written.

The wait is now a read of the first bytes, on the stream.

Evidence: `http server: the idle time limit closes a connection without a request` did not end before (stopped after 10 s) and passes now.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -24,6 +24,7 @@
 // What framing may add to the header's limit: the last chunk's size and line
 // ends before trailers.
 constexpr std::size_t FramingBytes = 1024;
+constexpr std::size_t FirstReadBytes = 2 * 1024; // of a request
 
 http_request fromBeast(http::request<http::string_body> &&Message,
                        const std::string &Peer) {
@@ -135,10 +136,12 @@
     if (Buffer.size() == 0) {
       Idle.insert(&Stream);
       Stream.expires_after(Limits.IdleTimeout);
-      auto [WaitError] =
-          co_await Stream.socket().async_wait(tcp::socket::wait_read, AsTuple);
+      // A wait on the socket itself would not expire.
+      auto [Error, Bytes] = co_await Stream.async_read_some(
+          Buffer.prepare(FirstReadBytes), AsTuple);
+      Buffer.commit(Bytes);
       Idle.erase(&Stream);
-      if (WaitError || IsStopping)
+      if (Error || IsStopping)
         co_return false;
     }
     const auto Began = std::chrono::steady_clock::now();
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -66,6 +66,17 @@
   CHECK(Requests.empty());
 }
 
+TEST_CASE_METHOD(server_fixture,
+                 "http server: the idle time limit closes a connection without "
+                 "a request") {
+  http_limits Limits;
+  Limits.IdleTimeout = milliseconds(50);
+  Server.setRequestLimits(Limits);
+  CHECK(run("").empty());
+  CHECK_THAT(run("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+             Catch::StartsWith("HTTP/1.1 200"));
+}
+
 TEST_CASE_METHOD(server_fixture,
                  "http server: a changed body limit holds for the next "
                  "request") {
