Account for the bytes that connections hold

Callers saw: an instance killed for its memory by many clients that each stay inside the limits: bodies and headers that lack their end.

Cause: each connection had limits, all together had none. Bytes that the kernel keeps unread count as memory too, and nothing bounded those of a connection.

Each server now has an account of bytes, a share of memory_mb (front 12/64, forwarded requests 4/64, each probe 1/64). A connection claims its receive buffer (16 KiB, twice that in the kernel), its header and its body before they grow. If the account is used up, the connection that made no progress for longest is closed, unless its request was read whole; if none is left, the request is refused with 503, Retry-After and the verdict that it was not run. The server reads by itself and lets the parser only parse: the header is taken out of the parser before the body, so that trailers no longer add to it. A client that reads no answer may be closed too, and streamed answers have the write time limit.

`http server: trailers don't add to the header` failed on the reader before (Authorization was taken from a trailer).

--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -71,25 +71,31 @@
             admissionSettings(Features),
             [this] { return Leadership.knownLeader(); },
             Settings.MaxValueBytes) {
+    const server_limits Limits = divideMachine(Settings);
     if (Settings.Front)
       Servers.push_back(std::make_unique<http_server>(
-          Context, *Settings.Front, [this](http_request Request) {
+          Context, *Settings.Front,
+          [this](http_request Request) {
             return Front.handle(std::move(Request), false);
-          }));
+          },
+          Limits.Front));
     Servers.push_back(std::make_unique<http_server>(
-        Context, forwardEndpoint(), [this](http_request Request) {
+        Context, forwardEndpoint(),
+        [this](http_request Request) {
           return Front.handle(std::move(Request), true);
-        }));
+        },
+        Limits.Forward));
     if (Settings.Ready)
       Probes.push_back(std::make_unique<http_server>(
           Context, *Settings.Ready,
-          [this](http_request) { return answerReadiness(); }));
+          [this](http_request) { return answerReadiness(); }, Limits.Probe));
     if (Settings.FirstInternalPort != 0)
       Probes.push_back(std::make_unique<http_server>(
           Context, endpoint{Settings.Address, Settings.FirstInternalPort},
           [this](http_request Request) {
             return answerMetrics(std::move(Request));
-          }));
+          },
+          Limits.Probe));
   }
 
   void start() {
--- a/net/http.hpp
+++ b/net/http.hpp
@@ -93,8 +93,13 @@
   std::size_t BodyBytes = 8 * 1024 * 1024; // larger: 413
   milliseconds HeaderTimeout{15'000};      // slower: closed
   milliseconds ReadTimeout{15'000};        // per message; slower: closed
+  milliseconds WriteTimeout{15'000};       // per answer or streamed piece
   milliseconds IdleTimeout{60'000};        // between requests
-  int Connections = 4'096;                 // further ones are closed at once
+  // All connections together. When one more doesn't fit, the connection that
+  // made no progress for longest is closed, unless its request was read whole.
+  int Connections = 4'096;
+  std::size_t HeldBytes = 256 * 1024 * 1024;  // receive buffers and requests
+  std::size_t ReceiveBufferBytes = 16 * 1024; // of each connection's socket
 
   friend bool operator==(const http_limits &, const http_limits &) = default;
 };
@@ -125,8 +130,10 @@
 
   /// Peak number of concurrent connections.
   [[nodiscard]] int peakConnections() const;
-  /// Connections closed on arrival because of the limit.
+  /// Connections closed on arrival because of the limits.
   [[nodiscard]] int refusedConnections() const;
+  /// Connections closed later to make room for others.
+  [[nodiscard]] int displacedConnections() const;
 
 private:
   struct state;
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -4,7 +4,8 @@
 #include "tests/support/run_task.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -94,3 +95,16 @@
              Catch::StartsWith("HTTP/1.1 200"));
   CHECK(Requests.size() == 2);
 }
+
+// A client's proxy may have taken such fields out of the header.
+TEST_CASE_METHOD(server_fixture,
+                 "http server: trailers don't add to the header") {
+  CHECK_THAT(run(Head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"
+                        "Authorization: Bearer k1\r\nX-Sum: 17\r\n\r\n"),
+             Catch::StartsWith("HTTP/1.1 200"));
+  REQUIRE(Requests.size() == 1);
+  CHECK(Requests.front().Body == "hello");
+  CHECK(Requests.front().Headers.find("Host") == "h");
+  CHECK(Requests.front().Headers.find("Authorization").empty());
+  CHECK(Requests.front().Headers.find("X-Sum").empty());
+}
