Make room among connections when descriptors run out

Callers saw: ordinary requests and readiness probes that get no answer while a crowd holds connections without sending; by reading, calls to the store, executors and the leader would fail too.

Cause: max_fds wasn't used. A server took 4,096 connections, more than the process has descriptors, and closed new connections at the limit.

Each server takes a share of the sockets that max_fds leaves beside 200 for files (front 1/3, forwarded requests 1/12, each probe 1/24 and at most 64), so that half remain for the instance's own calls. At the limit the connection without progress for longest makes room for a new one; a request that was read whole keeps its answer.

`http server: a connection makes room only while its request isn't whole`: the server before closed the new connection instead.

--- a/apps/instance/limits.cpp
+++ b/apps/instance/limits.cpp
@@ -1,9 +1,19 @@
 #include "apps/instance/limits.hpp"
 
+#include <algorithm>
+
 namespace galenastage {
 namespace {
 
 constexpr std::size_t BytesPerMb = 1'000'000;
+// Descriptors that the platform keeps for files.
+constexpr int FileDescriptors = 200;
+// Of the other descriptors each server takes one in so many. A request that
+// waits for the store can need a connection of its own to it.
+constexpr int FrontDescriptorShare = 3;
+constexpr int ForwardDescriptorShare = 12;
+constexpr int ProbeDescriptorShare = 24;
+constexpr int MaxProbeConnections = 64;
 // Of the memory each server takes so many parts in MemoryParts.
 constexpr std::size_t MemoryParts = 64;
 constexpr std::size_t FrontMemoryParts = 12;
@@ -13,11 +23,18 @@
 } // namespace
 
 server_limits divideMachine(const platform::instance_settings &Settings) {
+  const int Descriptors =
+      std::max(Settings.MaxDescriptors - FileDescriptors, ProbeDescriptorShare);
   const std::size_t MemoryPart = Settings.MemoryMb * BytesPerMb / MemoryParts;
   server_limits Limits;
+  Limits.Front.Connections = Descriptors / FrontDescriptorShare;
   Limits.Front.HeldBytes = FrontMemoryParts * MemoryPart;
+  Limits.Forward.Connections = Descriptors / ForwardDescriptorShare;
   Limits.Forward.HeldBytes = ForwardMemoryParts * MemoryPart;
+  Limits.Probe.Connections =
+      std::min(Descriptors / ProbeDescriptorShare, MaxProbeConnections);
   Limits.Probe.HeldBytes = ProbeMemoryParts * MemoryPart;
+
   return Limits;
 }
 
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -158,12 +158,14 @@
       if (Error == asio::error::operation_aborted)
         co_return;
       if (Error) {
-        // Out of file descriptors: back off instead of spinning.
-        asio::steady_timer Timer(Context, milliseconds(50));
+        // Out of file descriptors: make room, or back off instead of spinning.
+        const bool HasRoom =
+            Error == asio::error::no_descriptors && closeSlowest(nullptr);
+        asio::steady_timer Timer(Context, milliseconds(HasRoom ? 0 : 50));
         co_await Timer.async_wait(AsTuple);
         continue;
       }
-      if (openConnections() >= Limits.Connections) {
+      if (openConnections() >= Limits.Connections && !closeSlowest(nullptr)) {
         ++Refused;
         continue; // the socket closes as it goes out of scope
       }
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -108,3 +108,56 @@
   CHECK(Requests.front().Headers.find("Authorization").empty());
   CHECK(Requests.front().Headers.find("X-Sum").empty());
 }
+
+TEST_CASE_METHOD(server_fixture,
+                 "http server: a connection makes room only while its request "
+                 "isn't whole") {
+  http_limits Limits;
+  Limits.Connections = 2;
+  int Waiting = 0;
+  bool MayAnswer = false;
+  http_server Small(
+      Context, {"127.0.0.1", 0},
+      [&](http_request) -> task<http_response> {
+        ++Waiting;
+        while (!MayAnswer)
+          co_await asio::post(Context, asio::use_awaitable);
+        co_return jsonResponse(200, "{}");
+      },
+      Limits);
+  const endpoint At = Small.localEndpoint();
+  const tcp::endpoint To(asio::ip::make_address(At.Address), At.Port);
+  std::vector<tcp::socket> Clients;
+  const auto Connect = [&] {
+    Clients.emplace_back(Context);
+    Clients.back().connect(To);
+  };
+  const auto Send = [&](std::size_t Client, const std::string &Text) {
+    asio::write(Clients[Client], asio::buffer(Text));
+  };
+  const auto RunUntil = [&](const auto &Holds) {
+    while (!Holds())
+      Context.run_one();
+  };
+  Connect();
+  Send(0, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil([&] { return Waiting == 1; });
+  Connect();
+  Send(1, "GET / HTTP/1.1\r\n"); // the header isn't whole
+  RunUntil([&] { return Small.peakConnections() == 2; });
+  Connect(); // takes the second one's place
+  RunUntil([&] { return Small.displacedConnections() == 1; });
+  Send(2, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunUntil([&] { return Waiting == 2; });
+  Connect(); // no connection may be closed
+  RunUntil([&] { return Small.refusedConnections() == 1; });
+  CHECK(Small.displacedConnections() == 1);
+  MayAnswer = true;
+  RunUntil([&] { return Small.openRequests() == 0; });
+  for (const std::size_t Served : {0, 2}) {
+    std::array<char, 12> Status{};
+    boost::system::error_code Error;
+    asio::read(Clients[Served], asio::buffer(Status), Error);
+    CHECK(std::string(Status.data(), Status.size()) == "HTTP/1.1 200");
+  }
+}
