Refuse bodies of probes

Callers saw: an instance killed for its memory by bodies of up to 8 MiB at the ports of readiness and metrics, whose requests have no body.

Cause: these servers had the general limit of a body, and the configuration's doesn't apply to them.

Probes may carry 1 KiB; more is refused with 413.

--- a/apps/instance/limits.cpp
+++ b/apps/instance/limits.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t FrontMemoryParts = 12;
 constexpr std::size_t ForwardMemoryParts = 4;
 constexpr std::size_t ProbeMemoryParts = 1;
+constexpr std::size_t MaxProbeBodyBytes = 1'024;
 
 } // namespace
 
@@ -34,7 +35,7 @@
   Limits.Probe.Connections =
       std::min(Descriptors / ProbeDescriptorShare, MaxProbeConnections);
   Limits.Probe.HeldBytes = ProbeMemoryParts * MemoryPart;
-
+  Limits.Probe.BodyBytes = MaxProbeBodyBytes;
   return Limits;
 }
 
