Reserve memory for submissions that wait for the store

Callers saw: an instance killed for its memory while the store is slow, by whole and allowed submissions that wait for it. A job of 5,000 short steps has a body of 60 kB and takes about a megabyte while it waits.

Cause: what a request turns into after it was read wasn't counted. Nor was the request itself while it waits.

The claim of a connection now lasts until its answer, and a handler can reserve more through the request. A submission reserves its job, record and call. Without memory the submission is refused with 503 and Retry-After; nothing is stored.

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -31,6 +31,7 @@
 constexpr milliseconds MinForwardTime{50};
 // A submission may arrive that long after its client has cancelled it.
 constexpr milliseconds EarlyCancellationLife{30'000};
+constexpr std::size_t MaxUnreservedBytes = 16 * 1'024; // of a parsed job
 constexpr int RetryAfterSeconds = 1; // the store's rate limits are per second
 
 /// Whether the job belongs to another organisation than the client's. On public
@@ -78,6 +79,12 @@
   return Change;
 }
 
+task<bool> reserveMemory(const http_request &Request, std::size_t Bytes) {
+  if (!Request.Reserve)
+    co_return true;
+  co_return co_await Request.Reserve(Bytes);
+}
+
 http_response notFound(std::string_view Detail) {
   return problemResponse(404, "not found", Detail, verdict::NotRun);
 }
@@ -163,7 +170,7 @@
     co_return notFound("the path doesn't end with the id of a job");
   const job_id Job(Admitted.Suffix);
   if (Request.Method == "POST")
-    co_return co_await submit(Admitted, Job, Request.Body);
+    co_return co_await submit(Admitted, Job, Request);
   if (Request.Method == "GET")
     co_return co_await showState(Admitted, Job);
   if (Request.Method == "DELETE")
@@ -249,7 +256,8 @@
 }
 
 task<http_response> front::submit(const admitted &Admitted, job_id Job,
-                                  const std::string &Body) {
+                                  const http_request &Request) {
+  const std::string &Body = Request.Body;
   if (Body.size() > Admitted.View->Config.MaxBodyBytes)
     co_return problemResponse(
         413, "body too large",
@@ -263,6 +271,16 @@
     co_return problemResponse(400, "unreadable job", Parsed.Reason,
                               verdict::NotRun);
   }
+  // While this waits for memory, it must not hold much that isn't reserved yet.
+  const std::size_t Needed = submissionBytes(*Parsed.Result);
+  const bool IsLarge = Needed > MaxUnreservedBytes;
+  if (IsLarge)
+    Parsed.Result.reset();
+  const bool HasMemory = co_await reserveMemory(Request, Needed);
+  if (!HasMemory)
+    co_return refuse(Job, "too many submissions wait for the platform's store");
+  if (IsLarge)
+    Parsed = platform::parseJob(Body);
   job_spec Spec = std::move(*Parsed.Result);
   Spec.Id = Job;
   Spec.Queue = *Admitted.Queue;
--- a/apps/instance/front.hpp
+++ b/apps/instance/front.hpp
@@ -44,7 +44,7 @@
   [[nodiscard]] admitted admit(const http_request &Request) const;
 
   task<http_response> submit(const admitted &Admitted, job_id Job,
-                             const std::string &Body);
+                             const http_request &Request);
   /// The answer to a job that can't end in time, by the last backlog.
   task<std::optional<http_response>> refuseOverload(const admitted &Admitted,
                                                     const batch::job_spec &Job);
--- a/core/job/batch/record_size.cpp
+++ b/core/job/batch/record_size.cpp
@@ -12,8 +12,29 @@
 constexpr std::size_t BytesPerTask = 128;
 constexpr std::size_t BytesPerStep = 3;
 
+// While a job is written: its record, the call's body with the record in it as
+// base64, and the message.
+constexpr std::size_t RecordCopies = 3;
+constexpr std::size_t StepRecordBytes = 100; // beside texts and earlier steps
+constexpr std::size_t AfterRecordBytes = 5;  // "7999,"
+
+std::size_t stepBytes(const step_spec &Step) {
+  const std::size_t Texts =
+      Step.Requirement.size() + Step.Affinity.Value.size() + Step.Image.size();
+  return sizeof(Step) + Texts + Step.After.size() * sizeof(int) +
+         RecordCopies *
+             (StepRecordBytes + Texts + Step.After.size() * AfterRecordBytes);
+}
+
 } // namespace
 
+std::size_t submissionBytes(const job_spec &Job) {
+  std::size_t Bytes = sizeof(Job) + (1 + RecordCopies) * Job.Payload.size();
+  for (const step_spec &Step : Job.Steps)
+    Bytes += stepBytes(Step);
+  return Bytes;
+}
+
 std::size_t maxProgressBytes(const job_spec &Job, int Begun, int Open) {
   std::size_t OfOne = 0;
   for (const step_spec &Step : Job.Steps)
--- a/core/job/batch/record_size.hpp
+++ b/core/job/batch/record_size.hpp
@@ -14,6 +14,10 @@
 /// refuses the record, its job fails.
 std::size_t maxProgressBytes(const job_spec &Job, int Begun, int Open);
 
+/// Memory that a submission of the job needs at most while it is written to the
+/// store: the job, its record and the call with it.
+std::size_t submissionBytes(const job_spec &Job);
+
 /// Why the store couldn't hold the job's records, with the limit; empty when it
 /// can.
 std::string explainUnstorable(const job_spec &Job, std::size_t MaxValueBytes);
--- a/net/http.hpp
+++ b/net/http.hpp
@@ -58,6 +58,9 @@
   http_headers Headers;
   std::string Body;
   std::string Peer; // remote address; empty in requests to send
+  // Reserves memory until the request is answered, for so many bytes beside the
+  // request itself; false: there is none. Empty in requests to send.
+  std::function<task<bool>(std::size_t Bytes)> Reserve;
 
   [[nodiscard]] std::string_view path() const;
   /// Value of a query parameter, not decoded; empty when absent.
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -437,6 +437,11 @@
   task<bool> handle(connection &Connection, incoming_request &Incoming) {
     const bool KeepAlive = Incoming.KeepAlive;
     const bool IsHead = Incoming.Request.Method == "HEAD";
+    const std::size_t Held = Connection.Buffer.capacity() + Incoming.HeadBytes +
+                             Incoming.Request.Body.capacity();
+    Incoming.Request.Reserve = [this, &Connection, Held](std::size_t Bytes) {
+      return claim(Connection, Held + Bytes);
+    };
     ++Open;
     http_response Response = co_await answer(std::move(Incoming.Request));
     if (Response.Status == 0) { // the handler asks to close the connection
