Offer 100 Continue

Callers saw: a client that sends Expect: 100-continue and waits gets no answer; the connection closes after 15 s. Others wait a second before they send the body.

Cause: the server read the whole message at once and didn't look at the field.

It now sends 100 Continue once the header is accepted, unless the body has begun to arrive.

Evidence: `allowed: a client that waits for 100 Continue` failed on and passes now.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -78,6 +78,10 @@
   return Lengths > 1 || Encodings > 1 || (Lengths > 0 && Encodings > 0);
 }
 
+bool expectsContinue(const http::fields &Fields) {
+  return beast::iequals(Fields[http::field::expect], "100-continue");
+}
+
 unsigned statusOf(const boost::system::error_code &Error) {
   if (Error == http::error::body_limit)
     return 413;
@@ -361,6 +365,7 @@
     Incoming.KeepAlive = Incoming.Parser.keep_alive();
     Incoming.Request = takeHead(Message, Connection.Peer);
     Incoming.HeadBytes = headBytes(Incoming.Request);
+    const bool ExpectsContinue = expectsContinue(Message);
     Message.clear();
     const bool HasRoom = co_await claimRequest(Connection, Incoming);
     if (!HasRoom) {
@@ -368,6 +373,9 @@
       co_return false;
     }
     Incoming.Parser.eager(true);
+    if (ExpectsContinue && !Incoming.Parser.is_done() &&
+        Connection.Buffer.size() == 0)
+      co_return co_await sendContinue(Connection);
     co_return true;
   }
 
@@ -504,6 +512,13 @@
     }
   }
 
+  task<bool> sendContinue(connection &Connection) {
+    constexpr std::string_view Text = "HTTP/1.1 100 Continue\r\n\r\n";
+    auto [Error, Bytes] = co_await asio::async_write(
+        Connection.Stream, asio::buffer(Text), AsTuple);
+    co_return !Error;
+  }
+
   task<bool> write(connection &Connection, http_response Response,
                    bool KeepAlive, bool IsHead) {
     http::response<http::string_body> Message;
