Bound what the HTTP client buffers of an answer

The buffer holds 64 KiB, a line at most what an answer may have (64 MiB). More is an error, with the verdict that the request may have run.

Evidence: `http client: an answer whose framing goes on and on is an error` (1 MiB of trailers, or of a chunk extension) took both answers before.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t DefaultIdlePerEndpoint = 64;
 constexpr std::size_t MaxAnswerBytes = 64 * 1024 * 1024;
 constexpr std::size_t StreamBufferBytes = 16 * 1024;
+// Of what the parser must see at once: a header, trailers, a chunk's header.
+constexpr std::size_t MaxAnswerHeadBytes = 64 * 1024;
 
 http::request<http::string_body> toBeast(const endpoint &To,
                                          http_request &&Request) {
@@ -131,7 +133,7 @@
 /// connection can be reused.
 task<bool> readAnswer(beast::tcp_stream &Stream, bool IsHead, time_limit Limit,
                       http_result &Result) {
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer(MaxAnswerHeadBytes);
   bool KeepAlive = false;
   for (int I = 0; I < MaxInterimAnswers; ++I) {
     KeepAlive = co_await readMessage(Stream, Buffer, IsHead, Limit, Result);
@@ -285,7 +287,7 @@
   if (WriteError)
     co_return mapTimeout(WriteError);
 
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer(MaxAnswerHeadBytes);
   http::response_parser<http::buffer_body> Parser;
   Parser.body_limit(boost::none);
   auto [HeadError, HeadBytes] =
@@ -306,6 +308,8 @@
     if (Error && Error != http::error::need_buffer)
       co_return mapTimeout(Error);
     Pending.append(Storage.data(), Storage.size() - Parser.get().body().size);
+    if (Pending.size() > MaxAnswerBytes)
+      co_return errc::MalformedAnswer;
     std::size_t End = 0;
     while ((End = Pending.find('\n')) != std::string::npos) {
       const std::string Line = Pending.substr(0, End);
--- a/tests/contract/http_client_test.cpp
+++ b/tests/contract/http_client_test.cpp
@@ -6,8 +6,10 @@
 #include "tests/support/run_task.hpp"
 #include "tests/support/tcp_relay.hpp"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 using namespace galenastage;
@@ -88,3 +90,43 @@
   CHECK_FALSE(Result.Error);
   CHECK(Result.Response.Body == "piecepiecepiecepiece");
 }
+
+// An answer from a server that doesn't keep to the protocol.
+TEST_CASE("http client: an answer whose framing goes on and on is an error") {
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  struct framing {
+    std::string Begin;
+    std::string Filler;
+    std::string End;
+  };
+  const framing Framing = GENERATE_COPY(
+      values<framing>({{Chunked + "0\r\n", "a: b\r\n", "\r\n"},
+                       {Chunked + "1;x=", "aaaaaaaa", "\r\na\r\n0\r\n\r\n"}}));
+  CAPTURE(Framing.Begin);
+  constexpr std::size_t FillerBytes = 1'024 * 1'024;
+  std::string Answer = Framing.Begin;
+  while (Answer.size() < FillerBytes)
+    Answer += Framing.Filler;
+  Answer += Framing.End;
+
+  constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+  asio::io_context Context{1};
+  asio::ip::tcp::acceptor Acceptor(Context,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  const auto Serve = [&]() -> task<void> {
+    asio::ip::tcp::socket Socket =
+        co_await Acceptor.async_accept(asio::use_awaitable);
+    std::array<char, 1'024> Request{};
+    co_await Socket.async_read_some(asio::buffer(Request), AsTuple);
+    co_await asio::async_write(Socket, asio::buffer(Answer), AsTuple);
+  };
+  asio::co_spawn(Context, Serve(), asio::detached);
+  http_client Client(Context);
+  const endpoint To{"127.0.0.1", Acceptor.local_endpoint().port()};
+  const http_result Result =
+      test::runTask(Context, Client.send(To, http_request{}, Long));
+  CHECK(Result.Error);
+  CHECK(Result.Error != errc::DeadlineExceeded);
+  CHECK(Result.Verdict == verdict::Unknown);
+}
