Leave a connection's own fields out of forwarded requests

Callers saw: nothing yet; found by reading. A client's Connection: close ended the connection between two instances, and its Expect, TE and Upgrade asked the leader for what this instance doesn't pass on.

Cause: a request was forwarded with all its fields.

The fields of RFC 9110, 7.6.1, those that Connection names, and Expect are removed.

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -203,12 +203,14 @@
   return Admitted;
 }
 
-/// Forwards the request unchanged. The leader checks it against its own
-/// configuration, and its answer is returned unmodified.
+/// Forwards the request, without what held for its connection only. The leader
+/// checks it against its own configuration, and its answer is returned
+/// unmodified.
 task<http_response> front::forward(http_request Request, endpoint Leader,
                                    instant Deadline) {
   const std::string Method = Request.Method;
   const std::string Target = Request.Target;
+  removeConnectionFields(Request.Headers);
   const milliseconds Remaining =
       std::max(Deadline - readClock(), milliseconds(0));
   http_result Result = co_await Peers.send(Leader, std::move(Request),
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -15,6 +15,18 @@
   });
 }
 
+/// Adds the items of a list such as "close, X-Token".
+void addListed(std::string_view List, std::vector<std::string> &Items) {
+  constexpr std::string_view Separators = ", \t";
+  while (!List.empty()) {
+    const std::size_t End =
+        std::min(List.find_first_of(Separators), List.size());
+    if (End > 0)
+      Items.emplace_back(List.substr(0, End));
+    List.remove_prefix(std::min(End + 1, List.size()));
+  }
+}
+
 } // namespace
 
 std::optional<endpoint> parseEndpoint(std::string_view Text) {
@@ -62,6 +74,23 @@
   Fields.push_back({std::string(Name), std::move(Value)});
 }
 
+void http_headers::remove(std::string_view Name) {
+  std::erase_if(Fields, [&](const http_header &Field) {
+    return equalsIgnoringCase(Field.Name, Name);
+  });
+}
+
+void removeConnectionFields(http_headers &Headers) {
+  std::vector<std::string> Names = {
+      "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
+      "Trailer",    "Upgrade",    "Transfer-Encoding", "Expect"};
+  for (const http_header &Field : Headers.Fields)
+    if (equalsIgnoringCase(Field.Name, "Connection"))
+      addListed(Field.Value, Names);
+  for (const std::string &Name : Names)
+    Headers.remove(Name);
+}
+
 std::string_view http_request::path() const {
   return std::string_view(Target).substr(0, Target.find('?'));
 }
--- a/net/http.hpp
+++ b/net/http.hpp
@@ -47,10 +47,15 @@
 
   [[nodiscard]] std::string_view find(std::string_view Name) const;
   void set(std::string_view Name, std::string Value);
+  void remove(std::string_view Name);
 
   friend bool operator==(const http_headers &, const http_headers &) = default;
 };
 
+/// Removes what holds for one connection only, for a message that is passed on:
+/// the fields of RFC 9110, 7.6.1, those that Connection names, and Expect.
+void removeConnectionFields(http_headers &Headers);
+
 /// A request with its whole body in memory.
 struct http_request {
   std::string Method = "GET";
