Show operators which connections were turned away

Cause: connections closed for the limits were counted in the server and shown nowhere.

Metrics tell open connections, their bytes and those turned away for each server; 4007 tells of clients' ones at most once in 5 s, however large the crowd. Forwarded requests may have a header of twice the limit, because another instance may write it longer than the client did.

--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -30,6 +30,7 @@
 constexpr milliseconds BalancerDelay{2'500};
 constexpr milliseconds OrderMargin{500}; // from the decision to the start
 constexpr milliseconds MinRequestAge{150};
+constexpr milliseconds TurnedAwayInterval{5'000}; // between two log lines
 constexpr milliseconds DrainPoll{20};
 constexpr milliseconds StopMargin{700}; // before the platform kills the process
 
@@ -73,29 +74,22 @@
             Settings.MaxValueBytes) {
     const server_limits Limits = divideMachine(Settings);
     if (Settings.Front)
-      Servers.push_back(std::make_unique<http_server>(
-          Context, *Settings.Front,
-          [this](http_request Request) {
-            return Front.handle(std::move(Request), false);
-          },
-          Limits.Front));
-    Servers.push_back(std::make_unique<http_server>(
-        Context, forwardEndpoint(),
-        [this](http_request Request) {
-          return Front.handle(std::move(Request), true);
-        },
-        Limits.Forward));
+      Clients = serve(*Settings.Front, "front", Limits.Front,
+                      [this](http_request Request) {
+                        return Front.handle(std::move(Request), false);
+                      });
+    Forwards = serve(forwardEndpoint(), "forward", Limits.Forward,
+                     [this](http_request Request) {
+                       return Front.handle(std::move(Request), true);
+                     });
     if (Settings.Ready)
-      Probes.push_back(std::make_unique<http_server>(
-          Context, *Settings.Ready,
-          [this](http_request) { return answerReadiness(); }, Limits.Probe));
+      serve(*Settings.Ready, "ready", Limits.Probe,
+            [this](http_request) { return answerReadiness(); });
     if (Settings.FirstInternalPort != 0)
-      Probes.push_back(std::make_unique<http_server>(
-          Context, endpoint{Settings.Address, Settings.FirstInternalPort},
-          [this](http_request Request) {
-            return answerMetrics(std::move(Request));
-          },
-          Limits.Probe));
+      serve({Settings.Address, Settings.FirstInternalPort}, "metrics",
+            Limits.Probe, [this](http_request Request) {
+              return answerMetrics(std::move(Request));
+            });
   }
 
   void start() {
@@ -114,8 +108,9 @@
       asio::co_spawn(Context, Leadership.resign(), asio::detached);
     });
     std::this_thread::sleep_for(BalancerDelay);
-    for (auto &Server : Servers)
-      Server->stopAccepting();
+    for (http_server *Server : {Clients, Forwards})
+      if (Server)
+        Server->stopAccepting();
     while (openRequests() > 0 && readClock() < KillAt)
       std::this_thread::sleep_for(DrainPoll);
     Io.stop();
@@ -183,12 +178,24 @@
     };
   }
 
+  http_server *serve(const endpoint &At, const std::string &Name,
+                     const http_limits &Limits, http_handler Handler) {
+    auto &Server = Servers[Name];
+    Server =
+        std::make_unique<http_server>(Context, At, std::move(Handler), Limits);
+    return Server.get();
+  }
+
   void applyView(const deployment_view &View) {
     const auto Post = eventPoster();
     Post(batch::NoTerm, batch::configuration_changed{View.Config});
     Post(batch::NoTerm, batch::evacuations_changed{View.Evacuated});
-    for (auto &Server : Servers)
-      Server->setRequestLimits(applyConfiguration({}, View.Config));
+    http_limits Limits = applyConfiguration({}, View.Config);
+    if (Clients)
+      Clients->setRequestLimits(Limits);
+    // A header may be longer as another instance writes it.
+    Limits.HeaderBytes *= 2;
+    Forwards->setRequestLimits(Limits);
     Metrics.noteConfiguration(View.Config.Version);
   }
 
@@ -196,11 +203,30 @@
     const auto Post = eventPoster();
     for (;;) {
       co_await sleepFor(Context, TickInterval);
+      logTurnedAway();
       if (Leadership.isLeading())
         Post(batch::NoTerm, batch::time_passed{});
     }
   }
 
+  /// Tells of a crowd in few lines, however many connections it opens.
+  void logTurnedAway() {
+    if (!Clients || readClock() - TurnedAwayLogged < TurnedAwayInterval)
+      return;
+    const int Displaced = Clients->displacedConnections();
+    const int Refused = Clients->refusedConnections();
+    if (Displaced + Refused == TurnedAway)
+      return;
+    writeLog(events::ConnectionsTurnedAway,
+             {{"since_last", std::to_string(Displaced + Refused - TurnedAway)},
+              {"displaced", std::to_string(Displaced)},
+              {"refused", std::to_string(Refused)},
+              {"open", std::to_string(Clients->openConnections())},
+              {"bytes", std::to_string(Clients->heldBytes())}});
+    TurnedAway = Displaced + Refused;
+    TurnedAwayLogged = readClock();
+  }
+
   task<http_response> answerReadiness() {
     std::string_view Reason;
     if (IsStopping)
@@ -219,6 +245,8 @@
       co_return problemResponse(404, "not found", "only /metrics is served",
                                 verdict::NotRun);
     Metrics.noteCalls(Store.calls(), Executors.calls());
+    for (const auto &[Name, Server] : Servers)
+      Metrics.noteConnections(Name, *Server);
     Metrics.noteDroppedLines(droppedLogLines());
     Metrics.noteLeadership(Leadership.token());
     if (Feed.view())
@@ -231,8 +259,8 @@
 
   [[nodiscard]] int openRequests() const {
     int Open = 0;
-    for (const auto &Server : Servers)
-      Open += Server->openRequests();
+    for (const http_server *Server : {Clients, Forwards})
+      Open += Server ? Server->openRequests() : 0;
     return Open;
   }
 
@@ -248,8 +276,11 @@
   leadership Leadership;
   orders Orders;
   front Front;
-  std::vector<std::unique_ptr<http_server>> Servers; // for clients, peers
-  std::vector<std::unique_ptr<http_server>> Probes; // for readiness and metrics
+  std::map<std::string, std::unique_ptr<http_server>> Servers; // by name
+  http_server *Clients = nullptr;  // of Servers; null: not served
+  http_server *Forwards = nullptr; // of Servers
+  int TurnedAway = 0;              // clients' connections, as last logged
+  instant TurnedAwayLogged{};
   std::atomic<bool> IsStopping{false};
 };
 
--- a/apps/instance/metrics.cpp
+++ b/apps/instance/metrics.cpp
@@ -13,6 +13,9 @@
 constexpr const char *SaveSeconds = "galenastage_progress_save_seconds";
 constexpr const char *StoreCallsMade = "galenastage_store_calls";
 constexpr const char *ExecutorCallsMade = "galenastage_executor_calls";
+constexpr const char *OpenConnections = "galenastage_connections_open";
+constexpr const char *HeldBytes = "galenastage_connections_bytes";
+constexpr const char *TurnedAway = "galenastage_connections_turned_away";
 constexpr const char *DroppedLines = "galenastage_log_lines_dropped";
 constexpr const char *LeaderToken = "galenastage_leader_token";
 constexpr const char *ConfigVersion = "galenastage_configuration_version";
@@ -42,6 +45,13 @@
                     "Calls to the metadata store since the start.");
   Registry.describe(ExecutorCallsMade, "gauge",
                     "Calls to executors since the start.");
+  Registry.describe(OpenConnections, "gauge",
+                    "Connections to a server of this instance.");
+  Registry.describe(HeldBytes, "gauge",
+                    "Memory that connections to a server hold.");
+  Registry.describe(TurnedAway, "gauge",
+                    "Connections closed since the start: displaced by others "
+                    "or refused on arrival.");
   Registry.describe(DroppedLines, "gauge",
                     "Log lines left out since the start.");
   Registry.describe(LeaderToken, "gauge",
@@ -98,6 +108,17 @@
   Registry.set(ExecutorCallsMade, {}, static_cast<double>(ExecutorCalls));
 }
 
+void instance_metrics::noteConnections(const std::string &Server,
+                                       const http_server &Of) {
+  Registry.set(OpenConnections, {{"server", Server}}, Of.openConnections());
+  Registry.set(HeldBytes, {{"server", Server}},
+               static_cast<double>(Of.heldBytes()));
+  Registry.set(TurnedAway, {{"server", Server}, {"reason", "displaced"}},
+               Of.displacedConnections());
+  Registry.set(TurnedAway, {{"server", Server}, {"reason", "refused"}},
+               Of.refusedConnections());
+}
+
 void instance_metrics::noteDroppedLines(std::uint64_t Dropped) {
   Registry.set(DroppedLines, {}, static_cast<double>(Dropped));
 }
--- a/apps/instance/metrics.hpp
+++ b/apps/instance/metrics.hpp
@@ -2,6 +2,7 @@
 
 #include "apps/runtime/metric_registry.hpp"
 #include "core/job/batch/scheduler.hpp"
+#include "net/http.hpp"
 
 #include <set>
 
@@ -26,6 +27,8 @@
                 milliseconds Waited);
   void noteSave(bool IsSaved, milliseconds Took);
   void noteCalls(std::uint64_t StoreCalls, std::uint64_t ExecutorCalls);
+  /// Server: "front", "forward", "ready" or "metrics".
+  void noteConnections(const std::string &Server, const http_server &Of);
   void noteDroppedLines(std::uint64_t Dropped);
   void noteLeadership(std::uint64_t Token);
   void noteConfiguration(std::int64_t Version);
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -448,6 +448,14 @@
     "yet, and the client is told so; one that comes within 30 s doesn't run.",
     "None. 3203 on the leader follows at once; its tasks stop then."};
 
+const log_event ConnectionsTurnedAway{
+    4007, Warning, "connections-turned-away",
+    "Since the last such line, clients' connections were closed to make room "
+    "for others (displaced) or on arrival (refused), because the instance's "
+    "limits of connections or memory were reached. At most once in 5 s.",
+    "Compare galenastage_connections_open and galenastage_connections_bytes "
+    "with their limits in SETTINGS; find who opens so many connections."};
+
 const log_event LeadershipGained{
     5001, Info, "leadership-gained",
     "This process now leads: one data centre, or the whole deployment on the "
@@ -562,6 +570,7 @@
     &events::RequestForwarded,
     &events::RequestDenied,
     &events::CancellationStored,
+    &events::ConnectionsTurnedAway,
 };
 
 } // namespace
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -155,6 +155,7 @@
 extern const log_event RequestForwarded;
 extern const log_event RequestDenied;
 extern const log_event CancellationStored;
+extern const log_event ConnectionsTurnedAway;
 // 5000: ownership
 extern const log_event LeadershipGained;
 extern const log_event LeadershipLost;
--- a/net/http.hpp
+++ b/net/http.hpp
@@ -138,6 +138,9 @@
 
   /// Peak number of concurrent connections.
   [[nodiscard]] int peakConnections() const;
+  [[nodiscard]] int openConnections() const;
+  /// Bytes that connections hold now, of HeldBytes. On the I/O thread.
+  [[nodiscard]] std::size_t heldBytes() const;
   /// Connections closed on arrival because of the limits.
   [[nodiscard]] int refusedConnections() const;
   /// Connections closed later to make room for others.
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -635,6 +635,10 @@
 
 int http_server::peakConnections() const { return State->Peak; }
 
+int http_server::openConnections() const { return State->openConnections(); }
+
+std::size_t http_server::heldBytes() const { return State->Account.used(); }
+
 int http_server::refusedConnections() const { return State->Refused; }
 
 int http_server::displacedConnections() const { return State->Displaced; }
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -35,7 +35,8 @@
   "node_name": "edge-1", "zone": "a", "ip": "10.1.0.19",
   "listen_addrs": {"frontend": "10.1.0.19:8521", "ready": "10.1.0.19:8523"},
   "internal_ports": [7000, 7015], "a_new_field": {"x": 1},
-  "limits": {"cpu_quota": 0.25, "cpu_cores": 2, "link_mbps": 20},
+  "limits": {"cpu_quota": 0.25, "cpu_cores": 2, "link_mbps": 20,
+             "memory_mb": 120, "max_fds": 3075},
   "bounds": {"grace_s": 6, "hold_max_ms": 9000, "stop_timeout_ms": 400,
              "restore_ms": 250, "checkpoint_interval_s": 0.5},
   "advisor": "10.200.1.9:8524", "heartbeat_ms": 1500,
@@ -56,6 +57,8 @@
   CHECK(Parsed.Settings.CheckpointInterval == milliseconds(500));
   CHECK(Parsed.Settings.Cores == Approx(0.5));
   CHECK(Parsed.Settings.LinkMbps == Approx(20));
+  CHECK(Parsed.Settings.MemoryMb == 120);
+  CHECK(Parsed.Settings.MaxDescriptors == 3'075);
 }
 
 TEST_CASE("settings: an error names the missing or mistyped field") {
