Keep a streaming connection while its handler waits

Cause: since connections make room for others, a streamed answer stood among those that may be closed also between its pieces, when the server and not the client is the one without progress. Others would have waited for its room until the handler wrote again.

It may be closed only while a piece is being written.

Evidence: contract tests of the HTTP client, server and store pass (10 cases). Only the stand-in streams answers; nothing failed before.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -547,12 +547,15 @@
         co_await http::async_write_header(Stream, Serializer, AsTuple);
     if (HeadError)
       co_return false;
+    // Between pieces it isn't the client who makes no progress.
+    Connection.unlink();
     const chunk_writer Write = [&](std::string Piece) -> task<bool> {
+      noteProgress(Connection);
       Stream.expires_after(Limits.WriteTimeout);
       auto [Error, Bytes] = co_await asio::async_write(
           Stream, http::make_chunk(asio::buffer(Piece)), AsTuple);
       Stream.expires_never();
-      noteProgress(Connection);
+      Connection.unlink();
       co_return !Error && !IsStopping;
     };
     try {
