Accept several connections in a turn of the event loop

Callers saw: while 3,000 clients send requests without end and read no answer, an ordinary request gets none.

Cause: the server accepted one connection in each turn of its event loop, and a turn serves a request of each open connection. With a thousand of them a new caller waits for as many turns as connections came before it.

From half of the limit on up to 64 connections are accepted in a turn. Below, calm instances do what they did. Accepted connections count from then on.

Evidence: `crowd: more connections than the limit that send requests without end` (260 MB, 4,100 descriptors) is new.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/byte_account.hpp"
 #include "net/http.hpp"
+#include "net/server_message.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -33,64 +34,12 @@
 constexpr std::size_t FramingBytes = 1024;
 // A connection without a request: its coroutine, stream and first buffer.
 constexpr std::size_t ConnectionBytes = 4 * 1024 + FirstReadBytes;
-// A header field as parsed and as handed to the handler, beside its text.
-constexpr std::size_t FieldBytes = sizeof(http_header) + 96;
 // A client that is still sending reads its refusal only if the connection isn't
 // reset, so that much of what it sends is read and thrown away.
 constexpr std::size_t MaxDrainedBytes = 1024 * 1024;
+constexpr int MaxAcceptsPerTurn = 64; // of the event loop
 constexpr milliseconds MaxDrainTime{1'000};
 
-http_request takeHead(const http::request<http::buffer_body> &Message,
-                      const std::string &Peer) {
-  http_request Request;
-  Request.Method = std::string(Message.method_string());
-  Request.Target = std::string(Message.target());
-  for (const auto &Field : Message)
-    Request.Headers.Fields.push_back(
-        {std::string(Field.name_string()), std::string(Field.value())});
-  Request.Peer = Peer;
-  return Request;
-}
-
-/// Memory of the parsed header: the text twice, and each field.
-std::size_t headBytes(const http_request &Request) {
-  std::size_t Text = Request.Method.size() + Request.Target.size();
-  for (const http_header &Field : Request.Headers.Fields)
-    Text += Field.Name.size() + Field.Value.size();
-  return 2 * Text + Request.Headers.Fields.size() * FieldBytes;
-}
-
-template <typename Body>
-void copyHead(const http_response &From, http::response<Body> &To,
-              bool KeepAlive) {
-  To.version(11);
-  To.result(From.Status);
-  for (const http_header &Field : From.Headers.Fields)
-    To.insert(Field.Name, Field.Value);
-  To.keep_alive(KeepAlive);
-}
-
-/// Several Content-Length fields, or Content-Length with Transfer-Encoding,
-/// make parsers disagree on where a request ends (request smuggling).
-bool hasAmbiguousLength(const http::fields &Fields) {
-  const auto Lengths = Fields.count(http::field::content_length);
-  const auto Encodings = Fields.count(http::field::transfer_encoding);
-  return Lengths > 1 || Encodings > 1 || (Lengths > 0 && Encodings > 0);
-}
-
-bool expectsContinue(const http::fields &Fields) {
-  return beast::iequals(Fields[http::field::expect], "100-continue");
-}
-
-unsigned statusOf(const boost::system::error_code &Error) {
-  if (Error == http::error::body_limit)
-    return 413;
-  if (Error == http::error::header_limit ||
-      Error == http::error::buffer_overflow)
-    return 431;
-  return 400;
-}
-
 /// Why a request wasn't read whole.
 struct read_failure {
   unsigned Status = 0; // of the refusal; 0: close without one
@@ -151,6 +100,7 @@
         static_cast<int>(Limits.ReceiveBufferBytes)));
     Acceptor.bind(Local);
     Acceptor.listen(asio::socket_base::max_listen_connections);
+    Acceptor.non_blocking(true);
   }
 
   task<void> acceptLoop() {
@@ -167,18 +117,40 @@
         co_await Timer.async_wait(AsTuple);
         continue;
       }
-      if (openConnections() >= Limits.Connections && !closeSlowest(nullptr)) {
-        ++Refused;
-        continue; // the socket closes as it goes out of scope
-      }
-      boost::system::error_code Ignored;
-      Socket.set_option(tcp::no_delay(true), Ignored);
-      asio::co_spawn(Context, serve(std::move(Socket)), asio::detached);
+      admit(std::move(Socket));
+      acceptMore();
+    }
+  }
+
+  /// While there are many connections, a turn of the event loop is long: new
+  /// ones must not wait a turn for each that came before them.
+  void acceptMore() {
+    if (2 * openConnections() < Limits.Connections)
+      return;
+    boost::system::error_code Error;
+    for (int I = 1; I < MaxAcceptsPerTurn && !IsStopping; ++I) {
+      tcp::socket Socket(Context);
+      Acceptor.accept(Socket, Error);
+      if (Error)
+        return;
+      admit(std::move(Socket));
+    }
+  }
+
+  /// Serves the connection if there is room, or another can make room.
+  void admit(tcp::socket Socket) {
+    if (openConnections() >= Limits.Connections && !closeSlowest(nullptr)) {
+      ++Refused;
+      return; // the socket closes as it goes out of scope
     }
+    boost::system::error_code Ignored;
+    Socket.set_option(tcp::no_delay(true), Ignored);
+    ++Arriving;
+    asio::co_spawn(Context, serve(std::move(Socket)), asio::detached);
   }
 
   [[nodiscard]] int openConnections() const {
-    return static_cast<int>(Connections.size()) - Leavers;
+    return static_cast<int>(Connections.size()) + Arriving - Leavers;
   }
 
   task<void> serve(tcp::socket Socket) {
@@ -188,6 +160,7 @@
     const auto Remote = Connection.Stream.socket().remote_endpoint(Ignored);
     Connection.Peer = Ignored ? "" : Remote.address().to_string();
     Connections.insert(&Connection);
+    --Arriving;
     Peak = std::max(Peak.load(), openConnections());
     bool KeepsOpen = co_await claim(Connection, 0);
     if (!KeepsOpen)
@@ -330,7 +303,7 @@
         if (!HasMore)
           co_return false;
       } else if (Error) {
-        Failure = {statusOf(Error), Error.message()};
+        Failure = {detail::statusOf(Error), Error.message()};
         co_return false;
       }
     }
@@ -356,14 +329,14 @@
   task<bool> beginBody(connection &Connection, incoming_request &Incoming,
                        read_failure &Failure) {
     auto &Message = Incoming.Parser.get();
-    if (hasAmbiguousLength(Message)) {
+    if (detail::hasAmbiguousLength(Message)) {
       Failure = {400, "conflicting message lengths"};
       co_return false;
     }
     Incoming.KeepAlive = Incoming.Parser.keep_alive();
-    Incoming.Request = takeHead(Message, Connection.Peer);
-    Incoming.HeadBytes = headBytes(Incoming.Request);
-    const bool ExpectsContinue = expectsContinue(Message);
+    Incoming.Request = detail::takeHead(Message, Connection.Peer);
+    Incoming.HeadBytes = detail::headBytes(Incoming.Request);
+    const bool ExpectsContinue = detail::expectsContinue(Message);
     Message.clear();
     const bool HasRoom = co_await claimRequest(Connection, Incoming);
     if (!HasRoom) {
@@ -520,7 +493,7 @@
   task<bool> write(connection &Connection, http_response Response,
                    bool KeepAlive, bool IsHead) {
     http::response<http::string_body> Message;
-    copyHead(Response, Message, KeepAlive);
+    detail::copyHead(Response, Message, KeepAlive);
     Message.body() = std::move(Response.Body);
     Message.prepare_payload();
     if (IsHead)
@@ -537,7 +510,7 @@
                          const http_response &Response) {
     beast::tcp_stream &Stream = Connection.Stream;
     http::response<http::empty_body> Message;
-    copyHead(Response, Message, true);
+    detail::copyHead(Response, Message, true);
     Message.chunked(true);
     http::response_serializer<http::empty_body> Serializer(Message);
     Stream.expires_after(Limits.WriteTimeout);
@@ -600,6 +573,7 @@
   // first.
   connection_list Closable;
   std::size_t LeavingBytes = 0; // of connections closed for others
+  int Arriving = 0;             // accepted connections yet to be served
   int Leavers = 0;              // such connections whose coroutine still runs
 };
 
--- a/tests/clients/crowd_test.cpp
+++ b/tests/clients/crowd_test.cpp
@@ -260,6 +260,15 @@
               "GET /open/ HTTP/1.1\r\nHost: h\r\n\r\n", 4 * Mib});
 }
 
+TEST_CASE_METHOD(crowded_instance,
+                 "crowd: more connections than the limit that send requests "
+                 "without end") {
+  start({260, 4'100});
+  press(Instance->front(),
+        {"pipelined requests", 3'000, "",
+         "GET /open/ HTTP/1.1\r\nHost: h\r\n\r\n", 64 * 1'024});
+}
+
 // [5] Whole requests that wait
 
 TEST_CASE_METHOD(crowded_instance,
