Limit submissions in progress

Suspected: with a slow store, submissions that wait for it fill all connections of the front; as each was read whole, none makes room, and other callers are closed on arrival.

Half of the front's connections may be submissions in progress; more are refused with 503, Retry-After and the verdict not-run.

Contract tests of front and server pass.

--- a/apps/instance/front.cpp
+++ b/apps/instance/front.cpp
@@ -123,10 +123,11 @@
              platform::metadata_store &Store, const deployment_feed &Feed,
              instance_metrics &Metrics, admission_settings Admission,
              std::function<std::optional<endpoint>()> FindLeader,
-             std::size_t MaxValueBytes)
+             std::size_t MaxValueBytes, int MaxSubmissions)
     : Context(Context), Peers(Context, std::move(LocalAddress)),
       FindLeader(std::move(FindLeader)), Store(Store), Feed(Feed),
-      Metrics(Metrics), Admission(Admission), MaxValueBytes(MaxValueBytes) {}
+      Metrics(Metrics), Admission(Admission), MaxValueBytes(MaxValueBytes),
+      MaxSubmissions(MaxSubmissions) {}
 
 task<http_response> front::handle(http_request Request, bool IsForwarded) {
   const instant Arrived = readClock();
@@ -170,7 +171,7 @@
     co_return notFound("the path doesn't end with the id of a job");
   const job_id Job(Admitted.Suffix);
   if (Request.Method == "POST")
-    co_return co_await submit(Admitted, Job, Request);
+    co_return co_await submitIfFew(Admitted, Job, Request);
   if (Request.Method == "GET")
     co_return co_await showState(Admitted, Job);
   if (Request.Method == "DELETE")
@@ -257,6 +258,22 @@
   return problemResponse(400, "job too large", Reason, verdict::NotRun);
 }
 
+task<http_response> front::submitIfFew(const admitted &Admitted, job_id Job,
+                                       const http_request &Request) {
+  if (Submissions >= MaxSubmissions)
+    co_return refuse(Job, "too many submissions wait for the platform's store");
+  ++Submissions;
+  http_response Response;
+  try {
+    Response = co_await submit(Admitted, Job, Request);
+  } catch (...) {
+    --Submissions;
+    throw;
+  }
+  --Submissions;
+  co_return Response;
+}
+
 task<http_response> front::submit(const admitted &Admitted, job_id Job,
                                   const http_request &Request) {
   const std::string &Body = Request.Body;
--- a/apps/instance/front.hpp
+++ b/apps/instance/front.hpp
@@ -5,6 +5,8 @@
 #include "apps/instance/metrics.hpp"
 #include "platform/metadata_store.hpp"
 
+#include <limits>
+
 namespace galenastage {
 
 /// Handles client requests: submissions, state queries, cancellations and queue
@@ -15,11 +17,14 @@
   /// FindLeader: where the leader accepts requests that this instance forwards
   /// while the store doesn't serve it; nullopt when no leader is known.
   /// MaxValueBytes: of the store's items; jobs that need more are refused.
+  /// MaxSubmissions: at once; further ones are refused, so that other requests
+  /// find connections free.
   front(asio::io_context &Context, std::string LocalAddress,
         platform::metadata_store &Store, const deployment_feed &Feed,
         instance_metrics &Metrics, batch::admission_settings Admission,
         std::function<std::optional<endpoint>()> FindLeader,
-        std::size_t MaxValueBytes);
+        std::size_t MaxValueBytes,
+        int MaxSubmissions = std::numeric_limits<int>::max());
 
   /// Answers a client's request. IsForwarded: another instance forwarded it; it
   /// isn't forwarded a second time.
@@ -43,6 +48,8 @@
   /// Routes and authenticates a request by the current view, which must exist.
   [[nodiscard]] admitted admit(const http_request &Request) const;
 
+  task<http_response> submitIfFew(const admitted &Admitted, job_id Job,
+                                  const http_request &Request);
   task<http_response> submit(const admitted &Admitted, job_id Job,
                              const http_request &Request);
   /// The answer to a job that can't end in time, by the last backlog.
@@ -71,6 +78,8 @@
   instance_metrics &Metrics;
   batch::admission_settings Admission;
   std::size_t MaxValueBytes;
+  int MaxSubmissions;
+  int Submissions = 0; // in progress
   backlog_view Backlog;
   std::map<route_id, int> QueueLengths; // as last read
   instant QueueLengthsRead{};
--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -70,8 +70,8 @@
         Front(
             Context, Settings.Address, Store, Feed, Metrics,
             admissionSettings(Features),
-            [this] { return Leadership.knownLeader(); },
-            Settings.MaxValueBytes) {
+            [this] { return Leadership.knownLeader(); }, Settings.MaxValueBytes,
+            divideMachine(Settings).Front.Connections / 2) {
     const server_limits Limits = divideMachine(Settings);
     if (Settings.Front)
       Clients = serve(*Settings.Front, "front", Limits.Front,
