Serve what was read while the server stops

By reading: since the wait for a request reads its first bytes, a whole request could have been read just when the server was told to stop, and the connection was then closed without an answer. A request that was read is served now; the connection ends after it.

A test with the stop queued before the bytes passes through neither order. Contract tests of the server pass.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -265,7 +265,8 @@
         Connection.Buffer.prepare(FirstReadBytes), AsTuple);
     Connection.Buffer.commit(Bytes);
     Connection.IsIdle = false;
-    co_return !Error && !IsStopping && !Connection.IsClosed;
+    // What was read is served, also while the server stops.
+    co_return !Error && !Connection.IsClosed;
   }
 
   /// Reads a whole request; on failure, says why.
