--- a/tests/clients/allowed_test.cpp
+++ b/tests/clients/allowed_test.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-const char *const Config =
-    R"({"version":1,"routes":[{"name":"open","host":"h","prefix":"/open/",)"
-    R"("service":"s","public":true}],"services":[{"name":"s"}],)"
-    R"("limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
-    R"("header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]})";
-
 const std::string Job = R"({"spec":"x","steps":[{"count":1,"cpu":500}]})";
 const std::string SubmitHead = "POST /open/00000000000000a1 HTTP/1.1\r\n"
                                "Host: h\r\n";
@@ -42,7 +36,7 @@
 
   calm_instance() {
     Store.run([](standin::metadata_service &Service) {
-      Service.put("op/config", Config);
+      Service.put("op/config", PublicQueueConfig);
     });
     Instance.emplace(machine_limits{120, 3'075}, Store.address());
   }
--- a/tests/clients/crowd_test.cpp
+++ b/tests/clients/crowd_test.cpp
@@ -27,13 +27,6 @@
 const std::string ChunkedHead =
     SubmitHead + "Transfer-Encoding: chunked\r\n\r\n";
 
-/// The limits of the deployments' configurations, on two public queues.
-const char *const Config =
-    R"({"version":1,"routes":[{"name":"open","host":"h","prefix":"/open/",)"
-    R"("service":"s","public":true}],"services":[{"name":"s"}],)"
-    R"("limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
-    R"("header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]})";
-
 /// A request with a body of the given size that has yet to send its last byte.
 crowd_behaviour unfinishedBody(int Connections, std::size_t BodyBytes) {
   const std::string Head =
@@ -71,7 +64,7 @@
     Own.rlim_cur = Own.rlim_max;
     setrlimit(RLIMIT_NOFILE, &Own);
     Store.run([](standin::metadata_service &Service) {
-      Service.put("op/config", Config);
+      Service.put("op/config", PublicQueueConfig);
     });
     Instance.emplace(Limits, Store.address());
     REQUIRE(ask() == 200);
--- a/tests/support/instance_process.cpp
+++ b/tests/support/instance_process.cpp
@@ -115,6 +115,12 @@
 
 } // namespace
 
+const char *const PublicQueueConfig =
+    R"({"version":1,"routes":[{"name":"open","host":"h","prefix":"/open/",)"
+    R"("service":"s","public":true}],"services":[{"name":"s"}],)"
+    R"("limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
+    R"("header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]})";
+
 store_thread::store_thread()
     : Thread([this] {
         const auto Guard = asio::make_work_guard(Context);
--- a/tests/support/instance_process.hpp
+++ b/tests/support/instance_process.hpp
@@ -16,6 +16,10 @@
 
 namespace galenastage::test {
 
+/// A configuration with a public queue, /open/ of host h, and the limits of the
+/// deployments.
+extern const char *const PublicQueueConfig;
+
 /// Limits of the simulated machine. They go into the settings file, and the
 /// descriptors into the limit of the process.
 struct machine_limits {
