--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -135,6 +135,10 @@
   Refused, // the order had no effect
   Unknown, // it may take effect, even later
 };
+/// How long an order waits for its answer. Each order gets one; after this time
+/// it is order_outcome::Unknown.
+inline constexpr milliseconds OrderTimeout{1'000};
+
 /// What the answer to an order tells of the life that gave it. An order names
 /// the executor's id only, so that any life under that id may answer.
 struct answer_source {
@@ -317,6 +321,8 @@
   bool IsListed = false;       // in a report of the executor
   bool IsMissing = false;      // from the last report
   bool IsAccepted = false;     // a life of the executor accepted the start
+  bool IsAwaited = false;      // the answer to its start is to come
+  std::int64_t LostLife = 0;   // incarnation that ended meanwhile; 0: none
   bool IsUrgent = false;       // of priority 0
   bool IsBeyond = false;       // urgent, beyond its organisation's guarantee
   bool IsOfGang = false;
--- a/core/job/batch/scheduler_crashes.cpp
+++ b/core/job/batch/scheduler_crashes.cpp
@@ -7,6 +7,9 @@
 namespace galenastage::batch::detail {
 namespace {
 
+// With time for an instance that handles the answer late.
+constexpr milliseconds MaxAnswerDelay = 2 * OrderTimeout;
+
 /// The task's place in what is stored for each task of its unit.
 std::size_t numberInUnit(const step_spec &Step, const task_name &Task) {
   return Step.IsGang ? static_cast<std::size_t>(Task.Index) : 0;
@@ -55,27 +58,43 @@
 std::vector<task_name> event_handler::noteCrash(executor_state &Executor,
                                                 run_loss Cause) {
   std::vector<task_name> GivenUp;
-  for (const auto &[Name, Run] : Executor.Runs) {
+  for (auto &[Name, Run] : Executor.Runs) {
     if (Run.Phase == run_phase::Recording)
       continue; // its start was never ordered
     if (Run.IsOrphan)
       continue;
-    const bool IsOutlived =
-        hasOutlived(Executor, Run, State.Settings.Crashes.Probation);
-    const bool IsPartOfOutage = isOutage(Executor, Name.Task.Job);
-    const bool HasLeft = Executor.Report.IsDraining; // as announced
-    if (HasLeft || (IsOutlived && IsPartOfOutage)) {
-      noteCrashOf(Name);
+    // Answers may overtake each other: this one may still be a refusal.
+    if (isStartAwaited(Run)) {
+      if (Cause != run_loss::Replaced) // it is dropped once it is answered
+        Run.LostLife = Executor.Incarnation;
       continue;
     }
-    const bool IsBlamed = Cause != run_loss::LeaseExpired && !Run.IsInherited &&
-                          !IsOutlived && !IsPartOfOutage;
-    if (countCrash(Executor, Name, Cause, IsBlamed))
+    if (judgeCrash(Executor, Name, Cause))
       GivenUp.push_back(Name.Task);
   }
   return GivenUp;
 }
 
+bool event_handler::isStartAwaited(const run_state &Run) const {
+  return Run.IsAwaited && !Run.IsListed && Now - Run.Ordered < MaxAnswerDelay;
+}
+
+bool event_handler::judgeCrash(const executor_state &Executor,
+                               const run_name &Name, run_loss Cause) {
+  const run_state &Run = Executor.Runs.at(Name);
+  const bool IsOutlived =
+      hasOutlived(Executor, Run, State.Settings.Crashes.Probation);
+  const bool IsPartOfOutage = isOutage(Executor, Name.Task.Job);
+  const bool HasLeft = Executor.Report.IsDraining; // as announced
+  if (HasLeft || (IsOutlived && IsPartOfOutage)) {
+    noteCrashOf(Name);
+    return false;
+  }
+  const bool IsBlamed = Cause != run_loss::LeaseExpired && !Run.IsInherited &&
+                        !IsOutlived && !IsPartOfOutage;
+  return countCrash(Executor, Name, Cause, IsBlamed);
+}
+
 bool event_handler::noteCrashOf(const run_name &Run) {
   const auto Found = State.Jobs.find(Run.Task.Job);
   if (Found == State.Jobs.end() || isFinal(Found->second.Progress.Phase))
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -256,8 +256,12 @@
   void stopLateStarts(executor_state &Executor);
   [[nodiscard]] bool mayRunInLaterLife(const run_state &Run,
                                        run_loss Cause) const;
-  /// Drops all runs but those that a later life may still begin.
+  /// Drops all runs but those that a later life may still begin, and those
+  /// whose starts are on their way.
   void dropAllRuns(executor_state &Executor, run_loss Cause);
+  /// Drops the runs of a replaced executor whose starts have been answered
+  /// since, or never will be.
+  void dropAnswered(executor_state &Executor);
 
   // Crashes of executors (scheduler_crashes.cpp)
   /// Counts the crash against the tasks that the executor ran, except those
@@ -272,6 +276,12 @@
   bool countCrash(const executor_state &Executor, const run_name &Run,
                   run_loss Cause, bool IsBlamed);
   void giveUp(const std::vector<task_name> &Tasks);
+  /// Whether the answer to its start may still tell if the run has begun.
+  [[nodiscard]] bool isStartAwaited(const run_state &Run) const;
+  /// Counts the crash under one run, or excuses its task. True when the task is
+  /// given up.
+  bool judgeCrash(const executor_state &Executor, const run_name &Run,
+                  run_loss Cause);
   /// Whether the run was there long enough before the executor's last sign of
   /// life.
   [[nodiscard]] bool hasOutlived(const executor_state &Executor,
--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -43,7 +43,11 @@
           {"cause", std::string(name(Cause))},
           {"listed", Known.IsListed ? "yes" : "no"},
           {"since_ms", ForMs}});
+  const bool IsGivenUp =
+      Known.LostLife != 0 && judgeCrash(Executor, Run, run_loss::Restarted);
   applyEnd(Executor, Run, run_end::Lost, {});
+  if (IsGivenUp)
+    giveUp({Run.Task});
 }
 
 /// Handles runs that the report lists neither as active nor as ended. If the
@@ -168,6 +172,8 @@
     const auto Found = Executor.Runs.find(Name);
     if (Found == Executor.Runs.end())
       continue; // the loss of another member of its gang has ended it
+    if (Cause == run_loss::Replaced && isStartAwaited(Found->second))
+      continue;
     if (!mayRunInLaterLife(Run, Cause)) {
       applyLoss(Executor, Name, Cause);
       continue;
@@ -201,4 +207,14 @@
     stopLateStarts(Executor);
 }
 
+void event_handler::dropAnswered(executor_state &Executor) {
+  const std::vector<task_name> GivenUp =
+      noteCrash(Executor, run_loss::Replaced);
+  const std::map<run_name, run_state> Runs = Executor.Runs;
+  for (const auto &[Name, Run] : Runs)
+    if (!isStartAwaited(Run))
+      applyLoss(Executor, Name, run_loss::Replaced);
+  giveUp(GivenUp);
+}
+
 } // namespace galenastage::batch::detail
--- a/core/job/batch/scheduler_orders.cpp
+++ b/core/job/batch/scheduler_orders.cpp
@@ -42,6 +42,7 @@
     Run.Phase = run_phase::Starting;
     Run.Ordered = Now;
     Run.Token = tokenFor(Executor);
+    Run.IsAwaited = true;
     const unit_progress &Progress = *findProgress(unitNameOf(Job, Name.Task));
     Out.emplace_back(start_run{targetOf(Executor), Name, Job.Spec.Payload,
                                Progress.Checkpoint, leaseEnd(Executor)});
@@ -106,6 +107,10 @@
 }
 
 void event_handler::confirmLater(executor_state &Executor, run_state &Run) {
+  if (Executor.IsReplaced) { // it answers no hold
+    dropAnswered(Executor);
+    return;
+  }
   Run.Confirmed = Now;
   if (Run.Phase == run_phase::Starting)
     Run.Phase = run_phase::Unconfirmed;
@@ -129,9 +134,19 @@
   const auto Run = Executor.Runs.find(Event.Run);
   if (Run == Executor.Runs.end())
     return; // already ended
+  Run->second.IsAwaited = false;
+  const bool HasLostLife = std::exchange(Run->second.LostLife, 0) != 0;
   const auto Job = State.Jobs.find(Event.Run.Task.Job);
-  if (Event.Outcome != order_outcome::Unknown)
+  const bool IsFromElsewhere =
+      Life == answering_life::Other && Executor.IsReplaced;
+  if (Event.Outcome != order_outcome::Unknown && !IsFromElsewhere)
     Executor.LastAlive = Now;
+  const bool MayHaveBegun = Event.Outcome == order_outcome::Unknown ||
+                            (Event.Outcome == order_outcome::Accepted &&
+                             Life != answering_life::Other);
+  if (HasLostLife && MayHaveBegun &&
+      judgeCrash(Executor, Event.Run, run_loss::Restarted))
+    giveUp({Event.Run.Task});
   const bool IsByPresentLife =
       Life == answering_life::Meant &&
       (Event.From.Meant == 0 || Event.From.Meant == Executor.Incarnation);
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -221,6 +221,8 @@
     // No order reaches the executor any more: each call names it.
     if (!std::exchange(Executor.IsReplaced, true))
       dropAllRuns(Executor, run_loss::Replaced);
+    else
+      dropAnswered(Executor);
     Executor.NextHold = Now + State.Settings.HoldRetry;
     return;
   }
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -257,6 +257,120 @@
   CHECK(unit("a").Attempts == 2);
 }
 
+// Guards against a job that fails because its executors were replaced: the hold
+// that went with each start was answered first, and each start counted as a
+// crash under its task before its refusal arrived.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a start that another executor refuses is no crash, "
+                 "whether the hold or the start is answered first") {
+  settle(Ids);
+  job_spec Job = job("a", 1, 1, GENERATE(0, 1));
+  Job.Steps[0].IsGang = GENERATE(true, false);
+  submit(Job);
+  std::vector<start_run> Starts = save();
+  const bool IsHoldFirst = GENERATE(true, false);
+  const milliseconds Delay{GENERATE(20, 200, 900)};
+  for (std::size_t I = 0; I < Ids.size(); ++I) {
+    REQUIRE(Starts.size() == 1);
+    const start_run Start = Starts.front();
+    const answer_source From{1, 1'000, 3, Now};
+    const auto answerHold = [&] {
+      post(hold_failed{Start.To.Id, 1, hold_failure::Replaced});
+    };
+    if (IsHoldFirst) {
+      Now += milliseconds(1);
+      answerHold();
+      CHECK(State.Executors.at(Start.To.Id).Runs.contains(Start.Run));
+    }
+    Now += Delay;
+    post(start_answered{Start.To.Id, Start.Run, order_outcome::Refused,
+                        "status 421", From});
+    if (!IsHoldFirst)
+      answerHold();
+    CHECK(State.Executors.at(Start.To.Id).Runs.empty());
+    CHECK(unit("a").crashesOf(0) == crash_record{});
+    Starts = nextStarts();
+  }
+  REQUIRE(Starts.empty());
+  REQUIRE(progress("a").Phase != job_phase::Failed);
+  list({report("y")});
+  answer("y");
+  CHECK(nextStarts().size() == 1);
+}
+
+// Guards against a task that crashes executors without end because the answer
+// to its start is awaited: it is known to have begun, or may have.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a start that a replaced executor has accepted, or "
+                 "left unanswered, counts as a crash once that is known") {
+  settle(Ids);
+  submit(job("a", 1, 1, 1));
+  const start_run Start = save().front();
+  Now += milliseconds(1);
+  post(hold_failed{Start.To.Id, 1, hold_failure::Replaced});
+  CHECK(unit("a").crashesOf(0) == crash_record{});
+  pass(milliseconds(300));
+  CHECK(saveAll().empty()); // it isn't known yet
+  SECTION("accepted") {
+    post(start_answered{Start.To.Id, Start.Run, order_outcome::Accepted, "",
+                        answer_source{1, 1, 100, Now}});
+  }
+  SECTION("unanswered") {
+    post(start_answered{Start.To.Id, Start.Run, order_outcome::Unknown, "",
+                        answer_source{1}});
+  }
+  SECTION("the limit of an answer has passed") {
+    Now += 2 * OrderTimeout;
+    post(hold_failed{Start.To.Id, 0, hold_failure::Replaced});
+  }
+  CHECK(unit("a").crashesOf(0) == crash_record{1, 1});
+  CHECK(State.Executors.at(Start.To.Id).Runs.empty());
+  CHECK(nextStarts().size() == 1);
+}
+
+// Guards against the same when the executor comes back under its id: the next
+// life may have refused the start, or taken it.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a start that the life before never had is no crash "
+                 "of that life") {
+  settle({"x"});
+  submit(job("a", 1, 1, 1));
+  const start_run Start = save().front();
+  Now += milliseconds(1);
+  post(runs_reported{Start.To.Id, 2, 1, Now, {}, {}});
+  CHECK(unit("a").crashesOf(0) == crash_record{});
+  Now += milliseconds(20);
+  crash_record Expected;
+  SECTION("the next life refuses it") {
+    post(start_answered{Start.To.Id, Start.Run, order_outcome::Refused, "fence",
+                        answer_source{1, 2, 22, Now}});
+  }
+  SECTION("the next life takes it") {
+    post(start_answered{Start.To.Id, Start.Run, order_outcome::Accepted, "",
+                        answer_source{1, 2, 22, Now}});
+    CHECK(unit("a").crashesOf(0) == crash_record{});
+    post(runs_reported{Start.To.Id, 3, 1, Now, {}, {}}); // and crashes under it
+    Expected = {1, 1};
+  }
+  SECTION("the life before took it") {
+    post(start_answered{Start.To.Id, Start.Run, order_outcome::Accepted, "",
+                        answer_source{1, 1, 100, Now}});
+    Expected = {1, 1};
+  }
+  SECTION("there is no answer") {
+    post(start_answered{Start.To.Id, Start.Run, order_outcome::Unknown, "",
+                        answer_source{1}});
+    Expected = {1, 1};
+  }
+  SECTION("a later hold shows that it can't come any more") {
+    Now += milliseconds(20);
+    State.Executors.at(Start.To.Id).HoldToken = Start.To.Token + 1;
+    post(runs_reported{Start.To.Id, 2, 41, Now, {}, {}});
+    Expected = {1, 1};
+  }
+  CHECK(unit("a").crashesOf(0) == Expected);
+}
+
 // Guards against tasks that start again together with the one that has crashed
 // their executor.
 TEST_CASE_METHOD(crash_fixture,
