Withdraw a counted crash once the run or its end is listed

Callers saw a job fail for crashes of executors that had not crashed under it.

Cause: a crash is counted when the executor is lost, and the count was final. An executor that was only cut off tells later that the run had lapsed there; a start that the life before never had is begun by the next one. Either shows that no crash ended the run: an attempt runs in one life of one executor.

Now such an attempt is taken out of the counts, by the leader that counted it. The counts are stored with the next start, so that this costs no write. A later crash under the same attempt counts.

--- a/core/job/batch/counted_attempts.cpp
+++ b/core/job/batch/counted_attempts.cpp
@@ -1,6 +1,7 @@
 #include "core/job/batch/counted_attempts.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace galenastage::batch {
 
@@ -21,4 +22,18 @@
   return true;
 }
 
+void counted_attempts::remove(int Attempt) {
+  if (Attempt > UpTo) {
+    std::erase(Later, Attempt);
+    return;
+  }
+  const auto Above = static_cast<std::size_t>(UpTo - Attempt);
+  if (Attempt < 1 || Above + Later.size() > MaxLaterAttempts)
+    return;
+  std::vector<int> Kept(Above);
+  std::iota(Kept.begin(), Kept.end(), Attempt + 1);
+  Later.insert(Later.begin(), Kept.begin(), Kept.end());
+  UpTo = Attempt - 1;
+}
+
 } // namespace galenastage::batch
--- a/core/job/batch/counted_attempts.hpp
+++ b/core/job/batch/counted_attempts.hpp
@@ -25,6 +25,9 @@
   [[nodiscard]] bool contains(int Attempt) const;
   /// Returns false if the attempt was included already.
   bool add(int Attempt);
+  /// Takes the attempt out, unless too many others would have to be kept one by
+  /// one.
+  void remove(int Attempt);
 
   friend bool operator==(const counted_attempts &,
                          const counted_attempts &) = default;
--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -423,7 +423,8 @@
   instant Planned{};             // when its last plan since a start was made
   int Moves = 0;                 // to another executor after a stall
   gang_break Break;
-  int Stops = 0;         // by reclaims
+  std::map<run_name, bool> Crashes; // counted by this leader: whether blamed
+  int Stops = 0;                    // by reclaims
   instant PausedUntil{}; // after the last of them, while capacity is scarce
   speed_probe Probe;
   int Departures = 0; // moves away from executors that were about to go
--- a/core/job/batch/scheduler_crashes.cpp
+++ b/core/job/batch/scheduler_crashes.cpp
@@ -116,8 +116,10 @@
                                bool IsBlamed) {
   if (!noteCrashOf(Run))
     return false;
-  const job_state &Job = State.Jobs.at(Run.Task.Job);
-  unit_progress *Progress = findProgress(unitNameOf(Job, Run.Task));
+  job_state &Job = State.Jobs.at(Run.Task.Job);
+  const unit_name Unit = unitNameOf(Job, Run.Task);
+  unitState(Job, Unit).Crashes[Run] = IsBlamed;
+  unit_progress *Progress = findProgress(Unit);
   const step_spec &Step = Job.Spec.Steps[Run.Task.Step];
   Progress->Crashes.resize(static_cast<std::size_t>(countTasks(Step)));
   crash_record &Record = Progress->Crashes[numberInUnit(Step, Run.Task)];
@@ -133,6 +135,29 @@
   return isGivenUp(Record, State.Settings.Crashes);
 }
 
+void event_handler::withdrawCrash(job_state &Job, const run_name &Run) {
+  const unit_name Unit = unitNameOf(Job, Run.Task);
+  std::map<run_name, bool> &Counted = unitState(Job, Unit).Crashes;
+  const auto Found = Counted.find(Run);
+  if (Found == Counted.end())
+    return;
+  const bool WasBlamed = Found->second;
+  Counted.erase(Found);
+  unit_progress *Progress = findProgress(Unit);
+  if (!Progress || Progress->IsDone)
+    return;
+  const std::size_t Number =
+      numberInUnit(Job.Spec.Steps[Run.Task.Step], Run.Task);
+  crash_record &Record = Progress->Crashes[Number];
+  --Record.Crashes;
+  Record.Blamed -= WasBlamed ? 1 : 0;
+  Progress->Crashed[Number].remove(Run.Attempt); // saved with the next start
+  log(events::CrashWithdrawn, {{"task", printTask(Run.Task)},
+                               {"attempt", std::to_string(Run.Attempt)},
+                               {"crashes", std::to_string(Record.Crashes)},
+                               {"blamed_for", std::to_string(Record.Blamed)}});
+}
+
 void event_handler::giveUp(const std::vector<task_name> &Tasks) {
   for (const task_name &Task : Tasks) {
     const auto Job = State.Jobs.find(Task.Job);
@@ -166,6 +191,7 @@
     return;
   Progress->Crashes.clear();
   Progress->Crashed.clear();
+  unitState(Job, unitNameOf(Job, Name.Task)).Crashes.clear();
   queueSave(Job);
 }
 
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -275,6 +275,9 @@
   /// it is given up.
   bool countCrash(const executor_state &Executor, const run_name &Run,
                   run_loss Cause, bool IsBlamed);
+  /// Takes back a crash that this leader has counted: the run has been listed
+  /// since, or its end. An attempt runs in one life of one executor only.
+  void withdrawCrash(job_state &Job, const run_name &Run);
   void giveUp(const std::vector<task_name> &Tasks);
   /// Whether the answer to its start may still tell if the run has begun.
   [[nodiscard]] bool isStartAwaited(const run_state &Run) const;
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -317,6 +317,8 @@
   job_state &Job = Found->second;
   if (!hasTask(Job.Spec, Run.Task))
     return;
+  if (End != run_end::Lost)
+    withdrawCrash(Job, Run);
   const unit_name Unit = unitNameOf(Job, Run.Task);
   unit_progress *Progress = findProgress(Unit);
   if (!Progress || Progress->IsDone)
@@ -499,6 +501,8 @@
                              {"executor", Executor.Report.Id.Value},
                              {"wanted", IsWanted ? "yes" : "no"}});
   }
+  if (IsWanted)
+    withdrawCrash(Job->second, Active.Run);
   run_state &Run = Known->second;
   Run.IsListed = true;
   Run.Checkpoint = Active.Checkpoint;
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -216,6 +216,11 @@
     "A task is blamed if it had just started; it then runs alone. crashes and "
     "blamed_for are its counts so far.",
     "If 3203 says that the job failed for it, check the job's payload."};
+const log_event CrashWithdrawn{
+    3219, Info, "crash-withdrawn",
+    "A run of 3212 has been listed since, or its end has: no crash ended it. "
+    "crashes and blamed_for are the counts that remain.",
+    "None."};
 const log_event FailureKnown{
     3225, Info, "failure-known",
     "The failed end of a run was reported again, to a new leader or after the "
@@ -531,6 +536,7 @@
     &events::AnswerOutdated,
     &events::StartWithdrawn,
     &events::CrashCounted,
+    &events::CrashWithdrawn,
     &events::CancellationUnmatched,
     &events::CancellationKept,
     &events::CancellationMatched,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -118,6 +118,7 @@
 extern const log_event StartsResumed;
 extern const log_event StartWithdrawn;
 extern const log_event CrashCounted;
+extern const log_event CrashWithdrawn;
 extern const log_event FailureKnown;
 extern const log_event RecordRefused;
 extern const log_event ExecutorEntryOutdated;
--- a/tests/unit/batch_counted_attempts_test.cpp
+++ b/tests/unit/batch_counted_attempts_test.cpp
@@ -19,6 +19,36 @@
   CHECK(Attempts == counted_attempts{5, {7}});
 }
 
+TEST_CASE("counted attempts: one that is taken out can be added again") {
+  counted_attempts Attempts;
+  for (const int Attempt : {1, 2, 3, 6})
+    REQUIRE(Attempts.add(Attempt));
+  const counted_attempts Before = Attempts;
+  for (const int Attempt : {1, 2, 3, 6}) {
+    Attempts.remove(Attempt);
+    for (const int Other : {1, 2, 3, 6})
+      CHECK(Attempts.contains(Other) == (Other != Attempt));
+    CHECK(Attempts.add(Attempt));
+    CHECK(Attempts == Before);
+  }
+  for (const int Unknown : {-1, 0, 4, 5, 7}) {
+    Attempts.remove(Unknown);
+    CHECK(Attempts == Before);
+  }
+}
+
+TEST_CASE("counted attempts: one stays if too many others would be kept one "
+          "by one") {
+  constexpr int Last = 100;
+  counted_attempts Attempts{Last, {}};
+  Attempts.remove(Last - static_cast<int>(MaxLaterAttempts) - 1);
+  CHECK(Attempts == counted_attempts{Last, {}});
+  Attempts.remove(Last - static_cast<int>(MaxLaterAttempts));
+  CHECK(Attempts.Later.size() == MaxLaterAttempts);
+  CHECK(Attempts.contains(Last));
+  CHECK_FALSE(Attempts.contains(Last - static_cast<int>(MaxLaterAttempts)));
+}
+
 // Guards against records that grow with each failure of a task that lasts.
 TEST_CASE(
     "counted attempts: consecutive ones take no room, others are bounded, "
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -371,6 +371,48 @@
   CHECK(unit("a").crashesOf(0) == Expected);
 }
 
+// Guards against a job that fails for crashes that were none: its runs lapsed
+// behind a cut, or had begun in a later life.
+TEST_CASE_METHOD(crash_fixture,
+                 "batch: a counted crash is withdrawn once the run or its end "
+                 "is listed, and counts again if the executor crashes then") {
+  settle({"x"});
+  submit(job("a", 1, 1, 1));
+  const start_run Start = save().front();
+  post(evacuations_changed{{data_centre_id("a")}}); // nothing starts any more
+  const auto comeBack = [&](std::int64_t Life, std::vector<active_run> Active,
+                            std::vector<ended_run> Ended) {
+    Now += milliseconds(20);
+    post(runs_reported{Start.To.Id, Life, Now.time_since_epoch().count(), Now,
+                       std::move(Active), std::move(Ended)});
+  };
+  SECTION("its leases expire, and it had ended behind the cut") {
+    keepAlive(Start, milliseconds(2'000));
+    post(hold_failed{Start.To.Id, 1, hold_failure::NoAnswer});
+    pass(milliseconds(20'000));
+    CHECK(unit("a").crashesOf(0) == crash_record{1, 0});
+    comeBack(1, {}, {{1, Start.Run, run_end::Lapsed, ""}});
+    CHECK(unit("a").crashesOf(0) == crash_record{});
+    comeBack(1, {}, {{1, Start.Run, run_end::Lapsed, ""}});
+    CHECK(unit("a").crashesOf(0) == crash_record{});
+    post(evacuations_changed{{}});
+    CHECK(nextStarts().size() == 1);
+    const auto Known =
+        parseProgress(Stored.at(job_id("a")), Specs.at(job_id("a")));
+    CHECK(Known.Record.Occurrences.at(0).Steps[0].Units[0].crashesOf(0) ==
+          crash_record{});
+  }
+  SECTION("a later life lists it") {
+    post(start_answered{Start.To.Id, Start.Run, order_outcome::Unknown, ""});
+    comeBack(2, {}, {});
+    CHECK(unit("a").crashesOf(0) == crash_record{1, 1});
+    comeBack(2, {{Start.Run, "", 10}}, {});
+    CHECK(unit("a").crashesOf(0) == crash_record{});
+    comeBack(3, {}, {});
+    CHECK(unit("a").crashesOf(0) == crash_record{1, 1});
+  }
+}
+
 // Guards against tasks that start again together with the one that has crashed
 // their executor.
 TEST_CASE_METHOD(crash_fixture,
