Say in a counted crash by what its run is known to have begun

3212 has the field begun: listed, accepted or unknown, so that operators see whether a job failed for runs that may never have begun. And a start whose answer is awaited is judged at once when leases expire, as that blames nobody: it would have counted as a restart; by reading only.

--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -322,7 +322,7 @@
   bool IsMissing = false;      // from the last report
   bool IsAccepted = false;     // a life of the executor accepted the start
   bool IsAwaited = false;      // the answer to its start is to come
-  std::int64_t LostLife = 0;   // incarnation that ended meanwhile; 0: none
+  bool HasLostLife = false;    // its executor restarted meanwhile
   bool IsUrgent = false;       // of priority 0
   bool IsBeyond = false;       // urgent, beyond its organisation's guarantee
   bool IsOfGang = false;
--- a/core/job/batch/scheduler_crashes.cpp
+++ b/core/job/batch/scheduler_crashes.cpp
@@ -10,6 +10,13 @@
 // With time for an instance that handles the answer late.
 constexpr milliseconds MaxAnswerDelay = 2 * OrderTimeout;
 
+/// What is known of the run's beginning.
+std::string_view nameBeginning(const run_state &Run) {
+  if (Run.IsListed)
+    return "listed";
+  return Run.IsAccepted ? "accepted" : "unknown";
+}
+
 /// The task's place in what is stored for each task of its unit.
 std::size_t numberInUnit(const step_spec &Step, const task_name &Task) {
   return Step.IsGang ? static_cast<std::size_t>(Task.Index) : 0;
@@ -64,9 +71,8 @@
     if (Run.IsOrphan)
       continue;
     // Answers may overtake each other: this one may still be a refusal.
-    if (isStartAwaited(Run)) {
-      if (Cause != run_loss::Replaced) // it is dropped once it is answered
-        Run.LostLife = Executor.Incarnation;
+    if (isStartAwaited(Run) && Cause != run_loss::LeaseExpired) {
+      Run.HasLostLife = Cause == run_loss::Restarted;
       continue;
     }
     if (judgeCrash(Executor, Name, Cause))
@@ -125,13 +131,15 @@
   crash_record &Record = Progress->Crashes[numberInUnit(Step, Run.Task)];
   ++Record.Crashes;
   Record.Blamed += IsBlamed ? 1 : 0;
-  log(events::CrashCounted, {{"task", printTask(Run.Task)},
-                             {"attempt", std::to_string(Run.Attempt)},
-                             {"executor", Executor.Report.Id.Value},
-                             {"cause", std::string(name(Cause))},
-                             {"blamed", IsBlamed ? "yes" : "no"},
-                             {"crashes", std::to_string(Record.Crashes)},
-                             {"blamed_for", std::to_string(Record.Blamed)}});
+  log(events::CrashCounted,
+      {{"task", printTask(Run.Task)},
+       {"attempt", std::to_string(Run.Attempt)},
+       {"executor", Executor.Report.Id.Value},
+       {"cause", std::string(name(Cause))},
+       {"begun", std::string(nameBeginning(Executor.Runs.at(Run)))},
+       {"blamed", IsBlamed ? "yes" : "no"},
+       {"crashes", std::to_string(Record.Crashes)},
+       {"blamed_for", std::to_string(Record.Blamed)}});
   return isGivenUp(Record, State.Settings.Crashes);
 }
 
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -265,8 +265,9 @@
 
   // Crashes of executors (scheduler_crashes.cpp)
   /// Counts the crash against the tasks that the executor ran, except those
-  /// that had run for a while when it fell silent together with others. Returns
-  /// the tasks that are given up for it.
+  /// that had run for a while when it fell silent together with others, and
+  /// those whose starts are on their way. Returns the tasks that are given up
+  /// for it.
   std::vector<task_name> noteCrash(executor_state &Executor, run_loss Cause);
   /// Notes that the executor of the run crashed. Returns false if that is known
   /// or doesn't matter any more. Counts nothing.
--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -44,7 +44,7 @@
           {"listed", Known.IsListed ? "yes" : "no"},
           {"since_ms", ForMs}});
   const bool IsGivenUp =
-      Known.LostLife != 0 && judgeCrash(Executor, Run, run_loss::Restarted);
+      Known.HasLostLife && judgeCrash(Executor, Run, run_loss::Restarted);
   applyEnd(Executor, Run, run_end::Lost, {});
   if (IsGivenUp)
     giveUp({Run.Task});
--- a/core/job/batch/scheduler_orders.cpp
+++ b/core/job/batch/scheduler_orders.cpp
@@ -135,7 +135,7 @@
   if (Run == Executor.Runs.end())
     return; // already ended
   Run->second.IsAwaited = false;
-  const bool HasLostLife = std::exchange(Run->second.LostLife, 0) != 0;
+  const bool HasLostLife = std::exchange(Run->second.HasLostLife, false);
   const auto Job = State.Jobs.find(Event.Run.Task.Job);
   const bool IsFromElsewhere =
       Life == answering_life::Other && Executor.IsReplaced;
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -213,7 +213,9 @@
 const log_event CrashCounted{
     3212, Warning, "crash-counted",
     "An executor crashed, or is presumed to have, while it ran the task. "
-    "A task is blamed if it had just started; it then runs alone. crashes and "
+    "begun tells by what the run is known to have begun: the executor listed "
+    "it or accepted its start; unknown: neither, but no refusal either. A task "
+    "is blamed if it had just started; it then runs alone. crashes and "
     "blamed_for are its counts so far.",
     "If 3203 says that the job failed for it, check the job's payload."};
 const log_event CrashWithdrawn{
