--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -498,6 +498,37 @@
   return World.isStuck(Near, ObserveMs);
 }
 
+bool playNoNeeds(world &World, bool HasTrouble) {
+  if (HasTrouble) {
+    const job Urgent{"00000000000000e1",
+                     "/tile/",
+                     "lasts",
+                     {{"count", 1},
+                      {"cpu", 3'700},
+                      {"mem_mb", 5'500},
+                      {"gpu", 7},
+                      {"estimate_ms", 2'500},
+                      {"requirements", "b"},
+                      {"long_running", true}},
+                     World.idsOf("b")};
+    World.submit(Urgent);
+    World.awaitRuns(Urgent, 1);
+  }
+  sleepMs(2'000);
+  const job Empty{"00000000000000e2",
+                  "/permit/",
+                  "work_ms=2000",
+                  {{"count", 2},
+                   {"gang", true},
+                   {"estimate_ms", 2'000},
+                   {"requirements", "r1-0"}},
+                  World.idsOf("r1-0")};
+  World.submit(Empty);
+  World.note("the traffic ends");
+  sleepMs(FinishMs);
+  return World.isStuck(Empty, ObserveMs);
+}
+
 /// Two executors in a rack of their own, of kind a, and ten others of kind b.
 executors twoAndTen(const capacity &Each) {
   executors List;
@@ -521,6 +552,7 @@
       {"ended-done", {twelve(WithGpus, 3), playEndedDone}},
       {"kept", {twoAndTen(WithGpus), playKept}},
       {"affinity", {twoAndTen(WithoutGpus), playAffinity}},
+      {"no-needs", {twoAndTen(WithGpus), playNoNeeds}},
   };
   return All;
 }
