--- a/review/standin-3/http.cpp
+++ b/review/standin-3/http.cpp
@@ -221,7 +221,7 @@
     setNoDelay(Socket);
     std::string Text = Method + " " + Target + " HTTP/1.1\r\n";
     for (const auto &[Name, Value] : Headers)
-      Text += Name + ": " + Value + "\r\n";
+      Text.append(Name).append(": ").append(Value).append("\r\n");
     Text += "Content-Type: application/json\r\nConnection: close\r\n"
             "Content-Length: " +
             std::to_string(Body.size()) + "\r\n\r\n" + Body;
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -235,9 +235,13 @@
                      {"Authorization", std::string("Bearer ") + Key},
                      {"Galenastage-Deadline-Ms", std::to_string(CallMs)}},
                     Body, CallMs);
-      Record.write("sent " + Method + " " + Path + " " + Body + " to " + To +
-                   ", answered " + std::to_string(Answer.Status) + " " +
-                   Answer.Body);
+      std::string Line = "sent ";
+      Line.append(Method).append(" ").append(Path).append(" ").append(Body);
+      Line.append(" to ").append(To).append(", answered ");
+      Line.append(std::to_string(Answer.Status))
+          .append(" ")
+          .append(Answer.Body);
+      Record.write(Line);
       const bool IsFinal = Answer.Status != 0 && Answer.Status != 502 &&
                            Answer.Status != 503 && Answer.Status != 504 &&
                            Answer.Status != 429;
