--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -533,6 +533,42 @@
   return World.isStuck(Empty, ObserveMs);
 }
 
+bool playQuarantined(world &World, bool HasTrouble) {
+  const std::set<std::string> OfB = World.idsOf("b");
+  json OnEach = {{"count", 2},          {"cpu", 2'800},
+                 {"mem_mb", 4'100},     {"gpu", 1},
+                 {"requirements", "b"}, {"max_per_server", 1},
+                 {"estimate_ms", 2'000}};
+  job Lasting{"0000000000000091", "/permit/", "lasts", OnEach, OfB};
+  Lasting.Step["long_running"] = true;
+  World.submit(Lasting);
+  World.awaitRuns(Lasting, 2);
+  if (HasTrouble)
+    for (const std::string &Id : OfB) {
+      World.note("executor " + Id + " fails what begins in 6 s");
+      World.find(Id).failUntil(steadyMs() + GreyMs);
+    }
+  const job First{"0000000000000092", "/permit/", "work_ms=2000", OnEach, OfB};
+  const job Second{"0000000000000093", "/permit/", "work_ms=2000", OnEach, OfB};
+  World.submit(First);
+  World.submit(Second);
+  World.note("the traffic ends");
+  sleepMs(FinishMs);
+  bool IsFirstStuck = false;
+  std::thread Other([&] { IsFirstStuck = World.isStuck(First, ObserveMs); });
+  const bool IsSecondStuck = World.isStuck(Second, ObserveMs);
+  Other.join();
+  return IsFirstStuck || IsSecondStuck;
+}
+
+/// Two of 14 executors are of kind b.
+executors fourteen() {
+  executors List = twelve(WithGpus, 0);
+  for (int I = 0; I < 2; ++I)
+    List.emplace_back("b", "r1-3", WithGpus);
+  return List;
+}
+
 /// Two executors in a rack of their own, of kind a, and ten others of kind b.
 executors twoAndTen(const capacity &Each) {
   executors List;
@@ -556,6 +592,7 @@
       {"ended-done", {twelve(WithGpus, 3), playEndedDone}},
       {"kept", {twoAndTen(WithGpus), playKept}},
       {"affinity", {twoAndTen(WithoutGpus), playAffinity}},
+      {"quarantined", {fourteen(), playQuarantined}},
       {"no-needs", {twoAndTen(WithGpus), playNoNeeds}},
   };
   return All;
