--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -561,6 +561,37 @@
   return IsFirstStuck || IsSecondStuck;
 }
 
+bool playLongTasks(world &World, bool HasTrouble) {
+  if (HasTrouble) {
+    const job Long{"0000000000000071",
+                   "/permit/",
+                   "work_ms=7200000",
+                   {{"count", 12},
+                    {"cpu", 2'800},
+                    {"mem_mb", 4'100},
+                    {"gpu", 1},
+                    {"max_per_server", 1},
+                    {"estimate_ms", 7'200'000}},
+                   World.idsOf("")};
+    World.submit(Long);
+    World.awaitRuns(Long, 12);
+  }
+  sleepMs(60'000);
+  const job Plain{"0000000000000072",
+                  "/permit/",
+                  "work_ms=2000",
+                  {{"count", 1},
+                   {"cpu", 2'800},
+                   {"mem_mb", 4'100},
+                   {"gpu", 1},
+                   {"estimate_ms", 2'000}},
+                  World.idsOf("")};
+  World.submit(Plain);
+  World.note("the traffic ends");
+  sleepMs(FinishMs);
+  return World.isStuck(Plain, ObserveMs);
+}
+
 /// Two of 14 executors are of kind b.
 executors fourteen() {
   executors List = twelve(WithGpus, 0);
@@ -593,6 +624,7 @@
       {"kept", {twoAndTen(WithGpus), playKept}},
       {"affinity", {twoAndTen(WithoutGpus), playAffinity}},
       {"quarantined", {fourteen(), playQuarantined}},
+      {"long-tasks", {twelve(WithGpus, 0), playLongTasks}},
       {"no-needs", {twoAndTen(WithGpus), playNoNeeds}},
   };
   return All;
