Show a late start that begins after its task was done (review, case 12)

An order names the executor's id, so that the next life of an executor carries out a start that the former one had closed, until the first hold reaches it.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Executors whose tasks take hours are closed as stalled, and nothing else starts.
-exec "$(dirname "${BASH_SOURCE[0]}")/../standin-3/run" long-tasks "$(dirname "${BASH_SOURCE[0]}")/record.txt"
+# A late start is carried out in the next life of an executor, after its task was done.
+exec "$(dirname "${BASH_SOURCE[0]}")/../standin-3/run" late-start "$(dirname "${BASH_SOURCE[0]}")/record.txt"
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Executors that failed for a while stay closed for as long as a lasting task runs there.
-exec "$(dirname "${BASH_SOURCE[0]}")/../standin-3/run" quarantined "$(dirname "${BASH_SOURCE[0]}")/record.txt"
+# A task that failed once is never started again while other work holds the executors it hasn't failed on.
+exec "$(dirname "${BASH_SOURCE[0]}")/../standin-3/run" once-failed "$(dirname "${BASH_SOURCE[0]}")/record.txt"
--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A task that needs a whole executor never begins beside lasting urgent work.
-exec "$(dirname "${BASH_SOURCE[0]}")/../standin-3/run" kept "$(dirname "${BASH_SOURCE[0]}")/record.txt"
+# Executors that failed for a while stay closed for as long as a lasting task runs there.
+exec "$(dirname "${BASH_SOURCE[0]}")/../standin-3/run" quarantined "$(dirname "${BASH_SOURCE[0]}")/record.txt"
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -73,13 +73,17 @@
     std::thread([this] {
       for (int Sequence = 1;; ++Sequence) {
         for (const auto &Executor : Executors)
-          Store.put("servers/" + Executor->id(),
-                    Executor->entry(Service, Sequence));
+          if (!Executor->isDown())
+            report(*Executor, Sequence);
         sleepMs(HeartbeatMs);
       }
     }).detach();
   }
 
+  void report(executor &Executor, int Sequence) {
+    Store.put("servers/" + Executor.id(), Executor.entry(Service, Sequence));
+  }
+
   void writeSettings(const std::string &Folder) const {
     for (int I = 1; I <= Instances; ++I)
       std::ofstream(Folder + "/edge-" + std::to_string(I) + ".json")
@@ -592,6 +596,67 @@
   return World.isStuck(Plain, ObserveMs);
 }
 
+std::string describeTwice(const std::string &Id, const run &Done,
+                          const std::string &Other, const run &Run) {
+  std::string Line = "attempt " + std::to_string(Run.Attempt);
+  Line.append(" began on ").append(Other).append(" ");
+  Line.append(std::to_string(Run.Began - Done.Ended));
+  Line.append(" ms after attempt ").append(std::to_string(Done.Attempt));
+  Line.append(" had ended done on ").append(Id);
+  Line.append(", which was taken note of ");
+  Line.append(std::to_string(Done.Noted - Done.Ended)).append(" ms after it");
+  return Line;
+}
+
+bool playLateStart(world &World, bool HasTrouble) {
+  constexpr int CrashMs = 4'500; // after the order came
+  constexpr int DownMs = 1'500;
+  constexpr int LateMs = 30; // after the executor is back
+  const std::set<std::string> OfB = World.idsOf("b");
+  if (HasTrouble)
+    for (const std::string &Id : OfB)
+      World.find(Id).delayNextStart(CrashMs + DownMs + LateMs);
+  const job Plain{"0000000000000061",
+                  "/permit/",
+                  "work_ms=1000",
+                  {{"count", 1},
+                   {"cpu", 2'800},
+                   {"mem_mb", 4'100},
+                   {"gpu", 1},
+                   {"requirements", "b"},
+                   {"estimate_ms", 1'000}},
+                  OfB};
+  World.submit(Plain);
+  if (HasTrouble) {
+    executor *Late = nullptr;
+    World.await("the order has come", [&] {
+      for (const std::string &Id : OfB)
+        if (World.find(Id).delayedAt() != 0)
+          Late = &World.find(Id);
+      return Late != nullptr;
+    });
+    for (const std::string &Id : OfB)
+      World.find(Id).delayNextStart(0);
+    sleepMs(static_cast<int>(Late->delayedAt() + CrashMs - steadyMs()));
+    Late->restart(DownMs);
+    sleepMs(DownMs);
+    World.report(*Late, 1);
+  }
+  sleepMs(FinishMs);
+  World.note("job " + Plain.Id + " is " + World.state(Plain));
+  const auto Runs = World.runsOf(Plain);
+  bool IsBroken = false;
+  for (const auto &[Id, Done] : Runs)
+    for (const auto &[Other, Run] : Runs)
+      if (Done.How == "done" && Done.Noted != 0 && Run.Began > Done.Ended) {
+        IsBroken = true;
+        World.note(describeTwice(Id, Done, Other, Run));
+      }
+  if (Runs.empty())
+    throw not_run("the job has never run");
+  return IsBroken;
+}
+
 /// Two of 14 executors are of kind b.
 executors fourteen() {
   executors List = twelve(WithGpus, 0);
@@ -625,6 +690,7 @@
       {"affinity", {twoAndTen(WithoutGpus), playAffinity}},
       {"quarantined", {fourteen(), playQuarantined}},
       {"long-tasks", {twelve(WithGpus, 0), playLongTasks}},
+      {"late-start", {fourteen(), playLateStart}},
       {"no-needs", {twoAndTen(WithGpus), playNoNeeds}},
   };
   return All;
--- a/review/standin-3/platform.cpp
+++ b/review/standin-3/platform.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <fstream>
 #include <thread>
+#include <utility>
 
 namespace review {
 namespace {
@@ -286,6 +287,59 @@
   FailUntil = Time;
 }
 
+void executor::delayNextStart(int NewDelayMs) {
+  const std::lock_guard Lock(Mutex);
+  DelayMs = NewDelayMs;
+}
+
+std::int64_t executor::delayedAt() {
+  const std::lock_guard Lock(Mutex);
+  return DelayedAt;
+}
+
+void executor::restart(int DownMs) {
+  const std::lock_guard Lock(Mutex);
+  while (!Active.empty())
+    finish(run_key(Active.begin()->first), "died");
+  DownUntil = steadyMs() + DownMs;
+  Start = DownUntil;
+  Born = unixMs() + DownMs;
+  Token = 0;
+  LeaseEnd = 0;
+  Closed.clear();
+  Ended.clear();
+  Numbers.clear();
+  LastNumber = 0;
+  Record.write("executor " + Id + " crashes, and is back in " +
+               std::to_string(DownMs) + " ms");
+}
+
+bool executor::isDown() {
+  const std::lock_guard Lock(Mutex);
+  return steadyMs() < DownUntil;
+}
+
+/// Returns when the caller has long given up.
+response executor::leaveUnanswered(json Body,
+                                   std::unique_lock<std::mutex> &Lock) {
+  constexpr int Silence = 5'000;
+  const int Delay = std::exchange(DelayMs, 0);
+  DelayedAt = steadyMs();
+  Record.write("a start order of " + Body.at("task").get<std::string>() +
+               " comes to " + Id + " and is left unanswered");
+  std::thread([this, Delay, Body = std::move(Body)] {
+    std::this_thread::sleep_for(milliseconds(Delay));
+    const std::lock_guard Late(Mutex);
+    const response Answer = start(Body);
+    Record.write("the late order is carried out on " + Id + ": " +
+                 std::to_string(Answer.Status) + " " + Answer.Body);
+  }).detach();
+  Lock.unlock();
+  std::this_thread::sleep_for(milliseconds(Silence));
+  Lock.lock();
+  return {};
+}
+
 std::vector<run> executor::runs() {
   const std::lock_guard Lock(Mutex);
   return All;
@@ -318,12 +372,16 @@
 
 response executor::handle(const request &Request) {
   std::unique_lock Lock(Mutex);
+  if (steadyMs() < DownUntil)
+    return {};
   const auto Meant = Request.Headers.find("galenastage-expected-instance");
   if (Meant == Request.Headers.end() || Meant->second != Id)
     return answer(421, "");
   const json Body = json::parse(Request.Body, nullptr, false);
   if (!Body.is_object())
     return answer(400, "");
+  if (Request.Path == "/v1/run-start" && DelayMs > 0)
+    return leaveUnanswered(Body, Lock);
   if (Request.Path == "/v1/run-start")
     return start(Body);
   if (Request.Path == "/v1/run-stop")
@@ -376,7 +434,7 @@
     Run.How = "failed";
   }
   Active[Key] = Run;
-  All.push_back({Key.first, Key.second, Now, 0, ""});
+  All.push_back({Key.first, Key.second, Now, 0, "", 0});
   Record.write("run " + Key.first + " attempt " + std::to_string(Key.second) +
                " begins on " + Id);
   return answer(200, "");
@@ -398,12 +456,19 @@
     return answer(409, "fence");
   extendLease(Body);
   const auto LastSeen = Body.value("last_seen", std::int64_t{0});
+  for (const auto &[Number, Index] : Numbers)
+    if (Number <= LastSeen && All[Index].Noted == 0)
+      All[Index].Noted = steadyMs();
   std::erase_if(Ended, [&](const json &Row) {
     return Row.at(0).get<std::int64_t>() <= LastSeen;
   });
   const auto Wait =
       std::min(Body.value("wait_ms", std::int64_t{0}), MaxHoldWaitMs);
-  Changed.wait_for(Lock, milliseconds(Wait), [&] { return !Ended.empty(); });
+  const std::int64_t Life = Born;
+  Changed.wait_for(Lock, milliseconds(Wait),
+                   [&] { return !Ended.empty() || Born != Life; });
+  if (Born != Life) // the life that held the call is gone
+    return {};
   json Rows = json::array();
   for (const auto &[Key, Run] : Active) {
     const std::int64_t Passed = steadyMs() - Run.Began;
@@ -420,11 +485,13 @@
 }
 
 void executor::finish(const run_key &Key, const std::string &How) {
-  run &Run = All[Active.at(Key).Index];
+  const std::size_t Index = Active.at(Key).Index;
+  run &Run = All[Index];
   Run.Ended = steadyMs();
   Run.How = How;
   Active.erase(Key);
   Closed[Key.first] = std::max(Closed[Key.first], Key.second);
+  Numbers[LastNumber + 1] = Index;
   Ended.push_back({++LastNumber, Key.first, Key.second, How, ""});
   Changed.notify_all();
   Record.write("run " + Key.first + " attempt " + std::to_string(Key.second) +
--- a/review/standin-3/platform.hpp
+++ b/review/standin-3/platform.hpp
@@ -96,6 +96,7 @@
   std::int64_t Began = 0;
   std::int64_t Ended = 0; // 0: it runs
   std::string How;
+  std::int64_t Noted = 0; // when last_seen reached its end; 0: it didn't
 };
 
 /// A spec "work_ms=N" says how long a task works; without one it lasts. A spec
@@ -108,6 +109,14 @@
 
   /// Runs that begin until then end as failed after FailAfterMs.
   void failUntil(std::int64_t Time);
+  /// Leaves the next start order without an answer and carries it out
+  /// DelayMs after it came, in the life of that time.
+  void delayNextStart(int DelayMs);
+  /// When the delayed order came; 0: not yet.
+  [[nodiscard]] std::int64_t delayedAt();
+  /// Crashes, and starts again under its id after DownMs.
+  void restart(int DownMs);
+  [[nodiscard]] bool isDown();
   [[nodiscard]] std::vector<run> runs();
   [[nodiscard]] bool isIdle();
   [[nodiscard]] std::string entry(const std::string &Service, int Sequence);
@@ -131,6 +140,7 @@
   response answer(int Status, const std::string &Reason);
   bool isFenced(const json &Body);
   void extendLease(const json &Body);
+  response leaveUnanswered(json Body, std::unique_lock<std::mutex> &Lock);
   void finish(const run_key &Key, const std::string &How);
   void advance();
   [[nodiscard]] std::int64_t clock() const { return steadyMs() - Start; }
@@ -148,10 +158,14 @@
   std::uint64_t Token = 0;
   std::int64_t LeaseEnd = 0; // on its clock
   std::int64_t FailUntil = 0;
+  int DelayMs = 0; // of the next start; 0: none
+  std::int64_t DelayedAt = 0;
+  std::int64_t DownUntil = 0;
   std::map<run_key, active> Active;
   std::map<std::string, int> Closed; // highest attempt stopped or ended
   std::vector<json> Ended;           // that aren't forgotten
   int LastNumber = 0;
+  std::map<int, std::size_t> Numbers; // of ends of this life, to All
   std::vector<run> All;
   server Server;
 };
