--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -337,7 +337,8 @@
   run_pace Pace;                // as reported
 };
 
-/// A start that was never listed and that no life so far carries out any more.
+/// A start that was never listed, and that the present life of the executor
+/// rejects.
 struct closed_start {
   instant Ordered{};
   std::uint64_t Token = 0; // of its order
@@ -421,6 +422,8 @@
   instant ReclaimAfter{};        // earliest next reclaim after a vain one
   instant ReserveAfter{};        // earliest next search for a reservation
   instant Planned{};             // when its last plan since a start was made
+  instant LateUntil{};           // a start of before may arrive until then
+  executor_id LateAt;            // starts only there meanwhile; empty: nowhere
   int Moves = 0;                 // to another executor after a stall
   gang_break Break;
   std::map<run_name, bool> Crashes; // counted by this leader: whether blamed
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -53,10 +53,11 @@
   caution Caution;
   bool MayUseAvoided; // there is no other executor
   executor_filter Allowed = executor_filter::all();
+  const executor_id *Only = nullptr; // where it has to be; null: anywhere
 
   /// Whether every open executor of the service may run the step.
   [[nodiscard]] bool isUnrestricted() const {
-    return Step.Requirement.empty() && Step.MaxPerExecutor == 0 &&
+    return !Only && Step.Requirement.empty() && Step.MaxPerExecutor == 0 &&
            (MayUseAvoided || (Avoided.empty() && Caution == caution::None));
   }
 };
@@ -193,6 +194,8 @@
   void adopt(executor_state &Executor, const active_run &Active);
   void hold(executor_state &Executor);
   void holdAll();
+  /// Whether the next hold has to tell what became of an order.
+  [[nodiscard]] bool needsConfirmation(const executor_state &Executor) const;
   [[nodiscard]] executor_target targetOf(const executor_state &Executor) const;
   [[nodiscard]] std::int64_t leaseEnd(executor_state &Executor);
   unit_progress *findProgress(const unit_name &Unit);
@@ -254,6 +257,16 @@
   void forgetClosedStarts(executor_state &Executor);
   /// Closes such starts in the new incarnation as well.
   void stopLateStarts(executor_state &Executor);
+  /// Whether the order to start the run may still be on its way. Every life of
+  /// the executor's id may carry it out, until LateStarts after it was sent.
+  [[nodiscard]] bool mayArrive(const run_state &Run) const;
+  /// Whether the run keeps its room until the order has arrived or can't any
+  /// more, as no stop would let its task start elsewhere sooner.
+  [[nodiscard]] bool isAwaited(const run_state &Run) const;
+  /// Whether the order is closed in the present life instead: the other members
+  /// of a gang wouldn't wait for it, and a task that lasts starts again in
+  /// place.
+  [[nodiscard]] static bool isClosedEarly(const run_state &Run);
   [[nodiscard]] bool mayRunInLaterLife(const run_state &Run,
                                        run_loss Cause) const;
   /// Drops all runs but those that a later life may still begin, and those
--- a/core/job/batch/scheduler_losses.cpp
+++ b/core/job/batch/scheduler_losses.cpp
@@ -58,21 +58,22 @@
   for (const active_run &Active : Report.Active)
     Listed.insert(Active.Run);
   std::vector<run_name> Gone;
-  std::vector<run_name> MayStartLater;
+  std::vector<run_name> Unclear;
   for (auto &[Name, Run] : Executor.Runs) {
     Run.IsMissing = !Listed.contains(Name);
     if (!Run.IsMissing || !Report.IsWhole)
       continue;
-    // Orders with an earlier token can no longer take effect.
-    const bool IsFenced = isFenced(Executor, Run);
-    const bool IsOver = Run.IsListed || IsFenced ||
-                        (Run.IsStopAccepted && Report.Sent >= Run.Confirmed);
-    const bool MayStartLate =
-        Run.Phase == run_phase::Unconfirmed && Report.Sent >= Run.Confirmed;
+    const bool IsClosed = isFenced(Executor, Run) ||
+                          (Run.IsStopAccepted && Report.Sent >= Run.Confirmed);
+    // Neither a stop nor a later token closes a start for a next life.
+    const bool IsOver =
+        Run.IsListed || (IsClosed && (!mayArrive(Run) || isClosedEarly(Run)));
+    const bool IsUnclear = Run.Phase == run_phase::Unconfirmed &&
+                           Report.Sent >= Run.Confirmed && !isAwaited(Run);
     if (IsOver)
       Gone.push_back(Name);
-    else if (MayStartLate)
-      MayStartLater.push_back(Name);
+    else if (IsUnclear)
+      Unclear.push_back(Name);
   }
   std::vector<task_name> GivenUp;
   for (const run_name &Name : Gone) {
@@ -88,16 +89,30 @@
         HasCrashed ? run_loss::Restarted : run_loss::NotListed;
     if (HasCrashed && countCrash(Executor, Name, Cause, false))
       GivenUp.push_back(Name.Task);
-    const bool IsClosed = isFenced(Executor, Run) || Run.IsStopAccepted;
-    if (IsClosed && !Run.IsListed && !Run.IsAccepted)
+    if (mayArrive(Run))
       noteClosedStart(Executor, Name);
     applyLoss(Executor, Name, Cause);
   }
   giveUp(GivenUp);
-  for (const run_name &Name : MayStartLater)
+  for (const run_name &Name : Unclear)
     orderStop(Executor, Name);
 }
 
+bool event_handler::mayArrive(const run_state &Run) const {
+  return Run.Phase != run_phase::Recording && !Run.IsListed &&
+         !Run.IsAccepted && Now - Run.Ordered < State.Settings.LateStarts;
+}
+
+bool event_handler::isClosedEarly(const run_state &Run) {
+  return Run.IsOfGang || Run.IsLongRunning;
+}
+
+bool event_handler::isAwaited(const run_state &Run) const {
+  const bool IsAsked =
+      Run.Phase == run_phase::Unconfirmed || Run.IsStopAccepted;
+  return IsAsked && Run.IsMissing && mayArrive(Run) && !isClosedEarly(Run);
+}
+
 void event_handler::forgetClosedStarts(executor_state &Executor) {
   std::erase_if(Executor.ClosedStarts, [&](const auto &Item) {
     return Now - Item.second.Ordered >= State.Settings.LateStarts;
@@ -116,6 +131,18 @@
         Closed, {}, [](const auto &Item) { return Item.second.Ordered; }));
   const run_state &Run = Executor.Runs.at(Name);
   Closed[Name] = {Run.Ordered, Run.Token};
+  const auto Job = State.Jobs.find(Name.Task.Job);
+  if (Job == State.Jobs.end() || isFinal(Job->second.Progress.Phase))
+    return;
+  unit_state &Unit = unitState(Job->second, unitNameOf(Job->second, Name.Task));
+  const instant Until = Run.Ordered + State.Settings.LateStarts;
+  Unit.LateUntil = std::max(Unit.LateUntil, Until);
+  // A task that lasts has no end that a late start could follow, and an
+  // executor never runs it in two lives at the same time.
+  if (Run.IsLongRunning && !Run.IsOfGang)
+    Unit.LateAt = Executor.Report.Id;
+  else
+    Unit.NotBefore = std::max(Unit.NotBefore, Until);
 }
 
 void event_handler::stopLateStarts(executor_state &Executor) {
@@ -137,7 +164,7 @@
 }
 
 /// An order names the executor's id only: a start that was never listed may be
-/// carried out in a later life, also if an earlier one has accepted it.
+/// carried out in a later life.
 bool event_handler::mayRunInLaterLife(const run_state &Run,
                                       run_loss Cause) const {
   if (Run.IsListed || Run.Phase == run_phase::Recording)
@@ -146,8 +173,7 @@
   case run_loss::Restarted:
     return true;               // the present life is asked
   case run_loss::LeaseExpired: // nobody can be asked
-    return !Run.IsInherited && !Run.IsAccepted &&
-           Now - Run.Ordered < State.Settings.LateStarts;
+    return mayArrive(Run);
   case run_loss::Replaced: // no order reaches the id any more
   case run_loss::NotListed:
   case run_loss::GangBroken:
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -228,6 +228,9 @@
       Job.Units.at(Unit.Occurrence)[Unit.Step][Unit.Unit].Avoided,
       cautionFor(Job, Unit),
       false};
+  const unit_state &Known = Job.Units.at(Unit.Occurrence)[Unit.Step][Unit.Unit];
+  if (Now < Known.LateUntil && !Known.LateAt.Value.empty())
+    Query.Only = &Known.LateAt;
   Query.MayUseAvoided = mustUseAvoided(Query);
   // Without any proven executor the wait for one is vain.
   if (Query.MayUseAvoided && Query.Caution == caution::Unproven) {
@@ -244,6 +247,8 @@
       !Query.Avoided.empty() || Query.Caution != caution::None;
   if (!HasToAvoid || !Query.Service)
     return false;
+  if (Query.Only)
+    return true;
   const step_spec &Step = Query.Step;
   const int Tasks = countTasks(Step);
   const int MostOnOne = Step.MaxPerExecutor > 0 ? Step.MaxPerExecutor : Tasks;
@@ -270,6 +275,8 @@
   for (const auto &[Id, Executor] : Rack.Open) {
     if (!Query.Allowed.includes(Executor.group()))
       continue;
+    if (Query.Only && Id != *Query.Only)
+      continue;
     if (!Step.Requirement.empty() && !Executor.hasLabel(Step.Requirement))
       continue;
     if (!Query.MayUseAvoided && isAvoided(Query, Id, Executor))
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -14,13 +14,17 @@
   return Number != 0 && Number != Executor.HoldNumber;
 }
 
-bool needsConfirmation(const run_state &Run) {
-  return Run.Phase == run_phase::Unconfirmed ||
-         (Run.IsStopAccepted && !Run.IsListed);
-}
-
 } // namespace
 
+bool event_handler::needsConfirmation(const executor_state &Executor) const {
+  return std::ranges::any_of(Executor.Runs, [&](const auto &Item) {
+    const run_state &Run = Item.second;
+    const bool IsUnclear = Run.Phase == run_phase::Unconfirmed ||
+                           (Run.IsStopAccepted && !Run.IsListed);
+    return IsUnclear && !isAwaited(Run);
+  });
+}
+
 std::string_view name(hold_failure Failure) {
   switch (Failure) {
   case hold_failure::NoAnswer:
@@ -97,20 +101,20 @@
   const std::int64_t LastSeen = IsAcknowledging ? Executor.LastSeenSaved : 0;
   hold_executor Hold{targetOf(Executor), LastSeen, {}, {}};
   const bool IsUnsaved = Executor.LastSeenProcessed > Executor.LastSeenSaved;
-  const bool HasUnconfirmed =
-      std::ranges::any_of(Executor.Runs, [](const auto &Item) {
-        return needsConfirmation(Item.second);
-      });
   const bool HasUrgent = std::ranges::any_of(
       Executor.Runs, [](const auto &Item) { return Item.second.IsUrgent; });
   const bool MayWait = HasRuns && Executor.HasAnsweredHold &&
                        !Executor.IsUnresponsive && !IsUnsaved &&
-                       !HasUnconfirmed;
+                       !needsConfirmation(Executor);
   if (MayWait)
     Hold.Wait =
         HasUrgent ? State.Settings.UrgentHoldWait : State.Settings.HoldWait;
   if (isProbed(Executor))
     Hold.Wait = std::min(Hold.Wait, State.Settings.Speeds.ProbeWait);
+  if (std::ranges::any_of(Executor.Runs, [&](const auto &Item) {
+        return isAwaited(Item.second);
+      }))
+    Hold.Wait = std::min(Hold.Wait, State.Settings.LateStartWait);
   // An unresponsive executor may receive the hold and extend its leases all the
   // same. Without a new lease its runs expire sooner.
   const bool IsLeased = Executor.HasAnsweredHold && !Executor.IsUnresponsive;
@@ -189,14 +193,10 @@
   if (State.SavesFinished >= Executor.SaveNeeded)
     Executor.LastSeenSaved = Executor.LastSeenProcessed;
   const bool IsUnsaved = Executor.LastSeenProcessed > Executor.LastSeenSaved;
-  const bool HasUnconfirmed =
-      std::ranges::any_of(Executor.Runs, [](const auto &Item) {
-        return needsConfirmation(Item.second);
-      });
   Executor.NextHold = Now + MinHoldGap;
   if (IsUnsaved)
     Executor.NextHold = Now + State.Settings.UnsavedHoldInterval;
-  else if (HasUnconfirmed)
+  else if (needsConfirmation(Executor))
     Executor.NextHold = Now + State.Settings.ConfirmInterval;
   hold(Executor);
 }
@@ -360,12 +360,14 @@
   resolveBrokenGang(Job, Unit);
 }
 
-/// Once all runs of the unit have ended, the next leader has none to inherit.
-/// It would take their executors' later restarts for crashes.
+/// Once all runs of the unit have ended, and no start of it may arrive any
+/// more, the next leader has none to inherit. It would take their executors'
+/// later restarts for crashes.
 void event_handler::forgetPlacement(job_state &Job, const unit_name &Unit) {
   unit_progress *Progress = findProgress(Unit);
+  const unit_state &Known = unitState(Job, Unit);
   const bool IsOver = Progress && !Progress->Placed.empty() &&
-                      unitState(Job, Unit).LiveRuns == 0;
+                      Known.LiveRuns == 0 && Now >= Known.LateUntil;
   if (!IsOver)
     return;
   Progress->Placed.clear();
--- a/core/job/batch/scheduler_settings.hpp
+++ b/core/job/batch/scheduler_settings.hpp
@@ -25,6 +25,7 @@
   milliseconds ConfirmInterval{100};     // hold interval for unconfirmed runs
   milliseconds StopRetry{500};     // until an unanswered stop is sent again
   milliseconds LateStarts{13'000}; // longest delay of an unanswered start
+  milliseconds LateStartWait{500}; // longest hold while one may arrive
   // That are remembered of an executor: as many as one job has tasks.
   std::size_t MaxClosedStarts = MaxTasksPerJob;
   milliseconds SpreadDelay{1'500}; // wait for the preferred rack before that
--- a/tests/property/batch_world_test.cpp
+++ b/tests/property/batch_world_test.cpp
@@ -277,6 +277,37 @@
   checkWorlds(Settings);
 }
 
+/// Late orders among executors that restart, in worlds that are long enough
+/// for gangs whose starts go unanswered again and again.
+world_settings lateOrdersWorld() {
+  world_settings Settings;
+  Settings.JudgesClosedStarts = true;
+  Settings.Faulty = milliseconds(60'000);
+  Settings.Length = milliseconds(260'000);
+  Settings.Faults.LostOrders = 0.3;
+  Settings.Faults.LateOrders = 0.8;
+  Settings.Faults.LostOrdersUntil = milliseconds(100'000);
+  return Settings;
+}
+
+// Guards against a start after the task was done, which the stop and the token
+// of an earlier life didn't keep from a later one (review, case 12).
+TEST_CASE("batch: an unanswered start is carried out in a later life") {
+  world_settings Settings = lateOrdersWorld();
+  Settings.Faults.ExecutorRestarts = 40;
+  checkWorlds(Settings);
+}
+
+TEST_CASE("batch: an unanswered start is carried out in a later life, under "
+          "another leader") {
+  world_settings Settings = lateOrdersWorld();
+  Settings.Faults.ExecutorRestarts = 20;
+  Settings.Faults.Outages = 4;
+  Settings.Faults.LeaderLosses = 6;
+  Settings.Faults.HasFrozenLeaders = true;
+  checkWorlds(Settings);
+}
+
 // Guards against the same for an executor that was taken for lost, and came
 // back under its id before the order did.
 TEST_CASE("batch: late orders are on their way while executors are away for "
--- a/tests/support/batch_world.hpp
+++ b/tests/support/batch_world.hpp
@@ -58,6 +58,7 @@
   double LateHolds = 0;   // fraction of holds without a response, which are
                           // executed late, by 1 to 12 s
   double SlowClocks = 0;  // largest share that an executor's clock falls behind
+  milliseconds LostOrdersUntil{0}; // 0: orders are lost until the end
 
   /// Whether lives of executors are played in detail: leases end on time, late
   /// calls reach executors that are cut off, and a start that is refused as old
--- a/tests/support/batch_world_orders.cpp
+++ b/tests/support/batch_world_orders.cpp
@@ -8,7 +8,9 @@
 void world::order(const executor_target &To, const order_work &Carry,
                   const std::function<void(bool)> &Unanswered) {
   checkToken(To);
-  const bool IsLost = chance(Settings.Faults.LostOrders);
+  const milliseconds LostUntil = Settings.Faults.LostOrdersUntil;
+  const bool IsLost = chance(Settings.Faults.LostOrders) &&
+                      (LostUntil.count() == 0 || Now < LostUntil);
   const bool IsLate = IsLost && chance(Settings.Faults.LateOrders);
   const milliseconds Delay =
       IsLate ? milliseconds(draw(1'000, static_cast<int>(LongestDelay.count())))
--- a/tests/unit/batch_contact_test.cpp
+++ b/tests/unit/batch_contact_test.cpp
@@ -26,9 +26,12 @@
     REQUIRE(x().Runs.empty());
   }
   /// Starts a job on x whose start gets no answer, until its stop is ordered.
+  /// It lasts: other starts aren't stopped but awaited.
   run_name startUnanswered() {
     settle({"x"});
-    submit(job("a", 1, 1, 1));
+    job_spec Job = job("a", 1, 1, 1);
+    Job.Steps[0].IsLongRunning = true;
+    submit(Job);
     const start_run Start = save().at(0);
     post(start_answered{X, Start.Run, order_outcome::Unknown, ""});
     answer("x");
@@ -221,6 +224,7 @@
   settle({"x"});
   job_spec Job = job("a", 1, Wide, 0);
   Job.Steps[0].Needs = {10, 10, 0};
+  Job.Steps[0].IsLongRunning = true;
   submit(Job);
   const std::vector<start_run> Starts = save();
   REQUIRE(Starts.size() == Wide);
--- a/tests/unit/batch_crash_test.cpp
+++ b/tests/unit/batch_crash_test.cpp
@@ -123,6 +123,9 @@
   post(recovery_finished{});
   Now += milliseconds(20);
   post(runs_reported{Next, 2, 1, Now, {}, {}});
+  CHECK(unit("a").crashesOf(0) == crash_record{1, 1}); // it may still begin
+  Now += State.Settings.LateStarts;
+  post(runs_reported{Next, 2, 1, Now, {}, {}});
   CHECK(unit("a").crashesOf(0) == crash_record{2, 1});
 }
 
@@ -253,6 +256,9 @@
   Unit.Placed = {{executor_id("x"), 1}};
   post(job_found{Job, Progress});
   settle({"x"});
+  CHECK(unit("a").Attempts == 1); // its start may still arrive
+  Now += State.Settings.LateStarts;
+  answer("x");
   CHECK(unit("a").Crashes.empty());
   CHECK(unit("a").Attempts == 2);
 }
@@ -363,7 +369,7 @@
     Expected = {1, 1};
   }
   SECTION("a later hold shows that it can't come any more") {
-    Now += milliseconds(20);
+    Now += State.Settings.LateStarts;
     State.Executors.at(Start.To.Id).HoldToken = Start.To.Token + 1;
     post(runs_reported{Start.To.Id, 2, 41, Now, {}, {}});
     Expected = {1, 1};
--- a/tests/unit/batch_late_start_test.cpp
+++ b/tests/unit/batch_late_start_test.cpp
@@ -15,9 +15,11 @@
 
 struct late_start_fixture : test::scheduler_fixture {
   /// Starts a job on x, which doesn't answer. The other executor is y.
-  run_name startUnanswered() {
+  run_name startUnanswered(bool IsLasting = false) {
     settle({"x"});
-    submit(job("a", 1, 1, 1));
+    job_spec Job = job("a", 1, 1, 1);
+    Job.Steps[0].IsLongRunning = IsLasting;
+    submit(Job);
     const start_run Start = save().at(0);
     post(start_answered{X, Start.Run, order_outcome::Unknown, ""});
     post(hold_failed{X, 1, hold_failure::ConnectionLost});
@@ -79,7 +81,11 @@
   SECTION("it comes back without the run") {
     list({entryOf(2), report("y")});
     answerAs(2);
-    REQUIRE(all<stop_run>().size() == 1);
+    CHECK(saveAll().empty());
+    CHECK(all<stop_run>().empty()); // it may still begin here
+    Now = Ordered + Late + milliseconds(100);
+    answerAs(2);
+    REQUIRE(all<stop_run>().size() == 1); // in case it began just now
     CHECK(saveAll().empty());
     Now += milliseconds(20);
     post(stop_answered{X, Run, true, {2}});
@@ -94,14 +100,14 @@
 TEST_CASE_METHOD(late_start_fixture,
                  "late starts: a start that was closed is closed again when "
                  "the executor comes back under its id") {
-  const run_name Run = startUnanswered();
+  const run_name Run = startUnanswered(true);
   answerAs(1);
   REQUIRE(all<stop_run>().size() == 1);
   Now += milliseconds(20);
   post(stop_answered{X, Run, true, {1}});
   answerAs(1);
   REQUIRE_FALSE(State.Executors.at(X).Runs.contains(Run));
-  REQUIRE(passWithoutX(milliseconds(3'000)).size() == 1);
+  REQUIRE(passWithoutX(milliseconds(3'000)).empty()); // y must not run it too
   SECTION("its entry names the life") { list({entryOf(2), report("y")}); }
   SECTION("its answer names the life") {
     list({entryOf(0), report("y")});
@@ -114,7 +120,7 @@
 TEST_CASE_METHOD(late_start_fixture,
                  "late starts: an executor that has gone is forgotten once its "
                  "closed starts can't come") {
-  const run_name Run = startUnanswered();
+  const run_name Run = startUnanswered(true);
   answerAs(1);
   post(stop_answered{X, Run, true, {1}});
   answerAs(1);
@@ -128,7 +134,7 @@
 TEST_CASE_METHOD(late_start_fixture,
                  "late starts: an inherited start that the token has closed is "
                  "closed again after a restart") {
-  const run_name Run = startUnanswered();
+  const run_name Run = startUnanswered(true);
   changeLeader({report("x"), report("y")});
   answer("y");
   answerAs(1);
@@ -137,3 +143,69 @@
   REQUIRE(all<stop_run>().size() == 1);
   CHECK(all<stop_run>().front().Run == Run);
 }
+
+// Guards against a start after the task was done: the stop had closed it in the
+// life of then, and the task ran elsewhere while a later life could begin it.
+TEST_CASE_METHOD(late_start_fixture,
+                 "late starts: a task starts nowhere else while a next life "
+                 "may begin its unanswered start") {
+  const instant Ordered = Now;
+  const run_name Run = startUnanswered();
+  const milliseconds Late = State.Settings.LateStarts;
+  const auto AwaitLast = [&](std::int64_t Life) {
+    while (Now < Ordered + Late - milliseconds(500)) {
+      pass(milliseconds(480));
+      for (const stop_run &Stop : all<stop_run>())
+        post(stop_answered{X, Stop.Run, true, {Life}});
+      answerAs(Life);
+      answer("y");
+      REQUIRE(saveAll().empty());
+    }
+  };
+  SECTION("the executor stays as it is") { AwaitLast(1); }
+  SECTION("it restarts") {
+    answerAs(1);
+    list({entryOf(2), report("y")});
+    AwaitLast(2);
+  }
+  SECTION("another leader takes over") {
+    changeLeader({report("x"), report("y")});
+    answer("y");
+    AwaitLast(1);
+  }
+  CHECK(State.Executors.at(X).Runs.contains(Run));
+  CHECK(State.Jobs.at(job_id("a"))
+            .Progress.Occurrences[0]
+            .Steps[0]
+            .Units[0]
+            .Attempts == 1);
+}
+
+// Guards against the same for a gang, whose other members don't wait: it starts
+// again as a whole once the start can't arrive.
+TEST_CASE_METHOD(late_start_fixture,
+                 "late starts: a gang starts again once the unanswered start "
+                 "of a member can't arrive") {
+  settle({"x"});
+  job_spec Job = job("a", 1, 2, 1);
+  Job.Steps[0].IsGang = true;
+  const instant Ordered = Now;
+  submit(Job);
+  const auto Starts = save();
+  REQUIRE(Starts.size() == 2);
+  post(start_answered{X, Starts[0].Run, order_outcome::Accepted, ""});
+  post(start_answered{X, Starts[1].Run, order_outcome::Unknown, ""});
+  answerAs(1, {{Starts[0].Run, "", 0}});
+  REQUIRE(all<stop_run>().size() == 1);
+  post(stop_answered{X, Starts[1].Run, true, {1}});
+  Now += milliseconds(20);
+  const std::int64_t Clock = Now.time_since_epoch().count();
+  post(runs_reported{
+      X, 1, Clock, Now, {}, {end(Starts[0].Run, run_end::Broken)}});
+  CHECK(State.Executors.at(X).Runs.empty()); // its room is free
+  Now = Ordered + State.Settings.LateStarts - milliseconds(100);
+  pass(milliseconds(0));
+  CHECK(saveAll().empty());
+  pass(milliseconds(500));
+  CHECK(saveAll().size() == 2);
+}
--- a/tests/unit/batch_lease_test.cpp
+++ b/tests/unit/batch_lease_test.cpp
@@ -274,6 +274,7 @@
   REQUIRE(Holds[0].To.Token > Before.To.Token);
   answerX();
   Now += State.Settings.LateStarts + State.Settings.MaxLease;
+  answerX(); // the start of before can't arrive any more
   pass(milliseconds(100));
   post(executors_listed{{report("y")}, Now, ++Revision});
   REQUIRE_FALSE(State.Executors.contains(X));
@@ -287,11 +288,12 @@
 }
 
 // Guards against a second start that waits for the answer to a stop, which the
-// executor may never get.
+// executor may never get. Before LateStarts a life after this one may begin it.
 TEST_CASE_METHOD(lease_fixture,
-                 "leases: a start that a later token has closed is given up at "
-                 "once") {
+                 "leases: a start that a later token has closed is given up "
+                 "once it can't arrive") {
   begin();
+  const instant Ordered = Now;
   const start_run Start = startOnX("a");
   post(start_answered{X, Start.Run, order_outcome::Unknown, ""});
   loseHold();
@@ -302,7 +304,12 @@
   CHECK(State.Executors.at(X).Runs.contains(Start.Run));
   pass(milliseconds(100));
   answerX();
+  CHECK(State.Executors.at(X).Runs.contains(Start.Run));
+  CHECK(saveAll().empty());
+  Now = Ordered + State.Settings.LateStarts;
+  answerX();
   CHECK_FALSE(State.Executors.at(X).Runs.contains(Start.Run));
+  CHECK(all<stop_run>().empty());
   CHECK(saveAll().size() == 1);
 }
 
@@ -311,7 +318,10 @@
 TEST_CASE_METHOD(lease_fixture,
                  "leases: a stop that another life answered closes nothing") {
   begin();
-  const start_run Start = startOnX("a");
+  job_spec Lasting = job("a", 1, 1, 1);
+  Lasting.Steps[0].IsLongRunning = true;
+  submit(Lasting);
+  const start_run Start = save().at(0);
   post(start_answered{X, Start.Run, order_outcome::Unknown, ""});
   answerX();
   REQUIRE(all<stop_run>().size() == 1);
@@ -338,7 +348,7 @@
   loseHold();
   untilNextStart();
   CHECK(Now >= Gained + State.Settings.MaxLease);
-  CHECK(Now < Gained + State.Settings.MaxLease + milliseconds(1'000));
+  CHECK(Now < Gained + State.Settings.LateStarts + milliseconds(1'000));
 }
 
 // Guards against an answer without a clock that is taken for the present
--- a/tests/unit/batch_partial_report_test.cpp
+++ b/tests/unit/batch_partial_report_test.cpp
@@ -115,7 +115,11 @@
   CHECK(x().Runs.size() == 2);
   CHECK(save().empty());
   answer("x", {}, {end(Runs[1], run_end::Done)});
-  CHECK(save().size() == 1); // the last task starts again
+  saveAll();
+  CHECK(x().Runs.size() == 1); // the last start may still arrive
+  Now += State.Settings.LateStarts;
+  answer("x");
+  CHECK(saveAll().size() == 1); // and its task starts again
 }
 
 TEST_CASE_METHOD(partial_fixture,
@@ -186,7 +190,9 @@
                  "partial: an unanswered start is stopped after a whole "
                  "report") {
   const auto Runs = runOnX(job("a", 1, 2, 1));
-  submit(job("b", 1, 1, 1));
+  job_spec Lasting = job("b", 1, 1, 1);
+  Lasting.Steps[0].IsLongRunning = true;
+  submit(Lasting);
   const run_name Late = save().at(0).Run;
   post(start_answered{X, Late, order_outcome::Unknown, ""});
   answerPart({{Runs[1], "", 10}}, {end(Runs[0], run_end::Done)});
--- a/tests/unit/batch_scheduler_test.cpp
+++ b/tests/unit/batch_scheduler_test.cpp
@@ -49,10 +49,12 @@
 
 TEST_CASE_METHOD(
     scheduler_fixture,
-    "batch: an unanswered start is retried only after its stop was "
-    "accepted and a later report doesn't list it") {
+    "batch: an unanswered start of a task that lasts is retried only after its "
+    "stop was accepted and a later report doesn't list it") {
   settle({"x", "y"});
-  submit(job("a", 1, 1, 1));
+  job_spec Lasting = job("a", 1, 1, 1);
+  Lasting.Steps[0].IsLongRunning = true;
+  submit(Lasting);
   const start_run Start = save().at(0);
   const std::string Id = Start.To.Id.Value;
   post(start_answered{Start.To.Id, Start.Run, order_outcome::Unknown, ""});
@@ -69,6 +71,8 @@
   const save_progress Saved = all<save_progress>().front();
   const auto &Steps = Saved.Jobs.front().Progress.Occurrences.at(0).Steps;
   CHECK(Steps[0].Units[0].Attempts == 2);
+  // Two lives of one executor don't run at the same time.
+  CHECK(Steps[0].Units[0].Placed.front().Executor == Start.To.Id);
 }
 
 TEST_CASE_METHOD(
@@ -221,11 +225,10 @@
   answer("x", {{Running, "", 40}});
   CHECK(all<save_progress>().empty());
   CHECK(all<stop_run>().empty());
-  pass(State.Settings.MaxLease - milliseconds(1'000));
-  CHECK(all<save_progress>().empty());
+  pass(State.Settings.LateStarts - milliseconds(1'000));
+  CHECK(saveAll().empty());
   pass(milliseconds(2'000));
-  REQUIRE(all<save_progress>().size() == 1);
-  const auto Starts = save();
+  const auto Starts = saveAll();
   REQUIRE(Starts.size() == 1);
   CHECK(Starts[0].Run.Task.Index == 1);
   CHECK(Starts[0].Run.Attempt == 2);
