--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -415,16 +415,17 @@
 
 /// State of a unit that isn't stored.
 struct unit_state {
-  int LiveRuns = 0;              // runs that aren't removed yet
-  instant Ready{};               // since when it could start
-  instant NotBefore{};           // earliest restart after a failure
-  std::set<executor_id> Avoided; // where it failed or stalled
-  instant ReclaimAfter{};        // earliest next reclaim after a vain one
-  instant ReserveAfter{};        // earliest next search for a reservation
-  instant Planned{};             // when its last plan since a start was made
-  instant LateUntil{};           // a start of before may arrive until then
-  executor_id LateAt;            // starts only there meanwhile; empty: nowhere
-  int Moves = 0;                 // to another executor after a stall
+  int LiveRuns = 0;    // runs that aren't removed yet
+  instant Ready{};     // since when it could start
+  instant NotBefore{}; // earliest restart after a failure
+  // Where it failed, stalled or was refused, until that time.
+  std::map<executor_id, instant> Avoided;
+  instant ReclaimAfter{}; // earliest next reclaim after a vain one
+  instant ReserveAfter{}; // earliest next search for a reservation
+  instant Planned{};      // when its last plan since a start was made
+  instant LateUntil{};    // a start of before may arrive until then
+  executor_id LateAt;     // starts only there meanwhile; empty: nowhere
+  int Moves = 0;          // to another executor after a stall
   gang_break Break;
   std::map<run_name, bool> Crashes; // counted by this leader: whether blamed
   int Stops = 0;                    // by reclaims
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -49,7 +49,7 @@
   const job_state &Job;
   const step_spec &Step;
   const indexed_service *Service; // null: no executor is known
-  const std::set<executor_id> &Avoided;
+  const std::map<executor_id, instant> &Avoided;
   caution Caution;
   bool MayUseAvoided; // there is no other executor
   executor_filter Allowed = executor_filter::all();
@@ -335,6 +335,11 @@
   [[nodiscard]] caution cautionFor(const job_state &Job,
                                    const unit_name &Unit) const;
   [[nodiscard]] bool mustUseAvoided(const placement_query &Query) const;
+  /// Keeps the unit away from the executor, longer the more often it was kept
+  /// away from one (Times, from 1).
+  void avoid(unit_state &Unit, const executor_id &Executor, int Times) const;
+  /// Whether no unit of its step fits where it doesn't fit.
+  [[nodiscard]] bool isInterchangeable(const unit_name &Unit) const;
   /// The executors that may run the step: sets to be tried one after the other.
   /// Empty: none may.
   [[nodiscard]] std::vector<executor_filter>
--- a/core/job/batch/scheduler_orders.cpp
+++ b/core/job/batch/scheduler_orders.cpp
@@ -180,7 +180,7 @@
   unit_state &Known = unitState(Job->second, Unit);
   Known.NotBefore = Now + State.Settings.RestartDelay;
   touch(Job->second);
-  Known.Avoided.insert(Event.Executor);
+  avoid(Known, Event.Executor, 1);
   forgetPlacement(Job->second, Unit);
   if (Job->second.Spec.Steps[Unit.Step].IsGang)
     stopUnit(Job->second, Unit);
--- a/core/job/batch/scheduler_pace.cpp
+++ b/core/job/batch/scheduler_pace.cpp
@@ -78,7 +78,7 @@
     if (Known.Moves >= State.Settings.Pace.MaxMoves)
       continue;
     ++Known.Moves;
-    Known.Avoided.insert(Executor.Report.Id);
+    avoid(Known, Executor.Report.Id, Known.Moves);
     log(events::UnitMoved,
         {{"task", printTask({Unit.Job, Unit.Occurrence, Unit.Step, Unit.Unit})},
          {"executor", Executor.Report.Id.Value},
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -195,25 +195,47 @@
                               const indexed_executor &Executor) const {
   const bool IsProven = Executor.ProvenAt != instant{} &&
                         Now - Executor.ProvenAt < State.Settings.ProvenFor;
-  return Query.Avoided.contains(Id) ||
+  const auto Avoided = Query.Avoided.find(Id);
+  return (Avoided != Query.Avoided.end() && Now < Avoided->second) ||
          (Query.Caution != caution::None && Executor.IsSuspect) ||
          (Query.Caution == caution::Unproven && !IsProven);
 }
 
+void event_handler::avoid(unit_state &Unit, const executor_id &Executor,
+                          int Times) const {
+  milliseconds Time = State.Settings.AvoidFor;
+  for (int I = 1; I < Times && Time < State.Settings.MaxAvoidFor; ++I)
+    Time *= 2;
+  Unit.Avoided[Executor] = Now + std::min(Time, State.Settings.MaxAvoidFor);
+}
+
+bool event_handler::isInterchangeable(const unit_name &Unit) const {
+  const job_state &Job = State.Jobs.at(Unit.Job);
+  const unit_progress &Progress = Job.Progress.Occurrences.at(Unit.Occurrence)
+                                      .Steps[Unit.Step]
+                                      .Units[Unit.Unit];
+  const unit_state &Known = Job.Units.at(Unit.Occurrence)[Unit.Step][Unit.Unit];
+  return !Progress.hasSuspect() && Known.Avoided.empty() &&
+         Now >= Known.LateUntil && cautionFor(Job, Unit) == caution::None;
+}
+
 /// Another failure on its last attempt fails the job, even if the executor is
-/// the cause.
+/// the cause. But the others may be taken for good.
 caution event_handler::cautionFor(const job_state &Job,
                                   const unit_name &Unit) const {
   const int Failures = Job.Progress.Occurrences.at(Unit.Occurrence)
                            .Steps[Unit.Step]
                            .Units[Unit.Unit]
                            .Failures;
-  const bool IsLastAttempt =
-      Failures > 0 && Failures + 1 >= Job.Queue.MaxAttempts;
+  const bool IsLastAttempt = Failures > 0 &&
+                             Failures + 1 >= Job.Queue.MaxAttempts &&
+                             !Job.Spec.Steps[Unit.Step].IsLongRunning;
   if (!IsLastAttempt)
     return caution::None;
   const instant Ready =
       Job.Units.at(Unit.Occurrence)[Unit.Step][Unit.Unit].Ready;
+  if (Now - Ready >= State.Settings.SuspectWait)
+    return caution::None;
   return Now - Ready < State.Settings.ProvenWait ? caution::Unproven
                                                  : caution::Suspects;
 }
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -448,7 +448,7 @@
   queueSave(Job);
   unit_state &Unit = unitState(Job, unitNameOf(Job, Run.Task));
   Unit.NotBefore = Now + State.Settings.RestartDelay;
-  Unit.Avoided.insert(Executor.Report.Id);
+  avoid(Unit, Executor.Report.Id, Progress.Failures);
   touch(Executor);
   const bool IsQuarantined = noteFailure(
       Executor.Health, State.Settings.Quarantine, Run.Task.Job, true, Now);
--- a/core/job/batch/scheduler_settings.hpp
+++ b/core/job/batch/scheduler_settings.hpp
@@ -34,8 +34,11 @@
   milliseconds ReclaimRetry{100};  // after a reclaim that found no room
   int MaxReclaimRacks = 24;        // that one reclaim considers
   milliseconds RestartDelay{200};  // before a failed unit restarts
+  milliseconds AvoidFor{2'000};    // an executor where a unit failed, at first
+  milliseconds MaxAvoidFor{6'000}; // upper limit of the doubling time
   milliseconds ProvenFor{4'000};   // after a success on an executor
   milliseconds ProvenWait{2'000};  // of a last attempt for proven executors
+  milliseconds SuspectWait{6'000}; // the same, for one without a failure
   milliseconds Retention{150'000}; // of ended jobs
   int MaxForgetting = 8;           // ended jobs that are removed at a time
   milliseconds ForgetRetry{1'000}; // after a removal that failed
--- a/core/job/batch/scheduler_shares.cpp
+++ b/core/job/batch/scheduler_shares.cpp
@@ -66,14 +66,12 @@
   reserveForStarved();
 }
 
-/// The units of a step are identical but for suspects: when one doesn't fit,
-/// none of the others does.
+/// Most units of a step are identical: when one doesn't fit, none of the others
+/// does.
 bool event_handler::placeNext(share_queue &Queue) {
   const waiting_step &Step = Queue.next();
   unit_name Unit = Step.First;
   Unit.Unit = Step.Units[Queue.NextUnit];
-  const unit_progress &Progress = *findProgress(Unit);
-  const bool IsSuspect = Progress.hasSuspect();
   // A reservation may just have started it.
   const bool IsWaiting = unitState(State.Jobs.at(Unit.Job), Unit).LiveRuns == 0;
   const bool IsPaused =
@@ -84,7 +82,7 @@
     noteUnplaced(Step, Unit);
   ++Queue.NextUnit;
   const bool IsOver = Queue.NextUnit == Step.Units.size();
-  if (IsOver || (MayStart && !IsPlaced && !IsSuspect)) {
+  if (IsOver || (MayStart && !IsPlaced && isInterchangeable(Unit))) {
     Queue.Steps.pop_back();
     Queue.NextUnit = 0;
   }
