--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -385,6 +385,15 @@
   [[nodiscard]] bool isUsable(const executor_state &Executor,
                               const service_id &Service) const;
   [[nodiscard]] bool isOpen(const executor_state &Executor) const;
+  /// The run that a quarantined executor is probed with, beside those that were
+  /// there before; null: none.
+  [[nodiscard]] static const run_state *
+  findProbe(const executor_state &Executor);
+  /// Ends the quarantine once the probe has run for long enough. It need not
+  /// end: it may last, or take hours.
+  void updateQuarantine(executor_state &Executor);
+  /// Forgets the failures of the executor, after a success.
+  void release(executor_state &Executor);
   [[nodiscard]] bool isEligible(const executor_state &Executor,
                                 const job_state &Job,
                                 const step_spec &Step) const;
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -146,8 +146,32 @@
          !State.Evacuated.contains(Executor.Report.DataCentre);
 }
 
+const run_state *event_handler::findProbe(const executor_state &Executor) {
+  const auto Found = std::ranges::find_if(Executor.Runs, [&](const auto &Item) {
+    return Item.second.Ordered >= Executor.Health.ProbeAt;
+  });
+  return Found == Executor.Runs.end() ? nullptr : &Found->second;
+}
+
+void event_handler::updateQuarantine(executor_state &Executor) {
+  const run_state *Probe =
+      Executor.Health.IsQuarantined ? findProbe(Executor) : nullptr;
+  if (Probe && hasOutlived(Executor, *Probe, State.Settings.ProbeTime))
+    release(Executor);
+}
+
+void event_handler::release(executor_state &Executor) {
+  touch(Executor);
+  if (!noteSuccess(Executor.Health))
+    return;
+  State.NeedsPlacement = true;
+  log(events::ExecutorReinstated,
+      {{"executor", Executor.Report.Id.Value},
+       {"runs", std::to_string(Executor.Runs.size())}});
+}
+
 bool event_handler::isOpen(const executor_state &Executor) const {
-  const bool IsProbe = Now >= Executor.Health.ProbeAt && Executor.Runs.empty();
+  const bool IsProbe = Now >= Executor.Health.ProbeAt && !findProbe(Executor);
   const bool IsReserved =
       std::ranges::any_of(Executor.Runs, [](const auto &Item) {
         return Item.second.IsOnProbation || Item.second.IsOrphan;
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -189,6 +189,7 @@
          {"runs", std::to_string(Executor.Runs.size())}});
   Executor.HasMoreEnds = !Event.IsWhole;
   updateStalled(Executor);
+  updateQuarantine(Executor);
 
   if (State.SavesFinished >= Executor.SaveNeeded)
     Executor.LastSeenSaved = Executor.LastSeenProcessed;
@@ -337,8 +338,7 @@
     logEnd(Executor, Run,
            {{"end", std::string(name(End))}, {"checkpoint", Checkpoint}});
   if (End == run_end::Done) {
-    touch(Executor);
-    noteSuccess(Executor.Health);
+    release(Executor);
     Executor.ProvenAt = Now;
     if (Sent)
       measureDone(Executor, Job, Run, *Sent);
--- a/core/job/batch/scheduler_settings.hpp
+++ b/core/job/batch/scheduler_settings.hpp
@@ -55,7 +55,8 @@
   int MaxJobsPerSave = 15; // fits a store transaction of 32 entries
   quarantine_settings Quarantine{2, 10, milliseconds(6'000),
                                  milliseconds(60'000)};
-  milliseconds StopTimeout{900};          // longest time that a stop takes
+  milliseconds ProbeTime{3'000}; // a run that lives so long passes as a probe
+  milliseconds StopTimeout{900}; // longest time that a stop takes
   milliseconds CheckpointInterval{1'000}; // of work between checkpoints
   milliseconds RestoreTime{100};          // to resume from a checkpoint
   pace_settings Pace;
--- a/core/log_event.cpp
+++ b/core/log_event.cpp
@@ -294,6 +294,11 @@
     "occasional probes.",
     "Check the executor. It is reinstated automatically after a successful "
     "probe."};
+const log_event ExecutorReinstated{
+    3316, Info, "executor-reinstated",
+    "A task ended well on a quarantined executor, or a probe has run there for "
+    "long enough; it gets work again.",
+    "None."};
 const log_event ExecutorStalled{
     3306, Warning, "executor-stalled",
     "No run on an executor makes progress; nothing new is started there, and "
@@ -553,6 +558,7 @@
     &events::ExecutorUnlisted,
     &events::ExecutorDraining,
     &events::ExecutorQuarantined,
+    &events::ExecutorReinstated,
     &events::ExecutorStalled,
     &events::ExecutorAdvances,
     &events::UnitMoved,
--- a/core/log_event.hpp
+++ b/core/log_event.hpp
@@ -127,6 +127,7 @@
 extern const log_event ExecutorUnlisted;
 extern const log_event ExecutorDraining;
 extern const log_event ExecutorQuarantined;
+extern const log_event ExecutorReinstated;
 extern const log_event ExecutorStalled;
 extern const log_event ExecutorAdvances;
 extern const log_event UnitMoved;
