--- a/core/job/batch/scheduler.hpp
+++ b/core/job/batch/scheduler.hpp
@@ -19,6 +19,9 @@
 //   capacity, is of another life than its last answer to a hold.
 // - A run counts against its executor's capacity until its end is listed, the
 //   executor has restarted, or every lease that it may hold has expired.
+// - A start without an answer may be carried out by each life of the executor's
+//   id, until LateStarts after it was sent. Until then its task starts nowhere
+//   else; one that lasts may start again on the same executor.
 // - An end is stored before it is acknowledged to the executor.
 // - After the leader's own lease has expired, it starts no run and extends no
 //   lease.
@@ -417,7 +420,7 @@
 struct unit_state {
   int LiveRuns = 0;    // runs that aren't removed yet
   instant Ready{};     // since when it could start
-  instant NotBefore{}; // earliest restart after a failure
+  instant NotBefore{}; // earliest restart
   // Where it failed, stalled or was refused, until that time.
   std::map<executor_id, instant> Avoided;
   instant ReclaimAfter{}; // earliest next reclaim after a vain one
--- a/core/job/batch/scheduler_internal.hpp
+++ b/core/job/batch/scheduler_internal.hpp
@@ -338,6 +338,8 @@
   /// Keeps the unit away from the executor, longer the more often it was kept
   /// away from one (Times, from 1).
   void avoid(unit_state &Unit, const executor_id &Executor, int Times) const;
+  [[nodiscard]] bool isAvoided(const std::map<executor_id, instant> &Avoided,
+                               const executor_id &Executor) const;
   /// Whether no unit of its step fits where it doesn't fit.
   [[nodiscard]] bool isInterchangeable(const unit_name &Unit) const;
   /// The executors that may run the step: sets to be tried one after the other.
--- a/core/job/batch/scheduler_placement.cpp
+++ b/core/job/batch/scheduler_placement.cpp
@@ -219,8 +219,7 @@
                               const indexed_executor &Executor) const {
   const bool IsProven = Executor.ProvenAt != instant{} &&
                         Now - Executor.ProvenAt < State.Settings.ProvenFor;
-  const auto Avoided = Query.Avoided.find(Id);
-  return (Avoided != Query.Avoided.end() && Now < Avoided->second) ||
+  return isAvoided(Query.Avoided, Id) ||
          (Query.Caution != caution::None && Executor.IsSuspect) ||
          (Query.Caution == caution::Unproven && !IsProven);
 }
@@ -233,6 +232,12 @@
   Unit.Avoided[Executor] = Now + std::min(Time, State.Settings.MaxAvoidFor);
 }
 
+bool event_handler::isAvoided(const std::map<executor_id, instant> &Avoided,
+                              const executor_id &Executor) const {
+  const auto Found = Avoided.find(Executor);
+  return Found != Avoided.end() && Now < Found->second;
+}
+
 bool event_handler::isInterchangeable(const unit_name &Unit) const {
   const job_state &Job = State.Jobs.at(Unit.Job);
   const unit_progress &Progress = Job.Progress.Occurrences.at(Unit.Occurrence)
@@ -244,7 +249,8 @@
 }
 
 /// Another failure on its last attempt fails the job, even if the executor is
-/// the cause. But the others may be taken for good.
+/// the cause. It waits for a better executor for a while: those may be taken
+/// for good.
 caution event_handler::cautionFor(const job_state &Job,
                                   const unit_name &Unit) const {
   const int Failures = Job.Progress.Occurrences.at(Unit.Occurrence)
--- a/core/job/batch/scheduler_reservations.cpp
+++ b/core/job/batch/scheduler_reservations.cpp
@@ -61,17 +61,14 @@
   if (!Progress || Progress->IsDone || Progress->hasSuspect())
     return false;
   const unit_state &Known = unitState(Job, Unit);
-  const auto IsAvoided = [&](const executor_id &Id) {
-    const auto Avoided = Known.Avoided.find(Id);
-    return Avoided != Known.Avoided.end() && Now < Avoided->second;
-  };
   const bool IsWaiting = Now < Reservation.Until && Now >= Known.NotBefore &&
                          Known.LiveRuns == 0 && !State.Plans.contains(Unit) &&
                          !State.DeparturePlans.contains(Unit);
   return IsWaiting &&
          std::ranges::all_of(Reservation.Executors, [&](const auto &Id) {
            const auto Found = State.Executors.find(Id);
-           return Found != State.Executors.end() && !IsAvoided(Id) &&
+           return Found != State.Executors.end() &&
+                  !isAvoided(Known.Avoided, Id) &&
                   isEligible(Found->second, Job, Job.Spec.Steps[Unit.Step]);
          });
 }
--- a/core/job/batch/scheduler_runs.cpp
+++ b/core/job/batch/scheduler_runs.cpp
@@ -365,10 +365,10 @@
 /// later restarts for crashes.
 void event_handler::forgetPlacement(job_state &Job, const unit_name &Unit) {
   unit_progress *Progress = findProgress(Unit);
+  if (!Progress || Progress->Placed.empty())
+    return;
   const unit_state &Known = unitState(Job, Unit);
-  const bool IsOver = Progress && !Progress->Placed.empty() &&
-                      Known.LiveRuns == 0 && Now >= Known.LateUntil;
-  if (!IsOver)
+  if (Known.LiveRuns > 0 || Now < Known.LateUntil)
     return;
   Progress->Placed.clear();
   queueSave(Job);
